--- /dev/null
+++ b/crates/cli/src/cli/arguments.rs
@@ -0,0 +1,114 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelhook_platform::http::JsonClient;
+use dotterelhook_platform::log::HttpLog;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+
+const DEFAULT_TIMEOUT_MS: u64 = 5_000;
+
+/// Why a command did not do what was asked.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The command line or a file is invalid.
+    Usage(String),
+    /// The call failed; the verdict says whether it may have taken effect.
+    Call(CallError),
+    /// The change was refused, or is not in force everywhere.
+    Refused(String),
+}
+
+impl Failure {
+    /// Creates a failure of the command line.
+    pub(crate) fn usage(error: impl fmt::Display) -> Self {
+        Self::Usage(error.to_string())
+    }
+
+    /// Returns the exit code of the process.
+    pub(crate) fn exit_code(&self) -> i32 {
+        match self {
+            Self::Call(error) if error.verdict == Verdict::MayHaveRun => 3,
+            Self::Call(_) => 1,
+            Self::Usage(_) => 2,
+            Self::Refused(_) => 4,
+        }
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(text) | Self::Refused(text) => f.write_str(text),
+            Self::Call(error) => error.fmt(f),
+        }
+    }
+}
+
+impl From<CallError> for Failure {
+    fn from(error: CallError) -> Self {
+        Self::Call(error)
+    }
+}
+
+/// Options that several commands share.
+pub(crate) struct CommonArguments {
+    inner: pico_args::Arguments,
+    /// Whether to print JSON.
+    pub(crate) is_json: bool,
+    /// The time limit of one call.
+    pub(crate) timeout: Duration,
+}
+
+impl CommonArguments {
+    /// Reads the shared options.
+    pub(crate) fn parse(mut inner: pico_args::Arguments) -> Result<Self, Failure> {
+        let is_json = inner.contains("--json");
+        let timeout_ms: Option<u64> = inner
+            .opt_value_from_str("--timeout-ms")
+            .map_err(Failure::usage)?;
+        let timeout = Duration::from_millis(timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
+        Ok(Self {
+            inner,
+            is_json,
+            timeout,
+        })
+    }
+
+    /// Returns whether a flag is set.
+    pub(crate) fn flag(&mut self, key: &'static str) -> bool {
+        self.inner.contains(key)
+    }
+
+    /// Returns the log that `--log` names.
+    pub(crate) fn log(&mut self) -> Result<HttpLog, Failure> {
+        let address = self.inner.value_from_str("--log").map_err(Failure::usage)?;
+        Ok(HttpLog::new(address, self.timeout))
+    }
+
+    /// Returns a client for the daemon that `--daemon` names.
+    pub(crate) fn daemon(&mut self) -> Result<JsonClient, Failure> {
+        let address: SocketAddr = self
+            .inner
+            .value_from_str("--daemon")
+            .map_err(Failure::usage)?;
+        Ok(JsonClient::new(address, self.timeout))
+    }
+
+    /// Returns the next argument without a name, if there is one.
+    pub(crate) fn positional(&mut self) -> Result<Option<String>, Failure> {
+        self.inner.opt_free_from_str().map_err(Failure::usage)
+    }
+
+    /// Checks that every argument was used.
+    pub(crate) fn finish(self) -> Result<(), Failure> {
+        let rest = self.inner.finish();
+        if rest.is_empty() {
+            return Ok(());
+        }
+        Err(Failure::Usage(format!(
+            "unknown arguments: {rest:?}; try --help"
+        )))
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cli/help.rs
@@ -0,0 +1,95 @@
+const OVERVIEW: &str = "\
+dotterelhook - the operator's command line
+
+USAGE:
+    dotterelhook COMMAND [OPTIONS]
+
+COMMANDS:
+    check     check a directory of settings without a network
+    publish   publish what differs in a directory of settings
+    get       print the configuration in force
+    history   print what became of the newest publications
+    status    print the daemons and what they have in force
+    jobs      print the runs and how far they have come
+
+Each command has --help and --json.
+
+EXIT CODES:
+    0  done
+    1  failed; nothing was changed
+    2  the command line or a file is invalid
+    3  unknown; the change may still take effect
+    4  refused, or not in force everywhere
+";
+
+const CHECK: &str = "\
+USAGE:
+    dotterelhook check DIRECTORY
+
+The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
+TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
+
+EXAMPLE:
+    dotterelhook check examples/config/habagat
+";
+
+const PUBLISH: &str = "\
+USAGE:
+    dotterelhook publish DIRECTORY --log ADDRESS [--dry-run] [--timeout-ms N]
+        [--wait --daemon ADDRESS]
+
+Prints the plan first, then publishes only what differs from what is in force.
+With --wait it returns when every live daemon has the change in force.
+
+EXAMPLE:
+    dotterelhook publish examples/config/habagat --log 127.0.0.1:7000 --dry-run
+";
+
+const GET: &str = "\
+USAGE:
+    dotterelhook get [PATH] --log ADDRESS
+
+EXAMPLE:
+    dotterelhook get booking/services/booking --log 127.0.0.1:7000
+";
+
+const HISTORY: &str = "\
+USAGE:
+    dotterelhook history --log ADDRESS
+
+EXAMPLE:
+    dotterelhook history --log 127.0.0.1:7000
+";
+
+const STATUS: &str = "\
+USAGE:
+    dotterelhook status --daemon ADDRESS
+
+The address is the admin address of any daemon.
+
+EXAMPLE:
+    dotterelhook status --daemon 127.0.0.1:7101
+";
+
+const JOBS: &str = "\
+USAGE:
+    dotterelhook jobs --daemon ADDRESS
+
+Asks every scheduler that the daemon knows, and says which can't be reached.
+
+EXAMPLE:
+    dotterelhook jobs --daemon 127.0.0.1:7101
+";
+
+/// Returns the help of a command, or of all.
+pub(super) fn text(command: Option<&str>) -> &'static str {
+    match command {
+        Some("check") => CHECK,
+        Some("publish") => PUBLISH,
+        Some("get") => GET,
+        Some("history") => HISTORY,
+        Some("status") => STATUS,
+        Some("jobs") => JOBS,
+        _ => OVERVIEW,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/cli/mod.rs
@@ -0,0 +1,43 @@
+//! Parsing of the command line and the exit codes.
+
+mod arguments;
+mod help;
+
+use std::process::exit;
+
+pub(crate) use arguments::CommonArguments;
+pub(crate) use arguments::Failure;
+
+use crate::command;
+
+/// Runs the command that the command line names.
+pub(crate) fn run() -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    if let Err(failure) = runtime.block_on(dispatch()) {
+        eprintln!("dotterelhook: {failure}");
+        exit(failure.exit_code());
+    }
+    Ok(())
+}
+
+async fn dispatch() -> Result<(), Failure> {
+    let mut arguments = pico_args::Arguments::from_env();
+    let name = arguments.subcommand().map_err(Failure::usage)?;
+    let name = name.as_deref();
+    if name.is_none() || arguments.contains(["-h", "--help"]) {
+        print!("{}", help::text(name));
+        return Ok(());
+    }
+    match name {
+        Some("check") => command::check(arguments),
+        Some("publish") => command::publish(arguments).await,
+        Some("jobs") => command::jobs(arguments).await,
+        Some("status") => command::status(arguments).await,
+        Some("get") => command::get(arguments).await,
+        Some("history") => command::history(arguments).await,
+        Some(other) => Err(Failure::usage(format!("there is no command {other:?}"))),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/check.rs
@@ -0,0 +1,38 @@
+use std::path::Path;
+
+use super::config_tree::ConfigTree;
+use crate::cli::CommonArguments;
+use crate::cli::Failure;
+
+/// Checks a directory of settings without a network.
+pub(crate) fn check(arguments: pico_args::Arguments) -> Result<(), Failure> {
+    let mut arguments = CommonArguments::parse(arguments)?;
+    let is_json = arguments.is_json;
+    let directory = required_directory(&mut arguments)?;
+    arguments.finish()?;
+    let tree = ConfigTree::read(Path::new(&directory));
+    if is_json {
+        println!(
+            "{}",
+            serde_json::to_string_pretty(&tree.faults).map_err(Failure::usage)?
+        );
+    } else {
+        tree.faults.iter().for_each(|fault| println!("{fault}"));
+    }
+    if !tree.faults.is_empty() {
+        return Err(Failure::Usage(format!(
+            "{} faults in {directory}",
+            tree.faults.len()
+        )));
+    }
+    if !is_json {
+        println!("{directory}: {} documents, no fault", tree.documents.len());
+    }
+    Ok(())
+}
+
+/// Returns the directory argument.
+pub(super) fn required_directory(arguments: &mut CommonArguments) -> Result<String, Failure> {
+    let directory = arguments.positional()?;
+    directory.ok_or_else(|| Failure::Usage("a directory must be given; try --help".to_owned()))
+}
--- /dev/null
+++ b/crates/cli/src/command/config_tree.rs
@@ -0,0 +1,85 @@
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use dotterelhook_state::config::ConfigDocument;
+use dotterelhook_types::document::Document;
+use dotterelhook_types::document::Fault;
+use dotterelhook_types::ids::ConfigPath;
+use serde_json::Value;
+
+const EXTENSION: &str = "jsonc";
+
+/// A directory of settings, read and checked.
+#[derive(Debug, Default)]
+pub(super) struct ConfigTree {
+    /// The documents by path.
+    pub(super) documents: BTreeMap<ConfigPath, Value>,
+    /// All faults of all files.
+    pub(super) faults: Vec<Fault>,
+}
+
+impl ConfigTree {
+    /// Reads a directory whose files mirror the tree of paths.
+    pub(super) fn read(directory: &Path) -> Self {
+        let mut tree = Self::default();
+        let mut files = Vec::new();
+        if let Err(error) = list_files(directory, &mut files) {
+            tree.faults
+                .push(file_fault(directory, &format!("can't read: {error}")));
+        }
+        files.sort();
+        for file in files {
+            match read_document(directory, &file) {
+                Ok((path, value)) => {
+                    tree.documents.insert(path, value);
+                }
+                Err(fault) => tree.faults.push(fault),
+            }
+        }
+        tree
+    }
+}
+
+fn list_files(directory: &Path, files: &mut Vec<PathBuf>) -> std::io::Result<()> {
+    for entry in fs::read_dir(directory)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            list_files(&path, files)?;
+        } else if path
+            .extension()
+            .is_some_and(|extension| extension == EXTENSION)
+        {
+            files.push(path);
+        }
+    }
+    Ok(())
+}
+
+fn read_document(directory: &Path, file: &Path) -> Result<(ConfigPath, Value), Fault> {
+    let relative = file
+        .strip_prefix(directory)
+        .unwrap_or(file)
+        .with_extension("");
+    let path: ConfigPath = relative
+        .to_string_lossy()
+        .parse()
+        .map_err(|error| file_fault(file, &format!("{error}")))?;
+    let text = fs::read_to_string(file)
+        .map_err(|error| file_fault(file, &format!("can't read: {error}")))?;
+    let document = Document::parse(&file.display().to_string(), &text)?;
+    ConfigDocument::check(&path, document.value()).map_err(|fault| document.locate(&fault))?;
+    Ok((path, document.value().clone()))
+}
+
+fn file_fault(file: &Path, rule: &str) -> Fault {
+    Fault {
+        file: file.display().to_string().into(),
+        line: 1,
+        column: 1,
+        field: "".into(),
+        value: "".into(),
+        rule: rule.into(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,18 @@
+//! The commands, one file each.
+
+mod check;
+mod config_tree;
+mod get;
+mod history;
+mod jobs;
+mod publish;
+mod read_config;
+mod status;
+mod table;
+
+pub(crate) use check::check;
+pub(crate) use get::get;
+pub(crate) use history::history;
+pub(crate) use jobs::jobs;
+pub(crate) use publish::publish;
+pub(crate) use status::status;
--- /dev/null
+++ b/crates/daemon/src/cli/logging.rs
@@ -0,0 +1,30 @@
+use std::sync::Arc;
+
+use spdlog::Logger;
+use spdlog::formatter::JsonFormatter;
+use spdlog::formatter::PatternFormatter;
+use spdlog::formatter::pattern;
+use spdlog::sink::StdStreamSink;
+
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
+
+/// Sends log lines to the standard error stream.
+pub(super) fn start(level: LogLevel, format: LogFormat) -> eyre::Result<()> {
+    let sink = StdStreamSink::builder().stderr();
+    let sink = match format {
+        LogFormat::Text => sink
+            .formatter(PatternFormatter::new(pattern!(
+                "{datetime} {level} {payload}{eol}"
+            )))
+            .build()?,
+        LogFormat::Json => sink.formatter(JsonFormatter::new()).build()?,
+    };
+    let logger = Logger::builder()
+        .sink(Arc::new(sink))
+        .level_filter(level.filter())
+        .build()?;
+    logger.set_flush_level_filter(spdlog::LevelFilter::All);
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,85 @@
+use std::sync::Arc;
+
+use dotterelhook_front::FrontService;
+use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::names;
+use dotterelhook_peer::config::ConfigFollower;
+use dotterelhook_peer::hosts::HostFollower;
+use dotterelhook_peer::membership::MembershipService;
+use dotterelhook_platform::clock::Clock;
+use dotterelhook_platform::clock::SystemClock;
+use dotterelhook_platform::hosts::HttpHostList;
+use dotterelhook_platform::log::HttpLog;
+use dotterelhook_platform::log::Log;
+use dotterelhook_scheduler::SchedulerService;
+use eyre::bail;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::admin::AdminService;
+use crate::settings::DaemonSettings;
+
+/// One process of an entry host.
+pub(crate) struct Daemon {
+    settings: DaemonSettings,
+}
+
+impl Daemon {
+    /// Creates a daemon with checked settings; nothing runs yet.
+    pub(crate) fn new(settings: DaemonSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Runs until the process is told to stop, then stops gracefully.
+    pub(crate) fn run(self) -> eyre::Result<()> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.serve())
+    }
+
+    async fn serve(self) -> eyre::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let unready_for = self.settings.unready_for;
+        let drain_max = self.settings.drain_max;
+        let kernel = Kernel::default();
+        self.start_services(&kernel).await?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        if !kernel.stop(unready_for, drain_max).await {
+            bail!("some requests did not finish in time");
+        }
+        Ok(())
+    }
+
+    async fn start_services(self, kernel: &Kernel) -> eyre::Result<()> {
+        let platform = &self.settings.platform;
+        let registry = kernel.registry();
+        registry.provide::<dyn Clock>(names::CLOCK, Arc::new(SystemClock::new()));
+        registry.provide::<Metrics>(names::METRICS, Arc::new(Metrics::default()));
+        let log = HttpLog::new(platform.log_address, platform.call_timeout);
+        registry.provide::<dyn Log>(names::LOG, Arc::new(log));
+        kernel.start(Box::new(ConfigFollower)).await?;
+        let host_list = HttpHostList::new(platform.host_list_address, platform.call_timeout);
+        let hosts = HostFollower::new(Arc::new(host_list), platform.host_poll);
+        kernel.start(Box::new(hosts)).await?;
+        kernel
+            .start(Box::new(MembershipService::new(self.settings.membership)))
+            .await?;
+        if let Some(scheduler) = self.settings.scheduler {
+            kernel
+                .start(Box::new(SchedulerService::new(scheduler)))
+                .await?;
+        }
+        if let Some(front) = self.settings.front {
+            kernel.start(Box::new(FrontService::new(front))).await?;
+        }
+        kernel
+            .start(Box::new(AdminService::new(self.settings.admin_address)))
+            .await
+    }
+}
--- /dev/null
+++ b/crates/front/src/request/answers.rs
@@ -0,0 +1,40 @@
+use std::time::Duration;
+
+use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::full_body;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use rand::RngExt;
+
+use crate::headers;
+
+const RETRY_AFTER_MAX: Duration = Duration::from_secs(3);
+
+/// Adds the verdict header to an answer.
+pub fn with_verdict(mut answer: Response<AnswerBody>, verdict: Verdict) -> Response<AnswerBody> {
+    let text: &'static str = verdict.into();
+    answer
+        .headers_mut()
+        .insert(headers::VERDICT, HeaderValue::from_static(text));
+    answer
+}
+
+/// Builds the final answer to a request that is given up on.
+pub fn refuse(status: StatusCode, error: &CallError) -> Response<AnswerBody> {
+    let mut answer = Response::new(full_body(format!("{error}\n")));
+    *answer.status_mut() = status;
+    if let Ok(cause) = HeaderValue::from_str(&error.cause) {
+        answer.headers_mut().insert(headers::CAUSE, cause);
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
+        let seconds = rand::rng().random_range(1..=RETRY_AFTER_MAX.as_secs());
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    with_verdict(answer, error.verdict)
+}
--- /dev/null
+++ b/crates/kernel/src/http/mod.rs
@@ -0,0 +1,9 @@
+//! HTTP listeners of the daemon's services.
+
+mod handler;
+mod http_server;
+
+pub use handler::AnswerBody;
+pub use handler::HttpHandler;
+pub use handler::full_body;
+pub use http_server::HttpServer;
--- /dev/null
+++ b/crates/kernel/src/lib.rs
@@ -0,0 +1,30 @@
+//! A small kernel: it starts named services, and services find each other's handles by name.
+
+pub mod http;
+mod kernel;
+mod metrics;
+mod registry;
+mod service;
+
+pub use kernel::Kernel;
+pub use metrics::Metrics;
+pub use registry::Registry;
+pub use service::Service;
+
+/// Names under which services provide their handles.
+pub mod names {
+    /// `dyn ConfigView`: the configuration in force.
+    pub const CONFIG: &str = "config";
+    /// `dyn MembershipView`: the daemons that are alive.
+    pub const MEMBERSHIP: &str = "membership";
+    /// `dyn HostView`: the platform's list of hosts as last read.
+    pub const HOSTS: &str = "hosts";
+    /// `dyn Log`: the platform's log.
+    pub const LOG: &str = "log";
+    /// `dyn Clock`: the time.
+    pub const CLOCK: &str = "clock";
+    /// `Metrics`: the registry of metrics.
+    pub const METRICS: &str = "metrics";
+    /// `dyn RunBoard`: the runs of the shards that this process owns.
+    pub const RUNS: &str = "runs";
+}
--- /dev/null
+++ b/crates/kernel/src/registry.rs
@@ -0,0 +1,40 @@
+use std::any::Any;
+use std::any::type_name;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use eyre::OptionExt;
+
+/// Typed handles by name.
+#[derive(Default)]
+pub struct Registry {
+    handles: Mutex<HashMap<&'static str, Box<dyn Any + Send + Sync>>>,
+}
+
+impl Registry {
+    /// Provides a handle under a name; a later one replaces it.
+    pub fn provide<T: ?Sized + Send + Sync + 'static>(&self, name: &'static str, handle: Arc<T>) {
+        let mut handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
+        handles.insert(name, Box::new(handle));
+    }
+
+    /// Returns the handle of a name.
+    ///
+    /// # Errors
+    /// No service provides the name, or its handle has another type.
+    pub fn find<T: ?Sized + Send + Sync + 'static>(
+        &self,
+        name: &'static str,
+    ) -> eyre::Result<Arc<T>> {
+        let handles = self.handles.lock().unwrap_or_else(PoisonError::into_inner);
+        let handle = handles
+            .get(name)
+            .ok_or_else(|| eyre::eyre!("no running service provides {name:?}"))?;
+        let typed = handle.downcast_ref::<Arc<T>>();
+        typed
+            .cloned()
+            .ok_or_eyre(format!("the handle {name:?} is not a {}", type_name::<T>()))
+    }
+}
--- /dev/null
+++ b/crates/peer/src/config/config_view.rs
@@ -0,0 +1,15 @@
+use std::sync::Arc;
+
+use dotterelhook_state::config::ConfigState;
+
+/// Read access to the configuration in force.
+pub trait ConfigView: Send + Sync {
+    /// Returns the configuration in force.
+    fn current(&self) -> Arc<ConfigState>;
+
+    /// Returns whether any configuration was read since the start.
+    fn is_known(&self) -> bool;
+
+    /// Returns the time since the log last answered; none if it never did.
+    fn log_contact_age_ms(&self) -> Option<u64>;
+}
--- /dev/null
+++ b/crates/platform/src/log/http_log.rs
@@ -0,0 +1,66 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_types::CallError;
+use dotterelhook_types::ids::Offset;
+use hyper::Method;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Log;
+use super::LogPage;
+use crate::http::JsonClient;
+
+#[derive(Serialize)]
+struct AppendBody<'a> {
+    payloads: &'a [Box<str>],
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    first_offset: Offset,
+}
+
+/// The log over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpLog {
+    client: JsonClient,
+}
+
+impl HttpLog {
+    /// Creates an adapter for the log at the given address.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self {
+            client: JsonClient::new(address, timeout),
+        }
+    }
+}
+
+#[async_trait]
+impl Log for HttpLog {
+    async fn append(&self, stream: &str, payloads: &[Box<str>]) -> Result<Offset, CallError> {
+        let path = format!("/streams/{stream}/records");
+        let body = AppendBody { payloads };
+        let answer = self
+            .client
+            .send(Method::POST, &path, &body)
+            .await?
+            .check()?;
+        Ok(answer.decode::<AppendAnswer>()?.first_offset)
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max_records: usize,
+        hold: Duration,
+    ) -> Result<LogPage, CallError> {
+        let hold_ms = hold.as_millis();
+        let path = format!(
+            "/streams/{stream}/records?from={from}&max_records={max_records}&hold_ms={hold_ms}"
+        );
+        self.client.get_held(&path, hold).await?.check()?.decode()
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/api/run_api.rs
@@ -0,0 +1,232 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_kernel::http::full_body;
+use dotterelhook_peer::config::ConfigView;
+use dotterelhook_peer::membership::MembershipView;
+use dotterelhook_peer::membership::Role;
+use dotterelhook_platform::clock::Clock;
+use dotterelhook_platform::http::JsonAnswer;
+use dotterelhook_platform::http::JsonClient;
+use dotterelhook_state::shard::RunSpec;
+use dotterelhook_state::shard::ShardId;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+use dotterelhook_types::ids::FailureDomain;
+use dotterelhook_types::ids::JobName;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::TeamName;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use rapidhash::v3::rapidhash_v3;
+use tokio::sync::oneshot;
+
+use crate::run_board::ShardCommand;
+use crate::run_board::Shards;
+use crate::run_board::SubmitError;
+
+const REPLY_TIMEOUT: Duration = Duration::from_secs(10);
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(12);
+const RETRY_AFTER_SECONDS: u64 = 2;
+const FORWARDED: &str = "forwarded";
+
+/// What the interface works with.
+pub(crate) struct RunApiContext {
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) shard_count: u32,
+    pub(crate) shards: Shards,
+    pub(crate) config: Arc<dyn ConfigView>,
+    pub(crate) membership: Arc<dyn MembershipView>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+/// Answers `POST /runs/TEAM/JOB/RUN`, `DELETE /runs/TEAM/JOB/RUN`.
+pub(crate) struct RunApi {
+    context: RunApiContext,
+}
+
+/// The parts of a request's path.
+struct RunPath {
+    team: TeamName,
+    job: JobName,
+    run: RunId,
+}
+
+impl RunPath {
+    fn parse(path: &str) -> Result<Self, CallError> {
+        let malformed = || CallError::not_run("the path is not /runs/TEAM/JOB/RUN");
+        let rest = path.strip_prefix("/runs/").ok_or_else(malformed)?;
+        let parts: Vec<&str> = rest.split('/').collect();
+        let [team, job, run] = parts[..] else {
+            return Err(malformed());
+        };
+        let invalid = |e: dotterelhook_types::ids::NameError| CallError::not_run(e.to_string());
+        Ok(Self {
+            team: team.parse().map_err(invalid)?,
+            job: job.parse().map_err(invalid)?,
+            run: run.parse().map_err(invalid)?,
+        })
+    }
+}
+
+impl RunApi {
+    /// Creates the interface.
+    pub(crate) fn new(context: RunApiContext) -> Self {
+        Self { context }
+    }
+
+    async fn act(&self, method: &Method, path: &str, may_forward: bool) -> Response<AnswerBody> {
+        let parsed = match RunPath::parse(path) {
+            Ok(parsed) => parsed,
+            Err(error) => return failure(StatusCode::BAD_REQUEST, &error),
+        };
+        let (reply, answer) = oneshot::channel();
+        let command = match *method {
+            Method::POST => match self.spec(&parsed) {
+                Some(spec) => ShardCommand::Submit {
+                    run: parsed.run.clone(),
+                    spec,
+                    reply,
+                },
+                None => {
+                    let error = CallError::not_run("the team has no such job");
+                    return failure(StatusCode::NOT_FOUND, &error);
+                }
+            },
+            Method::DELETE => ShardCommand::Cancel {
+                run: parsed.run.clone(),
+                reply,
+            },
+            _ => {
+                let error = CallError::not_run("only POST and DELETE are allowed");
+                return failure(StatusCode::METHOD_NOT_ALLOWED, &error);
+            }
+        };
+        let result = self.command(&parsed.run, command, answer).await;
+        match result {
+            Ok(()) => success(&parsed.run),
+            Err(SubmitError::NotOwner) if may_forward => self.forward(method, path).await,
+            Err(SubmitError::NotOwner) => {
+                let error = CallError::not_run("no owner of the shard is known");
+                failure(StatusCode::SERVICE_UNAVAILABLE, &error)
+            }
+            Err(SubmitError::Refused(refusal)) => {
+                let error = CallError::not_run(refusal.to_string());
+                failure(StatusCode::CONFLICT, &error)
+            }
+            Err(SubmitError::Unknown) => {
+                let error = CallError::may_have_run(
+                    "the record was not read back in time; ask again with the same run",
+                );
+                failure(StatusCode::GATEWAY_TIMEOUT, &error)
+            }
+        }
+    }
+
+    fn spec(&self, path: &RunPath) -> Option<Box<RunSpec>> {
+        let config = self.context.config.current();
+        let settings = config.job(&path.team, &path.job)?.clone();
+        Some(Box::new(RunSpec {
+            team: path.team.clone(),
+            job: path.job.clone(),
+            deadline_at_unix_ms: self.context.clock.unix_ms() + settings.deadline_ms,
+            settings,
+        }))
+    }
+
+    async fn command(
+        &self,
+        run: &RunId,
+        command: ShardCommand,
+        answer: oneshot::Receiver<Result<(), SubmitError>>,
+    ) -> Result<(), SubmitError> {
+        let hash = rapidhash_v3(run.as_str().as_bytes());
+        let index = (hash % u64::from(self.context.shard_count)) as u32;
+        let shard = ShardId {
+            failure_domain: self.context.failure_domain.clone(),
+            index,
+        };
+        let sender = self
+            .context
+            .shards
+            .sender(&shard)
+            .ok_or(SubmitError::NotOwner)?;
+        sender
+            .send(command)
+            .await
+            .map_err(|_| SubmitError::NotOwner)?;
+        match tokio::time::timeout(REPLY_TIMEOUT, answer).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(SubmitError::Unknown),
+        }
+    }
+
+    /// Asks the other schedulers of the failure domain, one of which owns the shard.
+    async fn forward(&self, method: &Method, path: &str) -> Response<AnswerBody> {
+        let own_id = self.context.membership.own_id();
+        let mut peers = self.context.membership.live_peers(Role::Scheduler);
+        peers.retain(|peer| peer.heartbeat.member != own_id);
+        for peer in peers {
+            let client = JsonClient::new(peer.heartbeat.api_address, FORWARD_TIMEOUT);
+            let target = format!("{path}?{FORWARDED}");
+            match client.send(method.clone(), &target, &()).await {
+                Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
+                Ok(answer) => return pass_on(answer),
+                Err(error) if error.verdict == Verdict::NotRun => {}
+                Err(error) => return failure(StatusCode::GATEWAY_TIMEOUT, &error),
+            }
+        }
+        let error = CallError::not_run("no owner of the shard can be reached");
+        failure(StatusCode::SERVICE_UNAVAILABLE, &error)
+    }
+}
+
+fn with_verdict(status: StatusCode, text: String, verdict: Verdict) -> Response<AnswerBody> {
+    let mut answer = Response::new(full_body(text));
+    *answer.status_mut() = status;
+    let verdict: &'static str = verdict.into();
+    answer
+        .headers_mut()
+        .insert("x-dotterelhook-verdict", HeaderValue::from_static(verdict));
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        answer
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
+    }
+    answer
+}
+
+fn success(run: &RunId) -> Response<AnswerBody> {
+    with_verdict(StatusCode::OK, format!("{run} accepted\n"), Verdict::Ran)
+}
+
+fn failure(status: StatusCode, error: &CallError) -> Response<AnswerBody> {
+    with_verdict(status, format!("{error}\n"), error.verdict)
+}
+
+fn pass_on(answer: JsonAnswer) -> Response<AnswerBody> {
+    let verdict = match answer.status.is_success() {
+        true => Verdict::Ran,
+        false if answer.status.is_client_error() => Verdict::NotRun,
+        false => Verdict::MayHaveRun,
+    };
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    with_verdict(answer.status, text, verdict)
+}
+
+#[async_trait]
+impl HttpHandler for RunApi {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let may_forward = request.uri().query() != Some(FORWARDED);
+        self.act(request.method(), request.uri().path(), may_forward)
+            .await
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,12 @@
+//! Batch work: runs are accepted, placed on workers under leases, and accounted for.
+
+mod api;
+pub mod placement;
+mod run_board;
+mod scheduler_service;
+mod shard;
+mod worker;
+
+pub use run_board::RunBoard;
+pub use scheduler_service::SchedulerService;
+pub use scheduler_service::SchedulerSettings;
--- /dev/null
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -0,0 +1,118 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Service;
+use dotterelhook_kernel::http::HttpServer;
+use dotterelhook_kernel::names;
+use dotterelhook_peer::config::ConfigView;
+use dotterelhook_peer::hosts::HostView;
+use dotterelhook_peer::membership::MembershipView;
+use dotterelhook_platform::clock::Clock;
+use dotterelhook_platform::log::Log;
+use dotterelhook_platform::worker::HttpWorkers;
+use dotterelhook_state::shard::ShardId;
+use dotterelhook_types::ids::FailureDomain;
+use dotterelhook_types::ids::HostId;
+use dotterelhook_types::ids::Incarnation;
+
+use crate::api::RunApi;
+use crate::api::RunApiContext;
+use crate::placement::LeastUsed;
+use crate::run_board::RunBoard;
+use crate::run_board::Shards;
+use crate::shard::ShardContext;
+use crate::shard::spawn_shard_task;
+
+/// What the scheduler needs to know.
+#[derive(Clone, Debug)]
+pub struct SchedulerSettings {
+    /// Where submitters connect.
+    pub listen_address: SocketAddr,
+    /// The most connections of submitters at once.
+    pub connections_max: usize,
+    /// This entry host.
+    pub host: HostId,
+    /// This process.
+    pub incarnation: Incarnation,
+    /// The scheduler's own failure domain.
+    pub failure_domain: FailureDomain,
+    /// The number of shards of the failure domain; the same on all its hosts.
+    pub shard_count: u32,
+    /// The time for which a worker may run an attempt without a renewal.
+    pub lease: Duration,
+    /// Time between appends to one shard's stream.
+    pub commit_interval: Duration,
+    /// The time limit of a call to a worker.
+    pub worker_timeout: Duration,
+}
+
+/// Places batch work on the workers of the failure domain.
+pub struct SchedulerService {
+    settings: SchedulerSettings,
+}
+
+impl SchedulerService {
+    /// Creates the service; nothing listens yet.
+    pub fn new(settings: SchedulerSettings) -> Self {
+        Self { settings }
+    }
+
+    fn shard_context(&self, index: u32, kernel: &Kernel) -> eyre::Result<ShardContext> {
+        let registry = kernel.registry();
+        let failure_domain = self.settings.failure_domain.clone();
+        Ok(ShardContext {
+            shard: ShardId {
+                failure_domain,
+                index,
+            },
+            host: self.settings.host.clone(),
+            incarnation: self.settings.incarnation,
+            shard_count: self.settings.shard_count,
+            lease: self.settings.lease,
+            commit_interval: self.settings.commit_interval,
+            log: registry.find::<dyn Log>(names::LOG)?,
+            clock: registry.find::<dyn Clock>(names::CLOCK)?,
+            hosts: registry.find::<dyn HostView>(names::HOSTS)?,
+            membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
+            agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
+            placement: Arc::new(LeastUsed),
+        })
+    }
+}
+
+#[async_trait]
+impl Service for SchedulerService {
+    fn name(&self) -> &'static str {
+        "scheduler"
+    }
+
+    async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
+        let mut shards = Shards::default();
+        for index in 0..self.settings.shard_count {
+            let context = self.shard_context(index, kernel)?;
+            let shard = context.shard.clone();
+            let (commands, task) = spawn_shard_task(context, kernel.stopping());
+            shards.add(shard, commands);
+            kernel.spawn(task);
+        }
+        let registry = kernel.registry();
+        registry.provide::<dyn RunBoard>(names::RUNS, Arc::new(shards.clone()));
+        let api = Arc::new(RunApi::new(RunApiContext {
+            failure_domain: self.settings.failure_domain,
+            shard_count: self.settings.shard_count,
+            shards,
+            config: registry.find::<dyn ConfigView>(names::CONFIG)?,
+            membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
+            clock: registry.find::<dyn Clock>(names::CLOCK)?,
+        }));
+        let address = self.settings.listen_address;
+        let connections_max = self.settings.connections_max;
+        HttpServer::bind("scheduler", address, connections_max, api)
+            .await?
+            .spawn(kernel);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/host_list.rs
@@ -0,0 +1,19 @@
+//! The platform's host list as a process: `--listen ADDRESS [--lag-ms N]`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_standins::hosts::HostServer;
+use dotterelhook_standins::server::Arguments;
+use dotterelhook_standins::server::bind;
+use dotterelhook_standins::server::serve;
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let mut arguments = Arguments::from_env();
+    let listener = bind(arguments.required("--listen")?).await?;
+    let lag = Duration::from_millis(arguments.optional("--lag-ms", 0)?);
+    arguments.finish()?;
+    serve(listener, Arc::new(HostServer::new(lag))).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,8 @@
+//! Small stand-ins for the users' platform and a load generator, for tests and demonstrations.
+
+pub mod hosts;
+pub mod load;
+pub mod log;
+pub mod server;
+pub mod target;
+pub mod worker;
--- /dev/null
+++ b/crates/standins/src/target/target_server.rs
@@ -0,0 +1,189 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dotterelhook_platform::http::json_answer;
+use dotterelhook_platform::http::read_body;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use super::Counters;
+use super::counters::SharedCounters;
+use crate::server::Answer;
+use crate::server::Dropped;
+use crate::server::Fault;
+use crate::server::FaultSwitch;
+
+/// The header that marks a refusal whose request did not run.
+const VERDICT_HEADER: &str = "x-dotterelhook-verdict";
+/// The header that marks a refusal by a target that is about to leave.
+const DRAINING_HEADER: &str = "x-dotterelhook-draining";
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const BODY_MAX_BYTES: usize = 16 << 20;
+
+/// The size and speed of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetSettings {
+    /// The number of requests that it runs at once.
+    pub slots: u32,
+    /// The number of connections that it takes.
+    pub connections_max: u32,
+    /// The mean time of one request.
+    pub service_time: Duration,
+}
+
+/// A target that answers with the request's own body.
+#[derive(Debug)]
+pub struct TargetServer {
+    settings: TargetSettings,
+    counters: SharedCounters,
+    faults: FaultSwitch,
+    is_draining: AtomicBool,
+}
+
+impl TargetServer {
+    /// Creates an idle target.
+    pub fn new(settings: TargetSettings) -> Self {
+        Self {
+            settings,
+            counters: SharedCounters::default(),
+            faults: FaultSwitch::default(),
+            is_draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the switch of the target's fault.
+    pub fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    /// Returns what the target counted.
+    pub fn counters(&self) -> Counters {
+        self.counters.with(|counters| counters.clone())
+    }
+
+    /// Makes the target refuse new requests, or take them again.
+    pub fn set_draining(&self, is_draining: bool) {
+        self.is_draining.store(is_draining, Ordering::SeqCst);
+    }
+
+    /// Serves connections for ever.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let target = Arc::clone(&self);
+            let is_room = self.counters.with(|counters| {
+                let is_room = counters.connections < u64::from(self.settings.connections_max);
+                counters.connections += u64::from(is_room);
+                counters.connections_max = counters.connections_max.max(counters.connections);
+                is_room
+            });
+            if !is_room {
+                continue;
+            }
+            tokio::spawn(async move {
+                let service = service_fn(|request| target.answer(request));
+                let io = TokioIo::new(stream);
+                // A dropped connection is what a fault asks for.
+                let _ = http1::Builder::new().serve_connection(io, service).await;
+                target.counters.with(|counters| counters.connections -= 1);
+            });
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Answer, Dropped> {
+        if request.uri().path().starts_with("/_target/") {
+            return Ok(self.control(request).await);
+        }
+        let id = request.headers().get(REQUEST_ID_HEADER).cloned();
+        let id_text = id.as_ref().and_then(|id| id.to_str().ok());
+        let fault = self.faults.get().fault;
+        match fault {
+            Fault::Down => return Err(Dropped),
+            Fault::FailFast => {
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                self.counters.with(|counters| counters.executed += 1);
+                return Ok(json_answer(status, &"failed"));
+            }
+            _ => {}
+        }
+        let is_draining = self.is_draining.load(Ordering::SeqCst);
+        let slots = u64::from(self.settings.slots);
+        if is_draining || fault == Fault::Full || !self.counters.begin(id_text, slots) {
+            return Ok(refuse(is_draining));
+        }
+        let result = self.run(request).await;
+        self.counters.with(|counters| counters.in_flight -= 1);
+        let mut answer = result?;
+        if let Some(id) = id {
+            answer.headers_mut().insert(REQUEST_ID_HEADER, id);
+        }
+        if fault == Fault::LoseAnswers {
+            Err(Dropped)
+        } else {
+            Ok(answer)
+        }
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Result<Answer, Dropped> {
+        let body = read_body(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .map_err(|_| Dropped)?;
+        self.faults.wait().await;
+        tokio::time::sleep(self.settings.service_time.mul_f64(exponential())).await;
+        Ok(Response::new(Full::new(body)))
+    }
+
+    async fn control(&self, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        let method = request.method().clone();
+        let body = read_body(request.into_body(), BODY_MAX_BYTES)
+            .await
+            .unwrap_or_default();
+        match (&method, &*path) {
+            (&Method::GET, "/_target/counters") => json_answer(StatusCode::OK, &self.counters()),
+            (&Method::POST, "/_target/draining") => {
+                self.set_draining(body.as_ref() == b"true");
+                json_answer(StatusCode::OK, &"set")
+            }
+            (&Method::POST, "/_target/fault") => match serde_json::from_slice(&body) {
+                Ok(fault) => {
+                    self.faults.set(fault);
+                    json_answer(StatusCode::OK, &"set")
+                }
+                Err(error) => json_answer(StatusCode::BAD_REQUEST, &error.to_string()),
+            },
+            _ => json_answer(StatusCode::NOT_FOUND, &"no such path"),
+        }
+    }
+}
+
+fn refuse(is_draining: bool) -> Answer {
+    let mut answer = json_answer(StatusCode::SERVICE_UNAVAILABLE, &"not run");
+    let headers = answer.headers_mut();
+    headers.insert(VERDICT_HEADER, HeaderValue::from_static("not-run"));
+    if is_draining {
+        headers.insert(DRAINING_HEADER, HeaderValue::from_static("true"));
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// Returns an exponentially distributed number with mean one.
+fn exponential() -> f64 {
+    -(1.0 - rand::random::<f64>()).ln()
+}
--- /dev/null
+++ b/crates/standins/src/worker/mod.rs
@@ -0,0 +1,9 @@
+//! A stand-in for the agent of a worker.
+
+mod worker_model;
+mod worker_server;
+
+pub use worker_model::Interval;
+pub use worker_model::StartRefusal;
+pub use worker_model::WorkerModel;
+pub use worker_server::WorkerServer;
--- /dev/null
+++ b/crates/standins/src/worker/worker_model.rs
@@ -0,0 +1,284 @@
+use std::collections::BTreeMap;
+
+use dotterelhook_platform::worker::AttemptReport;
+use dotterelhook_platform::worker::AttemptStatus;
+use dotterelhook_platform::worker::Inventory;
+use dotterelhook_platform::worker::RenewBody;
+use dotterelhook_platform::worker::StartBody;
+use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Sequence;
+use dotterelhook_types::ids::WorkerId;
+use dotterelhook_types::sizes::Resources;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// When an attempt ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Interval {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// When it started.
+    pub from_ms: u64,
+    /// When it ended; absent while it runs.
+    pub to_ms: Option<u64>,
+}
+
+/// Why a worker refused to start an attempt; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum StartRefusal {
+    /// The attempt has already ended here.
+    Ended,
+    /// There is no room.
+    Full,
+    /// The attempt was placed on the worker before it restarted.
+    OtherIncarnation,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt {
+    status: AttemptStatus,
+    size: Resources,
+    lease_until_ms: u64,
+    done_at_ms: u64,
+    checkpoint: Option<Box<str>>,
+    cause: Option<Box<str>>,
+}
+
+/// What a worker runs, moved by the caller's clock.
+#[derive(Clone, Debug)]
+pub struct WorkerModel {
+    worker: WorkerId,
+    incarnation: Incarnation,
+    capacity: Resources,
+    fails_all: bool,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    sequences: BTreeMap<Box<str>, Sequence>,
+    intervals: Vec<Interval>,
+    most_used: Resources,
+}
+
+impl WorkerModel {
+    /// Creates an idle worker.
+    pub fn new(worker: WorkerId, incarnation: Incarnation, capacity: Resources) -> Self {
+        Self {
+            worker,
+            incarnation,
+            capacity,
+            fails_all: false,
+            attempts: BTreeMap::new(),
+            sequences: BTreeMap::new(),
+            intervals: Vec::new(),
+            most_used: Resources::default(),
+        }
+    }
+
+    /// Makes every attempt that starts from now on fail at once.
+    pub fn set_fails_all(&mut self, fails_all: bool) {
+        self.fails_all = fails_all;
+    }
+
+    /// Restarts the worker: everything that ran is gone.
+    pub fn restart(&mut self, incarnation: Incarnation, now_ms: u64) {
+        self.advance(now_ms);
+        let running: Vec<AttemptId> = self.running().cloned().collect();
+        for attempt in running {
+            self.finish(&attempt, AttemptStatus::Lapsed, now_ms);
+        }
+        self.attempts.clear();
+        self.sequences.clear();
+        self.incarnation = incarnation;
+    }
+
+    /// Returns when each attempt ran.
+    pub fn intervals(&self) -> &[Interval] {
+        &self.intervals
+    }
+
+    /// Returns the largest sum over running attempts so far, each dimension by itself.
+    pub fn most_used(&self) -> Resources {
+        self.most_used
+    }
+
+    /// Ends what is done or whose lease has lapsed, in order of time.
+    pub fn advance(&mut self, now_ms: u64) {
+        let due = |attempt: &Attempt| attempt.done_at_ms.min(attempt.lease_until_ms);
+        let running = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.status == AttemptStatus::Running);
+        let mut ended: Vec<(u64, AttemptId, AttemptStatus)> = running
+            .filter(|(_, attempt)| due(attempt) <= now_ms)
+            .map(|(id, attempt)| {
+                let status = match (attempt.done_at_ms <= attempt.lease_until_ms, self.fails_all) {
+                    (false, _) => AttemptStatus::Lapsed,
+                    (true, true) => AttemptStatus::Failed,
+                    (true, false) => AttemptStatus::Succeeded,
+                };
+                (due(attempt), id.clone(), status)
+            })
+            .collect();
+        ended.sort_by_key(|(at_ms, _, _)| *at_ms);
+        for (at_ms, id, status) in ended {
+            self.finish(&id, status, at_ms);
+        }
+    }
+
+    /// Starts an attempt, or repeats a start that took effect.
+    ///
+    /// # Errors
+    /// Returns why the attempt does not run.
+    pub fn start(
+        &mut self,
+        attempt: &AttemptId,
+        body: &StartBody,
+        now_ms: u64,
+    ) -> Result<(), StartRefusal> {
+        self.advance(now_ms);
+        if body.worker_incarnation != self.incarnation {
+            return Err(StartRefusal::OtherIncarnation);
+        }
+        if let Some(known) = self.attempts.get(attempt) {
+            let runs = known.status == AttemptStatus::Running;
+            return if runs {
+                Ok(())
+            } else {
+                Err(StartRefusal::Ended)
+            };
+        }
+        let used = self.used().saturating_add(&body.size);
+        if !used.fits_in(&self.capacity) {
+            return Err(StartRefusal::Full);
+        }
+        let run_time_ms = if self.fails_all { 0 } else { body.run_time_ms };
+        let started = Attempt {
+            status: AttemptStatus::Running,
+            size: body.size,
+            lease_until_ms: now_ms + body.lease_ms,
+            done_at_ms: now_ms + run_time_ms,
+            checkpoint: body.checkpoint.clone(),
+            cause: None,
+        };
+        self.attempts.insert(attempt.clone(), started);
+        self.intervals.push(Interval {
+            attempt: attempt.clone(),
+            from_ms: now_ms,
+            to_ms: None,
+        });
+        self.most_used = Resources {
+            cpu_milli: self.most_used.cpu_milli.max(used.cpu_milli),
+            memory_mb: self.most_used.memory_mb.max(used.memory_mb),
+            accelerators: self.most_used.accelerators.max(used.accelerators),
+        };
+        Ok(())
+    }
+
+    /// Extends leases; a repeated sequence and a lapsed lease extend nothing.
+    pub fn renew(&mut self, body: &RenewBody, now_ms: u64) {
+        self.advance(now_ms);
+        let last = self.sequences.get(&body.sender).copied();
+        if last.is_some_and(|last| body.sequence <= last) {
+            return;
+        }
+        self.sequences.insert(body.sender.clone(), body.sequence);
+        for id in &body.attempts {
+            if let Some(attempt) = self.attempts.get_mut(id)
+                && attempt.status == AttemptStatus::Running
+            {
+                let until_ms = now_ms + body.lease_ms;
+                attempt.lease_until_ms = attempt.lease_until_ms.max(until_ms);
+            }
+        }
+    }
+
+    /// Writes a checkpoint of a running attempt and returns its name.
+    pub fn checkpoint(&mut self, id: &AttemptId, now_ms: u64) -> Option<Box<str>> {
+        self.advance(now_ms);
+        let attempt = self.attempts.get_mut(id)?;
+        if attempt.status != AttemptStatus::Running {
+            return None;
+        }
+        attempt.checkpoint = Some(format!("{id}@{now_ms}").into());
+        attempt.checkpoint.clone()
+    }
+
+    /// Stops an attempt; an unknown one is remembered so that it never starts.
+    pub fn stop(&mut self, id: &AttemptId, now_ms: u64) {
+        self.advance(now_ms);
+        if !self.attempts.contains_key(id) {
+            let refused = Attempt {
+                status: AttemptStatus::Stopped,
+                size: Resources::default(),
+                lease_until_ms: now_ms,
+                done_at_ms: now_ms,
+                checkpoint: None,
+                cause: None,
+            };
+            self.attempts.insert(id.clone(), refused);
+            return;
+        }
+        if self.attempts[id].status == AttemptStatus::Running {
+            self.finish(id, AttemptStatus::Stopped, now_ms);
+        }
+    }
+
+    /// Removes an ended attempt from the inventory.
+    pub fn forget(&mut self, id: &AttemptId) {
+        if self
+            .attempts
+            .get(id)
+            .is_some_and(|a| a.status != AttemptStatus::Running)
+        {
+            self.attempts.remove(id);
+        }
+    }
+
+    /// Returns what the worker has and does.
+    pub fn inventory(&mut self, now_ms: u64) -> Inventory {
+        self.advance(now_ms);
+        let attempts = self.attempts.iter().map(|(id, attempt)| AttemptReport {
+            attempt: id.clone(),
+            status: attempt.status,
+            size: attempt.size,
+            checkpoint: attempt.checkpoint.clone(),
+            cause: attempt.cause.clone(),
+        });
+        Inventory {
+            worker: self.worker.clone(),
+            incarnation: self.incarnation,
+            capacity: self.capacity,
+            attempts: attempts.collect(),
+            usage: Vec::new(),
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = &AttemptId> {
+        let running = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.status == AttemptStatus::Running);
+        running.map(|(id, _)| id)
+    }
+
+    fn used(&self) -> Resources {
+        let running = self
+            .attempts
+            .values()
+            .filter(|a| a.status == AttemptStatus::Running);
+        running.fold(Resources::default(), |sum, a| sum.saturating_add(&a.size))
+    }
+
+    fn finish(&mut self, id: &AttemptId, status: AttemptStatus, at_ms: u64) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.status = status;
+            if status == AttemptStatus::Failed {
+                attempt.cause = Some("the worker fails everything".into());
+            }
+        }
+        let open = self.intervals.iter_mut().rev().find(|i| i.attempt == *id);
+        if let Some(interval) = open {
+            interval.to_ms.get_or_insert(at_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config/document_kind.rs
@@ -0,0 +1,74 @@
+use dotterelhook_types::document::FieldFault;
+use dotterelhook_types::document::decode_value;
+use dotterelhook_types::ids::ConfigPath;
+use dotterelhook_types::ids::JobName;
+use dotterelhook_types::ids::ServiceName;
+use dotterelhook_types::ids::TeamName;
+use serde_json::Value;
+
+use super::BatchJob;
+use super::Quota;
+use super::ServiceSettings;
+
+/// What a path declares; the path alone decides it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DocumentKind {
+    /// `TEAM/services/NAME`
+    Service(TeamName, ServiceName),
+    /// `TEAM/jobs/NAME`
+    Job(TeamName, JobName),
+    /// `TEAM/quota`
+    Quota(TeamName),
+}
+
+impl TryFrom<&ConfigPath> for DocumentKind {
+    type Error = FieldFault;
+
+    fn try_from(path: &ConfigPath) -> Result<Self, FieldFault> {
+        let segments: Vec<&str> = path.segments().collect();
+        let team = path.team();
+        match segments[1..] {
+            ["services", name] => Ok(Self::Service(team, parse_segment(name)?)),
+            ["jobs", name] => Ok(Self::Job(team, parse_segment(name)?)),
+            ["quota"] => Ok(Self::Quota(team)),
+            _ => {
+                let rule = "a path is TEAM/services/NAME, TEAM/jobs/NAME or TEAM/quota";
+                Err(FieldFault::new("", rule))
+            }
+        }
+    }
+}
+
+fn parse_segment<T: std::str::FromStr>(segment: &str) -> Result<T, FieldFault>
+where
+    T::Err: std::fmt::Display,
+{
+    segment
+        .parse()
+        .map_err(|e: T::Err| FieldFault::new("", e.to_string()))
+}
+
+/// A checked document of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ConfigDocument {
+    /// A latency-critical service.
+    Service(ServiceName, ServiceSettings),
+    /// A batch job.
+    Job(JobName, BatchJob),
+    /// A team's quota.
+    Quota(Quota),
+}
+
+impl ConfigDocument {
+    /// Checks the body of the document at the given path.
+    ///
+    /// # Errors
+    /// Returns the field at fault and the rule that it breaks.
+    pub fn check(path: &ConfigPath, body: &Value) -> Result<Self, FieldFault> {
+        match DocumentKind::try_from(path)? {
+            DocumentKind::Service(_, name) => Ok(Self::Service(name, decode_value(body)?)),
+            DocumentKind::Job(_, name) => Ok(Self::Job(name, decode_value(body)?)),
+            DocumentKind::Quota(_) => Ok(Self::Quota(decode_value(body)?)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/state/src/config/service.rs
@@ -0,0 +1,109 @@
+use dotterelhook_types::document::FieldFault;
+use dotterelhook_types::sizes::Resources;
+use serde::Deserialize;
+use serde::Serialize;
+
+const REPLICAS_MAX: u32 = 10_000;
+const TIMEOUT_MAX_MS: u64 = 600_000;
+const PRIORITY_MAX: u8 = 9;
+
+/// The share of requests that must be answered within a time.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Objective {
+    /// An answer within this time counts as good.
+    pub latency_ms: u64,
+    /// The share of good answers aimed at, in percent.
+    pub good_percent: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawService {
+    path_prefix: Box<str>,
+    timeout_ms: u64,
+    #[serde(default)]
+    idempotent_methods: Vec<Box<str>>,
+    #[serde(default)]
+    priority: u8,
+    replicas: u32,
+    size: Resources,
+    objective: Objective,
+}
+
+/// A checked latency-critical service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "RawService")]
+pub struct ServiceSettings {
+    /// Requests whose path starts so belong to the service.
+    pub path_prefix: Box<str>,
+    /// Time within which a request must be answered.
+    pub timeout_ms: u64,
+    /// HTTP methods whose requests may run more than once; all others may not.
+    pub idempotent_methods: Vec<Box<str>>,
+    /// Services with a higher priority are refused later under overload; 0 to 9.
+    pub priority: u8,
+    /// The number of executors.
+    pub replicas: u32,
+    /// What one executor takes.
+    pub size: Resources,
+    /// The service-level objective.
+    pub objective: Objective,
+}
+
+impl TryFrom<RawService> for ServiceSettings {
+    type Error = FieldFault;
+
+    fn try_from(raw: RawService) -> Result<Self, FieldFault> {
+        if !raw.path_prefix.starts_with('/') || !raw.path_prefix.ends_with('/') {
+            return Err(FieldFault::new(
+                "path_prefix",
+                "must start and end with '/'",
+            ));
+        }
+        check_range("timeout_ms", raw.timeout_ms, 1, TIMEOUT_MAX_MS)?;
+        check_range("priority", raw.priority.into(), 0, PRIORITY_MAX.into())?;
+        check_range("replicas", raw.replicas.into(), 1, REPLICAS_MAX.into())?;
+        check_range("size.cpu_milli", raw.size.cpu_milli.0, 1, u64::MAX)?;
+        check_range("size.memory_mb", raw.size.memory_mb.0, 1, u64::MAX)?;
+        check_range(
+            "objective.latency_ms",
+            raw.objective.latency_ms,
+            1,
+            raw.timeout_ms,
+        )?;
+        let percent = raw.objective.good_percent;
+        if !(percent > 0.0 && percent < 100.0) {
+            let rule = "must be above 0 and below 100";
+            return Err(FieldFault::new("objective.good_percent", rule));
+        }
+        Ok(Self {
+            path_prefix: raw.path_prefix,
+            timeout_ms: raw.timeout_ms,
+            idempotent_methods: raw.idempotent_methods,
+            priority: raw.priority,
+            replicas: raw.replicas,
+            size: raw.size,
+            objective: raw.objective,
+        })
+    }
+}
+
+impl ServiceSettings {
+    /// Returns whether a request with this method may run more than once.
+    pub fn is_idempotent(&self, method: &str) -> bool {
+        self.idempotent_methods.iter().any(|m| &**m == method)
+    }
+}
+
+/// Checks that a number lies within its bounds, both included.
+pub(super) fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<(), FieldFault> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    let rule = match max {
+        u64::MAX => format!("must be {min} or more"),
+        max => format!("must be {min} to {max}"),
+    };
+    Err(FieldFault::new(field, rule))
+}
--- /dev/null
+++ b/crates/state/src/shard/ledger.rs
@@ -0,0 +1,63 @@
+use dotterelhook_types::ids::JobName;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::TeamName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::RunStatus;
+use super::ShardState;
+use super::TaskState;
+
+/// One run's line in the ledger.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LedgerLine {
+    /// The run.
+    pub run: RunId,
+    /// The team that submitted it.
+    pub team: TeamName,
+    /// The job.
+    pub job: JobName,
+    /// How far the run has come.
+    pub status: RunStatus,
+    /// Whether the run passed its deadline while active.
+    pub is_overdue: bool,
+    /// The number of tasks.
+    pub tasks: u32,
+    /// The number of tasks whose result stands.
+    pub done: u32,
+    /// The number of tasks with an open attempt.
+    pub running: u32,
+    /// The number of tasks that wait for a worker.
+    pub waiting: u32,
+    /// The deadline as Unix time.
+    pub deadline_at_unix_ms: u64,
+    /// Why the run failed.
+    pub cause: Option<Box<str>>,
+}
+
+impl ShardState {
+    /// Returns a line for each run that is kept, in order of run id.
+    pub fn ledger(&self) -> Vec<LedgerLine> {
+        self.runs()
+            .iter()
+            .map(|(id, run)| {
+                let count = |wanted: fn(&TaskState) -> bool| {
+                    run.tasks.iter().filter(|task| wanted(task)).count() as u32
+                };
+                LedgerLine {
+                    run: id.clone(),
+                    team: run.spec.team.clone(),
+                    job: run.spec.job.clone(),
+                    status: run.status,
+                    is_overdue: run.is_overdue,
+                    tasks: run.tasks.len() as u32,
+                    done: run.done,
+                    running: count(|task| matches!(task, TaskState::Open { .. })),
+                    waiting: count(|task| matches!(task, TaskState::Waiting { .. })),
+                    deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
+                    cause: run.cause.clone(),
+                }
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/types/src/sizes/mod.rs
@@ -0,0 +1,11 @@
+//! Sizes of hosts and tasks, and rates, each with its own type and unit.
+
+mod amount;
+mod resources;
+
+pub use amount::Accelerators;
+pub use amount::AmountError;
+pub use amount::CpuMilli;
+pub use amount::MemoryMb;
+pub use amount::PerSecond;
+pub use resources::Resources;
