Add calls between daemons over h2 with bincode frames

Cause: configuration for new hosts, digests between failure domains and requests passed to other domains all need calls between daemons; one transport should serve them.

Change: a listener with named handlers and a client with one connection to each peer, bodies limited in size, a verdict on each failure. Ruled out: one connection for each call, which would pay a handshake on every request passed on.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -7,6 +7,8 @@
 use dotterelhook_peer::config::ConfigFollower;
 use dotterelhook_peer::hosts::HostFollower;
 use dotterelhook_peer::membership::MembershipService;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerServer;
 use dotterelhook_platform::clock::Clock;
 use dotterelhook_platform::clock::SystemClock;
 use dotterelhook_platform::hosts::HttpHostList;
@@ -63,6 +65,11 @@
         registry.provide::<Metrics>(names::METRICS, Arc::new(Metrics::default()));
         let log = HttpLog::new(platform.log_address, platform.call_timeout);
         registry.provide::<dyn Log>(names::LOG, Arc::new(log));
+        registry.provide::<PeerClient>(names::PEER_CLIENT, Arc::new(PeerClient::default()));
+        let peer_address = self.settings.membership.peer_address;
+        kernel
+            .start(Box::new(PeerServer::new(peer_address)))
+            .await?;
         kernel.start(Box::new(ConfigFollower)).await?;
         let host_list = HttpHostList::new(platform.host_list_address, platform.call_timeout);
         let hosts = HostFollower::new(Arc::new(host_list), platform.host_poll);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -25,6 +25,10 @@
     pub const CLOCK: &str = "clock";
     /// `Metrics`: the registry of metrics.
     pub const METRICS: &str = "metrics";
+    /// `PeerHandlers`: the calls that other daemons may make.
+    pub const PEER_HANDLERS: &str = "peer-handlers";
+    /// `PeerClient`: calls to other daemons.
+    pub const PEER_CLIENT: &str = "peer-client";
     /// `dyn RunBoard`: the runs of the shards that this process owns.
     pub const RUNS: &str = "runs";
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod config;
 pub mod hosts;
 pub mod membership;
+pub mod rpc;
--- /dev/null
+++ b/crates/peer/src/rpc/mod.rs
@@ -0,0 +1,11 @@
+//! Calls between daemons: h2 streams that carry bincode frames.
+
+mod body;
+mod peer_client;
+mod peer_handler;
+mod peer_server;
+
+pub use peer_client::PeerClient;
+pub use peer_handler::PeerHandler;
+pub use peer_handler::PeerHandlers;
+pub use peer_server::PeerServer;
