Test settings and the command line, and refuse shared listener addresses

Cause: a settings file could give two listeners one address; the daemon then started half and failed at the second bind. Found by a fault table, which failed first on all three pairs of listeners.

--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -54,6 +54,7 @@
     type Error = FieldFault;
 
     fn try_from(raw: RawSettings) -> Result<Self, FieldFault> {
+        check_distinct_addresses(&raw)?;
         let incarnation = new_incarnation();
         let call_timeout = milliseconds(
             "platform.call_timeout_ms",
@@ -124,6 +125,30 @@
     }
 }
 
+/// Checks that each listener of the daemon has an address of its own.
+fn check_distinct_addresses(raw: &RawSettings) -> Result<(), FieldFault> {
+    let front = raw.front.as_ref().map(|front| front.listen_address);
+    let scheduler = raw
+        .scheduler
+        .as_ref()
+        .map(|scheduler| scheduler.listen_address);
+    let listeners = [
+        ("admin_address", Some(raw.admin_address)),
+        ("peers.listen_address", Some(raw.peers.listen_address)),
+        ("front.listen_address", front),
+        ("scheduler.listen_address", scheduler),
+    ];
+    for (index, (field, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index]
+            .iter()
+            .find(|(_, other)| other == address);
+        if let (Some(_), Some((other, _))) = (address, earlier) {
+            return Err(FieldFault::new(*field, format!("already used by {other}")));
+        }
+    }
+    Ok(())
+}
+
 fn check_front(raw: &RawSettings, front: &RawFront) -> Result<FrontSettings, FieldFault> {
     let connections_max = number("front.connections_max", front.connections_max, 1, 100_000)?;
     let body_max_bytes = number("front.body_max_bytes", front.body_max_bytes, 1, 64 << 20)?;
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,164 @@
+//! A settings file is valid, or one error names its first fault and nothing starts.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+const VALID: &str = r#"{
+    "host": "laguna-1",
+    "failure_domain": "laguna",
+    "admin_address": "127.0.0.1:1",
+    "platform": { "log_address": "127.0.0.1:2", "host_list_address": "127.0.0.1:3" },
+    "peers": { "listen_address": "127.0.0.1:4" },
+    "front": { "listen_address": "127.0.0.1:5" },
+    "scheduler": { "listen_address": "127.0.0.1:6" }
+}"#;
+
+fn check_file(file: &str) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
+    command
+        .args(["--settings", file, "--check"])
+        .output()
+        .unwrap()
+}
+
+fn check_text(name: &str, text: &str) -> Output {
+    let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    file.push(format!("{name}.jsonc"));
+    fs::write(&file, text).unwrap();
+    check_file(file.to_str().unwrap())
+}
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}.jsonc", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test]
+fn shipped_examples_are_valid() {
+    for name in ["default", "habagat", "amakusa"] {
+        let output = check_file(&example(name));
+
+        assert!(output.status.success(), "{name}: {output:?}");
+    }
+}
+
+#[test]
+fn each_fault_names_line_field_value_and_rule() {
+    let table = [
+        (
+            "laguna-1",
+            "Laguna 1",
+            "2:13: field host: value \"Laguna 1\"",
+            "is not a name",
+        ),
+        (
+            "127.0.0.1:1\"",
+            "nowhere\"",
+            "4:22: field admin_address: value \"nowhere\"",
+            "socket address",
+        ),
+        ("\"peers\"", "\"pears\"", "field pears", "unknown field"),
+        (
+            "\"127.0.0.1:4\"",
+            "\"127.0.0.1:4\", \"heartbeat_interval_ms\": 5",
+            "field peers.heartbeat_interval_ms: value 5",
+            "must be 100 to 2000",
+        ),
+        (
+            "\"127.0.0.1:5\"",
+            "\"127.0.0.1:5\", \"connections_max\": 0",
+            "field front.connections_max: value 0",
+            "must be 1 to 100000",
+        ),
+        (
+            "\"127.0.0.1:6\"",
+            "\"127.0.0.1:6\", \"lease_ms\": 2000",
+            "field scheduler.lease_ms: value 2000",
+            "at least 4 times worker_timeout_ms",
+        ),
+        (
+            "\"127.0.0.1:6\"",
+            "\"127.0.0.1:6\", \"shard_count\": \"two\"",
+            "field scheduler.shard_count: value \"two\"",
+            "invalid type",
+        ),
+        ("}\n}", "}", "not JSON", ""),
+    ];
+    for (index, (valid, invalid, place, rule)) in table.into_iter().enumerate() {
+        let text = VALID.replacen(valid, invalid, 1);
+
+        let output = check_text(&format!("fault-{index}"), &text);
+
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{invalid}: {error}");
+        assert!(
+            error.contains(place) && error.contains(rule),
+            "{invalid}: {error}"
+        );
+        assert_eq!(error.lines().count(), 1, "{invalid}: {error}");
+    }
+}
+
+#[test]
+fn a_daemon_needs_a_role() {
+    let start = VALID.find(",\n    \"front\"").unwrap();
+    let text = format!("{}\n}}", &VALID[..start]);
+
+    let output = check_text("no-role", &text);
+
+    let error = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(
+        error.contains("front, scheduler or both must be given"),
+        "{error}"
+    );
+}
+
+#[test]
+fn two_listeners_on_one_address_are_refused() {
+    let table = [
+        (
+            "127.0.0.1:5",
+            "127.0.0.1:1",
+            "field front.listen_address: value \"127.0.0.1:1\"",
+        ),
+        (
+            "127.0.0.1:6",
+            "127.0.0.1:5",
+            "field scheduler.listen_address: value \"127.0.0.1:5\"",
+        ),
+        (
+            "127.0.0.1:4",
+            "127.0.0.1:1",
+            "field peers.listen_address: value \"127.0.0.1:1\"",
+        ),
+    ];
+    for (index, (address, taken, place)) in table.into_iter().enumerate() {
+        let text = VALID.replacen(address, taken, 1);
+
+        let output = check_text(&format!("taken-{index}"), &text);
+
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{error}");
+        assert!(
+            error.contains(place) && error.contains("already used by"),
+            "{error}"
+        );
+    }
+}
+
+#[test]
+fn a_missing_file_and_unknown_arguments_are_refused() {
+    let missing = check_file("/nonexistent.jsonc");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
+    let unknown = command
+        .args(["--settings", "x", "--verbose"])
+        .output()
+        .unwrap();
+
+    for output in [missing, unknown] {
+        assert_eq!(output.status.code(), Some(2), "{output:?}");
+        assert!(!output.stderr.is_empty());
+    }
+}
