--- /dev/null
+++ b/crates/daemon/tests/common/mod.rs
@@ -0,0 +1,212 @@
+//! Fixtures: a platform in this process and daemons as real processes.
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_platform::log::HttpLog;
+use dotterelhook_platform::log::Log;
+use dotterelhook_standins::hosts::HostServer;
+use dotterelhook_standins::hosts::register;
+use dotterelhook_standins::log::LogServer;
+use dotterelhook_standins::server::bind;
+use dotterelhook_standins::server::serve;
+use dotterelhook_standins::target::TargetServer;
+use dotterelhook_standins::target::TargetSettings;
+use dotterelhook_state::config::CONFIG_STREAM;
+use serde_json::Value;
+use serde_json::json;
+use tokio::runtime::Runtime;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const LOG_PORT: u16 = 7000;
+const HOSTS_PORT: u16 = 7001;
+const TARGET_PORT: u16 = 7002;
+const RECORDS_MAX: usize = 10_000;
+
+/// Returns a loopback address that no other test process uses.
+pub(crate) fn own_ip(test: u8) -> Ipv4Addr {
+    let id = std::process::id();
+    Ipv4Addr::new(127, 10 + test, (id >> 8) as u8, id as u8)
+}
+
+/// A log, a host list and one target of the service `echo`.
+pub(crate) struct Platform {
+    pub(crate) ip: Ipv4Addr,
+    runtime: Runtime,
+}
+
+impl Platform {
+    pub(crate) fn start(ip: Ipv4Addr) -> Self {
+        let runtime = Runtime::new().unwrap();
+        runtime.block_on(start_servers(ip));
+        let platform = Self { ip, runtime };
+        platform.publish(echo_service());
+        platform.publish(nightly_job());
+        platform
+    }
+
+    pub(crate) fn publish(&self, publication: Value) {
+        let log = HttpLog::new(SocketAddr::from((self.ip, LOG_PORT)), PATIENCE);
+        let payload: Box<str> = publication.to_string().into();
+        self.runtime
+            .block_on(log.append(CONFIG_STREAM, &[payload]))
+            .unwrap();
+    }
+}
+
+async fn start_servers(ip: Ipv4Addr) {
+    let log = bind(SocketAddr::from((ip, LOG_PORT))).await.unwrap();
+    tokio::spawn(serve(log, Arc::new(LogServer::new(RECORDS_MAX))));
+    let host_list = SocketAddr::from((ip, HOSTS_PORT));
+    let hosts = bind(host_list).await.unwrap();
+    tokio::spawn(serve(hosts, Arc::new(HostServer::new(Duration::ZERO))));
+    let target = TargetServer::new(TargetSettings {
+        slots: 8,
+        connections_max: 64,
+        service_time: Duration::ZERO,
+    });
+    let entry = echo_target(SocketAddr::from((ip, TARGET_PORT)));
+    let listener = bind(entry.address).await.unwrap();
+    tokio::spawn(Arc::new(target).serve(listener));
+    register(
+        host_list,
+        &HostSnapshot {
+            targets: vec![entry],
+            workers: vec![],
+        },
+    )
+    .await
+    .unwrap();
+}
+
+fn echo_target(address: SocketAddr) -> TargetEntry {
+    TargetEntry {
+        target: "t-0".parse().unwrap(),
+        service: "echo".parse().unwrap(),
+        address,
+        failure_domain: "laguna".parse().unwrap(),
+        worker: "w-0".parse().unwrap(),
+        slots: 8,
+        connections_max: 64,
+        state: HostState::Live,
+    }
+}
+
+fn echo_service() -> Value {
+    json!({
+        "writer": "fixture-1", "sequence": 1, "team": "desk",
+        "path": "desk/services/echo", "base_offset": null,
+        "body": {
+            "path_prefix": "/echo/", "timeout_ms": 5000, "replicas": 1,
+            "size": { "cpu_milli": 100, "memory_mb": 100 },
+            "objective": { "latency_ms": 100, "good_percent": 99.0 }
+        }
+    })
+}
+
+fn nightly_job() -> Value {
+    json!({
+        "writer": "fixture-2", "sequence": 1, "team": "desk",
+        "path": "desk/jobs/nightly", "base_offset": null,
+        "body": {
+            "tasks": 1, "size": { "cpu_milli": 100, "memory_mb": 100 },
+            "run_time_ms": 10, "deadline_ms": 60000
+        }
+    })
+}
+
+/// A daemon as a process; it is killed when dropped.
+pub(crate) struct Daemon {
+    pub(crate) admin: SocketAddr,
+    pub(crate) api: SocketAddr,
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts a daemon with the given part, `front` or `scheduler`, and waits until it is ready.
+    pub(crate) fn start(platform: &Platform, part: &str, first_port: u16) -> Self {
+        let address = |port: u16| SocketAddr::from((platform.ip, port));
+        let (admin, api) = (address(first_port), address(first_port + 2));
+        let settings = json!({
+            "host": "laguna-1",
+            "failure_domain": "laguna",
+            "admin_address": admin,
+            "platform": {
+                "log_address": address(LOG_PORT),
+                "host_list_address": address(HOSTS_PORT),
+                "host_poll_ms": 100
+            },
+            "peers": { "listen_address": address(first_port + 1) },
+            part: { "listen_address": api },
+            "stop": { "unready_ms": 100 }
+        });
+        let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        file.push(format!("{}-{first_port}.jsonc", platform.ip));
+        fs::write(&file, settings.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
+        command.arg("--settings").arg(&file).stderr(Stdio::null());
+        let daemon = Self {
+            admin,
+            api,
+            child: command.spawn().unwrap(),
+        };
+        wait_until(|| get(admin, "/readyz").starts_with("HTTP/1.1 200"));
+        daemon
+    }
+
+    /// Asks for a planned stop and returns the exit code.
+    pub(crate) fn stop(mut self) -> Option<i32> {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Waits for a condition with a generous limit.
+pub(crate) fn wait_until(condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "the condition did not come true");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Sends bytes on a new connection and returns all that comes back.
+pub(crate) fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return String::new();
+    };
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    // The daemon may answer and close before all is sent.
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Sends a request without a body and returns the whole answer.
+pub(crate) fn get(address: SocketAddr, path: &str) -> String {
+    let request = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    exchange(address, request.as_bytes())
+}
