--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -131,7 +131,6 @@
 
 /// A daemon as a process; it is killed when dropped.
 pub(crate) struct Daemon {
-    pub(crate) admin: SocketAddr,
     pub(crate) api: SocketAddr,
     child: Child,
 }
@@ -160,7 +159,6 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
         command.arg("--settings").arg(&file).stderr(Stdio::null());
         let daemon = Self {
-            admin,
             api,
             child: command.spawn().unwrap(),
         };
--- /dev/null
+++ b/crates/standins/src/faults/cluster.rs
@@ -0,0 +1,264 @@
+use std::fs;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_platform::http::JsonClient;
+use dotterelhook_types::ids::FailureDomain;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::sizes::Resources;
+use serde_json::json;
+
+use super::daemon_process::DaemonProcess;
+use crate::hosts::HostServer;
+use crate::hosts::register;
+use crate::link::TcpLink;
+use crate::log::LogServer;
+use crate::server::FaultBody;
+use crate::server::Handler;
+use crate::server::bind;
+use crate::server::serve;
+use crate::target::TargetServer;
+use crate::target::TargetSettings;
+use crate::worker::WorkerModel;
+use crate::worker::WorkerServer;
+
+const LOG_RECORDS_MAX: usize = 1_000_000;
+const HOST_LIST_LAG: Duration = Duration::from_secs(2);
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+const READY_TRIES: u32 = 200;
+const READY_PAUSE: Duration = Duration::from_millis(100);
+const LEASE_MS: u64 = 3_000;
+const WORKER_TIMEOUT_MS: u64 = 500;
+const PORTS_PER_HOST: u16 = 20;
+const PORTS_PER_DOMAIN: u16 = 200;
+
+/// The size of a cluster under test.
+#[derive(Clone, Debug)]
+pub struct ClusterSettings {
+    /// Where the daemon's binary is.
+    pub binary: PathBuf,
+    /// Where settings and logs are written.
+    pub directory: PathBuf,
+    /// The loopback address of all processes.
+    pub ip: Ipv4Addr,
+    /// The first port.
+    pub first_port: u16,
+    /// The names of the failure domains.
+    pub failure_domains: Vec<FailureDomain>,
+    /// Entry hosts in each failure domain.
+    pub hosts: u16,
+    /// Targets in each failure domain.
+    pub targets: u16,
+    /// Workers in each failure domain.
+    pub workers: u16,
+    /// What each worker has.
+    pub worker_capacity: Resources,
+}
+
+/// Stand-ins in this process, and daemons as processes of their own.
+pub struct Cluster {
+    /// The settings that it was started with.
+    pub settings: ClusterSettings,
+    /// The log's own address, past all links.
+    pub log_address: SocketAddr,
+    /// The fronts of all failure domains.
+    pub fronts: Vec<DaemonProcess>,
+    /// The schedulers of all failure domains.
+    pub schedulers: Vec<DaemonProcess>,
+    /// The link of each failure domain to the log.
+    pub links: Vec<Arc<TcpLink>>,
+    /// All targets.
+    pub targets: Vec<TargetEntry>,
+    /// All workers.
+    pub workers: Vec<WorkerEntry>,
+    log: Arc<LogServer>,
+    pub(super) target_servers: Vec<Arc<TargetServer>>,
+}
+
+impl Cluster {
+    /// Starts everything and waits until all daemons answer.
+    ///
+    /// # Errors
+    /// An address is taken, or a daemon does not start.
+    pub async fn start(settings: ClusterSettings) -> eyre::Result<Self> {
+        fs::create_dir_all(&settings.directory)?;
+        let log_address = SocketAddr::from((settings.ip, settings.first_port));
+        let host_list = SocketAddr::from((settings.ip, settings.first_port + 1));
+        let log = Arc::new(LogServer::new(LOG_RECORDS_MAX));
+        tokio::spawn(serve(bind(log_address).await?, log.clone()));
+        tokio::spawn(serve(
+            bind(host_list).await?,
+            Arc::new(HostServer::new(HOST_LIST_LAG)),
+        ));
+        let mut cluster = Self {
+            settings,
+            log_address,
+            fronts: Vec::new(),
+            schedulers: Vec::new(),
+            links: Vec::new(),
+            targets: Vec::new(),
+            workers: Vec::new(),
+            log,
+            target_servers: Vec::new(),
+        };
+        for index in 0..cluster.settings.failure_domains.len() {
+            cluster.start_domain(index as u16, host_list).await?;
+        }
+        let entries = HostSnapshot {
+            targets: cluster.targets.clone(),
+            workers: cluster.workers.clone(),
+        };
+        register(host_list, &entries).await?;
+        for daemon in cluster.fronts.iter().chain(&cluster.schedulers) {
+            wait_until_alive(daemon.admin).await?;
+        }
+        Ok(cluster)
+    }
+
+    /// Makes the log misbehave from now on.
+    pub fn set_log_fault(&self, fault: FaultBody) {
+        self.log.faults().set(fault);
+    }
+
+    /// Makes a target misbehave from now on.
+    pub fn set_target_fault(&self, index: usize, fault: FaultBody) {
+        self.target_servers[index].faults().set(fault);
+    }
+
+    fn address(&self, port: u16) -> SocketAddr {
+        SocketAddr::from((self.settings.ip, port))
+    }
+
+    async fn start_domain(&mut self, index: u16, host_list: SocketAddr) -> eyre::Result<()> {
+        let base = self.settings.first_port + 10 + index * PORTS_PER_DOMAIN;
+        let failure_domain = self.settings.failure_domains[usize::from(index)].clone();
+        let link_address = self.address(base);
+        self.links
+            .push(TcpLink::start(link_address, self.log_address).await?);
+        self.start_targets(&failure_domain, base + 10).await?;
+        self.start_workers(&failure_domain, base + 60).await?;
+        for host in 0..self.settings.hosts {
+            let port = base + 110 + host * PORTS_PER_HOST;
+            let name = format!("{failure_domain}-{host}");
+            let platform = json!({
+                "log_address": link_address, "host_list_address": host_list,
+                "host_poll_ms": 300, "call_timeout_ms": 1_000
+            });
+            for (role, port) in [("front", port), ("scheduler", port + 10)] {
+                let daemon = self.daemon(&name, &failure_domain, role, port, &platform)?;
+                match role {
+                    "front" => self.fronts.push(daemon),
+                    _ => self.schedulers.push(daemon),
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_targets(&mut self, domain: &FailureDomain, first: u16) -> eyre::Result<()> {
+        let settings = TargetSettings {
+            slots: 8,
+            connections_max: 64,
+            service_time: SERVICE_TIME,
+        };
+        for index in 0..self.settings.targets {
+            let entry = TargetEntry {
+                target: format!("{domain}-t{index}").parse()?,
+                service: "booking".parse()?,
+                address: self.address(first + index),
+                failure_domain: domain.clone(),
+                worker: format!("{domain}-w{index}").parse()?,
+                slots: settings.slots,
+                connections_max: settings.connections_max,
+                state: HostState::Live,
+            };
+            let server = Arc::new(TargetServer::new(settings));
+            tokio::spawn(Arc::clone(&server).serve(bind(entry.address).await?));
+            self.target_servers.push(server);
+            self.targets.push(entry);
+        }
+        Ok(())
+    }
+
+    async fn start_workers(&mut self, domain: &FailureDomain, first: u16) -> eyre::Result<()> {
+        for index in 0..self.settings.workers {
+            let entry = WorkerEntry {
+                worker: format!("{domain}-w{index}").parse()?,
+                address: self.address(first + index),
+                failure_domain: domain.clone(),
+                rack: format!("{domain}-r0").parse()?,
+                state: HostState::Live,
+            };
+            let capacity = self.settings.worker_capacity;
+            let model = WorkerModel::new(entry.worker.clone(), Incarnation(1), capacity);
+            let server = Arc::new(WorkerServer::new(model));
+            tokio::spawn(serve(bind(entry.address).await?, server));
+            self.workers.push(entry);
+        }
+        Ok(())
+    }
+
+    fn daemon(
+        &self,
+        host: &str,
+        failure_domain: &FailureDomain,
+        role: &str,
+        port: u16,
+        platform: &serde_json::Value,
+    ) -> eyre::Result<DaemonProcess> {
+        let (admin, api) = (self.address(port), self.address(port + 2));
+        let mut settings = json!({
+            "host": host,
+            "failure_domain": failure_domain,
+            "admin_address": admin,
+            "platform": platform,
+            "peers": {
+                "listen_address": self.address(port + 1),
+                "seed_addresses": self.seed_addresses()
+            },
+            "stop": { "unready_ms": 300 }
+        });
+        settings[role] = json!({ "listen_address": api });
+        if role == "scheduler" {
+            settings[role]["lease_ms"] = LEASE_MS.into();
+            settings[role]["worker_timeout_ms"] = WORKER_TIMEOUT_MS.into();
+        }
+        let file = self.settings.directory.join(format!("{host}-{role}.jsonc"));
+        fs::write(&file, settings.to_string())?;
+        let mut daemon = DaemonProcess::new(self.settings.binary.clone(), file, admin, api);
+        daemon.start()?;
+        Ok(daemon)
+    }
+
+    /// Returns the peer address of the first scheduler of each failure domain.
+    fn seed_addresses(&self) -> Vec<SocketAddr> {
+        let domains = 0..self.settings.failure_domains.len() as u16;
+        let base = self.settings.first_port + 10;
+        domains
+            .map(|index| self.address(base + index * PORTS_PER_DOMAIN + 121))
+            .collect()
+    }
+}
+
+async fn wait_until_alive(admin: SocketAddr) -> eyre::Result<()> {
+    let client = JsonClient::new(admin, CALL_TIMEOUT);
+    for _ in 0..READY_TRIES {
+        if client
+            .get("/healthz")
+            .await
+            .is_ok_and(|answer| answer.status.is_success())
+        {
+            return Ok(());
+        }
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Err(eyre::eyre!("the daemon at {admin} does not answer"))
+}
--- /dev/null
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -0,0 +1,94 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use eyre::WrapErr;
+
+/// One daemon as a process, which can be killed, frozen and started again.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Where operators are answered.
+    pub admin: SocketAddr,
+    /// Where requests are taken.
+    pub api: SocketAddr,
+    binary: PathBuf,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl DaemonProcess {
+    /// Describes a daemon; nothing runs yet.
+    pub fn new(binary: PathBuf, settings: PathBuf, admin: SocketAddr, api: SocketAddr) -> Self {
+        Self {
+            admin,
+            api,
+            binary,
+            settings,
+            child: None,
+        }
+    }
+
+    /// Starts the process, unless it runs.
+    ///
+    /// # Errors
+    /// The binary can't be started.
+    pub fn start(&mut self) -> eyre::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.settings.with_extension("log"))?;
+        let child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .wrap_err_with(|| format!("can't start {}", self.binary.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks for a planned stop and returns whether the process exited with 0.
+    pub fn terminate(&mut self) -> bool {
+        self.signal("-TERM");
+        let child = self.child.take();
+        child.is_some_and(|mut child| child.wait().is_ok_and(|status| status.success()))
+    }
+
+    /// Stops the process in its tracks.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    fn signal(&self, signal: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill")
+                .args([signal, &child.id().to_string()])
+                .status();
+        }
+    }
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins for the users' platform and a load generator, for tests and demonstrations.
 
+pub mod faults;
 pub mod hosts;
+pub mod link;
 pub mod load;
 pub mod log;
 pub mod server;
--- /dev/null
+++ b/crates/standins/src/link/tcp_link.rs
@@ -0,0 +1,107 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::watch;
+
+use crate::server::bind;
+
+const BUFFER_BYTES: usize = 16 << 10;
+
+/// How a link behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LinkState {
+    /// Whether bytes are held back until the link is whole again.
+    pub is_cut: bool,
+    /// The delay of each piece of data, one way.
+    pub delay_ms: u64,
+    /// The most that is added to the delay at random.
+    pub jitter_ms: u64,
+}
+
+/// Passes TCP connections on to one address.
+#[derive(Debug)]
+pub struct TcpLink {
+    to: SocketAddr,
+    state: watch::Sender<LinkState>,
+}
+
+impl TcpLink {
+    /// Listens on an address and passes connections on.
+    ///
+    /// # Errors
+    /// The address is taken.
+    pub async fn start(listen: SocketAddr, to: SocketAddr) -> eyre::Result<Arc<Self>> {
+        let listener = bind(listen).await?;
+        let link = Arc::new(Self {
+            to,
+            state: watch::Sender::default(),
+        });
+        tokio::spawn(Arc::clone(&link).accept(listener));
+        Ok(link)
+    }
+
+    /// Changes the link from now on, also for open connections.
+    pub fn set(&self, state: LinkState) {
+        self.state.send_replace(state);
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((near, _)) = listener.accept().await else {
+                continue;
+            };
+            let (to, state) = (self.to, self.state.subscribe());
+            tokio::spawn(async move {
+                let Ok(far) = TcpStream::connect(to).await else {
+                    return;
+                };
+                let _ = near.set_nodelay(true);
+                let _ = far.set_nodelay(true);
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::join!(
+                    pass(near_read, far_write, state.clone()),
+                    pass(far_read, near_write, state)
+                );
+            });
+        }
+    }
+}
+
+/// Passes bytes one way until either end closes.
+async fn pass(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = match from.read(&mut buffer).await {
+            Ok(length) if length > 0 => length,
+            _ => return,
+        };
+        let Ok(now) = state
+            .wait_for(|state| !state.is_cut)
+            .await
+            .map(|state| *state)
+        else {
+            return;
+        };
+        let jitter_ms = if now.jitter_ms == 0 {
+            0
+        } else {
+            rand::random::<u64>() % now.jitter_ms
+        };
+        tokio::time::sleep(Duration::from_millis(now.delay_ms + jitter_ms)).await;
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return;
+        }
+    }
+}
