Test a request body that never arrives

Cause: the fault table of bad input had no slow sender; the front's limit on the time of a body was untested.

Ruled out: waiting for the default of ten seconds; the fixture sets a shorter limit.

--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/bad_input.rs
@@ -74,6 +74,11 @@
             "404",
         ),
         case("body too large", huge_body, "413"),
+        case(
+            "body never sent",
+            "POST /echo/ HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 5\r\n\r\n",
+            "408",
+        ),
         unparsed("not HTTP", "hello\r\n\r\n", "400"),
         unparsed(
             "bad content length",
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -36,6 +36,7 @@
 const HOSTS_PORT: u16 = 7001;
 const TARGET_PORT: u16 = 7002;
 const RECORDS_MAX: usize = 10_000;
+const BODY_TIMEOUT_MS: u64 = 300;
 
 /// Returns a loopback address that no other test process uses.
 pub(crate) fn own_ip(test: u8) -> Ipv4Addr {
@@ -140,7 +141,7 @@
     pub(crate) fn start(platform: &Platform, part: &str, first_port: u16) -> Self {
         let address = |port: u16| SocketAddr::from((platform.ip, port));
         let (admin, api) = (address(first_port), address(first_port + 2));
-        let settings = json!({
+        let mut settings = json!({
             "host": "laguna-1",
             "failure_domain": "laguna",
             "admin_address": admin,
@@ -153,6 +154,9 @@
             part: { "listen_address": api },
             "stop": { "unready_ms": 100 }
         });
+        if part == "front" {
+            settings[part]["body_timeout_ms"] = BODY_TIMEOUT_MS.into();
+        }
         let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         file.push(format!("{}-{first_port}.jsonc", platform.ip));
         fs::write(&file, settings.to_string()).unwrap();
