Let faults of the fault run overlap and add faults of workers

Cause: the first version broke one thing at a time and all batch runs had ended within the first quarter of it.

Change: steps begin and end on a timeline of their own, worker agents freeze, close connections and lose answers, and runs are submitted throughout. Ruled out: two schedules at once, which would mend each other's faults too early.

--- a/crates/standins/examples/fault_run.rs
+++ b/crates/standins/examples/fault_run.rs
@@ -30,8 +30,8 @@
 const FIRST_PORT: u16 = 28_000;
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 const REQUEST_PAUSE: Duration = Duration::from_millis(5);
-const RUN_PAUSE: Duration = Duration::from_millis(1_500);
-const RUNS_PER_DOMAIN: usize = 10;
+const RUN_PAUSE: Duration = Duration::from_millis(1_000);
+const RUNS_PER_DOMAIN: usize = 40;
 const SETTLE_LIMIT: Duration = Duration::from_secs(60);
 const WATCH_PAUSE: Duration = Duration::from_millis(200);
 
@@ -130,10 +130,9 @@
     let watcher = tokio::spawn(watch_offsets(cluster.fronts[0].admin, is_over));
 
     for round in 0..rounds {
-        for step in Schedule::generate(seed + round).steps {
-            println!("{step}");
-            step.run(cluster).await?;
-        }
+        let schedule = Schedule::generate(seed + round);
+        schedule.steps.iter().for_each(|step| println!("{step}"));
+        schedule.run(cluster).await?;
     }
     over.send_replace(true);
     request_task.await?;
--- a/crates/standins/src/faults/cluster.rs
+++ b/crates/standins/src/faults/cluster.rs
@@ -81,6 +81,7 @@
     pub workers: Vec<WorkerEntry>,
     log: Arc<LogServer>,
     pub(super) target_servers: Vec<Arc<TargetServer>>,
+    worker_servers: Vec<Arc<WorkerServer>>,
 }
 
 impl Cluster {
@@ -108,6 +109,7 @@
             workers: Vec::new(),
             log,
             target_servers: Vec::new(),
+            worker_servers: Vec::new(),
         };
         for index in 0..cluster.settings.failure_domains.len() {
             cluster.start_domain(index as u16, host_list).await?;
@@ -133,6 +135,13 @@
         self.target_servers[index].faults().set(fault);
     }
 
+    /// Makes a worker's agent misbehave from now on; the index wraps around.
+    pub fn set_worker_fault(&self, index: usize, fault: FaultBody) {
+        self.worker_servers[index % self.worker_servers.len()]
+            .faults()
+            .set(fault);
+    }
+
     fn address(&self, port: u16) -> SocketAddr {
         SocketAddr::from((self.settings.ip, port))
     }
@@ -200,7 +209,8 @@
             let capacity = self.settings.worker_capacity;
             let model = WorkerModel::new(entry.worker.clone(), Incarnation(1), capacity);
             let server = Arc::new(WorkerServer::new(model));
-            tokio::spawn(serve(bind(entry.address).await?, server));
+            tokio::spawn(serve(bind(entry.address).await?, server.clone()));
+            self.worker_servers.push(server);
             self.workers.push(entry);
         }
         Ok(())
--- a/crates/standins/src/faults/schedule.rs
+++ b/crates/standins/src/faults/schedule.rs
@@ -11,7 +11,7 @@
 use crate::server::Fault;
 use crate::server::FaultBody;
 
-const FAULTS: [FaultKind; 10] = [
+const FAULTS: [FaultKind; 12] = [
     FaultKind::KillFront,
     FaultKind::KillScheduler,
     FaultKind::StopFront,
@@ -22,8 +22,13 @@
     FaultKind::LogSlow,
     FaultKind::CutFromLog,
     FaultKind::TargetBreaks,
+    FaultKind::WorkerBreaks,
+    FaultKind::WorkerFreezes,
 ];
 const LOG_DELAY_MS: u64 = 500;
+const PAUSE_MS: std::ops::Range<u64> = 100..4_000;
+const LASTS_MS: std::ops::Range<u64> = 500..8_000;
+const WORKER_FAULTS: [Fault; 2] = [Fault::Down, Fault::LoseAnswers];
 const TARGET_FAULTS: [Fault; 4] = [
     Fault::Down,
     Fault::Full,
@@ -45,6 +50,8 @@
     LogSlow,
     CutFromLog,
     TargetBreaks,
+    WorkerBreaks,
+    WorkerFreezes,
 }
 
 /// One fault: it begins, lasts for some time, and is mended.
@@ -52,30 +59,30 @@
 pub struct FaultStep {
     kind: FaultKind,
     index: usize,
-    target_fault: Fault,
-    pause: Duration,
+    fault: Fault,
+    begins_at: Duration,
     lasts: Duration,
 }
 
 impl fmt::Display for FaultStep {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let (pause_ms, lasts_ms) = (self.pause.as_millis(), self.lasts.as_millis());
+        let (begins_at_ms, lasts_ms) = (self.begins_at.as_millis(), self.lasts.as_millis());
         write!(
             f,
-            "after {pause_ms} ms: {} #{} for {lasts_ms} ms",
+            "at {begins_at_ms} ms: {} #{} for {lasts_ms} ms",
             self.kind, self.index
         )?;
         match self.kind {
-            FaultKind::TargetBreaks => write!(f, " ({})", self.target_fault),
+            FaultKind::TargetBreaks | FaultKind::WorkerBreaks => write!(f, " ({})", self.fault),
             _ => Ok(()),
         }
     }
 }
 
-/// A seeded series of faults.
+/// A seeded series of faults, which may overlap.
 #[derive(Clone, Debug)]
 pub struct Schedule {
-    /// The faults in order.
+    /// The faults in order of their begin.
     pub steps: Vec<FaultStep>,
 }
 
@@ -87,31 +94,52 @@
             .sample(&mut rng, FAULTS.len())
             .copied()
             .collect::<Vec<_>>();
-        let steps = kinds.into_iter().map(|kind| FaultStep {
-            kind,
-            index: rng.random_range(0..1_000),
-            target_fault: TARGET_FAULTS[rng.random_range(0..TARGET_FAULTS.len())],
-            pause: Duration::from_millis(rng.random_range(100..1_500)),
-            lasts: Duration::from_millis(rng.random_range(500..6_000)),
+        let mut begins_at = Duration::ZERO;
+        let steps = kinds.into_iter().map(|kind| {
+            begins_at += Duration::from_millis(rng.random_range(PAUSE_MS));
+            let faults: &[Fault] = match kind {
+                FaultKind::WorkerBreaks => &WORKER_FAULTS,
+                _ => &TARGET_FAULTS,
+            };
+            FaultStep {
+                kind,
+                index: rng.random_range(0..1_000),
+                fault: faults[rng.random_range(0..faults.len())],
+                begins_at,
+                lasts: Duration::from_millis(rng.random_range(LASTS_MS)),
+            }
         });
         Self {
             steps: steps.collect(),
         }
     }
-}
 
-impl FaultStep {
-    /// Waits, breaks the cluster, waits, and mends it.
+    /// Breaks and mends the cluster as the schedule says.
     ///
     /// # Errors
     /// A killed daemon can't be started again, or a planned stop failed.
     pub async fn run(&self, cluster: &mut Cluster) -> eyre::Result<()> {
-        tokio::time::sleep(self.pause).await;
-        self.begin(cluster)?;
-        tokio::time::sleep(self.lasts).await;
-        self.end(cluster)
+        let begins = self.steps.iter().map(|step| (step.begins_at, true, step));
+        let ends = self
+            .steps
+            .iter()
+            .map(|step| (step.begins_at + step.lasts, false, step));
+        let mut events: Vec<_> = begins.chain(ends).collect();
+        events.sort_by_key(|(at, _, _)| *at);
+        let started_at = tokio::time::Instant::now();
+        for (at, is_begin, step) in events {
+            tokio::time::sleep_until(started_at + at).await;
+            if is_begin {
+                step.begin(cluster)?;
+            } else {
+                step.end(cluster)?;
+            }
+        }
+        Ok(())
     }
+}
 
+impl FaultStep {
     fn begin(&self, cluster: &mut Cluster) -> eyre::Result<()> {
         let front = self.index % cluster.fronts.len();
         let scheduler = self.index % cluster.schedulers.len();
@@ -143,7 +171,11 @@
             }
             FaultKind::TargetBreaks => {
                 let target = self.index % cluster.targets.len();
-                cluster.set_target_fault(target, fault(self.target_fault));
+                cluster.set_target_fault(target, fault(self.fault));
+            }
+            FaultKind::WorkerBreaks => cluster.set_worker_fault(self.index, fault(self.fault)),
+            FaultKind::WorkerFreezes => {
+                cluster.set_worker_fault(self.index, fault(Fault::Frozen));
             }
         }
         Ok(())
@@ -167,6 +199,9 @@
                 let target = self.index % cluster.targets.len();
                 cluster.set_target_fault(target, fault(Fault::None));
             }
+            FaultKind::WorkerBreaks | FaultKind::WorkerFreezes => {
+                cluster.set_worker_fault(self.index, fault(Fault::None));
+            }
         }
         Ok(())
     }
