--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -66,7 +66,7 @@
 
 fn plan(state: &ConfigState, documents: BTreeMap<ConfigPath, Value>) -> Vec<Change> {
     let changes = documents.into_iter().filter_map(|(path, body)| {
-        let version = state.versions().get(&path);
+        let version = state.version(&path);
         if version.is_some_and(|version| *version.body == body) {
             return None;
         }
@@ -142,7 +142,7 @@
             .as_ref()
             .is_some_and(|(name, _)| **name == *writer)
     };
-    let outcomes: Vec<_> = state.outcomes().iter().filter(is_own).collect();
+    let outcomes: Vec<_> = state.outcomes().filter(is_own).collect();
     if (outcomes.len() as u64) < count {
         return Ok(None);
     }
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -48,11 +48,8 @@
     fn readiness(&self) -> Response<AnswerBody> {
         if self.draining.is_cancelled() {
             text(StatusCode::SERVICE_UNAVAILABLE, "draining\n")
-        } else if !self.config.is_known() {
-            text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no configuration was read yet\n",
-            )
+        } else if let Some(reason) = self.config.unready_reason() {
+            text(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"))
         } else {
             text(StatusCode::OK, "ready\n")
         }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,6 +5,7 @@
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::config::ConfigFollower;
+use dotterelhook_peer::config::ConfigPeers;
 use dotterelhook_peer::hosts::HostFollower;
 use dotterelhook_peer::membership::MembershipService;
 use dotterelhook_peer::rpc::PeerClient;
@@ -74,9 +75,13 @@
         let host_list = HttpHostList::new(platform.host_list_address, platform.call_timeout);
         let hosts = HostFollower::new(Arc::new(host_list), platform.host_poll);
         kernel.start(Box::new(hosts)).await?;
+        let seed_addresses = self.settings.membership.seed_addresses.clone();
         kernel
             .start(Box::new(MembershipService::new(self.settings.membership)))
             .await?;
+        kernel
+            .start(Box::new(ConfigPeers::new(seed_addresses)))
+            .await?;
         if let Some(scheduler) = self.settings.scheduler {
             kernel
                 .start(Box::new(SchedulerService::new(scheduler)))
--- /dev/null
+++ b/crates/peer/src/config/config_peers.rs
@@ -0,0 +1,124 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Service;
+use dotterelhook_kernel::names;
+use dotterelhook_types::ids::Offset;
+use rand::seq::SliceRandom;
+use spdlog::warn;
+
+use super::ConfigStore;
+use super::ConfigView;
+use super::STORE;
+use super::peer_source::fetch;
+use crate::membership::MemberState;
+use crate::membership::MembershipView;
+use crate::rpc::PeerClient;
+
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const ASKED_MAX: usize = 3;
+
+/// Takes the configuration from other daemons while the log does not give it.
+///
+/// Starts after the membership, which itself reads the configuration's offset.
+pub struct ConfigPeers {
+    seed_addresses: Vec<SocketAddr>,
+}
+
+impl ConfigPeers {
+    /// Creates the service; the seeds are asked as long as no configuration is known.
+    pub fn new(seed_addresses: Vec<SocketAddr>) -> Self {
+        Self { seed_addresses }
+    }
+}
+
+struct Peers {
+    seed_addresses: Vec<SocketAddr>,
+    store: Arc<ConfigStore>,
+    membership: Arc<dyn MembershipView>,
+    client: Arc<PeerClient>,
+}
+
+#[async_trait]
+impl Service for ConfigPeers {
+    fn name(&self) -> &'static str {
+        "config-peers"
+    }
+
+    async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
+        let registry = kernel.registry();
+        let peers = Peers {
+            seed_addresses: self.seed_addresses,
+            store: registry.find::<ConfigStore>(STORE)?,
+            membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
+            client: registry.find::<PeerClient>(names::PEER_CLIENT)?,
+        };
+        let stopping = kernel.stopping();
+        kernel.spawn(async move {
+            tokio::select! {
+                () = stopping.cancelled() => {}
+                () = peers.run() => {}
+            }
+        });
+        Ok(())
+    }
+}
+
+impl Peers {
+    async fn run(&self) {
+        let mut last_offset = None;
+        loop {
+            tokio::time::sleep(CHECK_INTERVAL).await;
+            let own_offset = self.store.current().next_offset();
+            let is_stuck = last_offset == Some(own_offset);
+            last_offset = Some(own_offset);
+            if is_stuck || !self.store.is_known() {
+                self.ask(own_offset).await;
+            }
+        }
+    }
+
+    /// Asks a few of the daemons that seem to have more, in random order.
+    async fn ask(&self, own_offset: Offset) {
+        let mut addresses = self.candidates(own_offset);
+        addresses.shuffle(&mut rand::rng());
+        for address in addresses.into_iter().take(ASKED_MAX) {
+            match fetch(&self.client, address, own_offset).await {
+                Ok(Some(state)) => {
+                    if self.store.adopt(state, "a peer") {
+                        self.store.metrics().count_peer_adoption();
+                    }
+                    self.store.mark_known();
+                    return;
+                }
+                Ok(None) => self
+                    .store
+                    .note_peer_failure(format!("{address} knows nothing newer")),
+                Err(error) => {
+                    warn!("config: no configuration from {address}: {error}");
+                    self.store.note_peer_failure(error.cause);
+                }
+            }
+        }
+    }
+
+    fn candidates(&self, own_offset: Offset) -> Vec<SocketAddr> {
+        let own_id = self.membership.own_id();
+        let members = self.membership.members().into_iter();
+        let ahead = members.filter(|member| {
+            member.heartbeat.member != own_id
+                && member.state != MemberState::Dead
+                && member.heartbeat.config_offset > own_offset
+        });
+        let mut addresses: Vec<_> = ahead.map(|member| member.heartbeat.peer_address).collect();
+        if !self.store.is_known() {
+            addresses.extend(&self.seed_addresses);
+        }
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+}
--- a/crates/peer/src/config/config_view.rs
+++ b/crates/peer/src/config/config_view.rs
@@ -12,4 +12,9 @@
 
     /// Returns the time since the log last answered; none if it never did.
     fn log_contact_age_ms(&self) -> Option<u64>;
+
+    /// Returns why no configuration is known, as one short sentence; none if one is.
+    fn unready_reason(&self) -> Option<Box<str>> {
+        (!self.is_known()).then(|| "no configuration was read yet".into())
+    }
 }
--- /dev/null
+++ b/crates/peer/tests/config_follower.rs
@@ -0,0 +1,46 @@
+//! A process follows the log across retention, snapshots and outages.
+
+mod fixture;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_platform::log::LogFault;
+use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_state::config::CONFIG_STREAM;
+use dotterelhook_types::ids::Offset;
+use fixture::follow;
+use fixture::publish;
+use fixture::wait_for_offset;
+
+const LONG: Duration = Duration::from_secs(120);
+
+#[tokio::test(start_paused = true)]
+async fn a_new_process_does_not_skip_records_that_expired() {
+    let log = Arc::new(MemoryLog::default());
+    publish(&log, 0..10).await;
+    log.expire(CONFIG_STREAM, Offset(4));
+
+    let (_kernel, view) = follow(log).await;
+    tokio::time::sleep(LONG).await;
+
+    assert!(!view.is_known());
+    assert_eq!(view.current().next_offset(), Offset(0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_running_process_does_not_skip_records_that_expired() {
+    let log = Arc::new(MemoryLog::default());
+    publish(&log, 0..2).await;
+    let (_kernel, view) = follow(log.clone()).await;
+    wait_for_offset(&*view, 2).await;
+    log.set_fault(LogFault::Down);
+    tokio::time::sleep(LONG).await;
+    log.set_fault(LogFault::None);
+    publish(&log, 2..10).await;
+    log.expire(CONFIG_STREAM, Offset(4));
+
+    tokio::time::sleep(LONG).await;
+
+    assert_eq!(view.current().next_offset(), Offset(2));
+}
--- a/crates/state/src/config/batch_job.rs
+++ b/crates/state/src/config/batch_job.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use super::service::check_range;
+use super::service::check_size;
 
 const TASKS_MAX: u32 = 100_000;
 const RUN_TIME_MAX_MS: u64 = 7 * 24 * 3_600_000;
@@ -40,9 +41,10 @@
     Urgent,
 }
 
+/// The document as written; checked by `TryFrom`.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawBatchJob {
+pub(super) struct RawBatchJob {
     tasks: u32,
     size: Resources,
     run_time_ms: u64,
@@ -84,8 +86,7 @@
 
     fn try_from(raw: RawBatchJob) -> Result<Self, FieldFault> {
         check_range("tasks", raw.tasks.into(), 1, TASKS_MAX.into())?;
-        check_range("size.cpu_milli", raw.size.cpu_milli.0, 1, u64::MAX)?;
-        check_range("size.memory_mb", raw.size.memory_mb.0, 1, u64::MAX)?;
+        check_size(&raw.size)?;
         check_range("run_time_ms", raw.run_time_ms, 1, RUN_TIME_MAX_MS)?;
         check_range(
             "deadline_ms",
--- a/crates/state/src/config/config_state.rs
+++ b/crates/state/src/config/config_state.rs
@@ -2,6 +2,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use dotterelhook_types::document::FieldFault;
 use dotterelhook_types::ids::ConfigPath;
 use dotterelhook_types::ids::JobName;
 use dotterelhook_types::ids::Offset;
@@ -12,14 +13,24 @@
 
 use super::BatchJob;
 use super::ConfigDocument;
+use super::Outcome;
 use super::Publication;
 use super::Quota;
 use super::Refusal;
 use super::ServiceSettings;
-use super::publication::WriterId;
+use super::WriterId;
+use super::outcome::shorten;
+use super::outcome::shorten_fault;
+use super::publication::PUBLICATION_MAX_BYTES;
+use super::publication::WRITER_MAX_BYTES;
+use super::quota_rules::check_quota;
+use super::recent_map::RecentMap;
+use super::removals::Removals;
+use super::service_index::ServiceIndex;
 
 const KEPT_OUTCOMES: usize = 1_000;
 const KEPT_WRITERS: usize = 1_000;
+const PATHS_MAX: usize = 10_000;
 
 /// The version of one path that is in force.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,26 +43,28 @@
     pub document: Arc<ConfigDocument>,
 }
 
-/// What became of one publication.
+/// The configuration after all records below one offset; a copy shares what did not change.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Outcome {
-    /// The offset of the record.
-    pub offset: Offset,
-    /// The path; absent if the record was malformed.
-    pub path: Option<ConfigPath>,
-    /// The writer and its sequence; absent if the record was malformed.
-    pub writer: Option<(WriterId, Sequence)>,
-    /// Why it was refused; absent if it was accepted.
-    pub refusal: Option<Refusal>,
+pub struct ConfigState {
+    pub(super) next_offset: Offset,
+    pub(super) versions: Arc<BTreeMap<Arc<ConfigPath>, Version>>,
+    pub(super) services: Arc<ServiceIndex>,
+    pub(super) removals: Arc<Removals>,
+    pub(super) writers: Arc<RecentMap<WriterId, Sequence>>,
+    pub(super) outcomes: Arc<VecDeque<Arc<Outcome>>>,
 }
 
-/// The configuration after all records below one offset.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct ConfigState {
-    next_offset: Offset,
-    versions: BTreeMap<ConfigPath, Version>,
-    writers: BTreeMap<WriterId, (Sequence, Offset)>,
-    outcomes: VecDeque<Outcome>,
+impl Default for ConfigState {
+    fn default() -> Self {
+        Self {
+            next_offset: Offset::default(),
+            versions: Arc::default(),
+            services: Arc::default(),
+            removals: Arc::default(),
+            writers: Arc::new(RecentMap::new(KEPT_WRITERS)),
+            outcomes: Arc::default(),
+        }
+    }
 }
 
 impl ConfigState {
@@ -61,29 +74,44 @@
     }
 
     /// Returns the versions in force by path.
-    pub fn versions(&self) -> &BTreeMap<ConfigPath, Version> {
+    pub fn versions(&self) -> &BTreeMap<Arc<ConfigPath>, Version> {
         &self.versions
     }
 
+    /// Returns the version of a path that is in force.
+    pub fn version(&self, path: &ConfigPath) -> Option<&Version> {
+        self.versions.get(path)
+    }
+
     /// Returns what became of the newest publications, oldest first.
-    pub fn outcomes(&self) -> &VecDeque<Outcome> {
-        &self.outcomes
+    pub fn outcomes(&self) -> impl DoubleEndedIterator<Item = &Outcome> {
+        self.outcomes.iter().map(|outcome| &**outcome)
+    }
+
+    /// Returns the base for a change of a path: its version, or else the newest record read.
+    pub fn base_offset(&self, path: &ConfigPath) -> Option<Offset> {
+        match self.versions.get(path) {
+            Some(version) => Some(version.offset),
+            None => self.next_offset.0.checked_sub(1).map(Offset),
+        }
     }
 
-    /// Returns the services in force.
+    /// Returns the services in force in order of their names.
     pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceSettings)> {
-        self.versions
-            .values()
-            .filter_map(|version| match &*version.document {
-                ConfigDocument::Service(name, settings) => Some((name, settings)),
-                _ => None,
-            })
+        self.services.iter()
+    }
+
+    /// Returns the service with the longest prefix of a request's path.
+    ///
+    /// Costs one look-up for each slash of the path, whatever the number of services.
+    pub fn route(&self, path: &str) -> Option<(&ServiceName, &ServiceSettings)> {
+        self.services.route(path)
     }
 
     /// Returns a team's batch job.
     pub fn job(&self, team: &TeamName, job: &JobName) -> Option<&BatchJob> {
         let path = format!("{team}/jobs/{job}").parse().ok()?;
-        match &*self.versions.get::<ConfigPath>(&path)?.document {
+        match &*self.version(&path)?.document {
             ConfigDocument::Job(_, settings) => Some(settings),
             _ => None,
         }
@@ -92,7 +120,7 @@
     /// Returns a team's quota, if it has one.
     pub fn quota(&self, team: &TeamName) -> Option<Quota> {
         let path = format!("{team}/quota").parse().ok()?;
-        match &*self.versions.get::<ConfigPath>(&path)?.document {
+        match &*self.version(&path)?.document {
             ConfigDocument::Quota(quota) => Some(*quota),
             _ => None,
         }
@@ -101,100 +129,137 @@
     /// Applies the record at the given offset; offsets already applied change nothing.
     ///
     /// # Errors
-    /// Returns why the publication was refused; the refusal is kept as its outcome.
+    /// Returns why the publication was refused; the refusal is kept as its outcome. A record
+    /// beyond the next offset is not applied at all.
     pub fn apply(&mut self, offset: Offset, payload: &str) -> Result<(), Refusal> {
-        if offset < self.next_offset {
+        let next_offset = self.next_offset;
+        if offset < next_offset {
             return Ok(());
         }
+        if offset > next_offset {
+            return Err(Refusal::Gap { next_offset });
+        }
         self.next_offset = offset.next();
-        let decoded = serde_json::from_str::<Publication>(payload);
-        let publication = match decoded {
+        let publication = match decode(payload) {
             Ok(publication) => publication,
-            Err(error) => {
-                let refusal = Refusal::Malformed {
-                    cause: error.to_string().into(),
-                };
-                self.keep_outcome(Outcome {
-                    offset,
-                    path: None,
-                    writer: None,
-                    refusal: Some(refusal.clone()),
-                });
+            Err(cause) => {
+                let refusal = Refusal::Malformed { cause };
+                self.keep_outcome(Outcome::malformed(offset, refusal.clone()));
                 return Err(refusal);
             }
         };
         let result = self.accept(offset, &publication);
         if !matches!(result, Err(Refusal::Repeated { .. })) {
-            self.keep_outcome(Outcome {
-                offset,
-                path: Some(publication.path),
-                writer: Some((publication.writer, publication.sequence)),
-                refusal: result.clone().err(),
-            });
+            let refusal = result.clone().err();
+            self.keep_outcome(Outcome::of(offset, &publication, refusal));
         }
         result
     }
 
     fn accept(&mut self, offset: Offset, publication: &Publication) -> Result<(), Refusal> {
         self.check_repeat(offset, publication)?;
-        let owner = publication.path.team();
+        let path = &publication.path;
+        let owner = path.team();
         if owner != publication.team {
             return Err(Refusal::OtherTeam { owner });
         }
-        let in_force_offset = self.versions.get(&publication.path).map(|v| v.offset);
-        if in_force_offset != publication.base_offset {
-            return Err(Refusal::StaleBase { in_force_offset });
-        }
+        self.check_base(offset, publication)?;
         let Some(body) = &publication.body else {
-            self.versions.remove(&publication.path);
-            return Ok(());
-        };
-        let document = ConfigDocument::check(&publication.path, body).map_err(Refusal::Invalid)?;
-        self.check_prefix(&publication.path, &document)?;
-        let version = Version {
-            offset,
-            body: Arc::new(body.clone()),
-            document: Arc::new(document),
+            return self.remove(path, offset);
         };
-        self.versions.insert(publication.path.clone(), version);
+        let document = ConfigDocument::check(path, body)
+            .and_then(|document| check_quota(self, path, &document).map(|()| document))
+            .map_err(|fault| Refusal::Invalid(shorten_fault(&fault)))?;
+        if let ConfigDocument::Service(name, settings) = &document {
+            self.services.check(path, name, &settings.path_prefix)?;
+        }
+        if self.versions.len() >= PATHS_MAX && !self.versions.contains_key(path) {
+            let paths_max = PATHS_MAX;
+            return Err(Refusal::TooManyPaths { paths_max });
+        }
+        let body = Arc::new(body.clone());
+        let document = Arc::new(document);
+        self.set(
+            path,
+            Version {
+                offset,
+                body,
+                document,
+            },
+        );
         Ok(())
     }
 
     fn check_repeat(&mut self, offset: Offset, publication: &Publication) -> Result<(), Refusal> {
-        if let Some(&(last_sequence, _)) = self.writers.get(&publication.writer)
+        if let Some(&(_, last_sequence)) = self.writers.get(&publication.writer)
             && publication.sequence <= last_sequence
         {
             return Err(Refusal::Repeated { last_sequence });
         }
-        self.writers
-            .insert(publication.writer.clone(), (publication.sequence, offset));
-        if self.writers.len() > KEPT_WRITERS {
-            let oldest = self.writers.iter().min_by_key(|(_, (_, offset))| *offset);
-            let oldest = oldest.map(|(writer, _)| writer.clone());
-            oldest.and_then(|writer| self.writers.remove(&writer));
-        }
+        let writers = Arc::make_mut(&mut self.writers);
+        writers.insert(publication.writer.clone(), offset, publication.sequence);
         Ok(())
     }
 
-    fn check_prefix(&self, path: &ConfigPath, document: &ConfigDocument) -> Result<(), Refusal> {
-        let ConfigDocument::Service(_, settings) = document else {
-            return Ok(());
-        };
-        let takes_prefix = |(other, version): &(&ConfigPath, &Version)| {
-            matches!(&*version.document, ConfigDocument::Service(_, taken)
-                if taken.path_prefix == settings.path_prefix)
-                && *other != path
+    /// Checks the base; a publication passes at most once, whatever is forgotten.
+    fn check_base(&self, offset: Offset, publication: &Publication) -> Result<(), Refusal> {
+        let base = publication.base_offset;
+        if base >= Some(offset) {
+            let rule = "must be below the record's own offset";
+            return Err(Refusal::Invalid(FieldFault::new("base_offset", rule)));
+        }
+        let in_force = self.versions.get(&publication.path);
+        let in_force_offset = in_force.map(|version| version.offset);
+        let is_current = match in_force_offset {
+            Some(_) => in_force_offset == base,
+            None => self.removals.are_known_at(&publication.path, base),
         };
-        match self.versions.iter().find(takes_prefix) {
-            Some((by, _)) => Err(Refusal::PrefixTaken { by: by.clone() }),
-            None => Ok(()),
+        if is_current {
+            Ok(())
+        } else {
+            Err(Refusal::StaleBase { in_force_offset })
         }
     }
 
-    fn keep_outcome(&mut self, outcome: Outcome) {
-        if self.outcomes.len() == KEPT_OUTCOMES {
-            self.outcomes.pop_front();
+    fn remove(&mut self, path: &ConfigPath, offset: Offset) -> Result<(), Refusal> {
+        if !self.versions.contains_key(path) {
+            return Err(Refusal::NotInForce);
         }
-        self.outcomes.push_back(outcome);
+        let old = Arc::make_mut(&mut self.versions).remove(path);
+        let old = old.as_ref().map(|version| &version.document);
+        Arc::make_mut(&mut self.services).replace(path, old, None);
+        Arc::make_mut(&mut self.removals).add(path.clone(), offset);
+        Ok(())
+    }
+
+    /// Puts a checked version in force.
+    pub(super) fn set(&mut self, path: &ConfigPath, version: Version) {
+        let new = Arc::clone(&version.document);
+        let versions = Arc::make_mut(&mut self.versions);
+        let old = versions.insert(Arc::new(path.clone()), version);
+        let old = old.map(|version| version.document);
+        Arc::make_mut(&mut self.services).replace(path, old.as_ref(), Some(&new));
+        Arc::make_mut(&mut self.removals).drop_path(path);
+    }
+
+    /// Keeps an outcome in place of the oldest one.
+    pub(super) fn keep_outcome(&mut self, outcome: Outcome) {
+        let outcomes = Arc::make_mut(&mut self.outcomes);
+        if outcomes.len() == KEPT_OUTCOMES {
+            outcomes.pop_front();
+        }
+        outcomes.push_back(Arc::new(outcome));
+    }
+}
+
+fn decode(payload: &str) -> Result<Publication, Box<str>> {
+    if payload.len() > PUBLICATION_MAX_BYTES {
+        return Err(format!("larger than {PUBLICATION_MAX_BYTES} bytes").into());
+    }
+    let publication: Publication =
+        serde_json::from_str(payload).map_err(|error| shorten(&error.to_string()))?;
+    if publication.writer.len() > WRITER_MAX_BYTES {
+        return Err(format!("the writer's id is longer than {WRITER_MAX_BYTES} bytes").into());
     }
+    Ok(publication)
 }
--- a/crates/state/src/config/document_kind.rs
+++ b/crates/state/src/config/document_kind.rs
@@ -9,6 +9,8 @@
 use super::BatchJob;
 use super::Quota;
 use super::ServiceSettings;
+use super::batch_job::RawBatchJob;
+use super::service::RawService;
 
 /// What a path declares; the path alone decides it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +35,7 @@
             ["quota"] => Ok(Self::Quota(team)),
             _ => {
                 let rule = "a path is TEAM/services/NAME, TEAM/jobs/NAME or TEAM/quota";
-                Err(FieldFault::new("", rule))
+                Err(FieldFault::new("path", rule))
             }
         }
     }
@@ -45,7 +47,7 @@
 {
     segment
         .parse()
-        .map_err(|e: T::Err| FieldFault::new("", e.to_string()))
+        .map_err(|e: T::Err| FieldFault::new("path", e.to_string()))
 }
 
 /// A checked document of the configuration.
@@ -66,8 +68,14 @@
     /// Returns the field at fault and the rule that it breaks.
     pub fn check(path: &ConfigPath, body: &Value) -> Result<Self, FieldFault> {
         match DocumentKind::try_from(path)? {
-            DocumentKind::Service(_, name) => Ok(Self::Service(name, decode_value(body)?)),
-            DocumentKind::Job(_, name) => Ok(Self::Job(name, decode_value(body)?)),
+            DocumentKind::Service(_, name) => {
+                let raw: RawService = decode_value(body)?;
+                Ok(Self::Service(name, raw.try_into()?))
+            }
+            DocumentKind::Job(_, name) => {
+                let raw: RawBatchJob = decode_value(body)?;
+                Ok(Self::Job(name, raw.try_into()?))
+            }
             DocumentKind::Quota(_) => Ok(Self::Quota(decode_value(body)?)),
         }
     }
--- a/crates/state/src/config/mod.rs
+++ b/crates/state/src/config/mod.rs
@@ -3,24 +3,39 @@
 mod batch_job;
 mod config_state;
 mod document_kind;
+mod outcome;
 mod publication;
 mod quota;
+mod quota_rules;
+mod recent_map;
 mod refusal;
+mod removals;
 mod service;
+mod service_index;
+mod snapshot;
 
 pub use batch_job::BatchJob;
 pub use batch_job::Priority;
 pub use config_state::ConfigState;
-pub use config_state::Outcome;
 pub use config_state::Version;
 pub use document_kind::ConfigDocument;
 pub use document_kind::DocumentKind;
+pub use outcome::Outcome;
+pub use publication::PUBLICATION_MAX_BYTES;
 pub use publication::Publication;
 pub use publication::WriterId;
 pub use quota::Quota;
 pub use refusal::Refusal;
 pub use service::Objective;
 pub use service::ServiceSettings;
+pub use snapshot::Assembly;
+pub use snapshot::Snapshot;
+pub use snapshot::SnapshotError;
+pub use snapshot::SnapshotPart;
+pub use snapshot::split;
 
 /// The stream that carries publications.
 pub const CONFIG_STREAM: &str = "config";
+
+/// The stream that carries snapshots of the configuration.
+pub const SNAPSHOT_STREAM: &str = "config-snapshots";
--- a/crates/state/src/config/publication.rs
+++ b/crates/state/src/config/publication.rs
@@ -6,6 +6,12 @@
 use serde::Serialize;
 use serde_json::Value;
 
+/// The largest record that is taken as a publication.
+pub const PUBLICATION_MAX_BYTES: usize = 64 << 10;
+
+/// The longest writer's id.
+pub(super) const WRITER_MAX_BYTES: usize = 64;
+
 /// Names one writer of a stream; a new process takes a new one.
 pub type WriterId = Box<str>;
 
@@ -21,7 +27,8 @@
     pub team: TeamName,
     /// The path that is changed.
     pub path: ConfigPath,
-    /// The offset of the version that this one replaces; absent for a new path.
+    /// The offset of the version that this one replaces. For a path that is not in force: the
+    /// newest record that the publisher had read, absent if there was none.
     pub base_offset: Option<Offset>,
     /// The new document; absent to remove the path.
     pub body: Option<Value>,
--- /dev/null
+++ b/crates/state/src/config/quota_rules.rs
@@ -0,0 +1,40 @@
+use dotterelhook_types::document::FieldFault;
+use dotterelhook_types::ids::ConfigPath;
+
+use super::ConfigDocument;
+use super::ConfigState;
+
+/// Checks that no task of a team is larger than the team's quota.
+pub(super) fn check_quota(
+    state: &ConfigState,
+    path: &ConfigPath,
+    document: &ConfigDocument,
+) -> Result<(), FieldFault> {
+    let team = path.team();
+    match document {
+        ConfigDocument::Job(_, job) => match state.quota(&team) {
+            Some(quota) if !job.size.fits_in(&quota.batch) => {
+                let rule = format!("one task must fit in the team's quota of {}", quota.batch);
+                Err(FieldFault::new("size", rule))
+            }
+            _ => Ok(()),
+        },
+        ConfigDocument::Quota(quota) => {
+            let prefix: Box<str> = format!("{team}/jobs/").into();
+            let of_team = state
+                .versions()
+                .iter()
+                .filter(|(path, _)| path.as_str().starts_with(&*prefix));
+            for (path, version) in of_team {
+                if let ConfigDocument::Job(_, job) = &*version.document
+                    && !job.size.fits_in(&quota.batch)
+                {
+                    let rule = format!("must hold one task of {path}: {}", job.size);
+                    return Err(FieldFault::new("batch", rule));
+                }
+            }
+            Ok(())
+        }
+        ConfigDocument::Service(..) => Ok(()),
+    }
+}
--- a/crates/state/src/config/refusal.rs
+++ b/crates/state/src/config/refusal.rs
@@ -24,45 +24,89 @@
         /// The owner of the path.
         owner: TeamName,
     },
-    /// Another version came first.
+    /// Another version, or a removal, came first.
     StaleBase {
         /// The version in force; absent if there is none.
         in_force_offset: Option<Offset>,
     },
+    /// The path to be removed is not in force.
+    NotInForce,
     /// The body breaks a rule.
     Invalid(FieldFault),
-    /// The path prefix of the service is taken.
+    /// Another service has the name.
+    NameTaken {
+        /// The path of the service that has the name.
+        by: ConfigPath,
+    },
+    /// The path prefix is taken, or shares requests with another team's service.
     PrefixTaken {
         /// The path of the service that has the prefix.
         by: ConfigPath,
     },
+    /// There are as many paths as may be.
+    TooManyPaths {
+        /// The most paths that may be in force.
+        paths_max: usize,
+    },
     /// The same writer's record was already applied.
     Repeated {
         /// The last sequence applied.
         last_sequence: Sequence,
     },
+    /// Records before this one were not read; nothing was applied.
+    Gap {
+        /// The record that is to be applied next.
+        next_offset: Offset,
+    },
 }
 
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+impl Refusal {
+    /// Returns the field at fault: of the body, or of the publication; empty for the whole.
+    pub fn field(&self) -> &str {
+        match self {
+            Self::OtherTeam { .. } => "team",
+            Self::StaleBase { .. } => "base_offset",
+            Self::NotInForce | Self::NameTaken { .. } | Self::TooManyPaths { .. } => "path",
+            Self::Invalid(fault) => &fault.field,
+            Self::PrefixTaken { .. } => "path_prefix",
+            Self::Repeated { .. } => "sequence",
+            Self::Malformed { .. } | Self::Gap { .. } => "",
+        }
+    }
+
+    /// Returns the rule that was broken, as one short sentence.
+    pub fn rule(&self) -> Box<str> {
         match self {
-            Self::Malformed { cause } => write!(f, "the record is not a publication: {cause}"),
-            Self::OtherTeam { owner } => write!(f, "the path belongs to team {owner}"),
+            Self::Malformed { cause } => format!("the record is not a publication: {cause}").into(),
+            Self::OtherTeam { owner } => format!("the path belongs to team {owner}").into(),
             Self::StaleBase {
                 in_force_offset: Some(offset),
-            } => {
-                write!(f, "the base is stale: version {offset} is in force")
-            }
+            } => format!("the base is stale: version {offset} is in force").into(),
             Self::StaleBase {
                 in_force_offset: None,
-            } => f.write_str("the base is stale: no version is in force"),
-            Self::Invalid(fault) => fault.fmt(f),
-            Self::PrefixTaken { by } => write!(f, "path_prefix: already taken by {by}"),
+            } => "the base is stale: no version is in force".into(),
+            Self::NotInForce => "only a path in force can be removed".into(),
+            Self::Invalid(fault) => fault.rule.clone(),
+            Self::NameTaken { by } => format!("the service's name is taken by {by}").into(),
+            Self::PrefixTaken { by } => format!("already taken by {by}").into(),
+            Self::TooManyPaths { paths_max } => format!("at most {paths_max} paths").into(),
             Self::Repeated { last_sequence } => {
-                write!(f, "a repeat: sequence {last_sequence} was already applied")
+                format!("a repeat: sequence {last_sequence} was already applied").into()
+            }
+            Self::Gap { next_offset } => {
+                format!("the records from {next_offset} on were not read").into()
             }
         }
     }
 }
 
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.field() {
+            "" => f.write_str(&self.rule()),
+            field => write!(f, "{field}: {}", self.rule()),
+        }
+    }
+}
+
 impl Error for Refusal {}
--- a/crates/state/src/config/service.rs
+++ b/crates/state/src/config/service.rs
@@ -6,6 +6,9 @@
 const REPLICAS_MAX: u32 = 10_000;
 const TIMEOUT_MAX_MS: u64 = 600_000;
 const PRIORITY_MAX: u8 = 9;
+const TASK_CPU_MAX_MILLI: u64 = 1_024_000;
+const TASK_MEMORY_MAX_MB: u64 = 64_000_000;
+const TASK_ACCELERATORS_MAX: u64 = 1_024;
 
 /// The share of requests that must be answered within a time.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -17,9 +20,10 @@
     pub good_percent: f64,
 }
 
+/// The document as written; checked by `TryFrom`.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct RawService {
+pub(super) struct RawService {
     path_prefix: Box<str>,
     timeout_ms: u64,
     #[serde(default)]
@@ -64,8 +68,7 @@
         check_range("timeout_ms", raw.timeout_ms, 1, TIMEOUT_MAX_MS)?;
         check_range("priority", raw.priority.into(), 0, PRIORITY_MAX.into())?;
         check_range("replicas", raw.replicas.into(), 1, REPLICAS_MAX.into())?;
-        check_range("size.cpu_milli", raw.size.cpu_milli.0, 1, u64::MAX)?;
-        check_range("size.memory_mb", raw.size.memory_mb.0, 1, u64::MAX)?;
+        check_size(&raw.size)?;
         check_range(
             "objective.latency_ms",
             raw.objective.latency_ms,
@@ -96,6 +99,18 @@
     }
 }
 
+/// Checks that one task or executor takes something, and no more than any worker has.
+pub(super) fn check_size(size: &Resources) -> Result<(), FieldFault> {
+    check_range("size.cpu_milli", size.cpu_milli.0, 1, TASK_CPU_MAX_MILLI)?;
+    check_range("size.memory_mb", size.memory_mb.0, 1, TASK_MEMORY_MAX_MB)?;
+    check_range(
+        "size.accelerators",
+        size.accelerators.0,
+        0,
+        TASK_ACCELERATORS_MAX,
+    )
+}
+
 /// Checks that a number lies within its bounds, both included.
 pub(super) fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<(), FieldFault> {
     if (min..=max).contains(&value) {
