Limit heartbeats to a failure domain and join domains by digests

Every daemon sent its whole heartbeat with all addresses that it knew to every member of every domain, so the cost of one daemon grew with the square of their number. Heartbeats now stay inside the failure domain and carry no addresses; two relays of each domain, on different hosts, send a digest to the relays of the others, where each member that finds news in it passes it on to three more. A new daemon asks its seeds for all that they know.

A silent member is suspected first, and three others are asked about it before it is given up, so that 20% loss and one-way cuts don't flap. Time that the own process did not run counts only in part. A process with a lower incarnation (clock went back) is accepted after three heartbeats while the known one is silent; late frames of a predecessor are not. A whole domain that is not heard is 'unreachable', not dead.

The test that changes any byte of a frame failed first: a changed sequence number made a live member look dead. Frames now carry a checksum; refused frames are counted by reason and logged at most once in ten seconds.

--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -109,6 +109,13 @@
             api_address,
             seed_addresses: raw.peers.seed_addresses.clone(),
             heartbeat_interval,
+            relay_count: number("peers.relays", raw.peers.relays, 2, 8)? as usize,
+            digest_interval: milliseconds(
+                "peers.digest_interval_ms",
+                raw.peers.digest_interval_ms,
+                1_000,
+                4_000,
+            )?,
         };
         Ok(Self {
             admin_address: raw.admin_address,
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -45,6 +45,10 @@
     pub(super) seed_addresses: Vec<SocketAddr>,
     #[serde(default = "defaults::heartbeat_interval_ms")]
     pub(super) heartbeat_interval_ms: u64,
+    #[serde(default = "defaults::relays")]
+    pub(super) relays: u64,
+    #[serde(default = "defaults::digest_interval_ms")]
+    pub(super) digest_interval_ms: u64,
 }
 
 /// The service that takes callers' requests.
@@ -120,6 +124,14 @@
         1_000
     }
 
+    pub(super) fn relays() -> u64 {
+        2
+    }
+
+    pub(super) fn digest_interval_ms() -> u64 {
+        4_000
+    }
+
     pub(super) fn connections_max() -> u64 {
         4_096
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod config;
 pub mod hosts;
 pub mod membership;
+mod refusals;
 pub mod rpc;
--- a/crates/peer/src/membership/heartbeat.rs
+++ b/crates/peer/src/membership/heartbeat.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// A target that was seen draining.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainingTarget {
+    /// The target.
+    pub target: TargetId,
+    /// Time since it was last seen draining.
+    pub age_ms: u64,
+}
+
 /// What a daemon tells the others about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -56,6 +65,8 @@
     pub member: MemberId,
     /// The sender's process.
     pub incarnation: Incarnation,
+    /// The count of the process's heartbeats.
+    pub sequence: u64,
     /// The sender's failure domain.
     pub failure_domain: FailureDomain,
     /// Where the sender takes heartbeats.
@@ -70,8 +81,6 @@
     pub log_contact_age_ms: Option<u64>,
     /// Whether the sender is about to stop.
     pub is_draining: bool,
-    /// Where other members that the sender knows take heartbeats.
-    pub known_addresses: Vec<SocketAddr>,
-    /// Targets that the sender saw draining.
-    pub draining_targets: Vec<TargetId>,
+    /// Targets that the sender saw draining; only heartbeats of the own domain carry them.
+    pub draining_targets: Vec<DrainingTarget>,
 }
--- a/crates/peer/src/membership/membership_view.rs
+++ b/crates/peer/src/membership/membership_view.rs
@@ -1,5 +1,8 @@
+use std::collections::BTreeMap;
+
 use dotterelhook_types::ids::TargetId;
 
+use super::DrainingTarget;
 use super::Member;
 use super::MemberId;
 use super::MemberState;
@@ -16,7 +19,8 @@
     /// Tells the others that a target is draining.
     fn report_draining(&self, target: &TargetId);
 
-    /// Returns the members of a role that are alive in this daemon's failure domain.
+    /// Returns the members of a role that are alive in this daemon's failure domain; members
+    /// that are dead or about to stop are left out, so that they get no new work.
     fn live_peers(&self, role: Role) -> Vec<Member> {
         let members = self.members();
         let own_id = self.own_id();
@@ -33,4 +37,24 @@
         };
         members.into_iter().filter(is_live).collect()
     }
+
+    /// Returns the targets that this daemon or a live one of its failure domain saw
+    /// draining, with the time since the newest sight, in order of their ids.
+    fn draining_targets(&self) -> Vec<DrainingTarget> {
+        let mut ages_ms: BTreeMap<TargetId, u64> = BTreeMap::new();
+        for member in self.members() {
+            if matches!(member.state, MemberState::Dead | MemberState::Unreachable) {
+                continue;
+            }
+            for seen in member.heartbeat.draining_targets {
+                let age_ms = seen.age_ms.saturating_add(member.age_ms);
+                let newest = ages_ms.entry(seen.target).or_insert(age_ms);
+                *newest = age_ms.min(*newest);
+            }
+        }
+        let targets = ages_ms
+            .into_iter()
+            .map(|(target, age_ms)| DrainingTarget { target, age_ms });
+        targets.collect()
+    }
 }
