Bound calls between daemons and carry the caller's deadline

A call could wait without limit for a place on the connection to a frozen peer, a handler went on after its caller had given up, and the server took 1,024 bodies of 64 MB on each connection. A refused body was reported as one that may have run, because sending it failed before the answer was read.

The caller's time now covers the whole call and travels in a header; the server drops the handler when it is over. Connections, streams, calls, body size and the bodies of all calls together are bounded; what passes a bound is refused as not run, counted by reason and logged at a limited rate. A stream beyond a planned stop's GOAWAY counts as not run. A stopping daemon closes idle connections whose peer does not, so that a frozen peer can't delay the stop.

--- a/crates/peer/src/rpc/mod.rs
+++ b/crates/peer/src/rpc/mod.rs
@@ -1,11 +1,15 @@
 //! Calls between daemons: h2 streams that carry bincode frames.
 
 mod body;
+mod deadline;
+mod peer_call;
 mod peer_client;
 mod peer_handler;
+mod peer_limits;
 mod peer_server;
 
 pub use peer_client::PeerClient;
 pub use peer_handler::PeerHandler;
 pub use peer_handler::PeerHandlers;
+pub use peer_limits::PeerLimits;
 pub use peer_server::PeerServer;
--- a/crates/peer/src/rpc/peer_server.rs
+++ b/crates/peer/src/rpc/peer_server.rs
@@ -1,42 +1,57 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
 use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::names;
-use dotterelhook_types::CallError;
-use dotterelhook_types::Verdict;
 use eyre::WrapErr;
-use h2::RecvStream;
-use h2::server::SendResponse;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
 use spdlog::debug;
 use spdlog::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::PeerHandlers;
-use super::body;
+use super::PeerLimits;
+use super::peer_call::CallContext;
 
-const FRAME_MAX_BYTES: usize = 64 << 20;
-const STREAMS_MAX: u32 = 1_024;
 const WINDOW_BYTES: u32 = 1 << 20;
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a stopping daemon waits for a peer to close a connection without calls.
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
+
+/// Where a server takes connections.
+enum Listen {
+    On(SocketAddr),
+    With(TcpListener),
+}
 
 /// Takes calls of other daemons.
 pub struct PeerServer {
-    address: SocketAddr,
+    listen: Listen,
+    limits: PeerLimits,
 }
 
 impl PeerServer {
     /// Creates the service; nothing listens yet.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address }
+        Self {
+            listen: Listen::On(address),
+            limits: PeerLimits::default(),
+        }
+    }
+
+    /// Creates the service on a bound listener.
+    pub fn with_listener(listener: TcpListener, limits: PeerLimits) -> Self {
+        Self {
+            listen: Listen::With(listener),
+            limits,
+        }
     }
 }
 
@@ -47,55 +62,87 @@
     }
 
     async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
-        let listener = TcpListener::bind(self.address)
-            .await
-            .wrap_err_with(|| format!("can't listen on {}", self.address))?;
-        let handlers = Arc::new(PeerHandlers::default());
-        kernel
-            .registry()
-            .provide::<PeerHandlers>(names::PEER_HANDLERS, Arc::clone(&handlers));
-        let stopping = kernel.stopping();
-        let tasks = kernel.tasks();
-        kernel.spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    () = stopping.cancelled() => return,
-                    accepted = listener.accept() => accepted,
-                };
-                match accepted {
-                    Ok((stream, _)) => {
-                        let handlers = Arc::clone(&handlers);
-                        let stopping = stopping.clone();
-                        tasks.spawn(serve_connection(stream, handlers, stopping, tasks.clone()));
-                    }
-                    Err(error) => warn!("peer: can't accept a connection: {error}"),
-                }
+        let listener = match self.listen {
+            Listen::With(listener) => listener,
+            Listen::On(address) => TcpListener::bind(address)
+                .await
+                .wrap_err_with(|| format!("can't listen on {address}"))?,
+        };
+        let context = Arc::new(CallContext::new(self.limits));
+        let registry = kernel.registry();
+        let metrics = registry.find::<Metrics>(names::METRICS)?;
+        let help = "Calls and connections of peers that were refused";
+        context
+            .refusals
+            .register(&metrics, "peer_calls_refused", help);
+        registry.provide::<PeerHandlers>(names::PEER_HANDLERS, Arc::clone(&context.handlers));
+        let acceptor = Acceptor {
+            connections: Arc::new(Semaphore::new(self.limits.connections_max)),
+            context,
+            stopping: kernel.stopping(),
+            tasks: kernel.tasks(),
+        };
+        kernel.spawn(acceptor.run(listener));
+        Ok(())
+    }
+}
+
+struct Acceptor {
+    context: Arc<CallContext>,
+    connections: Arc<Semaphore>,
+    stopping: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl Acceptor {
+    async fn run(self, listener: TcpListener) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.stopping.cancelled() => return,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, from)) => self.take(stream, from),
+                Err(error) => warn!("peer: can't accept a connection: {error}"),
             }
+        }
+    }
+
+    fn take(&self, stream: TcpStream, from: SocketAddr) {
+        let Ok(permit) = Arc::clone(&self.connections).try_acquire_owned() else {
+            let cause = format!("connection from {from} refused: there are too many");
+            self.context.refusals.add("too-many-connections", cause);
+            return;
+        };
+        let context = Arc::clone(&self.context);
+        let stopping = self.stopping.clone();
+        let tasks = self.tasks.clone();
+        self.tasks.spawn(async move {
+            serve_connection(stream, context, stopping, tasks).await;
+            drop(permit);
         });
-        Ok(())
     }
 }
 
 async fn serve_connection(
     stream: TcpStream,
-    handlers: Arc<PeerHandlers>,
+    context: Arc<CallContext>,
     stopping: CancellationToken,
     tasks: TaskTracker,
 ) {
     let _ = stream.set_nodelay(true);
-    let handshake = h2::server::Builder::new()
-        .max_concurrent_streams(STREAMS_MAX)
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(context.limits.streams_max)
         .initial_window_size(WINDOW_BYTES)
-        .initial_connection_window_size(WINDOW_BYTES)
-        .handshake(stream)
-        .await;
-    let mut connection = match handshake {
-        Ok(connection) => connection,
-        Err(error) => {
-            warn!("peer: a connection is not h2: {error}");
-            return;
-        }
+        .initial_connection_window_size(WINDOW_BYTES);
+    let handshake = tokio::time::timeout(HANDSHAKE_TIMEOUT, builder.handshake(stream)).await;
+    let Ok(Ok(mut connection)) = handshake else {
+        context.refusals.add("not-h2", "a connection is not h2");
+        return;
     };
+    // Each call in flight holds a clone.
+    let in_flight = Arc::new(());
     let mut is_stopping = false;
     loop {
         let accepted = tokio::select! {
@@ -104,11 +151,22 @@
                 connection.graceful_shutdown();
                 continue;
             }
+            () = tokio::time::sleep(CLOSE_WAIT), if is_stopping => {
+                if Arc::strong_count(&in_flight) == 1 {
+                    return;
+                }
+                continue;
+            }
             accepted = connection.accept() => accepted,
         };
         match accepted {
             Some(Ok((request, respond))) => {
-                tasks.spawn(serve_call(request, respond, Arc::clone(&handlers)));
+                let context = Arc::clone(&context);
+                let in_flight = Arc::clone(&in_flight);
+                tasks.spawn(async move {
+                    context.serve(request, respond).await;
+                    drop(in_flight);
+                });
             }
             Some(Err(error)) => {
                 debug!("peer: a connection broke: {error}");
@@ -118,40 +176,3 @@
         }
     }
 }
-
-async fn serve_call(
-    request: Request<RecvStream>,
-    mut respond: SendResponse<Bytes>,
-    handlers: Arc<PeerHandlers>,
-) {
-    let name = request.uri().path().trim_start_matches('/').to_owned();
-    let mut stream = request.into_body();
-    let result = match (
-        handlers.find(&name),
-        body::receive(&mut stream, FRAME_MAX_BYTES).await,
-    ) {
-        (Some(handler), Ok(frame)) => handler.call(frame).await,
-        (None, _) => Err(CallError::not_run(format!("there is no call {name:?}"))),
-        (_, Err(cause)) => Err(CallError::not_run(cause)),
-    };
-    let (status, body) = match result {
-        Ok(frame) => (StatusCode::OK, frame),
-        Err(error) if error.verdict == Verdict::NotRun => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            Bytes::from(error.cause.into_string()),
-        ),
-        Err(error) => (
-            StatusCode::INTERNAL_SERVER_ERROR,
-            Bytes::from(error.cause.into_string()),
-        ),
-    };
-    let mut head = Response::new(());
-    *head.status_mut() = status;
-    let sent = match respond.send_response(head, false) {
-        Ok(mut stream) => body::send(&mut stream, body).await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = sent {
-        debug!("peer: the answer to {name} was not sent: {error}");
-    }
-}
--- /dev/null
+++ b/crates/peer/tests/rpc.rs
@@ -0,0 +1,354 @@
+//! Calls between daemons: the verdict of each fault, the limits and the planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::names;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerHandler;
+use dotterelhook_peer::rpc::PeerHandlers;
+use dotterelhook_peer::rpc::PeerLimits;
+use dotterelhook_peer::rpc::PeerServer;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_millis(200);
+
+struct Echo;
+
+#[async_trait]
+impl PeerHandler for Echo {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        Ok(frame)
+    }
+}
+
+struct Failing(Verdict);
+
+#[async_trait]
+impl PeerHandler for Failing {
+    async fn call(&self, _frame: Bytes) -> Result<Bytes, CallError> {
+        Err(CallError {
+            verdict: self.0,
+            cause: "on purpose".into(),
+        })
+    }
+}
+
+/// Counts its calls and holds each until the gate opens; tells when a call is dropped.
+struct Gate {
+    started: AtomicUsize,
+    open: Semaphore,
+    dropped: mpsc::UnboundedSender<()>,
+}
+
+struct TellDrop(mpsc::UnboundedSender<()>);
+
+impl Drop for TellDrop {
+    fn drop(&mut self) {
+        let _ = self.0.send(());
+    }
+}
+
+#[async_trait]
+impl PeerHandler for Gate {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        let _tell = TellDrop(self.dropped.clone());
+        self.started.fetch_add(1, Ordering::SeqCst);
+        let _permit = self.open.acquire().await;
+        Ok(frame)
+    }
+}
+
+struct Fixture {
+    kernel: Kernel,
+    address: SocketAddr,
+    gate: Arc<Gate>,
+    dropped: mpsc::UnboundedReceiver<()>,
+}
+
+async fn fixture(limits: PeerLimits) -> Fixture {
+    let (listener, address) = listener().await;
+    let kernel = Kernel::default();
+    let metrics = Arc::new(Metrics::default());
+    kernel
+        .registry()
+        .provide::<Metrics>(names::METRICS, metrics);
+    let server = PeerServer::with_listener(listener, limits);
+    kernel.start(Box::new(server)).await.expect("starts");
+    let handlers = kernel
+        .registry()
+        .find::<PeerHandlers>(names::PEER_HANDLERS)
+        .expect("provided");
+    let (sender, dropped) = mpsc::unbounded_channel();
+    let gate = Arc::new(Gate {
+        started: AtomicUsize::new(0),
+        open: Semaphore::new(0),
+        dropped: sender,
+    });
+    handlers.add("echo", Arc::new(Echo));
+    handlers.add("not-run", Arc::new(Failing(Verdict::NotRun)));
+    handlers.add("may-have-run", Arc::new(Failing(Verdict::MayHaveRun)));
+    handlers.add("gate", gate.clone());
+    Fixture {
+        kernel,
+        address,
+        gate,
+        dropped,
+    }
+}
+
+async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+async fn verdict(address: SocketAddr, name: &str, bytes: usize, timeout: Duration) -> Verdict {
+    let frame = Bytes::from(vec![7; bytes]);
+    let result = PeerClient::default()
+        .call(address, name, frame, timeout)
+        .await;
+    result.map_or_else(|error| error.verdict, |_| Verdict::Ran)
+}
+
+impl Fixture {
+    async fn wait_started(&self, count: usize) {
+        let wait = async {
+            while self.gate.started.load(Ordering::SeqCst) < count {
+                tokio::task::yield_now().await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, wait).await.expect("started");
+    }
+
+    fn metrics(&self) -> String {
+        let registry = self.kernel.registry();
+        let metrics = registry.find::<Metrics>(names::METRICS).expect("provided");
+        metrics.encode().expect("text")
+    }
+}
+
+#[tokio::test]
+async fn each_answer_keeps_its_verdict() {
+    let limits = PeerLimits {
+        body_max_bytes: 100_000,
+        ..PeerLimits::default()
+    };
+    let fixture = fixture(limits).await;
+    let table = [
+        ("echo", 0, Verdict::Ran),
+        ("echo", 100_000, Verdict::Ran),
+        ("echo", 100_001, Verdict::NotRun),
+        ("echo", 8_000_000, Verdict::NotRun),
+        ("echo", 17 << 20, Verdict::NotRun),
+        ("not-run", 10, Verdict::NotRun),
+        ("may-have-run", 10, Verdict::MayHaveRun),
+        ("unknown", 10, Verdict::NotRun),
+    ];
+
+    for (name, bytes, expected) in table {
+        let seen = verdict(fixture.address, name, bytes, PATIENCE).await;
+
+        assert_eq!(seen, expected, "{name} with {bytes} bytes");
+    }
+    let metrics = fixture.metrics();
+    assert!(metrics.contains("peer_calls_refused_total{reason=\"body\"} 2"));
+    assert!(metrics.contains("peer_calls_refused_total{reason=\"no-such-call\"} 1"));
+}
+
+/// How a peer that is not sound behaves once a call comes.
+#[derive(Clone, Copy, Debug)]
+enum Peer {
+    Closed,
+    Frozen,
+    ClosesMidway,
+    RefusesStream,
+    ResetsStream,
+    SpeaksOtherwise,
+}
+
+async fn start_peer(peer: Peer) -> SocketAddr {
+    let (listener, address) = listener().await;
+    if matches!(peer, Peer::Closed) {
+        return address;
+    }
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        if matches!(peer, Peer::SpeaksOtherwise) {
+            let _ = stream.write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n").await;
+        }
+        if matches!(peer, Peer::Frozen | Peer::SpeaksOtherwise) {
+            std::future::pending::<()>().await;
+        }
+        let mut connection = h2::server::handshake(stream).await.expect("h2");
+        let (_request, mut respond) = connection.accept().await.expect("a call").expect("a call");
+        match peer {
+            Peer::RefusesStream => respond.send_reset(h2::Reason::REFUSED_STREAM),
+            Peer::ResetsStream => respond.send_reset(h2::Reason::INTERNAL_ERROR),
+            _ => return,
+        }
+        let _ = connection.accept().await;
+    });
+    address
+}
+
+#[tokio::test]
+async fn each_fault_of_a_peer_has_its_verdict() {
+    let not_run = [Verdict::NotRun].as_slice();
+    let may_have_run = [Verdict::MayHaveRun].as_slice();
+    // Whether the call left before the answer came is not fixed.
+    let either = [Verdict::NotRun, Verdict::MayHaveRun].as_slice();
+    let table = [
+        (Peer::Closed, not_run),
+        (Peer::Frozen, may_have_run),
+        (Peer::ClosesMidway, may_have_run),
+        (Peer::RefusesStream, not_run),
+        (Peer::ResetsStream, may_have_run),
+        (Peer::SpeaksOtherwise, either),
+    ];
+
+    for (peer, expected) in table {
+        let address = start_peer(peer).await;
+        let timeout = if matches!(peer, Peer::Frozen) {
+            SHORT
+        } else {
+            PATIENCE
+        };
+
+        let seen = verdict(address, "echo", 10, timeout).await;
+
+        assert!(expected.contains(&seen), "{peer:?}: {seen}");
+    }
+}
+
+#[tokio::test]
+async fn the_callers_deadline_ends_the_handler() {
+    let mut fixture = fixture(PeerLimits::default()).await;
+
+    let seen = verdict(fixture.address, "gate", 10, SHORT).await;
+
+    let dropped = tokio::time::timeout(PATIENCE, fixture.dropped.recv()).await;
+    assert_eq!(seen, Verdict::MayHaveRun);
+    assert_eq!(dropped, Ok(Some(())));
+}
+
+#[tokio::test]
+async fn a_handler_that_ends_late_is_dropped_though_the_caller_is_gone() {
+    let mut fixture = fixture(PeerLimits::default()).await;
+    let address = fixture.address;
+    let caller = tokio::spawn(verdict(address, "gate", 10, Duration::from_secs(1)));
+    fixture.wait_started(1).await;
+
+    caller.abort();
+
+    let dropped = tokio::time::timeout(PATIENCE, fixture.dropped.recv()).await;
+    assert_eq!(dropped, Ok(Some(())));
+}
+
+#[tokio::test]
+async fn calls_beyond_the_limit_are_refused() {
+    let limits = PeerLimits {
+        calls_max: 2,
+        ..PeerLimits::default()
+    };
+    let fixture = fixture(limits).await;
+    let address = fixture.address;
+    let held: Vec<_> = (0..2)
+        .map(|_| tokio::spawn(verdict(address, "gate", 10, PATIENCE)))
+        .collect();
+    fixture.wait_started(2).await;
+
+    let refused = verdict(address, "echo", 10, PATIENCE).await;
+
+    fixture.gate.open.add_permits(2);
+    for call in held {
+        assert_eq!(call.await.expect("ends"), Verdict::Ran);
+    }
+    assert_eq!(refused, Verdict::NotRun);
+    assert_eq!(verdict(address, "echo", 10, PATIENCE).await, Verdict::Ran);
+}
+
+#[tokio::test]
+async fn a_planned_stop_loses_no_call() {
+    const HELD: usize = 20;
+    let fixture = fixture(PeerLimits::default()).await;
+    let address = fixture.address;
+    let client = Arc::new(PeerClient::default());
+    let call = |name: &'static str| {
+        let client = Arc::clone(&client);
+        tokio::spawn(async move {
+            let frame = Bytes::from_static(b"frame");
+            let result = client.call(address, name, frame, PATIENCE).await;
+            result.map_or_else(|error| error.verdict, |_| Verdict::Ran)
+        })
+    };
+    let held: Vec<_> = (0..HELD).map(|_| call("gate")).collect();
+    fixture.wait_started(HELD).await;
+
+    let stopping = fixture.kernel.stopping();
+    let kernel = fixture.kernel;
+    let stop = tokio::spawn(async move { kernel.stop(Duration::ZERO, PATIENCE).await });
+    stopping.cancelled().await;
+    let late: Vec<_> = (0..HELD).map(|_| call("echo")).collect();
+    let mut late_verdicts = Vec::new();
+    for call in late {
+        late_verdicts.push(call.await.expect("ends"));
+    }
+    fixture.gate.open.add_permits(HELD);
+
+    for call in held {
+        assert_eq!(call.await.expect("ends"), Verdict::Ran);
+    }
+    assert!(stop.await.expect("ends"));
+    assert!(
+        !late_verdicts.contains(&Verdict::MayHaveRun),
+        "{late_verdicts:?}"
+    );
+    assert_eq!(verdict(address, "echo", 1, PATIENCE).await, Verdict::NotRun);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 32,
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn any_bytes_on_a_connection_harm_nothing_else(
+        is_h2 in any::<bool>(),
+        content in prop::collection::vec(any::<u8>(), 1..300),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let seen = runtime.block_on(async {
+            let fixture = fixture(PeerLimits::default()).await;
+            let mut stream = TcpStream::connect(fixture.address).await.expect("connects");
+            let preface: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+            let bytes = [if is_h2 { preface } else { &[] }, &content].concat();
+            let _ = stream.write_all(&bytes).await;
+            verdict(fixture.address, "echo", 10, PATIENCE).await
+        });
+
+        prop_assert_eq!(seen, Verdict::Ran);
+    }
+}
