Give each request a verdict that covers every try and every cut

The front told callers not-run when only the last try was certain, called every timeout may-have-run even while it was still queueing, and took an answer that ends with its connection for a whole one. Requests now go through a service queue, a share of each target's slots and a budget of retries; once a request may have been sent, a task of its own holds the slot until the target is done. Answers need a length or chunks and the request's own id, small ones are read whole, and headers with the front's prefix are taken from nobody else. Targets that fail or lag are ejected, those that say so are left alone, and burn and losses are counted.

The fault table cuts, resets and freezes a bare TCP target at every byte of the request and of the answer, and counts heads at the target. Ruled out as causes by the library's source: a request that the client hands back was never begun. Seen to fail with each fault put in by hand: the last try's verdict alone, a broken connection as not-run, no check of the framing, none of the id, own headers passed on.

--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use dotterelhook_front::burn::BurnBoard;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
@@ -40,6 +41,7 @@
     config: Arc<dyn ConfigView>,
     membership: Arc<dyn MembershipView>,
     runs: Option<Arc<dyn RunBoard>>,
+    burn: Option<Arc<BurnBoard>>,
     metrics: Arc<Metrics>,
     draining: CancellationToken,
 }
@@ -68,6 +70,13 @@
         }
     }
 
+    fn burn(&self) -> Response<AnswerBody> {
+        match &self.burn {
+            Some(burn) => json(&burn.report()),
+            None => json::<[(); 0]>(&[]),
+        }
+    }
+
     async fn runs(&self) -> Response<AnswerBody> {
         match &self.runs {
             Some(runs) => json(&runs.ledger().await),
@@ -85,6 +94,7 @@
             "/metrics" => self.metrics(),
             "/members" => json(&self.membership.members()),
             "/runs" => self.runs().await,
+            "/burn" => self.burn(),
             _ => text(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
@@ -119,6 +129,7 @@
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             runs: registry.find::<dyn RunBoard>(names::RUNS).ok(),
+            burn: registry.find::<BurnBoard>(names::BURN).ok(),
             metrics: registry.find::<Metrics>(names::METRICS)?,
             draining: kernel.draining(),
         });
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::FrontSettings;
+use dotterelhook_front::target::Policy;
 use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MembershipSettings;
 use dotterelhook_peer::membership::Role;
@@ -127,11 +128,21 @@
 fn check_front(raw: &RawSettings, front: &RawFront) -> Result<FrontSettings, FieldFault> {
     let connections_max = number("front.connections_max", front.connections_max, 1, 100_000)?;
     let body_max_bytes = number("front.body_max_bytes", front.body_max_bytes, 1, 64 << 20)?;
+    let bodies_max_bytes = number(
+        "front.bodies_max_bytes",
+        front.bodies_max_bytes,
+        front.body_max_bytes,
+        1 << 30,
+    )?;
     Ok(FrontSettings {
         listen_address: front.listen_address,
         connections_max: connections_max as usize,
         body_max_bytes: body_max_bytes as usize,
         body_timeout: milliseconds("front.body_timeout_ms", front.body_timeout_ms, 10, 600_000)?,
+        bodies_max_bytes: bodies_max_bytes as usize,
+        requests_max: number("front.requests_max", front.requests_max, 1, 100_000)? as usize,
+        fronts_max: number("front.fronts_max", front.fronts_max, 1, 64)? as usize,
+        policy: Policy::default(),
         failure_domain: raw.failure_domain.clone(),
     })
 }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -58,6 +58,12 @@
     pub(super) body_max_bytes: u64,
     #[serde(default = "defaults::body_timeout_ms")]
     pub(super) body_timeout_ms: u64,
+    #[serde(default = "defaults::bodies_max_bytes")]
+    pub(super) bodies_max_bytes: u64,
+    #[serde(default = "defaults::requests_max")]
+    pub(super) requests_max: u64,
+    #[serde(default = "defaults::fronts_max")]
+    pub(super) fronts_max: u64,
 }
 
 /// The service that places batch work.
@@ -132,6 +138,18 @@
         10_000
     }
 
+    pub(super) fn bodies_max_bytes() -> u64 {
+        64 << 20
+    }
+
+    pub(super) fn requests_max() -> u64 {
+        2_048
+    }
+
+    pub(super) fn fronts_max() -> u64 {
+        8
+    }
+
     pub(super) fn shard_count() -> u64 {
         1
     }
--- a/crates/front/src/front_service.rs
+++ b/crates/front/src/front_service.rs
@@ -1,45 +1,43 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
-use dotterelhook_kernel::http::AnswerBody;
-use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::HttpServer;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
-use dotterelhook_platform::http::read_body;
-use dotterelhook_types::CallError;
-use dotterelhook_types::ids::FailureDomain;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
+use dotterelhook_peer::membership::MemberState;
+use dotterelhook_peer::membership::MembershipView;
+use dotterelhook_peer::membership::Role;
+use dotterelhook_types::ids::TargetId;
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
-use crate::request::Exchange;
-use crate::request::RequestHead;
-use crate::request::refuse;
-use crate::routing::find_route;
+use crate::FrontSettings;
+use crate::burn::BurnBoard;
+use crate::front::Front;
+use crate::limit::Admission;
+use crate::metrics::FrontMetrics;
+use crate::metrics::LossLog;
+use crate::target::FrontCount;
+use crate::target::FrontView;
+use crate::target::HealthState;
 use crate::target::TargetSet;
 
 const TARGETS_REFRESH: Duration = Duration::from_millis(200);
 
-/// What the front needs to know.
-#[derive(Clone, Debug)]
-pub struct FrontSettings {
+/// What a running front tells other parts of the process.
+#[derive(Debug)]
+pub struct FrontHandle {
     /// Where callers connect.
-    pub listen_address: SocketAddr,
-    /// The most connections of callers at once.
-    pub connections_max: usize,
-    /// The largest request body.
-    pub body_max_bytes: usize,
-    /// The time within which a whole request body must arrive.
-    pub body_timeout: Duration,
-    /// The front's own failure domain.
-    pub failure_domain: FailureDomain,
+    pub address: SocketAddr,
+    /// The targets as the front uses them.
+    pub targets: Arc<TargetSet>,
 }
 
 /// Takes callers' requests and passes them on to targets.
@@ -54,71 +52,115 @@
     }
 }
 
-struct Front {
-    settings: FrontSettings,
-    config: Arc<dyn ConfigView>,
-    targets: Arc<TargetSet>,
-}
-
-#[async_trait]
-impl HttpHandler for Front {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let config = self.config.current();
-        let Some(route) = find_route(&config, request.uri().path()) else {
-            let error = CallError::not_run("no service has this path");
-            return refuse(StatusCode::NOT_FOUND, &error);
-        };
-        let head = RequestHead::of(&request);
-        let read = read_body(request.into_body(), self.settings.body_max_bytes);
-        let body = match tokio::time::timeout(self.settings.body_timeout, read).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(cause)) => {
-                let error = CallError::not_run(cause);
-                return refuse(StatusCode::PAYLOAD_TOO_LARGE, &error);
-            }
-            Err(_) => {
-                let error = CallError::not_run("the request body did not arrive in time");
-                return refuse(StatusCode::REQUEST_TIMEOUT, &error);
-            }
-        };
-        let targets = Arc::clone(&self.targets);
-        Exchange {
-            route,
-            head,
-            body,
-            targets,
-        }
-        .run()
-        .await
-    }
-}
-
 #[async_trait]
 impl Service for FrontService {
     fn name(&self) -> &'static str {
-        "front"
+        names::FRONT
     }
 
     async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
-        let hosts = kernel.registry().find::<dyn HostView>(names::HOSTS)?;
-        let targets = Arc::new(TargetSet::new(self.settings.failure_domain.clone()));
+        let registry = kernel.registry();
+        let settings = self.settings;
+        let targets = Arc::new(TargetSet::new(
+            settings.failure_domain.clone(),
+            settings.policy,
+            settings.fronts_max,
+        ));
+        let metrics = Arc::new(FrontMetrics::default());
+        metrics.register(&*registry.find::<Metrics>(names::METRICS)?);
+        let burn = Arc::new(BurnBoard::default());
+        registry.provide::<BurnBoard>(names::BURN, Arc::clone(&burn));
+        let follower = TargetFollower {
+            hosts: registry.find::<dyn HostView>(names::HOSTS)?,
+            membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
+            targets: Arc::clone(&targets),
+            metrics: Arc::clone(&metrics),
+            fronts: FrontCount::new(settings.fronts_max, Instant::now()),
+        };
         let front = Arc::new(Front {
-            config: kernel.registry().find::<dyn ConfigView>(names::CONFIG)?,
+            config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             targets: Arc::clone(&targets),
-            settings: self.settings,
+            memory: Arc::new(Semaphore::new(settings.bodies_max_bytes)),
+            admission: Arc::new(Admission::new(settings.requests_max)),
+            metrics,
+            burn,
+            losses: LossLog::default(),
+            settings: settings.clone(),
         });
-        let address = front.settings.listen_address;
-        let connections_max = front.settings.connections_max;
-        HttpServer::bind("front", address, connections_max, front)
-            .await?
-            .spawn(kernel);
+        let server = HttpServer::bind(
+            "front",
+            settings.listen_address,
+            settings.connections_max,
+            front,
+        )
+        .await?;
+        let address = server.local_address();
+        registry.provide::<FrontHandle>(names::FRONT, Arc::new(FrontHandle { address, targets }));
+        server.spawn(kernel);
         let stopping = kernel.stopping();
         kernel.spawn(async move {
-            while !stopping.is_cancelled() {
-                targets.update(&hosts.current());
-                tokio::time::sleep(TARGETS_REFRESH).await;
+            tokio::select! {
+                () = stopping.cancelled() => {}
+                () = follower.run() => {}
             }
         });
         Ok(())
     }
 }
+
+/// Keeps the targets up to date with the host list and the other fronts.
+struct TargetFollower {
+    hosts: Arc<dyn HostView>,
+    membership: Arc<dyn MembershipView>,
+    targets: Arc<TargetSet>,
+    metrics: Arc<FrontMetrics>,
+    fronts: FrontCount,
+}
+
+impl TargetFollower {
+    async fn run(mut self) {
+        loop {
+            self.refresh();
+            tokio::time::sleep(TARGETS_REFRESH).await;
+        }
+    }
+
+    fn refresh(&mut self) {
+        for target in self.targets.draining() {
+            self.membership.report_draining(&target);
+        }
+        let view = self.fronts.update(self.front_view(), Instant::now());
+        let hosts = self.hosts.current();
+        self.targets.update(&hosts, &self.draining(), view);
+        for (service, targets) in self.targets.services() {
+            let pools = targets.pools();
+            let is_ejected = |state| state != HealthState::Healthy;
+            let ejected = pools.iter().filter(|pool| is_ejected(pool.state())).count();
+            self.metrics
+                .set_state(&service, targets.queue().waiting(), ejected);
+        }
+    }
+
+    fn front_view(&self) -> FrontView {
+        let own_id = self.membership.own_id();
+        let peers = self.membership.live_peers(Role::Front);
+        let others = peers.iter().filter(|peer| peer.heartbeat.member != own_id);
+        let rank = others
+            .clone()
+            .filter(|peer| peer.heartbeat.member < own_id)
+            .count();
+        let fronts = others.count() + 1;
+        FrontView { fronts, rank }
+    }
+
+    /// Returns the targets that this or any other daemon saw draining.
+    fn draining(&self) -> BTreeSet<TargetId> {
+        let members = self.membership.members();
+        let heard = members
+            .into_iter()
+            .filter(|member| member.state != MemberState::Dead);
+        heard
+            .flat_map(|member| member.heartbeat.draining_targets)
+            .collect()
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,10 +1,16 @@
 //! The request path: callers' requests are routed to targets, with a verdict on each answer.
 
+pub mod burn;
+mod front;
 mod front_service;
+mod front_settings;
 pub mod headers;
+pub mod limit;
+pub mod metrics;
 pub mod request;
 pub mod routing;
 pub mod target;
 
+pub use front_service::FrontHandle;
 pub use front_service::FrontService;
-pub use front_service::FrontSettings;
+pub use front_settings::FrontSettings;
--- a/crates/front/src/request/answers.rs
+++ b/crates/front/src/request/answers.rs
@@ -2,7 +2,6 @@
 
 use dotterelhook_kernel::http::AnswerBody;
 use dotterelhook_kernel::http::full_body;
-use dotterelhook_types::CallError;
 use dotterelhook_types::Verdict;
 use hyper::Response;
 use hyper::StatusCode;
@@ -10,6 +9,7 @@
 use hyper::header::RETRY_AFTER;
 use rand::RngExt;
 
+use super::RequestError;
 use crate::headers;
 
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(3);
@@ -24,12 +24,12 @@
 }
 
 /// Builds the final answer to a request that is given up on.
-pub fn refuse(status: StatusCode, error: &CallError) -> Response<AnswerBody> {
+pub fn refuse(error: &RequestError) -> Response<AnswerBody> {
+    let status = error.cause.status(error.verdict);
     let mut answer = Response::new(full_body(format!("{error}\n")));
     *answer.status_mut() = status;
-    if let Ok(cause) = HeaderValue::from_str(&error.cause) {
-        answer.headers_mut().insert(headers::CAUSE, cause);
-    }
+    let cause = HeaderValue::from_static(error.cause.name());
+    answer.headers_mut().insert(headers::CAUSE, cause);
     if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS {
         let seconds = rand::rng().random_range(1..=RETRY_AFTER_MAX.as_secs());
         answer
--- /dev/null
+++ b/crates/front/src/request/request_body.rs
@@ -0,0 +1,89 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+
+use super::Cause;
+use super::RequestError;
+
+/// A whole request body and its part of the front's memory.
+#[derive(Debug)]
+pub struct RequestBody {
+    /// The bytes.
+    pub bytes: Bytes,
+    _memory: Option<OwnedSemaphorePermit>,
+}
+
+/// Reads a whole body of limited size; each byte of it takes one permit of the memory.
+///
+/// # Errors
+/// The body is too large, too late, incomplete, or the memory is taken; nothing ran.
+pub async fn read_request_body<B>(
+    body: B,
+    max_bytes: usize,
+    timeout: Duration,
+    memory: &Arc<Semaphore>,
+) -> Result<RequestBody, RequestError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    if body.size_hint().lower() > max_bytes as u64 {
+        return Err(too_large(max_bytes));
+    }
+    match tokio::time::timeout(timeout, collect(body, max_bytes, memory)).await {
+        Ok(result) => result,
+        Err(_) => {
+            let detail = "the request body did not arrive in time";
+            Err(RequestError::not_run(Cause::BodyTimeout, detail))
+        }
+    }
+}
+
+async fn collect<B>(
+    mut body: B,
+    max_bytes: usize,
+    memory: &Arc<Semaphore>,
+) -> Result<RequestBody, RequestError>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: std::fmt::Display,
+{
+    let mut whole = BytesMut::new();
+    let mut held: Option<OwnedSemaphorePermit> = None;
+    while let Some(frame) = body.frame().await {
+        let frame = frame
+            .map_err(|error| RequestError::not_run(Cause::BodyIncomplete, error.to_string()))?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + chunk.len() > max_bytes {
+            return Err(too_large(max_bytes));
+        }
+        let permit = Arc::clone(memory)
+            .try_acquire_many_owned(chunk.len() as u32)
+            .map_err(|_| {
+                let detail = "the front's memory for request bodies is taken";
+                RequestError::not_run(Cause::MemoryLimit, detail)
+            })?;
+        match &mut held {
+            Some(held) => held.merge(permit),
+            None => held = Some(permit),
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(RequestBody {
+        bytes: whole.freeze(),
+        _memory: held,
+    })
+}
+
+fn too_large(max_bytes: usize) -> RequestError {
+    let detail = format!("the request body is larger than {max_bytes} bytes");
+    RequestError::not_run(Cause::BodyTooLarge, detail)
+}
--- a/crates/front/src/target/mod.rs
+++ b/crates/front/src/target/mod.rs
@@ -1,9 +1,25 @@
 //! The targets of the own failure domain and the connections to them.
 
+mod health;
+mod lease;
+mod policy;
 mod pool;
+mod queue;
+mod service_targets;
+mod share;
 mod target_set;
 
-pub use pool::Connection;
-pub use pool::Lease;
+pub use health::Health;
+pub use health::HealthState;
+pub use health::Outcome;
+pub use lease::Connection;
+pub use lease::HealthReport;
+pub use lease::Lease;
+pub use policy::Policy;
 pub use pool::TargetPool;
+pub use queue::Queue;
+pub use service_targets::ServiceTargets;
+pub use share::FrontCount;
+pub use share::FrontView;
+pub use share::share;
 pub use target_set::TargetSet;
--- a/crates/front/src/target/pool.rs
+++ b/crates/front/src/target/pool.rs
@@ -1,45 +1,52 @@
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dotterelhook_platform::hosts::TargetEntry;
-use dotterelhook_types::CallError;
-use http_body_util::Full;
-use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
-/// A connection that may carry one request at a time.
-pub type Connection = SendRequest<Full<Bytes>>;
+use super::Connection;
+use super::Health;
+use super::HealthState;
+use super::Lease;
+use super::Outcome;
+use super::Queue;
+use super::lease::ConnectionPlace;
+
+/// An idle connection older than this is closed, before the target closes it.
+const IDLE_MAX: Duration = Duration::from_secs(4);
 
 /// The connections to one target and this front's share of its slots.
 #[derive(Debug)]
 pub struct TargetPool {
     entry: TargetEntry,
-    slots: Arc<Semaphore>,
-    idle: Mutex<Vec<Connection>>,
-}
-
-/// The right to send one request to a target.
-#[derive(Debug)]
-pub struct Lease {
-    pool: Arc<TargetPool>,
-    _slot: OwnedSemaphorePermit,
+    queue: Arc<Queue>,
+    connections_max: usize,
+    share: AtomicUsize,
+    in_flight: AtomicUsize,
+    connections: AtomicUsize,
+    idle: Mutex<Vec<(Connection, Instant)>>,
+    health: Mutex<Health>,
 }
 
 impl TargetPool {
     /// Creates a pool without connections.
-    pub fn new(entry: TargetEntry) -> Self {
-        let slots = Arc::new(Semaphore::new(entry.slots as usize));
+    pub fn new(entry: TargetEntry, queue: Arc<Queue>, fronts_max: usize) -> Self {
+        let connections_max = (entry.connections_max as usize / fronts_max.max(1)).max(1);
         Self {
             entry,
-            slots,
+            queue,
+            connections_max,
+            share: AtomicUsize::new(0),
+            in_flight: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             idle: Mutex::default(),
+            health: Mutex::default(),
         }
     }
 
@@ -48,71 +55,135 @@
         &self.entry
     }
 
-    /// Returns the number of free slots.
-    pub fn free_slots(&self) -> usize {
-        self.slots.available_permits()
+    /// Sets the front's share of the target's slots.
+    pub fn set_share(&self, share: usize) {
+        self.share.store(share, Ordering::Release);
+    }
+
+    /// Returns the number of this front's requests at the target.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// Returns the number of this front's connections to the target.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Acquire)
+    }
+
+    /// Returns how many requests the front may have at the target now.
+    pub fn limit(&self) -> usize {
+        let share = self.share.load(Ordering::Acquire);
+        let share = share.min(self.connections_max);
+        self.health().limit(share, Instant::now())
+    }
+
+    /// Returns the recent latency; none before the first good answer.
+    pub fn latency_ms(&self) -> Option<f64> {
+        self.health().latency_ms()
+    }
+
+    /// Returns what the target may be given.
+    pub fn state(&self) -> HealthState {
+        self.health().state(Instant::now())
+    }
+
+    /// Returns whether the target said that it is about to leave.
+    pub fn is_draining(&self) -> bool {
+        self.health().is_draining(Instant::now())
     }
 
     /// Takes a slot, unless all are taken.
     pub fn try_lease(self: &Arc<Self>) -> Option<Lease> {
-        let slot = Arc::clone(&self.slots).try_acquire_owned().ok()?;
+        let limit = self.limit();
+        let add = |taken| (taken < limit).then_some(taken + 1);
+        self.in_flight
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add)
+            .ok()?;
         Some(Lease {
             pool: Arc::clone(self),
-            _slot: slot,
         })
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|connection| !connection.is_closed());
-        let ready = idle.iter().rposition(SendRequest::is_ready)?;
-        Some(idle.swap_remove(ready))
+    /// Takes in how a try ended; a target that fails or lags is ejected, if few are.
+    pub(super) fn report(&self, outcome: Outcome) {
+        let now = Instant::now();
+        let mut health = self.health();
+        let was_ejected = health.state(now) != HealthState::Healthy;
+        health.report(outcome, now);
+        let is_ejected = health.state(now) != HealthState::Healthy;
+        if was_ejected && !is_ejected {
+            self.queue.leave_ejected();
+        }
+        if health.should_eject(self.queue.latency_ms()) && self.queue.try_enter_ejected() {
+            health.eject(now);
+            drop(health);
+            self.close_idle();
+        }
     }
-}
 
-impl Lease {
-    /// Returns the target.
-    pub fn entry(&self) -> &TargetEntry {
-        &self.pool.entry
+    pub(super) fn try_connection(self: &Arc<Self>) -> Option<ConnectionPlace> {
+        let add = |open| (open < self.connections_max).then_some(open + 1);
+        self.connections
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add)
+            .ok()?;
+        Some(ConnectionPlace {
+            pool: Arc::clone(self),
+        })
     }
 
-    /// Returns an idle connection, or a new one.
-    ///
-    /// # Errors
-    /// The target can't be reached in time; nothing was sent.
-    pub async fn connect(&self, timeout: Duration) -> Result<Connection, CallError> {
-        if let Some(connection) = self.pool.take_idle() {
-            return Ok(connection);
-        }
-        let address = self.pool.entry.address;
-        let stream = match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => {
-                return Err(CallError::not_run(format!(
-                    "can't connect to {address}: {error}"
-                )));
-            }
-            Err(_) => return Err(CallError::not_run(format!("{address} took no connection"))),
-        };
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| CallError::not_run(error.to_string()))?;
-        tokio::spawn(async move {
-            // The sender sees a broken connection by itself.
-            let _ = connection.await;
+    pub(super) fn free_connection(&self) {
+        self.connections.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    pub(super) fn free_slot(&self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.queue.wake_one();
+    }
+
+    pub(super) fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle();
+        let now = Instant::now();
+        idle.retain(|(connection, since)| {
+            !connection.is_closed() && now.duration_since(*since) < IDLE_MAX
         });
-        Ok(sender)
+        let ready = idle
+            .iter()
+            .rposition(|(connection, _)| SendRequest::is_ready(connection))?;
+        Some(idle.swap_remove(ready).0)
     }
 
-    /// Gives back a connection for later requests.
-    pub fn keep(&self, connection: Connection) {
+    /// Keeps a connection for later; it is ready only after its answer has ended.
+    pub(super) fn keep(&self, connection: Connection) {
         if !connection.is_closed() {
-            self.pool
-                .idle
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .push(connection);
+            self.idle().push((connection, Instant::now()));
+        }
+    }
+
+    /// Closes connections that no request uses.
+    pub fn close_old_idle(&self) {
+        let now = Instant::now();
+        self.idle().retain(|(connection, since)| {
+            !connection.is_closed() && now.duration_since(*since) < IDLE_MAX
+        });
+    }
+
+    fn close_idle(&self) {
+        self.idle().clear();
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<(Connection, Instant)>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn health(&self) -> MutexGuard<'_, Health> {
+        self.health.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for TargetPool {
+    fn drop(&mut self) {
+        if self.state() != HealthState::Healthy {
+            self.queue.leave_ejected();
         }
     }
 }
--- a/crates/front/src/target/target_set.rs
+++ b/crates/front/src/target/target_set.rs
@@ -1,65 +1,95 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
 use dotterelhook_platform::hosts::HostSnapshot;
 use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::TargetEntry;
 use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::ServiceName;
 use dotterelhook_types::ids::TargetId;
-use rand::seq::IndexedRandom;
 
-use super::Lease;
+use super::FrontView;
+use super::Policy;
+use super::ServiceTargets;
 use super::TargetPool;
 
-type Pools = BTreeMap<TargetId, Arc<TargetPool>>;
-
-/// The targets of one failure domain.
+/// The targets of one failure domain by service.
 #[derive(Debug)]
 pub struct TargetSet {
     failure_domain: FailureDomain,
-    pools: ArcSwap<Pools>,
+    policy: Policy,
+    fronts_max: usize,
+    services: ArcSwap<BTreeMap<ServiceName, Arc<ServiceTargets>>>,
 }
 
 impl TargetSet {
-    /// Creates an empty set.
-    pub fn new(failure_domain: FailureDomain) -> Self {
+    /// Creates an empty set; at most this number of fronts connect to each target.
+    pub fn new(failure_domain: FailureDomain, policy: Policy, fronts_max: usize) -> Self {
         Self {
             failure_domain,
-            pools: ArcSwap::default(),
+            policy,
+            fronts_max,
+            services: ArcSwap::default(),
         }
     }
 
-    /// Takes over the host list; pools of targets that stay are kept.
-    pub fn update(&self, hosts: &HostSnapshot) {
-        let current = self.pools.load();
-        let usable = hosts.targets.iter().filter(|entry| {
-            entry.failure_domain == self.failure_domain && entry.state == HostState::Live
+    /// Takes over the host list, the targets that anyone saw draining, and the fronts.
+    pub fn update(&self, hosts: &HostSnapshot, draining: &BTreeSet<TargetId>, view: FrontView) {
+        let mut usable: BTreeMap<&ServiceName, Vec<&TargetEntry>> = BTreeMap::new();
+        for entry in &hosts.targets {
+            let entries = usable.entry(&entry.service).or_default();
+            let is_own = entry.failure_domain == self.failure_domain;
+            let is_live = entry.state == HostState::Live && !draining.contains(&entry.target);
+            if is_own && is_live {
+                entries.push(entry);
+            }
+        }
+        let current = self.services.load();
+        let mut services = BTreeMap::clone(&current);
+        for (service, entries) in usable {
+            let targets = services
+                .entry(service.clone())
+                .or_insert_with(|| Arc::new(ServiceTargets::new(self.policy, self.fronts_max)));
+            targets.update(&entries, view);
+        }
+        services.retain(|service, targets| {
+            let is_listed = hosts.targets.iter().any(|entry| entry.service == *service);
+            if !is_listed {
+                targets.update(&[], view);
+            }
+            is_listed
         });
-        let pools: Pools = usable
-            .map(|entry| {
-                let known = current
-                    .get(&entry.target)
-                    .filter(|pool| pool.entry() == entry);
-                let pool = known.cloned();
-                let pool = pool.unwrap_or_else(|| Arc::new(TargetPool::new(entry.clone())));
-                (entry.target.clone(), pool)
-            })
-            .collect();
-        self.pools.store(Arc::new(pools));
+        self.services.store(Arc::new(services));
+    }
+
+    /// Returns the targets of a service; none if the host list never named one.
+    pub fn service(&self, service: &ServiceName) -> Option<Arc<ServiceTargets>> {
+        self.services.load().get(service).cloned()
+    }
+
+    /// Returns all services with their targets.
+    pub fn services(&self) -> Vec<(ServiceName, Arc<ServiceTargets>)> {
+        let services = self.services.load();
+        let entries = services.iter();
+        entries
+            .map(|(service, targets)| (service.clone(), Arc::clone(targets)))
+            .collect()
     }
 
-    /// Takes a slot at one of two random targets, the one with more free slots.
-    pub fn lease(&self, service: &ServiceName, excluded: &[TargetId]) -> Option<Lease> {
-        let pools = self.pools.load();
-        let usable: Vec<&Arc<TargetPool>> = pools
-            .values()
-            .filter(|pool| pool.entry().service == *service)
-            .filter(|pool| pool.free_slots() > 0 && !excluded.contains(&pool.entry().target))
-            .collect();
-        let chosen = usable
-            .sample(&mut rand::rng(), 2)
-            .max_by_key(|pool| pool.free_slots())?;
-        chosen.try_lease()
+    /// Returns the targets that refused work because they are about to leave.
+    pub fn draining(&self) -> Vec<TargetId> {
+        let services = self.services.load();
+        let pools = services.values().flat_map(|targets| {
+            let pools = targets.pools();
+            let draining: Vec<Arc<TargetPool>> = pools
+                .iter()
+                .filter(|pool| pool.is_draining())
+                .cloned()
+                .collect();
+            draining
+        });
+        pools.map(|pool| pool.entry().target.clone()).collect()
     }
 }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -29,6 +29,10 @@
     pub const PEER_HANDLERS: &str = "peer-handlers";
     /// `PeerClient`: calls to other daemons.
     pub const PEER_CLIENT: &str = "peer-client";
+    /// `FrontHandle`: the running front.
+    pub const FRONT: &str = "front";
+    /// `BurnBoard`: how far services keep their objectives.
+    pub const BURN: &str = "burn";
     /// `dyn RunBoard`: the runs of the shards that this process owns.
     pub const RUNS: &str = "runs";
 }
--- a/crates/standins/src/target/mod.rs
+++ b/crates/standins/src/target/mod.rs
@@ -1,8 +1,13 @@
 //! A stand-in for a target: one executor of a latency-critical service.
 
 mod counters;
+mod raw_target;
 mod target_server;
 
 pub use counters::Counters;
+pub use raw_target::End;
+pub use raw_target::RawTarget;
+pub use raw_target::ReadUpTo;
+pub use raw_target::Script;
 pub use target_server::TargetServer;
 pub use target_server::TargetSettings;
--- /dev/null
+++ b/crates/standins/src/target/raw_target.rs
@@ -0,0 +1,139 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// How much of a request a raw target reads before it acts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadUpTo {
+    /// This many bytes from the start of the head, or the whole request if it is shorter.
+    Bytes(usize),
+    /// The whole head.
+    Head,
+    /// The head and the whole body.
+    Whole,
+}
+
+/// What a raw target does after it has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It closes the connection.
+    Close,
+    /// It resets the connection.
+    Reset,
+    /// It does nothing more, with the connection open.
+    Freeze,
+    /// It reads the next request.
+    Next,
+}
+
+/// What a raw target does with each request.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// How much of the request it reads.
+    pub read: ReadUpTo,
+    /// The bytes that it then sends, as they are.
+    pub answer: Vec<u8>,
+    /// What it does afterwards.
+    pub end: End,
+}
+
+/// A target that speaks bare TCP, so that it can break off at any byte.
+#[derive(Debug)]
+pub struct RawTarget {
+    address: SocketAddr,
+    script: Script,
+    heads: AtomicU64,
+}
+
+impl RawTarget {
+    /// Binds a free port and serves connections by the script.
+    ///
+    /// # Errors
+    /// No port can be bound.
+    pub async fn start(script: Script) -> eyre::Result<Arc<Self>> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let target = Arc::new(Self {
+            address: listener.local_addr()?,
+            script,
+            heads: AtomicU64::new(0),
+        });
+        let serving = Arc::clone(&target);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let target = Arc::clone(&serving);
+                tokio::spawn(async move {
+                    // A broken connection is what scripts are for.
+                    let _ = target.serve(stream).await;
+                });
+            }
+        });
+        Ok(target)
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the number of requests whose whole head arrived, so that a handler may have run.
+    pub fn heads(&self) -> u64 {
+        self.heads.load(Ordering::SeqCst)
+    }
+
+    async fn serve(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        let mut received = Vec::new();
+        loop {
+            self.read(&mut stream, &mut received).await?;
+            stream.write_all(&self.script.answer).await?;
+            match self.script.end {
+                End::Close => return Ok(()),
+                End::Reset => return stream.set_zero_linger(),
+                End::Freeze => std::future::pending().await,
+                End::Next => received.clear(),
+            }
+        }
+    }
+
+    async fn read(&self, stream: &mut TcpStream, received: &mut Vec<u8>) -> std::io::Result<()> {
+        let mut is_head_counted = false;
+        loop {
+            let head_end = received
+                .windows(HEAD_END.len())
+                .position(|bytes| bytes == HEAD_END)
+                .map(|at| at + HEAD_END.len());
+            let whole_end = head_end.map(|end| end + content_length(&received[..end]));
+            let is_whole = whole_end.is_some_and(|end| received.len() >= end);
+            if head_end.is_some() && !is_head_counted {
+                is_head_counted = true;
+                self.heads.fetch_add(1, Ordering::SeqCst);
+            }
+            let is_enough = match self.script.read {
+                ReadUpTo::Bytes(count) => received.len() >= count,
+                ReadUpTo::Head => head_end.is_some(),
+                ReadUpTo::Whole => is_whole,
+            };
+            if is_enough || is_whole {
+                return Ok(());
+            }
+            // Single bytes, so that nothing beyond the wanted point is taken.
+            received.push(stream.read_u8().await?);
+        }
+    }
+}
+
+fn content_length(head: &[u8]) -> usize {
+    let head = String::from_utf8_lossy(head).to_ascii_lowercase();
+    let line = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length:"));
+    line.and_then(|value| value.trim().parse().ok())
+        .unwrap_or(0)
+}
