--- a/crates/platform/src/worker/http_worker.rs
+++ b/crates/platform/src/worker/http_worker.rs
@@ -12,6 +12,7 @@
 use super::Inventory;
 use super::RenewBody;
 use super::StartBody;
+use super::StopBody;
 use super::WorkerAgent;
 use super::WorkerAgents;
 use crate::http::JsonClient;
@@ -67,12 +68,9 @@
         Ok(answer.decode::<CheckpointAnswer>()?.checkpoint)
     }
 
-    async fn stop(&self, attempt: &AttemptId) -> Result<(), CallError> {
+    async fn stop(&self, attempt: &AttemptId, body: &StopBody) -> Result<(), CallError> {
         let path = format!("/attempts/{attempt}/stop");
-        self.client
-            .send(Method::POST, &path, &json!({}))
-            .await?
-            .check()?;
+        self.client.send(Method::POST, &path, body).await?.check()?;
         Ok(())
     }
 
--- a/crates/platform/src/worker/messages.rs
+++ b/crates/platform/src/worker/messages.rs
@@ -1,6 +1,7 @@
 use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
-use dotterelhook_types::ids::Sequence;
+use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use serde::Deserialize;
@@ -34,6 +35,8 @@
     pub status: AttemptStatus,
     /// What it was given.
     pub size: Resources,
+    /// The offset of the record that opened it, as the start or stop told.
+    pub start_offset: Offset,
     /// Its newest checkpoint.
     #[serde(default)]
     pub checkpoint: Option<Box<str>>,
@@ -61,6 +64,9 @@
     pub worker: WorkerId,
     /// The worker's incarnation; a restarted worker runs nothing of its predecessor.
     pub incarnation: Incarnation,
+    /// The worker's own clock, in which lease ends are given; never goes back within an
+    /// incarnation.
+    pub now_ms: u64,
     /// What batch attempts may take together.
     pub capacity: Resources,
     /// All attempts that were not forgotten.
@@ -74,28 +80,41 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct StartBody {
+    /// The epoch of the sender; the worker refuses one below the highest it has seen.
+    pub epoch: Epoch,
+    /// The incarnation of the worker that the attempt was placed on.
+    pub worker_incarnation: Incarnation,
+    /// The offset of the record that opened the attempt; the worker refuses one that is not
+    /// above those of all attempts it has forgotten.
+    pub start_offset: Offset,
+    /// When the lease ends, in the worker's clock; the worker refuses one that has passed.
+    pub lease_until_ms: u64,
     /// What the attempt is given.
     pub size: Resources,
-    /// The first lease.
-    pub lease_ms: u64,
     /// The declared run time.
     pub run_time_ms: u64,
     /// Where the attempt resumes.
     pub checkpoint: Option<Box<str>>,
-    /// The incarnation of the worker that the attempt was placed on.
-    pub worker_incarnation: Incarnation,
 }
 
-/// Asks a worker to extend leases.
+/// Asks a worker to extend leases; a repeat or a late one extends nothing beyond its end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RenewBody {
-    /// The sender's count; a repeat carries the same number and extends nothing.
-    pub sequence: Sequence,
-    /// Names the sender, in whose count the sequence is.
-    pub sender: Box<str>,
-    /// The lease from now on.
-    pub lease_ms: u64,
+    /// The epoch of the sender; the worker refuses one below the highest it has seen.
+    pub epoch: Epoch,
+    /// The incarnation whose clock the lease end is given in; absent in the first call.
+    pub worker_incarnation: Option<Incarnation>,
+    /// When the leases end, in the worker's clock.
+    pub lease_until_ms: u64,
     /// The attempts whose leases are extended.
     pub attempts: Vec<AttemptId>,
 }
+
+/// Asks a worker to stop an attempt, also one that has not arrived yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StopBody {
+    /// The offset of the record that opened the attempt.
+    pub start_offset: Offset,
+}
--- a/crates/platform/src/worker/mod.rs
+++ b/crates/platform/src/worker/mod.rs
@@ -16,6 +16,7 @@
 pub use messages::Inventory;
 pub use messages::RenewBody;
 pub use messages::StartBody;
+pub use messages::StopBody;
 pub use messages::UsageSample;
 
 /// The agent of one worker.
@@ -29,11 +30,14 @@
 
     /// Starts an attempt under a lease; a repeat changes nothing.
     ///
+    /// Refused for good after a stop, an end or a later incarnation; refused without effect
+    /// if the epoch is stale, the lease end has passed or there is no room.
+    ///
     /// # Errors
     /// The verdict says whether the attempt may have started.
     async fn start(&self, attempt: &AttemptId, body: &StartBody) -> Result<(), CallError>;
 
-    /// Extends the leases of attempts; a lapsed lease is not revived.
+    /// Extends the leases of attempts and reads the inventory; a lapsed lease is not revived.
     ///
     /// # Errors
     /// The verdict says whether the leases may have been extended.
@@ -55,7 +59,7 @@
     ///
     /// # Errors
     /// The verdict says whether the attempt may have been stopped.
-    async fn stop(&self, attempt: &AttemptId) -> Result<(), CallError>;
+    async fn stop(&self, attempt: &AttemptId, body: &StopBody) -> Result<(), CallError>;
 
     /// Removes an ended attempt from the inventory.
     ///
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -103,6 +103,8 @@
             },
             Method::DELETE => ShardCommand::Cancel {
                 run: parsed.run.clone(),
+                team: parsed.team.clone(),
+                job: parsed.job.clone(),
                 reply,
             },
             _ => {
@@ -122,6 +124,14 @@
                 let error = CallError::not_run(refusal.to_string());
                 failure(StatusCode::CONFLICT, &error)
             }
+            Err(SubmitError::NeverRuns(reason)) => failure(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                &CallError::not_run(reason),
+            ),
+            Err(SubmitError::Busy) => {
+                let error = CallError::not_run("nothing can be recorded at present");
+                failure(StatusCode::SERVICE_UNAVAILABLE, &error)
+            }
             Err(SubmitError::Unknown) => {
                 let error = CallError::may_have_run(
                     "the record was not read back in time; ask again with the same run",
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -4,9 +4,11 @@
 pub mod placement;
 mod run_board;
 mod scheduler_service;
-mod shard;
+pub mod shard;
 mod worker;
 
 pub use run_board::RunBoard;
+pub use run_board::ShardCommand;
+pub use run_board::SubmitError;
 pub use scheduler_service::SchedulerService;
 pub use scheduler_service::SchedulerSettings;
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::http::HttpServer;
 use dotterelhook_kernel::names;
@@ -24,6 +25,8 @@
 use crate::run_board::RunBoard;
 use crate::run_board::Shards;
 use crate::shard::ShardContext;
+use crate::shard::ShardMetrics;
+use crate::shard::ShardTimes;
 use crate::shard::spawn_shard_task;
 
 /// What the scheduler needs to know.
@@ -60,7 +63,12 @@
         Self { settings }
     }
 
-    fn shard_context(&self, index: u32, kernel: &Kernel) -> eyre::Result<ShardContext> {
+    fn shard_context(
+        &self,
+        index: u32,
+        kernel: &Kernel,
+        metrics: &ShardMetrics,
+    ) -> eyre::Result<ShardContext> {
         let registry = kernel.registry();
         let failure_domain = self.settings.failure_domain.clone();
         Ok(ShardContext {
@@ -71,7 +79,7 @@
             host: self.settings.host.clone(),
             incarnation: self.settings.incarnation,
             shard_count: self.settings.shard_count,
-            lease: self.settings.lease,
+            times: ShardTimes::new(self.settings.lease),
             commit_interval: self.settings.commit_interval,
             log: registry.find::<dyn Log>(names::LOG)?,
             clock: registry.find::<dyn Clock>(names::CLOCK)?,
@@ -79,6 +87,7 @@
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
             placement: Arc::new(LeastUsed),
+            metrics: metrics.clone(),
         })
     }
 }
@@ -90,9 +99,12 @@
     }
 
     async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
+        let metrics = ShardMetrics::default();
+        let registered = kernel.registry().find::<Metrics>(names::METRICS)?;
+        registered.register(|registry| metrics.register(registry));
         let mut shards = Shards::default();
         for index in 0..self.settings.shard_count {
-            let context = self.shard_context(index, kernel)?;
+            let context = self.shard_context(index, kernel, &metrics)?;
             let shard = context.shard.clone();
             let (commands, task) = spawn_shard_task(context, kernel.stopping());
             shards.add(shard, commands);
--- /dev/null
+++ b/crates/scheduler/src/shard/append_task.rs
@@ -0,0 +1,22 @@
+use std::sync::Arc;
+
+use dotterelhook_platform::log::Log;
+use dotterelhook_types::CallError;
+use dotterelhook_types::ids::Offset;
+use tokio::sync::mpsc;
+
+/// How an append ended.
+pub(super) type AppendResult = Result<Offset, CallError>;
+
+/// Appends records in the background, so that a slow log holds nothing else up.
+pub(super) fn spawn_append(
+    log: Arc<dyn Log>,
+    stream: Box<str>,
+    payloads: Vec<Box<str>>,
+    results: mpsc::Sender<AppendResult>,
+) {
+    tokio::spawn(async move {
+        let result = log.append(&stream, &payloads).await;
+        let _ = results.send(result).await;
+    });
+}
--- /dev/null
+++ b/crates/scheduler/src/shard/ledger.rs
@@ -0,0 +1,98 @@
+use std::collections::BTreeMap;
+
+use dotterelhook_state::shard::LedgerLine;
+use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::WorkerId;
+use spdlog::warn;
+
+use super::shard_task::ShardTask;
+
+impl ShardTask {
+    /// Returns a line for each run, with what its open attempts wait for.
+    pub(super) fn ledger(&self) -> Vec<LedgerLine> {
+        if !self.is_owner() {
+            return Vec::new();
+        }
+        let mut waits = self.waits();
+        let mut lines = self.state.ledger();
+        for line in &mut lines {
+            line.waits = waits.remove(&line.run).unwrap_or_default();
+        }
+        lines
+    }
+
+    /// Returns events for runs that passed their deadline, each once.
+    pub(super) fn overdue_events(&self) -> Vec<ShardEvent> {
+        let now_ms = self.context.clock.unix_ms();
+        let late = self
+            .state
+            .deadlines()
+            .iter()
+            .take_while(|(deadline_at_unix_ms, _)| *deadline_at_unix_ms < now_ms);
+        late.map(|(_, run)| ShardEvent::Overdue { run: run.clone() })
+            .collect()
+    }
+
+    /// Reacts to a run that is recorded as overdue.
+    pub(super) fn note_overdue(&self, run: &RunId) {
+        let done = self.state.runs().get(run).map_or(0, |run| run.done);
+        warn!("shard: run {run} is overdue with {done} tasks done");
+        self.context.metrics.overdue_runs.inc();
+    }
+
+    /// Returns events for waiting runs that no worker can take any more.
+    pub(super) fn never_runs_events(&mut self) -> Vec<ShardEvent> {
+        if !std::mem::take(&mut self.workers_changed) {
+            return Vec::new();
+        }
+        let active = self.state.active_runs().iter();
+        active
+            .filter_map(|id| {
+                let run = self.state.runs().get(id)?;
+                if run.waiting_tasks().is_empty() {
+                    return None;
+                }
+                let cause = self.never_runs(&run.spec.settings.size)?;
+                Some(ShardEvent::Fail {
+                    run: id.clone(),
+                    cause,
+                })
+            })
+            .collect()
+    }
+
+    fn waits(&self) -> BTreeMap<RunId, Vec<Box<str>>> {
+        let mut waits: BTreeMap<RunId, Vec<Box<str>>> = BTreeMap::new();
+        for (worker, account) in self.state.workers() {
+            let Some(reason) = self
+                .wait_reason(worker)
+                .filter(|_| !account.open.is_empty())
+            else {
+                continue;
+            };
+            let mut runs: Vec<&RunId> = account.open.iter().map(|a| &a.task.run).collect();
+            runs.dedup();
+            for run in runs {
+                waits.entry(run.clone()).or_default().push(reason.clone());
+            }
+        }
+        waits
+    }
+
+    /// Returns why open attempts of a silent worker are not given up yet.
+    fn wait_reason(&self, worker: &WorkerId) -> Option<Box<str>> {
+        let since_unix_ms = self.silent_since_unix_ms.get(worker)?;
+        let rule = match self.contact(worker) {
+            Some(_) => "until its leases are over",
+            None => "until it answers or the former owner's right to renew is over",
+        };
+        let now_ms = self.now_ms();
+        let left_ms = self.given_up_at_ms(worker).saturating_sub(now_ms);
+        let reason = format!(
+            "waits for worker {worker}, silent since {since_unix_ms} (Unix time in ms), {rule}, \
+             {left_ms} ms more at most"
+        );
+        Some(reason.into())
+    }
+}
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -1,8 +1,21 @@
 //! One task for each shard: it follows the shard's stream and, as owner, moves work on.
 
+mod append_task;
 mod appender;
+mod commands;
+mod inventories;
+mod ledger;
+mod metrics;
+mod ownership;
+mod read_back;
 mod reader;
+mod shard_context;
 mod shard_task;
+mod snapshots;
+mod starts;
+mod waiters;
 
-pub(crate) use shard_task::ShardContext;
-pub(crate) use shard_task::spawn_shard_task;
+pub use metrics::ShardMetrics;
+pub use shard_context::ShardContext;
+pub use shard_context::ShardTimes;
+pub use shard_task::spawn_shard_task;
--- /dev/null
+++ b/crates/scheduler/tests/shard/main.rs
@@ -0,0 +1,4 @@
+//! Whole schedulers against a log and workers in memory, on a clock that the tests move.
+
+mod faults;
+mod world;
--- /dev/null
+++ b/crates/scheduler/tests/shard/world/mod.rs
@@ -0,0 +1,256 @@
+//! A small domain in one process: schedulers, workers and a log with faults on every link.
+
+mod agents;
+mod process;
+mod views;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub(crate) use agents::Fleet;
+pub(crate) use agents::LinkFault;
+use dotterelhook_platform::log::Log;
+use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_scheduler::ShardCommand;
+use dotterelhook_scheduler::SubmitError;
+use dotterelhook_scheduler::shard::ShardTimes;
+use dotterelhook_state::config::BatchJob;
+use dotterelhook_state::shard::RunSpec;
+use dotterelhook_state::shard::RunStatus;
+use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_state::shard::ShardId;
+use dotterelhook_state::shard::ShardRecord;
+use dotterelhook_state::shard::ShardState;
+use dotterelhook_state::shard::TaskState;
+use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::RunId;
+use process::Process;
+use tokio::sync::oneshot;
+use views::Views;
+
+pub(crate) const HOSTS: usize = 3;
+pub(crate) const WORKERS: usize = 3;
+pub(crate) const LEASE: Duration = Duration::from_secs(4);
+const RENEWAL_RIGHT: Duration = Duration::from_secs(40);
+const CHECK_STEP_MS: u64 = 200;
+const HEAL_STEPS: u64 = 600;
+
+/// Returns the times of a sound scheduler.
+pub(crate) fn sound_times() -> ShardTimes {
+    ShardTimes {
+        renewal_right: RENEWAL_RIGHT,
+        ..ShardTimes::new(LEASE)
+    }
+}
+
+/// Returns the times of a scheduler that waits half as long as it must.
+pub(crate) fn halved_times() -> ShardTimes {
+    let times = sound_times();
+    ShardTimes {
+        lapse_wait: times.lapse_wait / 2,
+        ..times
+    }
+}
+
+pub(crate) struct World {
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) log: Arc<MemoryLog>,
+    pub(crate) views: Arc<Views>,
+    times: ShardTimes,
+    processes: Vec<Option<Process>>,
+    incarnation: u64,
+    replies: BTreeMap<RunId, Vec<oneshot::Receiver<Result<(), SubmitError>>>>,
+}
+
+impl World {
+    pub(crate) fn new(times: ShardTimes) -> Self {
+        let mut world = Self {
+            fleet: Arc::new(Fleet::new(WORKERS)),
+            log: Arc::default(),
+            views: Arc::new(Views::new(HOSTS, WORKERS)),
+            times,
+            processes: (0..HOSTS).map(|_| None).collect(),
+            incarnation: 0,
+            replies: BTreeMap::new(),
+        };
+        (0..HOSTS).for_each(|host| world.start(host));
+        world
+    }
+
+    pub(crate) fn start(&mut self, host: usize) {
+        if self.processes[host].is_some() {
+            return;
+        }
+        self.incarnation += 1;
+        let incarnation = Incarnation(self.incarnation);
+        self.views.set_live(host, Some(incarnation));
+        let process = Process::spawn(self, host, incarnation);
+        self.processes[host] = Some(process);
+    }
+
+    /// Kills a process: its messages under way still arrive.
+    pub(crate) fn kill(&mut self, host: usize) {
+        self.processes[host] = None;
+        self.views.set_live(host, None);
+    }
+
+    pub(crate) async fn stop(&mut self, host: usize) {
+        if let Some(process) = self.processes[host].take() {
+            process.stop().await;
+        }
+        self.views.set_live(host, None);
+    }
+
+    pub(crate) fn process(&self, host: usize) -> Option<&Process> {
+        self.processes[host].as_ref()
+    }
+
+    pub(crate) fn incarnation(&self, host: usize) -> Option<Incarnation> {
+        Some(self.process(host)?.incarnation)
+    }
+
+    /// Hands a run to every process, as a caller does who repeats until it is accepted.
+    pub(crate) fn submit(&mut self, run: &RunId, job: &BatchJob) {
+        let spec = RunSpec {
+            team: "night".parse().expect("a name"),
+            job: "cut".parse().expect("a name"),
+            settings: job.clone(),
+            deadline_at_unix_ms: u64::MAX,
+        };
+        for process in self.processes.iter().flatten() {
+            let (reply, answer) = oneshot::channel();
+            let command = ShardCommand::Submit {
+                run: run.clone(),
+                spec: Box::new(spec.clone()),
+                reply,
+            };
+            if process.commands.try_send(command).is_ok() {
+                self.replies.entry(run.clone()).or_default().push(answer);
+            }
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, run: &RunId) {
+        for process in self.processes.iter().flatten() {
+            let (reply, _) = oneshot::channel();
+            let _ = process.commands.try_send(ShardCommand::Cancel {
+                run: run.clone(),
+                team: "night".parse().expect("a name"),
+                job: "cut".parse().expect("a name"),
+                reply,
+            });
+        }
+    }
+
+    /// Lets time pass and checks the workers at every step.
+    pub(crate) async fn pass(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(CHECK_STEP_MS) {
+            tokio::time::sleep(Duration::from_millis(CHECK_STEP_MS)).await;
+            self.fleet.check();
+        }
+    }
+
+    /// Ends all faults and lets everything settle.
+    pub(crate) async fn heal(&mut self) {
+        self.log.set_fault(Default::default());
+        self.fleet.heal();
+        self.views.heal();
+        for host in 0..HOSTS {
+            if let Some(process) = &self.processes[host] {
+                process.thaw();
+                process.set_cut(false);
+                self.views.set_live(host, Some(process.incarnation));
+            } else {
+                self.start(host);
+            }
+        }
+        for _ in 0..HEAL_STEPS {
+            self.pass(CHECK_STEP_MS).await;
+            let state = self.state().await;
+            if state.active_runs().is_empty() && state.open_attempts().is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Folds the shard's stream anew, checking what each accepted record says.
+    pub(crate) async fn state(&self) -> ShardState {
+        let mut state = ShardState::default();
+        for (offset, payload) in self.records().await {
+            let _ = state.apply(offset, &payload);
+        }
+        state
+    }
+
+    pub(crate) async fn records(&self) -> Vec<(Offset, Box<str>)> {
+        let stream = shard().stream();
+        let page = self.log.as_ref();
+        let page = page.read(&stream, Offset(0), usize::MAX, Duration::ZERO);
+        let records = page.await.map(|page| page.records).unwrap_or_default();
+        records.into_iter().map(|r| (r.offset, r.payload)).collect()
+    }
+
+    /// Checks that every start carried the checkpoint that the log gives its attempt.
+    pub(crate) async fn check_checkpoints(&self) {
+        let started = self.fleet.started();
+        let mut state = ShardState::default();
+        for (offset, payload) in self.records().await {
+            let accepted = state.apply(offset, &payload).is_ok();
+            let record: ShardRecord = serde_json::from_str(&payload).expect("a record");
+            if let ShardEvent::Start { attempt, .. } = record.event
+                && accepted
+                && let Some(found) = started.get(&attempt)
+            {
+                assert_eq!(*found, recorded_checkpoint(&state, &attempt), "{attempt}");
+            }
+        }
+    }
+
+    /// Checks that every run whose submitter was told so ends in the ledger, with each result.
+    pub(crate) async fn check_ledger(&mut self) {
+        let state = self.state().await;
+        for (run, replies) in &mut self.replies {
+            let accepted = replies
+                .iter_mut()
+                .any(|r| matches!(r.try_recv(), Ok(Ok(()))));
+            let found = state.runs().get(run);
+            assert!(
+                found.is_some() || !accepted,
+                "{run} was accepted and is lost"
+            );
+            let Some(found) = found else { continue };
+            assert_ne!(found.status, RunStatus::Active, "{run} never ended");
+            let is_whole = found.done == found.spec.settings.tasks;
+            assert_eq!(found.status == RunStatus::Complete, is_whole, "{run}");
+        }
+    }
+}
+
+fn recorded_checkpoint(state: &ShardState, attempt: &AttemptId) -> Option<Box<str>> {
+    let run = state.runs().get(&attempt.task.run)?;
+    match run.tasks.get(attempt.task.index as usize)? {
+        TaskState::Open { checkpoint, .. } => checkpoint.clone(),
+        _ => None,
+    }
+}
+
+pub(crate) fn shard() -> ShardId {
+    ShardId {
+        failure_domain: "laguna".parse().expect("a name"),
+        index: 0,
+    }
+}
+
+pub(crate) fn job(tasks: u32, run_time_ms: u64, cpu_milli: u64) -> BatchJob {
+    let job = serde_json::json!({
+        "tasks": tasks,
+        "size": { "cpu_milli": cpu_milli, "memory_mb": 100 },
+        "run_time_ms": run_time_ms,
+        "deadline_ms": 3_600_000,
+        "checkpointable": true,
+    });
+    serde_json::from_value(job).expect("a job")
+}
--- /dev/null
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -0,0 +1,171 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_platform::clock::Clock;
+use dotterelhook_platform::log::Log;
+use dotterelhook_platform::log::LogPage;
+use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_scheduler::ShardCommand;
+use dotterelhook_scheduler::placement::LeastUsed;
+use dotterelhook_scheduler::shard::ShardContext;
+use dotterelhook_scheduler::shard::ShardMetrics;
+use dotterelhook_scheduler::shard::spawn_shard_task;
+use dotterelhook_types::CallError;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::World;
+use super::agents::FakeAgents;
+use super::shard;
+use super::views::FakeMembership;
+use super::views::host_id;
+
+const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
+const FAST_PER_MILLE: u64 = 1_009;
+
+/// One scheduler process.
+pub(crate) struct Process {
+    pub(crate) commands: mpsc::Sender<ShardCommand>,
+    pub(crate) incarnation: Incarnation,
+    frozen: Arc<watch::Sender<bool>>,
+    cut: Arc<AtomicBool>,
+    stopping: CancellationToken,
+    task: JoinHandle<()>,
+}
+
+impl Process {
+    pub(crate) fn spawn(world: &World, host: usize, incarnation: Incarnation) -> Self {
+        let frozen = Arc::new(watch::Sender::new(false));
+        let cut = Arc::new(AtomicBool::new(false));
+        let context = ShardContext {
+            shard: shard(),
+            host: host_id(host),
+            incarnation,
+            shard_count: 1,
+            times: world.times,
+            commit_interval: COMMIT_INTERVAL,
+            log: Arc::new(ProcessLog {
+                log: Arc::clone(&world.log),
+                frozen: frozen.subscribe(),
+                cut: Arc::clone(&cut),
+            }),
+            clock: Arc::new(FastClock {
+                started_at: Instant::now(),
+            }),
+            hosts: Arc::clone(&world.views) as _,
+            membership: Arc::new(FakeMembership {
+                views: Arc::clone(&world.views),
+                host,
+            }),
+            agents: Arc::new(FakeAgents {
+                fleet: Arc::clone(&world.fleet),
+                host,
+                frozen: frozen.subscribe(),
+            }),
+            placement: Arc::new(LeastUsed),
+            metrics: ShardMetrics::default(),
+        };
+        let stopping = CancellationToken::new();
+        let (commands, task) = spawn_shard_task(context, stopping.clone());
+        Self {
+            commands,
+            incarnation,
+            frozen,
+            cut,
+            stopping,
+            task: tokio::spawn(task),
+        }
+    }
+
+    /// Holds back all messages, in both directions, from now on.
+    pub(crate) fn freeze(&self) {
+        self.frozen.send_replace(true);
+    }
+
+    pub(crate) fn thaw(&self) {
+        self.frozen.send_replace(false);
+    }
+
+    /// Cuts the process off from the log.
+    pub(crate) fn set_cut(&self, is_cut: bool) {
+        self.cut.store(is_cut, Ordering::SeqCst);
+    }
+
+    /// Stops the process as planned.
+    pub(crate) async fn stop(mut self) {
+        self.stopping.cancel();
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// A clock that runs faster than the workers' by a little less than the drift allowed.
+struct FastClock {
+    started_at: Instant,
+}
+
+impl Clock for FastClock {
+    fn monotonic_ms(&self) -> u64 {
+        self.started_at.elapsed().as_millis() as u64 * FAST_PER_MILLE / 1_000
+    }
+
+    fn unix_ms(&self) -> u64 {
+        self.monotonic_ms()
+    }
+}
+
+/// The log as one process reaches it.
+struct ProcessLog {
+    log: Arc<MemoryLog>,
+    frozen: watch::Receiver<bool>,
+    cut: Arc<AtomicBool>,
+}
+
+impl ProcessLog {
+    async fn reach(&self) -> Result<(), CallError> {
+        let _ = self.frozen.clone().wait_for(|frozen| !*frozen).await;
+        if self.cut.load(Ordering::SeqCst) {
+            return Err(CallError::not_run("cut off from the log"));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl Log for ProcessLog {
+    async fn append(&self, stream: &str, payloads: &[Box<str>]) -> Result<Offset, CallError> {
+        self.reach().await?;
+        let result = self.log.append(stream, payloads).await;
+        let _ = self.frozen.clone().wait_for(|frozen| !*frozen).await;
+        result
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max_records: usize,
+        hold: Duration,
+    ) -> Result<LogPage, CallError> {
+        self.reach().await?;
+        let result = self.log.read(stream, from, max_records, hold).await;
+        let _ = self.frozen.clone().wait_for(|frozen| !*frozen).await;
+        match self.cut.load(Ordering::SeqCst) {
+            true => Err(CallError::may_have_run("cut off from the log")),
+            false => result,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -0,0 +1,132 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use dotterelhook_peer::hosts::HostView;
+use dotterelhook_peer::membership::Heartbeat;
+use dotterelhook_peer::membership::Member;
+use dotterelhook_peer::membership::MemberId;
+use dotterelhook_peer::membership::MemberState;
+use dotterelhook_peer::membership::MembershipView;
+use dotterelhook_peer::membership::Role;
+use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_types::ids::HostId;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::TargetId;
+
+use super::agents::worker_address;
+
+/// Who seems to be alive, and the host list.
+pub(crate) struct Views {
+    live: Mutex<BTreeMap<usize, Incarnation>>,
+    hosts: Mutex<Arc<HostSnapshot>>,
+}
+
+pub(crate) fn host_id(host: usize) -> HostId {
+    format!("h{host}").parse().expect("a name")
+}
+
+impl Views {
+    pub(crate) fn new(_hosts: usize, workers: usize) -> Self {
+        let entry = |worker: usize| WorkerEntry {
+            worker: format!("w{worker}").parse().expect("a name"),
+            address: worker_address(worker),
+            failure_domain: "laguna".parse().expect("a name"),
+            rack: "r0".parse().expect("a name"),
+            state: HostState::Live,
+        };
+        let list = HostSnapshot {
+            targets: Vec::new(),
+            workers: (0..workers).map(entry).collect(),
+        };
+        Self {
+            live: Mutex::default(),
+            hosts: Mutex::new(Arc::new(list)),
+        }
+    }
+
+    pub(crate) fn set_live(&self, host: usize, incarnation: Option<Incarnation>) {
+        let mut live = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        match incarnation {
+            Some(incarnation) => live.insert(host, incarnation),
+            None => live.remove(&host),
+        };
+    }
+
+    pub(crate) fn set_leaving(&self, worker: usize, is_leaving: bool) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut list = HostSnapshot::clone(&hosts);
+        list.workers[worker].state = if is_leaving {
+            HostState::Leaving
+        } else {
+            HostState::Live
+        };
+        *hosts = Arc::new(list);
+    }
+
+    pub(crate) fn heal(&self) {
+        let workers = self.current().workers.len();
+        (0..workers).for_each(|worker| self.set_leaving(worker, false));
+    }
+}
+
+impl HostView for Views {
+    fn current(&self) -> Arc<HostSnapshot> {
+        let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&hosts)
+    }
+}
+
+/// The membership as one process sees it.
+pub(crate) struct FakeMembership {
+    pub(crate) views: Arc<Views>,
+    pub(crate) host: usize,
+}
+
+impl MembershipView for FakeMembership {
+    fn own_id(&self) -> MemberId {
+        member_id(self.host)
+    }
+
+    fn members(&self) -> Vec<Member> {
+        let live = self.views.live.lock();
+        let live = live.unwrap_or_else(PoisonError::into_inner);
+        live.iter()
+            .map(|(host, incarnation)| member(*host, *incarnation))
+            .collect()
+    }
+
+    fn report_draining(&self, _: &TargetId) {}
+}
+
+fn member_id(host: usize) -> MemberId {
+    MemberId {
+        host: host_id(host),
+        role: Role::Scheduler,
+    }
+}
+
+fn member(host: usize, incarnation: Incarnation) -> Member {
+    let address = worker_address(0);
+    Member {
+        heartbeat: Heartbeat {
+            member: member_id(host),
+            incarnation,
+            failure_domain: "laguna".parse().expect("a name"),
+            peer_address: address,
+            admin_address: address,
+            api_address: address,
+            config_offset: Offset(0),
+            log_contact_age_ms: None,
+            is_draining: false,
+            known_addresses: Vec::new(),
+            draining_targets: Vec::new(),
+        },
+        age_ms: 0,
+        state: MemberState::Alive,
+    }
+}
--- a/crates/standins/src/worker/mod.rs
+++ b/crates/standins/src/worker/mod.rs
@@ -4,6 +4,6 @@
 mod worker_server;
 
 pub use worker_model::Interval;
-pub use worker_model::StartRefusal;
 pub use worker_model::WorkerModel;
+pub use worker_model::WorkerRefusal;
 pub use worker_server::WorkerServer;
--- a/crates/standins/src/worker/worker_model.rs
+++ b/crates/standins/src/worker/worker_model.rs
@@ -5,9 +5,11 @@
 use dotterelhook_platform::worker::Inventory;
 use dotterelhook_platform::worker::RenewBody;
 use dotterelhook_platform::worker::StartBody;
+use dotterelhook_platform::worker::StopBody;
 use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
-use dotterelhook_types::ids::Sequence;
+use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use serde::Deserialize;
@@ -24,22 +26,27 @@
     pub to_ms: Option<u64>,
 }
 
-/// Why a worker refused to start an attempt; it did not run.
+/// Why a worker refused a call; it had no effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
-pub enum StartRefusal {
+pub enum WorkerRefusal {
     /// The attempt has already ended here.
     Ended,
     /// There is no room.
     Full,
-    /// The attempt was placed on the worker before it restarted.
+    /// The call was meant for another incarnation of the worker.
     OtherIncarnation,
+    /// A later owner has already called.
+    StaleEpoch,
+    /// The lease would have ended before it began.
+    Expired,
 }
 
 #[derive(Clone, Debug)]
 struct Attempt {
     status: AttemptStatus,
     size: Resources,
+    start_offset: Offset,
     lease_until_ms: u64,
     done_at_ms: u64,
     checkpoint: Option<Box<str>>,
@@ -54,7 +61,8 @@
     capacity: Resources,
     fails_all: bool,
     attempts: BTreeMap<AttemptId, Attempt>,
-    sequences: BTreeMap<Box<str>, Sequence>,
+    epoch: Epoch,
+    forgotten_offset: Option<Offset>,
     intervals: Vec<Interval>,
     most_used: Resources,
 }
@@ -68,7 +76,8 @@
             capacity,
             fails_all: false,
             attempts: BTreeMap::new(),
-            sequences: BTreeMap::new(),
+            epoch: Epoch(0),
+            forgotten_offset: None,
             intervals: Vec::new(),
             most_used: Resources::default(),
         }
@@ -79,6 +88,11 @@
         self.fails_all = fails_all;
     }
 
+    /// Changes what the worker has, as when a part of it fails.
+    pub fn set_capacity(&mut self, capacity: Resources) {
+        self.capacity = capacity;
+    }
+
     /// Restarts the worker: everything that ran is gone.
     pub fn restart(&mut self, incarnation: Incarnation, now_ms: u64) {
         self.advance(now_ms);
@@ -87,7 +101,8 @@
             self.finish(&attempt, AttemptStatus::Lapsed, now_ms);
         }
         self.attempts.clear();
-        self.sequences.clear();
+        self.epoch = Epoch(0);
+        self.forgotten_offset = None;
         self.incarnation = incarnation;
     }
 
@@ -134,28 +149,47 @@
         attempt: &AttemptId,
         body: &StartBody,
         now_ms: u64,
-    ) -> Result<(), StartRefusal> {
+    ) -> Result<(), WorkerRefusal> {
         self.advance(now_ms);
+        self.check_epoch(body.epoch)?;
         if body.worker_incarnation != self.incarnation {
-            return Err(StartRefusal::OtherIncarnation);
+            return Err(WorkerRefusal::OtherIncarnation);
         }
         if let Some(known) = self.attempts.get(attempt) {
             let runs = known.status == AttemptStatus::Running;
             return if runs {
                 Ok(())
             } else {
-                Err(StartRefusal::Ended)
+                Err(WorkerRefusal::Ended)
             };
         }
+        if self.was_forgotten(body.start_offset) {
+            self.refuse_for_good(attempt, body.start_offset);
+            return Err(WorkerRefusal::Ended);
+        }
+        if body.lease_until_ms <= now_ms {
+            return Err(WorkerRefusal::Expired);
+        }
         let used = self.used().saturating_add(&body.size);
         if !used.fits_in(&self.capacity) {
-            return Err(StartRefusal::Full);
+            return Err(WorkerRefusal::Full);
         }
+        self.run(attempt, body, now_ms);
+        self.most_used = Resources {
+            cpu_milli: self.most_used.cpu_milli.max(used.cpu_milli),
+            memory_mb: self.most_used.memory_mb.max(used.memory_mb),
+            accelerators: self.most_used.accelerators.max(used.accelerators),
+        };
+        Ok(())
+    }
+
+    fn run(&mut self, attempt: &AttemptId, body: &StartBody, now_ms: u64) {
         let run_time_ms = if self.fails_all { 0 } else { body.run_time_ms };
         let started = Attempt {
             status: AttemptStatus::Running,
             size: body.size,
-            lease_until_ms: now_ms + body.lease_ms,
+            start_offset: body.start_offset,
+            lease_until_ms: body.lease_until_ms,
             done_at_ms: now_ms + run_time_ms,
             checkpoint: body.checkpoint.clone(),
             cause: None,
@@ -166,30 +200,53 @@
             from_ms: now_ms,
             to_ms: None,
         });
-        self.most_used = Resources {
-            cpu_milli: self.most_used.cpu_milli.max(used.cpu_milli),
-            memory_mb: self.most_used.memory_mb.max(used.memory_mb),
-            accelerators: self.most_used.accelerators.max(used.accelerators),
-        };
-        Ok(())
     }
 
-    /// Extends leases; a repeated sequence and a lapsed lease extend nothing.
-    pub fn renew(&mut self, body: &RenewBody, now_ms: u64) {
+    /// Extends leases; a lapsed one is not revived, and none gets shorter.
+    ///
+    /// # Errors
+    /// Returns why no lease was extended.
+    pub fn renew(&mut self, body: &RenewBody, now_ms: u64) -> Result<(), WorkerRefusal> {
         self.advance(now_ms);
-        let last = self.sequences.get(&body.sender).copied();
-        if last.is_some_and(|last| body.sequence <= last) {
-            return;
+        self.check_epoch(body.epoch)?;
+        if body.worker_incarnation != Some(self.incarnation) {
+            return Ok(());
         }
-        self.sequences.insert(body.sender.clone(), body.sequence);
         for id in &body.attempts {
             if let Some(attempt) = self.attempts.get_mut(id)
                 && attempt.status == AttemptStatus::Running
             {
-                let until_ms = now_ms + body.lease_ms;
-                attempt.lease_until_ms = attempt.lease_until_ms.max(until_ms);
+                attempt.lease_until_ms = attempt.lease_until_ms.max(body.lease_until_ms);
             }
         }
+        Ok(())
+    }
+
+    fn check_epoch(&mut self, epoch: Epoch) -> Result<(), WorkerRefusal> {
+        if epoch < self.epoch {
+            return Err(WorkerRefusal::StaleEpoch);
+        }
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    fn was_forgotten(&self, start_offset: Offset) -> bool {
+        self.forgotten_offset
+            .is_some_and(|forgotten| start_offset <= forgotten)
+    }
+
+    /// Remembers an attempt that did not run here, so that it never starts.
+    fn refuse_for_good(&mut self, id: &AttemptId, start_offset: Offset) {
+        let refused = Attempt {
+            status: AttemptStatus::Stopped,
+            size: Resources::default(),
+            start_offset,
+            lease_until_ms: 0,
+            done_at_ms: 0,
+            checkpoint: None,
+            cause: None,
+        };
+        self.attempts.insert(id.clone(), refused);
     }
 
     /// Writes a checkpoint of a running attempt and returns its name.
@@ -204,32 +261,22 @@
     }
 
     /// Stops an attempt; an unknown one is remembered so that it never starts.
-    pub fn stop(&mut self, id: &AttemptId, now_ms: u64) {
+    pub fn stop(&mut self, id: &AttemptId, body: &StopBody, now_ms: u64) {
         self.advance(now_ms);
-        if !self.attempts.contains_key(id) {
-            let refused = Attempt {
-                status: AttemptStatus::Stopped,
-                size: Resources::default(),
-                lease_until_ms: now_ms,
-                done_at_ms: now_ms,
-                checkpoint: None,
-                cause: None,
-            };
-            self.attempts.insert(id.clone(), refused);
-            return;
-        }
-        if self.attempts[id].status == AttemptStatus::Running {
-            self.finish(id, AttemptStatus::Stopped, now_ms);
+        match self.attempts.get(id).map(|attempt| attempt.status) {
+            None => self.refuse_for_good(id, body.start_offset),
+            Some(AttemptStatus::Running) => self.finish(id, AttemptStatus::Stopped, now_ms),
+            Some(_) => {}
         }
     }
 
-    /// Removes an ended attempt from the inventory.
+    /// Removes an ended attempt from the inventory; a start of it that comes late is refused.
     pub fn forget(&mut self, id: &AttemptId) {
-        if self
-            .attempts
-            .get(id)
-            .is_some_and(|a| a.status != AttemptStatus::Running)
-        {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        if attempt.status != AttemptStatus::Running {
+            self.forgotten_offset = self.forgotten_offset.max(Some(attempt.start_offset));
             self.attempts.remove(id);
         }
     }
@@ -241,12 +288,14 @@
             attempt: id.clone(),
             status: attempt.status,
             size: attempt.size,
+            start_offset: attempt.start_offset,
             checkpoint: attempt.checkpoint.clone(),
             cause: attempt.cause.clone(),
         });
         Inventory {
             worker: self.worker.clone(),
             incarnation: self.incarnation,
+            now_ms,
             capacity: self.capacity,
             attempts: attempts.collect(),
             usage: Vec::new(),
--- a/crates/standins/src/worker/worker_server.rs
+++ b/crates/standins/src/worker/worker_server.rs
@@ -23,15 +23,18 @@
 pub struct WorkerServer {
     model: Mutex<WorkerModel>,
     clock: SystemClock,
+    started_at_unix_ms: u64,
     faults: FaultSwitch,
 }
 
 impl WorkerServer {
     /// Serves the given worker.
     pub fn new(model: WorkerModel) -> Self {
+        let clock = SystemClock::new();
         Self {
             model: Mutex::new(model),
-            clock: SystemClock::new(),
+            started_at_unix_ms: clock.unix_ms(),
+            clock,
             faults: FaultSwitch::default(),
         }
     }
@@ -40,9 +43,14 @@
         self.model.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns a time that starts as Unix time and then never jumps.
+    fn now_ms(&self) -> u64 {
+        self.started_at_unix_ms + self.clock.monotonic_ms()
+    }
+
     fn start(&self, attempt: &AttemptId, body: &[u8]) -> Answer {
         with_body(body, |body| {
-            match self.model().start(attempt, &body, self.clock.unix_ms()) {
+            match self.model().start(attempt, &body, self.now_ms()) {
                 Ok(()) => json_answer(StatusCode::OK, &"started"),
                 Err(refusal) => json_answer(StatusCode::CONFLICT, &refusal.to_string()),
             }
@@ -51,15 +59,17 @@
 
     fn renew(&self, body: &[u8]) -> Answer {
         with_body(body, |body| {
-            let now_ms = self.clock.unix_ms();
+            let now_ms = self.now_ms();
             let mut model = self.model();
-            model.renew(&body, now_ms);
-            json_answer(StatusCode::OK, &model.inventory(now_ms))
+            match model.renew(&body, now_ms) {
+                Ok(()) => json_answer(StatusCode::OK, &model.inventory(now_ms)),
+                Err(refusal) => json_answer(StatusCode::CONFLICT, &refusal.to_string()),
+            }
         })
     }
 
     fn checkpoint(&self, attempt: &AttemptId) -> Answer {
-        match self.model().checkpoint(attempt, self.clock.unix_ms()) {
+        match self.model().checkpoint(attempt, self.now_ms()) {
             Some(name) => json_answer(StatusCode::OK, &json!({ "checkpoint": name })),
             None => json_answer(StatusCode::CONFLICT, &"the attempt does not run"),
         }
@@ -76,10 +86,10 @@
                 self.model().forget(&attempt);
                 json_answer(StatusCode::OK, &"forgotten")
             }
-            (&Method::POST, "stop") => {
-                self.model().stop(&attempt, self.clock.unix_ms());
+            (&Method::POST, "stop") => with_body(body, |body| {
+                self.model().stop(&attempt, &body, self.now_ms());
                 json_answer(StatusCode::OK, &"stopped")
-            }
+            }),
             (&Method::POST, "checkpoint") => self.checkpoint(&attempt),
             (&Method::POST, "throttle") => json_answer(StatusCode::OK, &"throttled"),
             _ => json_answer(StatusCode::NOT_FOUND, &"no such path"),
@@ -105,14 +115,13 @@
             return self.act(method, rest, &body);
         }
         match (method, path) {
-            (&Method::GET, "/inventory") => json_answer(
-                StatusCode::OK,
-                &self.model().inventory(self.clock.unix_ms()),
-            ),
+            (&Method::GET, "/inventory") => {
+                json_answer(StatusCode::OK, &self.model().inventory(self.now_ms()))
+            }
             (&Method::POST, "/leases") => self.renew(&body),
             (&Method::GET, "/intervals") => {
                 let mut model = self.model();
-                model.advance(self.clock.unix_ms());
+                model.advance(self.now_ms());
                 json_answer(StatusCode::OK, &model.intervals())
             }
             (&Method::GET, "/most-used") => json_answer(StatusCode::OK, &self.model().most_used()),
--- a/crates/state/src/shard/event.rs
+++ b/crates/state/src/shard/event.rs
@@ -78,7 +78,7 @@
     Claim,
     /// The owner gives the shard up.
     Release,
-    /// The owner read a worker's inventory.
+    /// The owner read a worker's inventory; attempts of an earlier incarnation are lost.
     Worker {
         /// The worker.
         worker: WorkerId,
@@ -115,6 +115,13 @@
         /// The run.
         run: RunId,
     },
+    /// A run can never complete.
+    Fail {
+        /// The run.
+        run: RunId,
+        /// Why it can't complete.
+        cause: Box<str>,
+    },
     /// A run passed its deadline.
     Overdue {
         /// The run.
--- a/crates/state/src/shard/ledger.rs
+++ b/crates/state/src/shard/ledger.rs
@@ -6,7 +6,6 @@
 
 use super::RunStatus;
 use super::ShardState;
-use super::TaskState;
 
 /// One run's line in the ledger.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,31 +32,28 @@
     pub deadline_at_unix_ms: u64,
     /// Why the run failed.
     pub cause: Option<Box<str>>,
+    /// What the run's open attempts wait for, one line for each worker.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waits: Vec<Box<str>>,
 }
 
 impl ShardState {
     /// Returns a line for each run that is kept, in order of run id.
     pub fn ledger(&self) -> Vec<LedgerLine> {
-        self.runs()
-            .iter()
-            .map(|(id, run)| {
-                let count = |wanted: fn(&TaskState) -> bool| {
-                    run.tasks.iter().filter(|task| wanted(task)).count() as u32
-                };
-                LedgerLine {
-                    run: id.clone(),
-                    team: run.spec.team.clone(),
-                    job: run.spec.job.clone(),
-                    status: run.status,
-                    is_overdue: run.is_overdue,
-                    tasks: run.tasks.len() as u32,
-                    done: run.done,
-                    running: count(|task| matches!(task, TaskState::Open { .. })),
-                    waiting: count(|task| matches!(task, TaskState::Waiting { .. })),
-                    deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
-                    cause: run.cause.clone(),
-                }
-            })
-            .collect()
+        let lines = self.runs().iter().map(|(id, run)| LedgerLine {
+            run: id.clone(),
+            team: run.spec.team.clone(),
+            job: run.spec.job.clone(),
+            status: run.status,
+            is_overdue: run.is_overdue,
+            tasks: run.spec.settings.tasks,
+            done: run.done,
+            running: run.open_tasks(),
+            waiting: run.waiting_tasks().len() as u32,
+            deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
+            cause: run.cause.clone(),
+            waits: Vec::new(),
+        });
+        lines.collect()
     }
 }
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -1,11 +1,14 @@
 //! Batch work of one shard, folded from the shard's stream.
 
+mod attempts;
 mod event;
 mod ledger;
 mod refusal;
 mod run;
+mod runs;
 mod shard_id;
 mod shard_state;
+mod snapshot;
 mod worker_account;
 
 pub use event::AttemptEnd;
@@ -21,4 +24,7 @@
 pub use shard_state::OpenAttempt;
 pub use shard_state::Owner;
 pub use shard_state::ShardState;
+pub use snapshot::SnapshotChunk;
+pub use snapshot::SnapshotReader;
+pub use worker_account::QUARANTINE_JOBS;
 pub use worker_account::WorkerAccount;
--- a/crates/state/src/shard/refusal.rs
+++ b/crates/state/src/shard/refusal.rs
@@ -34,6 +34,14 @@
     UnknownWorker,
     /// The run id was used before for another job.
     RunIdTaken,
+    /// The run id was used before, and the run's line is no longer kept.
+    RunPruned,
+    /// The shard has as many unfinished tasks as it may keep.
+    ShardFull,
+    /// The worker's record is of an earlier incarnation than the current one.
+    StaleIncarnation,
+    /// The worker is quarantined and already has a probe.
+    Quarantined,
     /// The run has already ended.
     RunEnded,
     /// The attempt is not the task's next one, or an earlier one is open.
--- a/crates/state/src/shard/shard_state.rs
+++ b/crates/state/src/shard/shard_state.rs
@@ -1,4 +1,6 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
 
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Epoch;
@@ -7,24 +9,17 @@
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::RunId;
 use dotterelhook_types::ids::Sequence;
-use dotterelhook_types::ids::TaskId;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::AttemptEnd;
 use super::Run;
-use super::RunSpec;
-use super::RunStatus;
 use super::ShardEvent;
 use super::ShardRecord;
 use super::ShardRefusal;
-use super::TaskState;
 use super::WorkerAccount;
 
-const KEPT_WRITERS: usize = 64;
-
 /// The process that owns a shard.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Owner {
@@ -39,20 +34,36 @@
 pub struct OpenAttempt {
     /// The worker that it belongs to.
     pub worker: WorkerId,
+    /// The incarnation of the worker that it was placed on.
+    pub incarnation: Incarnation,
     /// What is reserved for it.
     pub size: Resources,
+    /// The offset of the record that opened it.
+    pub offset: Offset,
 }
 
 /// A shard after all records below one offset.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ShardState {
-    next_offset: Offset,
-    epoch: Epoch,
-    owner: Option<Owner>,
-    writers: BTreeMap<(HostId, Incarnation), (Sequence, Offset)>,
-    workers: BTreeMap<WorkerId, WorkerAccount>,
-    runs: BTreeMap<RunId, Run>,
-    open: BTreeMap<AttemptId, OpenAttempt>,
+    pub(super) next_offset: Offset,
+    pub(super) epoch: Epoch,
+    pub(super) owner: Option<Owner>,
+    pub(super) owner_sequence: Sequence,
+    pub(super) workers: BTreeMap<WorkerId, WorkerAccount>,
+    pub(super) runs: BTreeMap<RunId, Run>,
+    pub(super) open: BTreeMap<AttemptId, OpenAttempt>,
+    /// Closed runs, oldest first.
+    pub(super) closed: VecDeque<RunId>,
+    /// Hashes of the ids of runs that were pruned, oldest first.
+    pub(super) pruned: VecDeque<u64>,
+    #[serde(skip)]
+    pub(super) pruned_set: BTreeSet<u64>,
+    #[serde(skip)]
+    pub(super) active: BTreeSet<RunId>,
+    #[serde(skip)]
+    pub(super) deadlines: BTreeSet<(u64, RunId)>,
+    #[serde(skip)]
+    pub(super) unfinished_tasks: u64,
 }
 
 impl ShardState {
@@ -76,11 +87,28 @@
         &self.workers
     }
 
-    /// Returns the accepted runs.
+    /// Returns the runs that are kept: all active ones, and the newest that have ended.
     pub fn runs(&self) -> &BTreeMap<RunId, Run> {
         &self.runs
     }
 
+    /// Returns the ids of the active runs.
+    pub fn active_runs(&self) -> &BTreeSet<RunId> {
+        &self.active
+    }
+
+    /// Returns the active runs that are not marked overdue, by deadline as Unix time in
+    /// milliseconds.
+    pub fn deadlines(&self) -> &BTreeSet<(u64, RunId)> {
+        &self.deadlines
+    }
+
+    /// Returns whether any task waits for a worker.
+    pub fn has_waiting_tasks(&self) -> bool {
+        let mut active = self.active.iter().filter_map(|id| self.runs.get(id));
+        active.any(|run| !run.waiting_tasks().is_empty())
+    }
+
     /// Returns the attempts whose end is not recorded.
     pub fn open_attempts(&self) -> &BTreeMap<AttemptId, OpenAttempt> {
         &self.open
@@ -89,26 +117,42 @@
     /// Applies the record at the given offset; offsets already applied change nothing.
     ///
     /// # Errors
-    /// Returns why the record was refused; a refused record changes nothing else.
+    /// Returns why the record was refused; a refused record changes nothing but the next
+    /// offset and the owner's last sequence.
     pub fn apply(&mut self, offset: Offset, payload: &str) -> Result<(), ShardRefusal> {
+        match serde_json::from_str(payload) {
+            Ok(record) => self.apply_record(offset, record),
+            Err(_) => {
+                self.skip(offset);
+                Err(ShardRefusal::Malformed)
+            }
+        }
+    }
+
+    /// Passes over a record that can't be decoded.
+    pub fn skip(&mut self, offset: Offset) {
+        self.next_offset = self.next_offset.max(offset.next());
+    }
+
+    /// Applies a decoded record at the given offset.
+    ///
+    /// # Errors
+    /// The same as of [`Self::apply`].
+    pub fn apply_record(
+        &mut self,
+        offset: Offset,
+        record: ShardRecord,
+    ) -> Result<(), ShardRefusal> {
         if offset < self.next_offset {
             return Ok(());
         }
-        self.next_offset = offset.next();
-        let record: ShardRecord =
-            serde_json::from_str(payload).map_err(|_| ShardRefusal::Malformed)?;
-        self.check_repeat(offset, &record)?;
-        self.check_epoch(&record)?;
+        self.skip(offset);
+        if matches!(record.event, ShardEvent::Claim) {
+            return self.claim(record);
+        }
+        self.check_writer(&record)?;
         match record.event {
-            ShardEvent::Claim => {
-                self.epoch = record.epoch;
-                let owner = Owner {
-                    host: record.host,
-                    incarnation: record.incarnation,
-                };
-                self.owner = Some(owner);
-                Ok(())
-            }
+            ShardEvent::Claim => Ok(()),
             ShardEvent::Release => {
                 self.owner = None;
                 Ok(())
@@ -117,228 +161,71 @@
                 worker,
                 incarnation,
                 capacity,
-            } => {
-                self.record_worker(worker, incarnation, capacity);
-                Ok(())
-            }
+            } => self.record_worker(worker, incarnation, capacity),
             ShardEvent::Submit { run, spec } => self.submit(offset, run, spec),
             ShardEvent::Start {
                 attempt,
                 worker,
                 size,
-            } => self.start(attempt, worker, size),
+            } => self.start(offset, attempt, worker, size),
             ShardEvent::End { attempt, end } => self.end(&attempt, end),
             ShardEvent::Cancel { run } => self.cancel(&run),
-            ShardEvent::Overdue { run } => {
-                let run = self.runs.get_mut(&run).ok_or(ShardRefusal::UnknownRun)?;
-                run.is_overdue |= run.status == RunStatus::Active;
-                Ok(())
-            }
+            ShardEvent::Fail { run, cause } => self.fail(&run, cause),
+            ShardEvent::Overdue { run } => self.mark_overdue(&run),
         }
     }
 
-    fn check_repeat(&mut self, offset: Offset, record: &ShardRecord) -> Result<(), ShardRefusal> {
-        let writer = (record.host.clone(), record.incarnation);
-        if let Some((last, _)) = self.writers.get(&writer)
-            && record.sequence <= *last
-        {
-            return Err(ShardRefusal::Repeated);
-        }
-        self.writers.insert(writer, (record.sequence, offset));
-        if self.writers.len() > KEPT_WRITERS {
-            let oldest = self.writers.iter().min_by_key(|(_, (_, offset))| *offset);
-            let oldest = oldest.map(|(writer, _)| writer.clone());
-            oldest.and_then(|writer| self.writers.remove(&writer));
+    fn claim(&mut self, record: ShardRecord) -> Result<(), ShardRefusal> {
+        if record.epoch != self.epoch.next() {
+            return Err(ShardRefusal::StaleEpoch);
         }
+        self.epoch = record.epoch;
+        self.owner_sequence = record.sequence;
+        self.owner = Some(Owner {
+            host: record.host,
+            incarnation: record.incarnation,
+        });
         Ok(())
     }
 
-    fn check_epoch(&self, record: &ShardRecord) -> Result<(), ShardRefusal> {
-        if matches!(record.event, ShardEvent::Claim) {
-            let is_next = record.epoch == self.epoch.next();
-            return if is_next {
-                Ok(())
-            } else {
-                Err(ShardRefusal::StaleEpoch)
-            };
-        }
+    /// Checks epoch, owner and sequence; a record of an earlier epoch never gets past the first.
+    fn check_writer(&mut self, record: &ShardRecord) -> Result<(), ShardRefusal> {
         if record.epoch != self.epoch {
             return Err(ShardRefusal::StaleEpoch);
         }
         let is_owner = self.owner.as_ref().is_some_and(|owner| {
             owner.host == record.host && owner.incarnation == record.incarnation
         });
-        if is_owner {
-            Ok(())
-        } else {
-            Err(ShardRefusal::NotOwner)
+        if !is_owner {
+            return Err(ShardRefusal::NotOwner);
         }
-    }
-
-    fn record_worker(&mut self, id: WorkerId, incarnation: Incarnation, capacity: Resources) {
-        let used = self
-            .workers
-            .get(&id)
-            .map(|account| account.used)
-            .unwrap_or_default();
-        self.workers.insert(
-            id,
-            WorkerAccount {
-                incarnation,
-                capacity,
-                used,
-            },
-        );
-    }
-
-    fn submit(
-        &mut self,
-        offset: Offset,
-        id: RunId,
-        spec: Box<RunSpec>,
-    ) -> Result<(), ShardRefusal> {
-        if let Some(run) = self.runs.get(&id) {
-            let is_same = run.spec.team == spec.team && run.spec.job == spec.job;
-            return if is_same {
-                Ok(())
-            } else {
-                Err(ShardRefusal::RunIdTaken)
-            };
+        if record.sequence <= self.owner_sequence {
+            return Err(ShardRefusal::Repeated);
         }
-        let waiting = TaskState::Waiting {
-            attempts: 0,
-            failures: 0,
-            checkpoint: None,
-        };
-        let run = Run {
-            offset,
-            tasks: vec![waiting; spec.settings.tasks as usize],
-            spec,
-            done: 0,
-            status: RunStatus::Active,
-            is_overdue: false,
-            cause: None,
-        };
-        self.runs.insert(id, run);
+        self.owner_sequence = record.sequence;
         Ok(())
     }
 
-    fn start(
+    fn record_worker(
         &mut self,
-        attempt: AttemptId,
-        worker: WorkerId,
-        size: Resources,
+        id: WorkerId,
+        incarnation: Incarnation,
+        capacity: Resources,
     ) -> Result<(), ShardRefusal> {
-        let account = self
-            .workers
-            .get_mut(&worker)
-            .ok_or(ShardRefusal::UnknownWorker)?;
-        let run = self
-            .runs
-            .get_mut(&attempt.task.run)
-            .ok_or(ShardRefusal::UnknownRun)?;
-        if run.status != RunStatus::Active {
-            return Err(ShardRefusal::RunEnded);
-        }
-        let task = task_mut(run, &attempt.task)?;
-        let TaskState::Waiting {
-            attempts,
-            failures,
-            checkpoint,
-        } = task
-        else {
-            return Err(ShardRefusal::NotNextAttempt);
-        };
-        if attempt.number != *attempts + 1 {
-            return Err(ShardRefusal::NotNextAttempt);
-        }
-        if !size.fits_in(&account.free()) {
-            return Err(ShardRefusal::WorkerFull);
-        }
-        account.used = account.used.saturating_add(&size);
-        *task = TaskState::Open {
-            number: attempt.number,
-            failures: *failures,
-            checkpoint: checkpoint.take(),
-            worker: worker.clone(),
-        };
-        self.open.insert(attempt, OpenAttempt { worker, size });
-        Ok(())
-    }
-
-    fn end(&mut self, attempt: &AttemptId, end: AttemptEnd) -> Result<(), ShardRefusal> {
-        let open = self.open.remove(attempt).ok_or(ShardRefusal::NotOpen)?;
-        if let Some(account) = self.workers.get_mut(&open.worker) {
-            account.used = account.used.saturating_sub(&open.size);
-        }
-        let run = self
-            .runs
-            .get_mut(&attempt.task.run)
-            .ok_or(ShardRefusal::UnknownRun)?;
-        let attempts_max = run.spec.settings.attempts_max;
-        let is_active = run.status == RunStatus::Active;
-        let task = task_mut(run, &attempt.task)?;
-        let TaskState::Open {
-            failures,
-            checkpoint,
-            ..
-        } = task
-        else {
-            return Err(ShardRefusal::NotOpen);
-        };
-        let waiting = |failures: u32, checkpoint: Option<Box<str>>| TaskState::Waiting {
-            attempts: attempt.number,
-            failures,
-            checkpoint,
-        };
-        let mut cause = None;
-        *task = match end {
-            AttemptEnd::Succeeded => TaskState::Done,
-            _ if !is_active => TaskState::Ended,
-            AttemptEnd::Cancelled => TaskState::Ended,
-            AttemptEnd::Lost => waiting(*failures, checkpoint.take()),
-            AttemptEnd::Evicted { checkpoint: newer } => {
-                waiting(*failures, newer.or_else(|| checkpoint.take()))
-            }
-            AttemptEnd::Failed { cause: said } if *failures + 1 >= attempts_max => {
-                cause = Some(format!("task {}: {said}", attempt.task.index).into());
-                TaskState::Ended
-            }
-            AttemptEnd::Failed { .. } => waiting(*failures + 1, checkpoint.take()),
+        let Some(account) = self.workers.get_mut(&id) else {
+            let account = WorkerAccount::new(incarnation, capacity);
+            self.workers.insert(id, account);
+            return Ok(());
         };
-        let is_done = *task == TaskState::Done;
-        run.done += u32::from(is_done);
-        if cause.is_some() {
-            run.cause = cause;
-            end_run(run, RunStatus::Failed);
-        } else if is_active && run.done as usize == run.tasks.len() {
-            run.status = RunStatus::Complete;
+        if incarnation < account.incarnation {
+            return Err(ShardRefusal::StaleIncarnation);
         }
-        Ok(())
-    }
-
-    fn cancel(&mut self, run: &RunId) -> Result<(), ShardRefusal> {
-        let run = self.runs.get_mut(run).ok_or(ShardRefusal::UnknownRun)?;
-        if run.status != RunStatus::Active {
-            return Err(ShardRefusal::RunEnded);
+        let has_restarted = incarnation > account.incarnation;
+        account.incarnation = incarnation;
+        account.capacity = capacity;
+        if has_restarted {
+            self.lose_attempts(&id);
         }
-        end_run(run, RunStatus::Cancelled);
         Ok(())
     }
 }
-
-/// Ends a run: tasks that wait never start; open ones keep their worker until they end.
-fn end_run(run: &mut Run, status: RunStatus) {
-    run.status = status;
-    for task in &mut run.tasks {
-        if matches!(task, TaskState::Waiting { .. }) {
-            *task = TaskState::Ended;
-        }
-    }
-}
-
-fn task_mut<'a>(run: &'a mut Run, id: &TaskId) -> Result<&'a mut TaskState, ShardRefusal> {
-    run.tasks
-        .get_mut(id.index as usize)
-        .ok_or(ShardRefusal::UnknownRun)
-}
