--- a/crates/front/src/front_service.rs
+++ b/crates/front/src/front_service.rs
@@ -11,7 +11,6 @@
 use dotterelhook_kernel::names;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
-use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
 use dotterelhook_types::ids::TargetId;
@@ -159,12 +158,7 @@
 
     /// Returns the targets that this or any other daemon saw draining.
     fn draining(&self) -> BTreeSet<TargetId> {
-        let members = self.membership.members();
-        let heard = members
-            .into_iter()
-            .filter(|member| member.state != MemberState::Dead);
-        heard
-            .flat_map(|member| member.heartbeat.draining_targets)
-            .collect()
+        let seen = self.membership.draining_targets().into_iter();
+        seen.map(|draining| draining.target).collect()
     }
 }
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -123,7 +123,7 @@
             config_offset: Offset(0),
             log_contact_age_ms: None,
             is_draining: false,
-            known_addresses: Vec::new(),
+            sequence: 0,
             draining_targets: Vec::new(),
         },
         age_ms: 0,
