Let one process take requests and place batch work

Cause: a process with both parts was known to others as a front only, so its scheduler never saw itself among the live ones and never claimed a shard.

Change: a third role that covers the other two; its address for requests of other daemons is the scheduler's. Ruled out: two members for one process, which would send two heartbeats and disagree about draining.

--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -21,7 +21,7 @@
     let mut missing = Vec::new();
     for member in members
         .iter()
-        .filter(|m| m.heartbeat.member.role == Role::Scheduler)
+        .filter(|m| m.heartbeat.member.role.covers(Role::Scheduler))
     {
         let client = JsonClient::new(member.heartbeat.admin_address, timeout);
         let answer = client.get("/runs").await.and_then(|answer| answer.check());
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -84,7 +84,8 @@
             .map(|part| check_scheduler(&raw, part, incarnation))
             .transpose()?;
         let (role, api_address) = match (&front, &scheduler) {
-            (Some(front), _) => (Role::Front, front.listen_address),
+            (Some(front), None) => (Role::Front, front.listen_address),
+            (Some(_), Some(scheduler)) => (Role::Combined, scheduler.listen_address),
             (None, Some(scheduler)) => (Role::Scheduler, scheduler.listen_address),
             (None, None) => {
                 return Err(FieldFault::new(
--- a/crates/daemon/tests/bad_input.rs
+++ b/crates/daemon/tests/processes/bad_input.rs
@@ -1,14 +1,12 @@
 //! Bad input at the daemon's listeners gets a clear error and harms no other caller.
 
-mod common;
-
 use std::net::SocketAddr;
 
-use common::Daemon;
-use common::Platform;
-use common::exchange;
-use common::own_ip;
-use common::wait_until;
+use crate::fixture::Daemon;
+use crate::fixture::Platform;
+use crate::fixture::exchange;
+use crate::fixture::own_ip;
+use crate::fixture::wait_until;
 
 const FRONT_PORT: u16 = 7100;
 const SCHEDULER_PORT: u16 = 7110;
--- /dev/null
+++ b/crates/daemon/tests/processes/both_parts.rs
@@ -0,0 +1,28 @@
+//! One process may take requests and place batch work.
+
+use std::net::SocketAddr;
+
+use crate::fixture::Daemon;
+use crate::fixture::Platform;
+use crate::fixture::exchange;
+use crate::fixture::own_ip;
+use crate::fixture::wait_until;
+
+const FIRST_PORT: u16 = 7100;
+
+fn post(address: SocketAddr, path: &str) -> String {
+    let request = format!(
+        "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+    );
+    exchange(address, request.as_bytes())
+}
+
+#[test]
+fn a_process_with_both_parts_serves_both() {
+    let platform = Platform::start(own_ip(4));
+    let daemon = Daemon::start_both(&platform, FIRST_PORT);
+    let submitters = SocketAddr::from((platform.ip, FIRST_PORT + 3));
+
+    wait_until(|| post(daemon.api, "/echo/a").contains("x-dotterelhook-verdict: ran"));
+    wait_until(|| post(submitters, "/runs/desk/nightly/r-1").starts_with("HTTP/1.1 200"));
+}
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/processes/fixture.rs
@@ -137,8 +137,24 @@
 }
 
 impl Daemon {
+    /// Starts a daemon with both parts and waits until it is ready.
+    pub(crate) fn start_both(platform: &Platform, first_port: u16) -> Self {
+        let address = SocketAddr::from((platform.ip, first_port + 3));
+        let scheduler = json!({ "listen_address": address });
+        Self::start_with(platform, "front", first_port, Some(scheduler))
+    }
+
     /// Starts a daemon with the given part, `front` or `scheduler`, and waits until it is ready.
     pub(crate) fn start(platform: &Platform, part: &str, first_port: u16) -> Self {
+        Self::start_with(platform, part, first_port, None)
+    }
+
+    fn start_with(
+        platform: &Platform,
+        part: &str,
+        first_port: u16,
+        scheduler: Option<Value>,
+    ) -> Self {
         let address = |port: u16| SocketAddr::from((platform.ip, port));
         let (admin, api) = (address(first_port), address(first_port + 2));
         let mut settings = json!({
@@ -157,6 +173,9 @@
         if part == "front" {
             settings[part]["body_timeout_ms"] = BODY_TIMEOUT_MS.into();
         }
+        if let Some(scheduler) = scheduler {
+            settings["scheduler"] = scheduler;
+        }
         let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         file.push(format!("{}-{first_port}.jsonc", platform.ip));
         fs::write(&file, settings.to_string()).unwrap();
--- a/crates/peer/src/membership/heartbeat.rs
+++ b/crates/peer/src/membership/heartbeat.rs
@@ -32,6 +32,15 @@
     Front,
     /// Places batch work.
     Scheduler,
+    /// Does both in one process.
+    Combined,
+}
+
+impl Role {
+    /// Returns whether a daemon of this role does the work of another one.
+    pub fn covers(self, other: Self) -> bool {
+        self == other || self == Self::Combined
+    }
 }
 
 /// One daemon: a role on a host.
--- a/crates/peer/src/membership/membership_view.rs
+++ b/crates/peer/src/membership/membership_view.rs
@@ -32,7 +32,7 @@
         };
         let is_live = |member: &Member| {
             matches!(member.state, MemberState::Alive | MemberState::Suspect)
-                && member.heartbeat.member.role == role
+                && member.heartbeat.member.role.covers(role)
                 && member.heartbeat.failure_domain == own_domain
         };
         members.into_iter().filter(is_live).collect()
