Say exactly what became of a publication, and remove paths only by name

Cause: a publication of 1,200 documents ended as unknown (exit 3) although all were accepted, because only the newest 1,000 outcomes were looked at; a failed question to a daemon after acceptance was reported as a failed call; a slow first read was not counted in the time limit; and no path could be removed.

Ruled out: appending again after a lost answer, and splitting large publications, which would give up all or none. Conclusion: each exit code has a test against a log that works, loses an answer, freezes or is taken first.

--- a/crates/cli/src/cli/arguments.rs
+++ b/crates/cli/src/cli/arguments.rs
@@ -6,6 +6,7 @@
 use dotterelhook_platform::log::HttpLog;
 use dotterelhook_types::CallError;
 use dotterelhook_types::Verdict;
+use dotterelhook_types::ids::ConfigPath;
 
 const DEFAULT_TIMEOUT_MS: u64 = 5_000;
 
@@ -96,6 +97,18 @@
         Ok(JsonClient::new(address, self.timeout))
     }
 
+    /// Returns the address of the host list that `--hosts` names, if given.
+    pub(crate) fn hosts(&mut self) -> Result<Option<SocketAddr>, Failure> {
+        let address = self.inner.opt_value_from_str("--hosts");
+        address.map_err(Failure::usage)
+    }
+
+    /// Returns the paths that `--remove` names, each with its own option.
+    pub(crate) fn removed_paths(&mut self) -> Result<Vec<ConfigPath>, Failure> {
+        let paths = self.inner.values_from_str("--remove");
+        paths.map_err(Failure::usage)
+    }
+
     /// Returns the next argument without a name, if there is one.
     pub(crate) fn positional(&mut self) -> Result<Option<String>, Failure> {
         self.inner.opt_free_from_str().map_err(Failure::usage)
--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -24,10 +24,11 @@
 
 const CHECK: &str = "\
 USAGE:
-    dotterelhook check DIRECTORY
+    dotterelhook check DIRECTORY [--hosts ADDRESS]
 
 The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
 TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
+With --hosts, the platform's host list, sizes that fit no worker are faults too.
 
 EXAMPLE:
     dotterelhook check examples/config/habagat
@@ -35,10 +36,12 @@
 
 const PUBLISH: &str = "\
 USAGE:
-    dotterelhook publish DIRECTORY --log ADDRESS [--dry-run] [--timeout-ms N]
-        [--wait --daemon ADDRESS]
+    dotterelhook publish [DIRECTORY] --log ADDRESS [--remove PATH]...
+        [--hosts ADDRESS] [--dry-run] [--timeout-ms N] [--wait --daemon ADDRESS]
 
 Prints the plan first, then publishes only what differs from what is in force.
+A path that the directory lacks stays in force; only --remove removes it.
+With --hosts, the platform's host list, sizes that fit no worker are refused.
 With --wait it returns when every live daemon has the change in force.
 
 EXAMPLE:
--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -31,7 +31,7 @@
         return Ok(());
     }
     match name {
-        Some("check") => command::check(arguments),
+        Some("check") => command::check(arguments).await,
         Some("publish") => command::publish(arguments).await,
         Some("jobs") => command::jobs(arguments).await,
         Some("status") => command::status(arguments).await,
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -1,16 +1,29 @@
 use std::path::Path;
 
+use dotterelhook_state::config::ConfigState;
+
 use super::config_tree::ConfigTree;
+use super::plan::Plan;
+use super::worker_fit::WorkerFit;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
 
-/// Checks a directory of settings without a network.
-pub(crate) fn check(arguments: pico_args::Arguments) -> Result<(), Failure> {
+/// Checks a directory of settings; only a host list makes it use the network.
+pub(crate) async fn check(arguments: pico_args::Arguments) -> Result<(), Failure> {
     let mut arguments = CommonArguments::parse(arguments)?;
     let is_json = arguments.is_json;
+    let timeout = arguments.timeout;
+    let hosts = arguments.hosts()?;
     let directory = required_directory(&mut arguments)?;
     arguments.finish()?;
-    let tree = ConfigTree::read(Path::new(&directory));
+    let mut tree = ConfigTree::read(Path::new(&directory));
+    let plan = Plan::new(&ConfigState::default(), tree.documents.clone(), &[]);
+    for refusal in plan.refusals(&ConfigState::default()) {
+        tree.add_refusal(&refusal);
+    }
+    if let Some(hosts) = hosts {
+        WorkerFit::read(hosts, timeout).await?.check(&mut tree);
+    }
     if is_json {
         println!(
             "{}",
--- a/crates/cli/src/command/config_tree.rs
+++ b/crates/cli/src/command/config_tree.rs
@@ -4,8 +4,10 @@
 use std::path::PathBuf;
 
 use dotterelhook_state::config::ConfigDocument;
+use dotterelhook_state::config::Outcome;
 use dotterelhook_types::document::Document;
 use dotterelhook_types::document::Fault;
+use dotterelhook_types::document::FieldFault;
 use dotterelhook_types::ids::ConfigPath;
 use serde_json::Value;
 
@@ -18,6 +20,7 @@
     pub(super) documents: BTreeMap<ConfigPath, Value>,
     /// All faults of all files.
     pub(super) faults: Vec<Fault>,
+    sources: BTreeMap<ConfigPath, Document>,
 }
 
 impl ConfigTree {
@@ -32,14 +35,30 @@
         files.sort();
         for file in files {
             match read_document(directory, &file) {
-                Ok((path, value)) => {
-                    tree.documents.insert(path, value);
+                Ok((path, source)) => {
+                    tree.documents.insert(path.clone(), source.value().clone());
+                    tree.sources.insert(path, source);
                 }
                 Err(fault) => tree.faults.push(fault),
             }
         }
         tree
     }
+
+    /// Adds a fault of one field of a document.
+    pub(super) fn add_fault(&mut self, path: &ConfigPath, fault: &FieldFault) {
+        if let Some(source) = self.sources.get(path) {
+            self.faults.push(source.locate(fault));
+        }
+    }
+
+    /// Adds what the fold would refuse.
+    pub(super) fn add_refusal(&mut self, outcome: &Outcome) {
+        if let (Some(path), Some(refusal)) = (&outcome.path, &outcome.refusal) {
+            let fault = FieldFault::new(refusal.field(), refusal.rule());
+            self.add_fault(path, &fault);
+        }
+    }
 }
 
 fn list_files(directory: &Path, files: &mut Vec<PathBuf>) -> std::io::Result<()> {
@@ -57,7 +76,7 @@
     Ok(())
 }
 
-fn read_document(directory: &Path, file: &Path) -> Result<(ConfigPath, Value), Fault> {
+fn read_document(directory: &Path, file: &Path) -> Result<(ConfigPath, Document), Fault> {
     let relative = file
         .strip_prefix(directory)
         .unwrap_or(file)
@@ -70,7 +89,7 @@
         .map_err(|error| file_fault(file, &format!("can't read: {error}")))?;
     let document = Document::parse(&file.display().to_string(), &text)?;
     ConfigDocument::check(&path, document.value()).map_err(|fault| document.locate(&fault))?;
-    Ok((path, document.value().clone()))
+    Ok((path, document))
 }
 
 fn file_fault(file: &Path, rule: &str) -> Fault {
--- a/crates/cli/src/command/get.rs
+++ b/crates/cli/src/command/get.rs
@@ -2,7 +2,7 @@
 
 use dotterelhook_types::ids::ConfigPath;
 
-use super::read_config::read_config;
+use super::read_config::read_config_within;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
 
@@ -15,8 +15,9 @@
         .map(|p| p.parse())
         .transpose()
         .map_err(Failure::usage)?;
+    let timeout = arguments.timeout;
     arguments.finish()?;
-    let state = read_config(&log).await?;
+    let state = read_config_within(&log, timeout).await?;
     let wanted = |candidate: &ConfigPath| path.as_ref().is_none_or(|path| path == candidate);
     let documents: BTreeMap<_, _> = state
         .versions()
--- a/crates/cli/src/command/history.rs
+++ b/crates/cli/src/command/history.rs
@@ -1,38 +1,78 @@
+use dotterelhook_state::config::Outcome;
 use serde_json::json;
 
-use super::read_config::read_config;
+use super::read_config::read_config_within;
 use super::table::new_table;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
 
+const COLUMNS: [&str; 6] = ["OFFSET", "PATH", "OUTCOME", "FIELD", "VALUE", "RULE"];
+const TABLE_VALUE_MAX_CHARS: usize = 24;
+
 /// Prints what became of the newest publications.
 pub(crate) async fn history(arguments: pico_args::Arguments) -> Result<(), Failure> {
     let mut arguments = CommonArguments::parse(arguments)?;
     let log = arguments.log()?;
     let is_json = arguments.is_json;
+    let timeout = arguments.timeout;
     arguments.finish()?;
-    let state = read_config(&log).await?;
-    let mut table = new_table(&["OFFSET", "PATH", "OUTCOME"]);
-    let mut lines = Vec::new();
-    for outcome in state.outcomes() {
-        let path = outcome
-            .path
-            .as_ref()
-            .map_or_else(|| "-".to_owned(), ToString::to_string);
-        let said = match &outcome.refusal {
-            None => "accepted".to_owned(),
-            Some(refusal) => format!("refused: {refusal}"),
-        };
-        table.add_row([outcome.offset.to_string(), path.clone(), said.clone()]);
-        lines.push(json!({ "offset": outcome.offset, "path": path, "outcome": said }));
-    }
+    let state = read_config_within(&log, timeout).await?;
     if is_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&lines).map_err(Failure::usage)?
-        );
-    } else {
-        println!("{table}");
+        let lines: Vec<_> = state
+            .outcomes()
+            .iter()
+            .map(|outcome| to_json(outcome))
+            .collect();
+        let text = serde_json::to_string_pretty(&lines).map_err(Failure::usage)?;
+        println!("{text}");
+        return Ok(());
+    }
+    let mut table = new_table(&COLUMNS);
+    for outcome in state.outcomes() {
+        table.add_row(to_row(outcome));
     }
+    println!("{table}");
     Ok(())
 }
+
+fn path(outcome: &Outcome) -> &str {
+    outcome.path.as_ref().map_or("-", |path| path.as_str())
+}
+
+fn result(outcome: &Outcome) -> &'static str {
+    match outcome.refusal {
+        None => "accepted",
+        Some(_) => "refused",
+    }
+}
+
+fn to_json(outcome: &Outcome) -> serde_json::Value {
+    let refusal = outcome.refusal.as_ref();
+    json!({
+        "offset": outcome.offset,
+        "path": path(outcome),
+        "outcome": result(outcome),
+        "field": refusal.map(|refusal| refusal.field()),
+        "value": refusal.map(|_| &outcome.value),
+        "rule": refusal.map(|refusal| refusal.rule()),
+    })
+}
+
+fn to_row(outcome: &Outcome) -> [String; 6] {
+    let refusal = outcome.refusal.as_ref();
+    [
+        outcome.offset.to_string(),
+        path(outcome).to_owned(),
+        result(outcome).to_owned(),
+        refusal.map_or("", |refusal| refusal.field()).to_owned(),
+        shorten(&outcome.value),
+        refusal.map_or_else(String::new, |refusal| refusal.rule().into_string()),
+    ]
+}
+
+fn shorten(value: &str) -> String {
+    match value.char_indices().nth(TABLE_VALUE_MAX_CHARS) {
+        None => value.to_owned(),
+        Some((end, _)) => format!("{}…", &value[..end]),
+    }
+}
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,10 +5,13 @@
 mod get;
 mod history;
 mod jobs;
+mod plan;
 mod publish;
+mod publisher;
 mod read_config;
 mod status;
 mod table;
+mod worker_fit;
 
 pub(crate) use check::check;
 pub(crate) use get::get;
--- /dev/null
+++ b/crates/cli/src/command/publisher.rs
@@ -0,0 +1,119 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_platform::log::Log;
+use dotterelhook_state::config::CONFIG_STREAM;
+use dotterelhook_state::config::ConfigState;
+use dotterelhook_state::config::Outcome;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::Sequence;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use super::plan::Plan;
+use super::read_config::Progress;
+use super::read_config::read_page;
+use crate::cli::Failure;
+
+const POLL_PAUSE: Duration = Duration::from_millis(100);
+
+/// Appends a plan once and reads what became of it.
+pub(super) struct Publisher<'a> {
+    log: &'a dyn Log,
+    state: ConfigState,
+    writer: Box<str>,
+    deadline: Instant,
+    outcomes: BTreeMap<Sequence, Arc<Outcome>>,
+}
+
+impl<'a> Publisher<'a> {
+    /// Creates a publisher that goes on from the configuration that the plan was made on.
+    pub(super) fn new(log: &'a dyn Log, state: ConfigState, deadline: Instant) -> Self {
+        Self {
+            log,
+            state,
+            writer: format!("cli-{:016x}", rand::random::<u64>()).into(),
+            deadline,
+            outcomes: BTreeMap::new(),
+        }
+    }
+
+    /// Publishes a plan and returns the offset after its last record.
+    ///
+    /// # Errors
+    /// The verdict says whether the change may still take effect; an answer that was lost is
+    /// made up for by reading, and the plan is never appended twice.
+    pub(super) async fn publish(mut self, plan: &Plan) -> Result<Offset, Failure> {
+        let payloads = plan.payloads(&self.writer);
+        let append = self.log.append(CONFIG_STREAM, &payloads);
+        let appended = timeout_at(self.deadline, append).await;
+        if let Ok(Err(error)) = appended
+            && error.verdict == Verdict::NotRun
+        {
+            return Err(error.into());
+        }
+        while self.outcomes.len() < plan.len() {
+            if timeout_at(self.deadline, self.read_on()).await.is_err() {
+                let cause = "the log did not say what became of the change; \
+                             it may still take effect, see history";
+                return Err(CallError::may_have_run(cause).into());
+            }
+        }
+        self.report()
+    }
+
+    async fn read_on(&mut self) {
+        let progress = read_page(self.log, &mut self.state).await;
+        self.collect();
+        if progress != Ok(Progress::More) {
+            tokio::time::sleep(POLL_PAUSE).await;
+        }
+    }
+
+    /// Keeps the first outcome of each of the own records.
+    fn collect(&mut self) {
+        for outcome in self.state.outcomes() {
+            if let Some((writer, sequence)) = &outcome.writer
+                && *writer == self.writer
+            {
+                let kept = self.outcomes.entry(*sequence);
+                kept.or_insert_with(|| Arc::clone(outcome));
+            }
+        }
+    }
+
+    fn report(self) -> Result<Offset, Failure> {
+        let mut refused = Vec::new();
+        for outcome in self.outcomes.values() {
+            match (&outcome.path, &outcome.refusal) {
+                (Some(path), None) => println!("accepted {path} as version {}", outcome.offset),
+                _ => refused.push(describe(outcome)),
+            }
+        }
+        if !refused.is_empty() {
+            return Err(Failure::Refused(format!("refused: {}", refused.join("; "))));
+        }
+        let last = self.outcomes.values().map(|outcome| outcome.offset).max();
+        Ok(last.map(Offset::next).unwrap_or_default())
+    }
+}
+
+/// Says path, field, value and rule of a refused publication.
+pub(super) fn describe(outcome: &Outcome) -> String {
+    let path = outcome.path.as_ref().map_or("-", |path| path.as_str());
+    let Some(refusal) = &outcome.refusal else {
+        return path.to_owned();
+    };
+    let mut text = path.to_owned();
+    if !refusal.field().is_empty() {
+        text.push_str(&format!(": field {}", refusal.field()));
+    }
+    if !outcome.value.is_empty() {
+        text.push_str(&format!(": value {}", outcome.value));
+    }
+    text.push_str(&format!(": {}", refusal.rule()));
+    text
+}
--- a/crates/cli/src/command/read_config.rs
+++ b/crates/cli/src/command/read_config.rs
@@ -9,8 +9,26 @@
 
 const PAGE_RECORDS: usize = 500;
 
+/// Reads the configuration in force from the log within a time limit.
+///
+/// # Errors
+/// The log did not answer in time; a read changes nothing, so the verdict is always `NotRun`.
+pub(super) async fn read_config_within(
+    log: &dyn Log,
+    timeout: Duration,
+) -> Result<ConfigState, CallError> {
+    match tokio::time::timeout(timeout, read_config(log)).await {
+        Ok(result) => result.map_err(|error| CallError::not_run(error.cause)),
+        Err(_) => {
+            let limit_ms = timeout.as_millis();
+            let cause = format!("the log did not answer within {limit_ms} ms");
+            Err(CallError::not_run(cause))
+        }
+    }
+}
+
 /// Reads the configuration in force from the log, up to its present end.
-pub(super) async fn read_config(log: &dyn Log) -> Result<ConfigState, CallError> {
+async fn read_config(log: &dyn Log) -> Result<ConfigState, CallError> {
     let mut state = ConfigState::default();
     while read_page(log, &mut state).await? == Progress::More {}
     Ok(state)
--- /dev/null
+++ b/crates/cli/tests/publish.rs
@@ -0,0 +1,413 @@
+//! `publish`, `check --hosts` and `history` against a stand-in of the platform.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_platform::log::HttpLog;
+use dotterelhook_platform::log::Log;
+use dotterelhook_standins::hosts::HostServer;
+use dotterelhook_standins::hosts::register;
+use dotterelhook_standins::log::LogServer;
+use dotterelhook_standins::server::Answer;
+use dotterelhook_standins::server::Fault;
+use dotterelhook_standins::server::FaultBody;
+use dotterelhook_standins::server::FaultSwitch;
+use dotterelhook_standins::server::Handler;
+use dotterelhook_standins::server::bind;
+use dotterelhook_standins::server::serve;
+use dotterelhook_standins::worker::WorkerModel;
+use dotterelhook_standins::worker::WorkerServer;
+use dotterelhook_state::config::CONFIG_STREAM;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use dotterelhook_types::sizes::Resources;
+use hyper::Method;
+use tokio::process::Command;
+
+const JOB: &str = r#"{ "tasks": 1, "size": { "cpu_milli": 4000, "memory_mb": 1000 },
+    "run_time_ms": 1000, "deadline_ms": 60000 }"#;
+const QUOTA: &str = r#"{ "batch": { "cpu_milli": 8000, "memory_mb": 8000 } }"#;
+const SMALL_QUOTA: &str = r#"{ "batch": { "cpu_milli": 1000, "memory_mb": 8000 } }"#;
+const RECORDS_MAX: usize = 10_000;
+
+/// What the log does at an operator's append.
+#[derive(Clone, Debug, PartialEq)]
+enum Script {
+    /// It works.
+    Work,
+    /// It appends, and the answer is lost.
+    LoseAnswer,
+    /// It stops answering before it appends.
+    FreezeFirst,
+    /// It appends and then stops answering.
+    FreezeAfter,
+    /// It appends something else first.
+    Compete(Box<str>),
+}
+
+struct ScriptedLog {
+    inner: LogServer,
+    faults: FaultSwitch,
+    script: Mutex<Script>,
+}
+
+impl ScriptedLog {
+    fn set_fault(&self, fault: Fault) {
+        self.faults.set(FaultBody { fault, delay_ms: 0 });
+    }
+
+    fn script(&self) -> Script {
+        self.script.lock().unwrap().clone()
+    }
+
+    /// The switch is read before a request is handled, so it is set one request ahead.
+    fn prepare(&self) {
+        match self.script() {
+            Script::LoseAnswer => self.set_fault(Fault::LoseAnswers),
+            Script::FreezeFirst => self.set_fault(Fault::Frozen),
+            _ => {}
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for ScriptedLog {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn handle(&self, method: &Method, path: &str, query: &str, body: Bytes) -> Answer {
+        if *method == Method::GET {
+            let answer = self.inner.handle(method, path, query, body).await;
+            self.prepare();
+            return answer;
+        }
+        let script = std::mem::replace(&mut *self.script.lock().unwrap(), Script::Work);
+        if let Script::Compete(payload) = &script {
+            let text = format!("{{\"payloads\":[{}]}}", serde_json::json!(payload));
+            self.inner.handle(method, path, query, text.into()).await;
+        }
+        let answer = self.inner.handle(method, path, query, body).await;
+        match script {
+            Script::LoseAnswer => self.set_fault(Fault::None),
+            Script::FreezeAfter => {
+                self.set_fault(Fault::Frozen);
+                std::future::pending::<()>().await;
+            }
+            _ => {}
+        }
+        answer
+    }
+}
+
+async fn start(handler: Arc<dyn Handler>) -> SocketAddr {
+    let listener = bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, handler));
+    address
+}
+
+async fn start_log(script: Script) -> SocketAddr {
+    let log = ScriptedLog {
+        inner: LogServer::new(RECORDS_MAX),
+        faults: FaultSwitch::default(),
+        script: Mutex::new(script),
+    };
+    start(Arc::new(log)).await
+}
+
+/// Starts a host list with one worker of 2 cores.
+async fn start_hosts() -> SocketAddr {
+    let worker: dotterelhook_types::ids::WorkerId = "w0".parse().unwrap();
+    let model = WorkerModel::new(worker.clone(), Incarnation(1), Resources::new(2_000, 8_000));
+    let address = start(Arc::new(WorkerServer::new(model))).await;
+    let hosts = start(Arc::new(HostServer::new(Duration::ZERO))).await;
+    let entry = WorkerEntry {
+        worker,
+        address,
+        failure_domain: "laguna".parse().unwrap(),
+        rack: "r0".parse().unwrap(),
+        state: HostState::Live,
+    };
+    let entries = HostSnapshot {
+        targets: Vec::new(),
+        workers: vec![entry],
+    };
+    register(hosts, &entries).await.unwrap();
+    hosts
+}
+
+fn write_tree(name: &str, files: &[(&str, &str)]) -> PathBuf {
+    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("publish-{name}"));
+    let _ = fs::remove_dir_all(&root);
+    fs::create_dir_all(&root).unwrap();
+    for (file, content) in files {
+        let path = root.join(file);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, content).unwrap();
+    }
+    root
+}
+
+async fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhook"));
+    command.args(arguments).output().await.unwrap()
+}
+
+async fn publish(directory: &Path, log: SocketAddr, more: &[&str]) -> (Option<i32>, String) {
+    let log = log.to_string();
+    let mut arguments = vec!["publish", directory.to_str().unwrap(), "--log", &log];
+    arguments.extend(more);
+    said(&run(&arguments).await)
+}
+
+fn said(output: &Output) -> (Option<i32>, String) {
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    (output.status.code(), text)
+}
+
+async fn records(log: SocketAddr) -> u64 {
+    let log = HttpLog::new(log, Duration::from_secs(5));
+    let page = log.read(CONFIG_STREAM, Offset(0), 1, Duration::ZERO).await;
+    page.unwrap().end_offset.0
+}
+
+async fn in_force(log: SocketAddr) -> Vec<String> {
+    let output = run(&["get", "--log", &log.to_string()]).await;
+    let documents: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    documents.as_object().unwrap().keys().cloned().collect()
+}
+
+async fn history(log: SocketAddr) -> serde_json::Value {
+    let output = run(&["history", "--json", "--log", &log.to_string()]).await;
+    serde_json::from_slice(&output.stdout).unwrap()
+}
+
+#[tokio::test]
+async fn an_append_ends_with_the_exit_code_that_says_what_is_known() {
+    let rival = publication("rival", "desk", None);
+    let long = "60000";
+    let table = [
+        (
+            "works",
+            Script::Work,
+            long,
+            0,
+            "accepted desk/jobs/a as version 0",
+        ),
+        (
+            "answer lost",
+            Script::LoseAnswer,
+            long,
+            0,
+            "accepted desk/jobs/a as version 0",
+        ),
+        (
+            "frozen before",
+            Script::FreezeFirst,
+            "700",
+            3,
+            "it may still take effect",
+        ),
+        (
+            "frozen after",
+            Script::FreezeAfter,
+            "700",
+            3,
+            "it may still take effect",
+        ),
+        (
+            "another was first",
+            Script::Compete(rival),
+            long,
+            4,
+            "version 0 is in force",
+        ),
+    ];
+    for (name, script, timeout_ms, code, wanted) in &table {
+        let log = start_log(script.clone()).await;
+        let tree = write_tree(&name.replace(' ', "-"), &[("desk/jobs/a.jsonc", JOB)]);
+
+        let (exit, text) = publish(&tree, log, &["--timeout-ms", timeout_ms]).await;
+
+        assert_eq!(exit, Some(*code), "{name}: {text}");
+        assert!(text.contains(wanted), "{name}: {text}");
+    }
+}
+
+fn publication(writer: &str, team: &str, base_offset: Option<u64>) -> Box<str> {
+    let body: serde_json::Value = serde_json::from_str(JOB).unwrap();
+    serde_json::json!({
+        "writer": writer, "sequence": 1, "team": team, "path": "desk/jobs/a",
+        "base_offset": base_offset, "body": body,
+    })
+    .to_string()
+    .into()
+}
+
+#[tokio::test]
+async fn an_append_whose_answer_was_lost_stands_in_the_log_once() {
+    let log = start_log(Script::LoseAnswer).await;
+    let tree = write_tree("lost-once", &[("desk/jobs/a.jsonc", JOB)]);
+
+    let (exit, text) = publish(&tree, log, &[]).await;
+
+    assert_eq!(exit, Some(0), "{text}");
+    assert_eq!(records(log).await, 1);
+}
+
+#[tokio::test]
+async fn a_log_that_can_not_be_read_ends_it_with_nothing_changed() {
+    let tree = write_tree("down", &[("desk/jobs/a.jsonc", JOB)]);
+    for fault in [Fault::Down, Fault::Frozen, Fault::FailFast] {
+        let log = Arc::new(LogServer::new(RECORDS_MAX));
+        log.faults().set(FaultBody { fault, delay_ms: 0 });
+        let address = start(log).await;
+
+        let (exit, text) = publish(&tree, address, &["--timeout-ms", "500"]).await;
+
+        assert_eq!(exit, Some(1), "{fault}: {text}");
+        assert!(text.contains("not-run"), "{fault}: {text}");
+    }
+}
+
+#[tokio::test]
+async fn a_path_is_removed_only_if_it_is_named() {
+    let log = start_log(Script::Work).await;
+    let both = [("desk/jobs/a.jsonc", JOB), ("desk/jobs/b.jsonc", JOB)];
+    publish(&write_tree("both", &both), log, &[]).await;
+    let one = write_tree("one", &both[..1]);
+
+    let (kept_exit, _) = publish(&one, log, &[]).await;
+    let kept = in_force(log).await;
+    let (clash_exit, _) = publish(&one, log, &["--remove", "desk/jobs/a"]).await;
+    let (removed_exit, _) = publish(&one, log, &["--remove", "desk/jobs/b"]).await;
+    let removed = in_force(log).await;
+    let (nothing_exit, said) = publish(&one, log, &["--remove", "desk/jobs/b"]).await;
+    let (again_exit, _) = publish(&write_tree("again", &both), log, &[]).await;
+
+    assert_eq!((kept_exit, kept.len()), (Some(0), 2));
+    assert_eq!(clash_exit, Some(2));
+    assert_eq!(
+        (removed_exit, removed),
+        (Some(0), vec!["desk/jobs/a".to_owned()])
+    );
+    assert_eq!(nothing_exit, Some(4), "{said}");
+    assert!(
+        said.contains("only a path in force can be removed"),
+        "{said}"
+    );
+    assert_eq!((again_exit, in_force(log).await.len()), (Some(0), 2));
+}
+
+#[tokio::test]
+async fn more_documents_than_outcomes_are_kept_are_published_at_once() {
+    let log = start_log(Script::Work).await;
+    let names: Vec<String> = (0..1_200)
+        .map(|n| format!("desk/jobs/a{n}.jsonc"))
+        .collect();
+    let files: Vec<_> = names.iter().map(|name| (name.as_str(), JOB)).collect();
+
+    let (exit, text) = publish(&write_tree("many", &files), log, &["--timeout-ms", "60000"]).await;
+
+    assert_eq!(exit, Some(0), "{:.300}", text);
+    assert_eq!(in_force(log).await.len(), 1_200);
+}
+
+#[tokio::test]
+async fn quotas_and_jobs_that_change_together_go_in_an_order_that_passes() {
+    let log = start_log(Script::Work).await;
+    let small_job = JOB.replace("4000", "500");
+    let large = [("desk/jobs/a.jsonc", JOB), ("desk/quota.jsonc", QUOTA)];
+    let small = [
+        ("desk/jobs/a.jsonc", small_job.as_str()),
+        ("desk/quota.jsonc", SMALL_QUOTA),
+    ];
+
+    let (first, text) = publish(&write_tree("large", &large), log, &[]).await;
+    let (shrunk, _) = publish(&write_tree("small", &small), log, &[]).await;
+    let (grown, _) = publish(&write_tree("large", &large), log, &[]).await;
+
+    assert_eq!([first, shrunk, grown], [Some(0); 3], "{text}");
+}
+
+#[tokio::test]
+async fn a_job_above_the_quota_is_refused_before_anything_is_published() {
+    let log = start_log(Script::Work).await;
+    let files = [
+        ("desk/jobs/a.jsonc", JOB),
+        ("desk/quota.jsonc", SMALL_QUOTA),
+    ];
+    let tree = write_tree("above", &files);
+
+    let (exit, text) = publish(&tree, log, &[]).await;
+    let (check_exit, checked) = said(&run(&["check", tree.to_str().unwrap()]).await);
+
+    assert_eq!(exit, Some(4), "{text}");
+    assert!(
+        text.contains("field size: value {\"cpu_milli\":4000"),
+        "{text}"
+    );
+    assert_eq!(records(log).await, 0);
+    assert_eq!(check_exit, Some(2));
+    assert!(checked.contains("a.jsonc:1:"), "{checked}");
+}
+
+#[tokio::test]
+async fn history_shows_path_field_value_and_rule_of_a_refusal() {
+    let log = start_log(Script::Work).await;
+    let bad = publication("stranger", "rival", None);
+    let client = HttpLog::new(log, Duration::from_secs(5));
+    client
+        .append(CONFIG_STREAM, &[bad, "{".into()])
+        .await
+        .unwrap();
+
+    let lines = history(log).await;
+
+    assert_eq!(lines[0]["path"], "desk/jobs/a");
+    assert_eq!(lines[0]["outcome"], "refused");
+    assert_eq!(lines[0]["field"], "team");
+    assert_eq!(lines[0]["value"], "rival");
+    assert_eq!(lines[0]["rule"], "the path belongs to team desk");
+    assert_eq!(lines[1]["path"], "-");
+}
+
+#[tokio::test]
+async fn a_size_that_fits_no_worker_is_refused_with_the_host_list() {
+    let hosts = start_hosts().await.to_string();
+    let log = start_log(Script::Work).await;
+    let tree = write_tree("misfit", &[("desk/jobs/a.jsonc", JOB)]);
+
+    let (exit, text) = publish(&tree, log, &["--hosts", &hosts]).await;
+    let (check_exit, checked) =
+        said(&run(&["check", tree.to_str().unwrap(), "--hosts", &hosts]).await);
+
+    assert_eq!(exit, Some(2), "{text}");
+    assert!(text.contains("fits none of the 1 workers"), "{text}");
+    assert_eq!(records(log).await, 0);
+    assert_eq!(check_exit, Some(2), "{checked}");
+}
+
+#[tokio::test]
+async fn an_accepted_change_is_not_reported_as_failed_when_no_daemon_answers() {
+    let log = start_log(Script::Work).await;
+    let tree = write_tree("no-daemon", &[("desk/jobs/a.jsonc", JOB)]);
+
+    let (exit, text) = publish(&tree, log, &["--wait", "--daemon", "127.0.0.1:1"]).await;
+
+    assert_eq!(exit, Some(4), "{text}");
+    assert!(text.contains("accepted, but"), "{text}");
+}
--- a/crates/state/src/config/config_state.rs
+++ b/crates/state/src/config/config_state.rs
@@ -84,8 +84,8 @@
     }
 
     /// Returns what became of the newest publications, oldest first.
-    pub fn outcomes(&self) -> impl DoubleEndedIterator<Item = &Outcome> {
-        self.outcomes.iter().map(|outcome| &**outcome)
+    pub fn outcomes(&self) -> &VecDeque<Arc<Outcome>> {
+        &self.outcomes
     }
 
     /// Returns the base for a change of a path: its version, or else the newest record read.
--- a/crates/state/tests/config_refusals.rs
+++ b/crates/state/tests/config_refusals.rs
@@ -100,7 +100,7 @@
 
         let refusal = push(&mut state, &case.change.payload()).expect_err(case.name);
 
-        let outcome = state.outcomes().next_back().expect(case.name);
+        let outcome = state.outcomes().back().expect(case.name);
         assert_eq!(refusal.field(), case.field, "{}", case.name);
         assert_eq!(&*outcome.value, case.value, "{}", case.name);
         assert!(
