--- a/crates/platform/src/log/http_log.rs
+++ b/crates/platform/src/log/http_log.rs
@@ -61,6 +61,9 @@
         let path = format!(
             "/streams/{stream}/records?from={from}&max_records={max_records}&hold_ms={hold_ms}"
         );
-        self.client.get_held(&path, hold).await?.check()?.decode()
+        let answer = self.client.get_held(&path, hold).await?.check()?;
+        let page: LogPage = answer.decode()?;
+        page.check(from).map_err(CallError::may_have_run)?;
+        Ok(page)
     }
 }
--- a/crates/platform/src/log/mod.rs
+++ b/crates/platform/src/log/mod.rs
@@ -34,6 +34,27 @@
     pub first_offset: Offset,
 }
 
+impl LogPage {
+    /// Checks that the records follow each other within the page's bounds.
+    ///
+    /// # Errors
+    /// Returns a sentence that says which offset is out of order.
+    pub fn check(&self, from: Offset) -> Result<(), Box<str>> {
+        let first = self.records.first().map(|record| record.offset);
+        let start = from.max(self.first_offset);
+        if first.is_some_and(|first| first != start) {
+            return Err(format!("the page does not start at offset {start}").into());
+        }
+        for (record, index) in self.records.iter().zip(0..) {
+            let expected = start.0.saturating_add(index);
+            if record.offset.0 != expected || record.offset >= self.end_offset {
+                return Err(format!("offset {} is out of order", record.offset).into());
+            }
+        }
+        Ok(())
+    }
+}
+
 /// The platform's log: streams of records with offsets that grow by one.
 #[async_trait]
 pub trait Log: Send + Sync {
