--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::FrontSettings;
+use dotterelhook_front::target::Policy;
 use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MembershipSettings;
 use dotterelhook_peer::membership::Role;
@@ -110,6 +111,13 @@
             api_address,
             seed_addresses: raw.peers.seed_addresses.clone(),
             heartbeat_interval,
+            relay_count: number("peers.relays", raw.peers.relays, 2, 8)? as usize,
+            digest_interval: milliseconds(
+                "peers.digest_interval_ms",
+                raw.peers.digest_interval_ms,
+                1_000,
+                4_000,
+            )?,
         };
         Ok(Self {
             admin_address: raw.admin_address,
@@ -152,11 +160,21 @@
 fn check_front(raw: &RawSettings, front: &RawFront) -> Result<FrontSettings, FieldFault> {
     let connections_max = number("front.connections_max", front.connections_max, 1, 100_000)?;
     let body_max_bytes = number("front.body_max_bytes", front.body_max_bytes, 1, 64 << 20)?;
+    let bodies_max_bytes = number(
+        "front.bodies_max_bytes",
+        front.bodies_max_bytes,
+        front.body_max_bytes,
+        1 << 30,
+    )?;
     Ok(FrontSettings {
         listen_address: front.listen_address,
         connections_max: connections_max as usize,
         body_max_bytes: body_max_bytes as usize,
         body_timeout: milliseconds("front.body_timeout_ms", front.body_timeout_ms, 10, 600_000)?,
+        bodies_max_bytes: bodies_max_bytes as usize,
+        requests_max: number("front.requests_max", front.requests_max, 1, 100_000)? as usize,
+        fronts_max: number("front.fronts_max", front.fronts_max, 1, 64)? as usize,
+        policy: Policy::default(),
         failure_domain: raw.failure_domain.clone(),
     })
 }
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -45,6 +45,10 @@
     pub(super) seed_addresses: Vec<SocketAddr>,
     #[serde(default = "defaults::heartbeat_interval_ms")]
     pub(super) heartbeat_interval_ms: u64,
+    #[serde(default = "defaults::relays")]
+    pub(super) relays: u64,
+    #[serde(default = "defaults::digest_interval_ms")]
+    pub(super) digest_interval_ms: u64,
 }
 
 /// The service that takes callers' requests.
@@ -58,6 +62,12 @@
     pub(super) body_max_bytes: u64,
     #[serde(default = "defaults::body_timeout_ms")]
     pub(super) body_timeout_ms: u64,
+    #[serde(default = "defaults::bodies_max_bytes")]
+    pub(super) bodies_max_bytes: u64,
+    #[serde(default = "defaults::requests_max")]
+    pub(super) requests_max: u64,
+    #[serde(default = "defaults::fronts_max")]
+    pub(super) fronts_max: u64,
 }
 
 /// The service that places batch work.
@@ -120,6 +130,14 @@
         1_000
     }
 
+    pub(super) fn relays() -> u64 {
+        2
+    }
+
+    pub(super) fn digest_interval_ms() -> u64 {
+        4_000
+    }
+
     pub(super) fn connections_max() -> u64 {
         4_096
     }
@@ -132,6 +150,18 @@
         10_000
     }
 
+    pub(super) fn bodies_max_bytes() -> u64 {
+        64 << 20
+    }
+
+    pub(super) fn requests_max() -> u64 {
+        2_048
+    }
+
+    pub(super) fn fronts_max() -> u64 {
+        8
+    }
+
     pub(super) fn shard_count() -> u64 {
         1
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,12 +1,16 @@
 //! Batch work: runs are accepted, placed on workers under leases, and accounted for.
 
 mod api;
+pub mod interference;
 pub mod placement;
+pub mod quota;
 mod run_board;
 mod scheduler_service;
-mod shard;
+pub mod shard;
 mod worker;
 
 pub use run_board::RunBoard;
+pub use run_board::ShardCommand;
+pub use run_board::SubmitError;
 pub use scheduler_service::SchedulerService;
 pub use scheduler_service::SchedulerSettings;
