--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -19,7 +19,7 @@
     1  failed; nothing was changed
     2  the command line or a file is invalid
     3  unknown; the change may still take effect
-    4  refused, or not in force everywhere
+    4  refused, not in force everywhere, or a failure domain can't be reached
 ";
 
 const CHECK: &str = "\
@@ -65,7 +65,9 @@
 USAGE:
     dotterelhook status --daemon ADDRESS
 
-The address is the admin address of any daemon.
+The address is the admin address of any daemon. OFFSET is what a daemon has in force,
+HEARD the age of its newest heartbeat, LOG the age of its last contact with the platform's
+log. Exits with 4 if a failure domain can't be reached from that daemon.
 
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use dotterelhook_peer::membership::Member;
-use dotterelhook_peer::membership::MemberState;
+use dotterelhook_peer::membership::Rollout;
 use dotterelhook_platform::http::JsonClient;
 use dotterelhook_platform::log::HttpLog;
 use dotterelhook_platform::log::Log;
@@ -172,23 +172,26 @@
     let deadline = Instant::now() + timeout;
     loop {
         let members: Vec<Member> = daemon.get("/members").await?.check()?.decode()?;
-        let live = members
-            .iter()
-            .filter(|member| member.state != MemberState::Dead);
-        let lagging: Vec<String> = live
-            .filter(|member| member.heartbeat.config_offset < end)
-            .map(|member| member.heartbeat.member.to_string())
-            .collect();
-        if lagging.is_empty() {
+        let rollout = Rollout::of(&members, end);
+        if rollout.is_complete() {
             println!("in force everywhere");
             return Ok(());
         }
         if Instant::now() > deadline {
-            let names = lagging.join(", ");
-            return Err(Failure::Refused(format!(
-                "accepted, but not yet in force at {names}"
-            )));
+            return Err(not_everywhere(&rollout));
         }
         tokio::time::sleep(POLL_PAUSE).await;
     }
 }
+
+fn not_everywhere(rollout: &Rollout) -> Failure {
+    let mut causes: Vec<String> = Vec::new();
+    if !rollout.lagging.is_empty() {
+        let names: Vec<String> = rollout.lagging.iter().map(ToString::to_string).collect();
+        causes.push(format!("not yet in force at {}", names.join(", ")));
+    }
+    for domain in rollout.unreachable_ms.keys() {
+        causes.push(format!("failure domain {domain} can't be reached"));
+    }
+    Failure::Refused(format!("accepted, but {}", causes.join("; ")))
+}
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -1,39 +1,75 @@
+use std::time::Duration;
+
 use dotterelhook_peer::membership::Member;
+use dotterelhook_peer::membership::Rollout;
+use dotterelhook_types::ids::Offset;
 
 use super::table::new_table;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
 
+const COLUMNS: [&str; 7] = ["DOMAIN", "HOST", "ROLE", "STATE", "OFFSET", "HEARD", "LOG"];
+
 /// Prints the daemons and what they have in force.
+///
+/// # Errors
+/// The daemon can't be asked, or it can't reach a failure domain.
 pub(crate) async fn status(arguments: pico_args::Arguments) -> Result<(), Failure> {
     let mut arguments = CommonArguments::parse(arguments)?;
     let daemon = arguments.daemon()?;
     let is_json = arguments.is_json;
     arguments.finish()?;
-    let members: Vec<Member> = daemon.get("/members").await?.check()?.decode()?;
+    let mut members: Vec<Member> = daemon.get("/members").await?.check()?.decode()?;
+    members.sort_by(|a, b| a.heartbeat.failure_domain.cmp(&b.heartbeat.failure_domain));
     if is_json {
         println!(
             "{}",
             serde_json::to_string_pretty(&members).map_err(Failure::usage)?
         );
-        return Ok(());
+    } else {
+        print_table(&members);
     }
-    let mut table = new_table(&["MEMBER", "DOMAIN", "STATE", "OFFSET", "HEARD", "LOG"]);
-    for member in &members {
+    check_reached(&members)
+}
+
+fn print_table(members: &[Member]) {
+    let mut table = new_table(&COLUMNS);
+    for member in members {
         let heartbeat = &member.heartbeat;
         let log_contact = match heartbeat.log_contact_age_ms {
-            Some(age_ms) => format!("{age_ms} ms"),
+            Some(age_ms) => seconds(age_ms.saturating_add(member.age_ms)),
             None => "never".to_owned(),
         };
         table.add_row([
-            heartbeat.member.to_string(),
             heartbeat.failure_domain.to_string(),
+            heartbeat.member.host.to_string(),
+            heartbeat.member.role.to_string(),
             member.state.to_string(),
             heartbeat.config_offset.to_string(),
-            format!("{} ms", member.age_ms),
+            seconds(member.age_ms),
             log_contact,
         ]);
     }
     println!("{table}");
-    Ok(())
+}
+
+/// Fails if a whole failure domain was not heard lately.
+fn check_reached(members: &[Member]) -> Result<(), Failure> {
+    let rollout = Rollout::of(members, Offset::default());
+    if rollout.unreachable_ms.is_empty() {
+        return Ok(());
+    }
+    let domains: Vec<String> = rollout
+        .unreachable_ms
+        .iter()
+        .map(|(domain, age_ms)| format!("{domain} (last heard {} ago)", seconds(*age_ms)))
+        .collect();
+    let names = domains.join(", ");
+    Err(Failure::Refused(format!(
+        "failure domains that can't be reached: {names}"
+    )))
+}
+
+fn seconds(age_ms: u64) -> String {
+    format!("{:.1} s", Duration::from_millis(age_ms).as_secs_f64())
 }
--- /dev/null
+++ b/crates/cli/tests/status.rs
@@ -0,0 +1,219 @@
+//! `status` and `publish --wait` against a daemon that tells of given members.
+
+use std::net::SocketAddr;
+use std::process::Output;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_peer::membership::Heartbeat;
+use dotterelhook_peer::membership::Member;
+use dotterelhook_peer::membership::MemberId;
+use dotterelhook_peer::membership::MemberState;
+use dotterelhook_peer::membership::Role;
+use dotterelhook_platform::http::json_answer;
+use dotterelhook_standins::log::LogServer;
+use dotterelhook_standins::server::Answer;
+use dotterelhook_standins::server::FaultSwitch;
+use dotterelhook_standins::server::Handler;
+use dotterelhook_standins::server::serve;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use hyper::Method;
+use hyper::StatusCode;
+use tokio::net::TcpListener;
+use tokio::process::Command;
+
+struct Daemon {
+    members: Vec<Member>,
+    faults: FaultSwitch,
+}
+
+#[async_trait]
+impl Handler for Daemon {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn handle(&self, _: &Method, _: &str, _: &str, _: Bytes) -> Answer {
+        json_answer(StatusCode::OK, &self.members)
+    }
+}
+
+fn member(domain: &str, host: &str, state: MemberState, offset: u64) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    Member {
+        heartbeat: Heartbeat {
+            member: MemberId {
+                host: host.parse().expect("a name"),
+                role: Role::Scheduler,
+            },
+            incarnation: Incarnation(1),
+            sequence: 1,
+            failure_domain: domain.parse().expect("a name"),
+            peer_address: address,
+            admin_address: address,
+            api_address: address,
+            config_offset: Offset(offset),
+            log_contact_age_ms: Some(1_500),
+            is_draining: false,
+            draining_targets: Vec::new(),
+        },
+        age_ms: 500,
+        state,
+    }
+}
+
+async fn start(handler: Arc<dyn Handler>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(serve(listener, handler));
+    address
+}
+
+async fn start_daemon(members: Vec<Member>) -> SocketAddr {
+    let faults = FaultSwitch::default();
+    start(Arc::new(Daemon { members, faults })).await
+}
+
+async fn run(arguments: &[&str]) -> Output {
+    let command = Command::new(env!("CARGO_BIN_EXE_dotterelhook"))
+        .args(arguments)
+        .output()
+        .await;
+    command.expect("runs")
+}
+
+async fn publish(members: Vec<Member>) -> Output {
+    let log = start(Arc::new(LogServer::new(1_000))).await.to_string();
+    let daemon = start_daemon(members).await.to_string();
+    let directory = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/config/habagat");
+    run(&[
+        "publish",
+        directory,
+        "--log",
+        &log,
+        "--timeout-ms",
+        "1500",
+        "--wait",
+        "--daemon",
+        &daemon,
+    ])
+    .await
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[tokio::test]
+async fn status_shows_each_member() {
+    let members = vec![
+        member("pampanga", "p-1", MemberState::Suspect, 7),
+        member("laguna", "l-1", MemberState::Alive, 8),
+    ];
+    let daemon = start_daemon(members).await.to_string();
+
+    let output = run(&["status", "--daemon", &daemon]).await;
+
+    let lines = text(&output.stdout);
+    let words: Vec<Vec<&str>> = lines
+        .lines()
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(output.status.code(), Some(0), "{lines}");
+    assert_eq!(
+        words[1],
+        [
+            "laguna",
+            "l-1",
+            "scheduler",
+            "alive",
+            "8",
+            "0.5",
+            "s",
+            "2.0",
+            "s"
+        ]
+    );
+    assert_eq!(
+        words[2],
+        [
+            "pampanga",
+            "p-1",
+            "scheduler",
+            "suspect",
+            "7",
+            "0.5",
+            "s",
+            "2.0",
+            "s"
+        ]
+    );
+}
+
+#[tokio::test]
+async fn status_names_domains_that_cannot_be_reached() {
+    let members = vec![
+        member("laguna", "l-1", MemberState::Alive, 8),
+        member("pampanga", "p-1", MemberState::Unreachable, 8),
+    ];
+    let daemon = start_daemon(members).await.to_string();
+
+    for format in [
+        &["status", "--daemon"][..],
+        &["status", "--json", "--daemon"],
+    ] {
+        let output = run(&[format, &[&daemon]].concat()).await;
+
+        assert_eq!(output.status.code(), Some(4));
+        assert!(text(&output.stderr).contains("pampanga (last heard 0.5 s ago)"));
+        assert!(!text(&output.stderr).contains("laguna"));
+    }
+}
+
+#[tokio::test]
+async fn publish_waits_for_every_member_that_may_be_alive() {
+    let table = [
+        (MemberState::Alive, 99, 0, "in force everywhere"),
+        (
+            MemberState::Alive,
+            1,
+            4,
+            "not yet in force at l-2/scheduler",
+        ),
+        (
+            MemberState::Suspect,
+            1,
+            4,
+            "not yet in force at l-2/scheduler",
+        ),
+        (
+            MemberState::Draining,
+            1,
+            4,
+            "not yet in force at l-2/scheduler",
+        ),
+        (
+            MemberState::Unreachable,
+            99,
+            4,
+            "failure domain laguna can't be reached",
+        ),
+        (MemberState::Dead, 1, 0, "in force everywhere"),
+    ];
+
+    for (state, offset, code, expected) in table {
+        let members = vec![
+            member("laguna", "l-1", MemberState::Alive, 99),
+            member("laguna", "l-2", state, offset),
+        ];
+
+        let output = publish(members).await;
+
+        let all = text(&[output.stdout, output.stderr].concat());
+        assert_eq!(output.status.code(), Some(code), "{state}: {all}");
+        assert!(all.contains(expected), "{state}: {all}");
+        assert!(!all.contains("l-1"), "{state}: {all}");
+    }
+}
--- a/crates/peer/src/membership/mod.rs
+++ b/crates/peer/src/membership/mod.rs
@@ -13,6 +13,7 @@
 mod membership_view;
 mod own_time;
 mod relays;
+mod rollout;
 mod schedule;
 mod traffic;
 
@@ -36,3 +37,4 @@
 pub use membership_settings::MembershipSettings;
 pub use membership_view::MembershipView;
 pub use relays::choose_relays;
+pub use rollout::Rollout;
--- a/crates/platform/src/hosts/memory_host_list.rs
+++ b/crates/platform/src/hosts/memory_host_list.rs
@@ -1,4 +1,5 @@
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
 use async_trait::async_trait;
@@ -7,26 +8,41 @@
 use super::HostList;
 use super::HostSnapshot;
 
+#[derive(Debug, Default)]
+struct Content {
+    snapshot: HostSnapshot,
+    is_down: bool,
+}
+
 /// A host list in memory, for tests.
 #[derive(Debug, Default)]
 pub struct MemoryHostList {
-    snapshot: Mutex<HostSnapshot>,
+    content: Mutex<Content>,
 }
 
 impl MemoryHostList {
     /// Replaces the list.
     pub fn set(&self, snapshot: HostSnapshot) {
-        *self.snapshot.lock().unwrap_or_else(PoisonError::into_inner) = snapshot;
+        self.content().snapshot = snapshot;
+    }
+
+    /// Makes the list refuse reads from now on, or answer them again.
+    pub fn set_down(&self, is_down: bool) {
+        self.content().is_down = is_down;
+    }
+
+    fn content(&self) -> MutexGuard<'_, Content> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 #[async_trait]
 impl HostList for MemoryHostList {
     async fn read(&self) -> Result<HostSnapshot, CallError> {
-        Ok(self
-            .snapshot
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone())
+        let content = self.content();
+        if content.is_down {
+            return Err(CallError::not_run("the host list is down"));
+        }
+        Ok(content.snapshot.clone())
     }
 }
--- /dev/null
+++ b/crates/platform/tests/host_list.rs
@@ -0,0 +1,229 @@
+//! The contract of the host list, against the fake and against the adapter over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_platform::hosts::HostList;
+use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_platform::hosts::HostState;
+use dotterelhook_platform::hosts::HttpHostList;
+use dotterelhook_platform::hosts::MemoryHostList;
+use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_standins::hosts::HostServer;
+use dotterelhook_standins::hosts::register;
+use dotterelhook_standins::server::Fault;
+use dotterelhook_standins::server::FaultBody;
+use dotterelhook_standins::server::Handler;
+use dotterelhook_standins::server::serve;
+use dotterelhook_types::Verdict;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_millis(100);
+
+/// A list that the suite can fill and break.
+#[async_trait]
+trait Fixture {
+    fn list(&self) -> &dyn HostList;
+    async fn fill(&self, snapshot: HostSnapshot);
+    fn set_fault(&self, fault: Fault);
+}
+
+struct Memory(MemoryHostList);
+
+#[async_trait]
+impl Fixture for Memory {
+    fn list(&self) -> &dyn HostList {
+        &self.0
+    }
+
+    async fn fill(&self, snapshot: HostSnapshot) {
+        self.0.set(snapshot);
+    }
+
+    fn set_fault(&self, fault: Fault) {
+        self.0.set_down(fault != Fault::None);
+    }
+}
+
+struct Http {
+    server: Arc<HostServer>,
+    address: SocketAddr,
+    list: HttpHostList,
+}
+
+#[async_trait]
+impl Fixture for Http {
+    fn list(&self) -> &dyn HostList {
+        &self.list
+    }
+
+    async fn fill(&self, snapshot: HostSnapshot) {
+        register(self.address, &snapshot).await.expect("registered");
+    }
+
+    fn set_fault(&self, fault: Fault) {
+        self.server.faults().set(FaultBody { fault, delay_ms: 0 });
+    }
+}
+
+async fn http(timeout: Duration) -> Http {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let server = Arc::new(HostServer::new(Duration::ZERO));
+    tokio::spawn(serve(listener, server.clone()));
+    Http {
+        server,
+        address,
+        list: HttpHostList::new(address, timeout),
+    }
+}
+
+async fn fixtures() -> [Box<dyn Fixture>; 2] {
+    [
+        Box::new(Memory(MemoryHostList::default())),
+        Box::new(http(PATIENCE).await),
+    ]
+}
+
+fn snapshot(count: usize) -> HostSnapshot {
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let targets = (0..count).map(|index| TargetEntry {
+        target: format!("executor-{index}").parse().expect("a name"),
+        service: "booking".parse().expect("a name"),
+        address,
+        failure_domain: "laguna".parse().expect("a name"),
+        worker: format!("worker-{index}").parse().expect("a name"),
+        slots: 8,
+        connections_max: 64,
+        state: HostState::Live,
+    });
+    let workers = (0..count).map(|index| WorkerEntry {
+        worker: format!("worker-{index}").parse().expect("a name"),
+        address,
+        failure_domain: "laguna".parse().expect("a name"),
+        rack: "rack-1".parse().expect("a name"),
+        state: HostState::Leaving,
+    });
+    HostSnapshot {
+        targets: targets.collect(),
+        workers: workers.collect(),
+    }
+}
+
+#[tokio::test]
+async fn an_empty_list_is_an_answer() {
+    for fixture in fixtures().await {
+        let read = fixture.list().read().await;
+
+        assert_eq!(read, Ok(HostSnapshot::default()));
+    }
+}
+
+#[tokio::test]
+async fn the_list_comes_back_whole() {
+    for fixture in fixtures().await {
+        fixture.fill(snapshot(300)).await;
+
+        let read = fixture.list().read().await;
+
+        assert_eq!(read, Ok(snapshot(300)));
+    }
+}
+
+#[tokio::test]
+async fn a_list_that_is_down_is_an_error_and_comes_back() {
+    for fixture in fixtures().await {
+        fixture.fill(snapshot(3)).await;
+        fixture.set_fault(Fault::Down);
+
+        let down = fixture.list().read().await;
+
+        assert!(down.is_err());
+        fixture.set_fault(Fault::None);
+        assert_eq!(fixture.list().read().await, Ok(snapshot(3)));
+    }
+}
+
+#[tokio::test]
+async fn each_fault_of_the_list_is_an_error() {
+    let table = [
+        (Fault::Down, Verdict::MayHaveRun),
+        (Fault::Frozen, Verdict::MayHaveRun),
+        (Fault::Full, Verdict::NotRun),
+        (Fault::LoseAnswers, Verdict::MayHaveRun),
+        (Fault::FailFast, Verdict::MayHaveRun),
+    ];
+    for (fault, expected) in table {
+        let timeout = if fault == Fault::Frozen {
+            SHORT
+        } else {
+            PATIENCE
+        };
+        let fixture = http(timeout).await;
+        fixture.set_fault(fault);
+
+        let error = fixture.list().read().await.expect_err("a fault");
+
+        assert_eq!(error.verdict, expected, "{fault}");
+    }
+}
+
+#[tokio::test]
+async fn a_closed_port_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    drop(listener);
+
+    let error = HttpHostList::new(address, PATIENCE).read().await;
+
+    assert_eq!(error.expect_err("closed").verdict, Verdict::NotRun);
+}
+
+/// Answers one request with the given body.
+async fn answer_once(body: Vec<u8>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("bound");
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).await;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(&body).await;
+    });
+    address
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_list_that_was_truncated_is_an_error(at: prop::sample::Index) {
+        let mut body = serde_json::to_vec(&snapshot(2)).expect("plain data");
+        body.truncate(at.index(body.len()));
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .expect("a runtime");
+
+        let read = runtime.block_on(async {
+            let address = answer_once(body).await;
+            HttpHostList::new(address, PATIENCE).read().await
+        });
+
+        prop_assert!(read.is_err());
+    }
+}
