--- a/crates/peer/src/membership/member_exchange.rs
+++ b/crates/peer/src/membership/member_exchange.rs
@@ -6,14 +6,11 @@
 
 use dotterelhook_kernel::Metrics;
 use dotterelhook_platform::clock::Clock;
-use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::TargetId;
 use rapidhash::v3::rapidhash_v3;
-use spdlog::warn;
 use tokio_util::sync::CancellationToken;
 
 use super::Digest;
-use super::DigestEntry;
 use super::Heartbeat;
 use super::Member;
 use super::MemberId;
@@ -21,10 +18,12 @@
 use super::MemberTable;
 use super::MembershipSettings;
 use super::MembershipView;
+use super::Outgoing;
 use super::PeerFrame;
+use super::answers::answer_all;
+use super::answers::answer_some;
 use super::decode;
 use super::draining_board::DrainingBoard;
-use super::encode;
 use super::schedule::Schedule;
 use super::traffic::Traffic;
 use crate::config::ConfigView;
@@ -33,18 +32,8 @@
 /// The members that pass a digest on or are asked about a silent one.
 const FANOUT: usize = 3;
 const ASK_AFTER_MS: u64 = 2_500;
-const ANSWER_AGE_MAX_MS: u64 = 2_500;
 const ASKED_MAX: usize = 16;
 
-/// A frame to be sent.
-#[derive(Clone, Debug)]
-pub struct Outgoing {
-    /// The receiver.
-    pub to: SocketAddr,
-    /// The frame.
-    pub frame: Arc<[u8]>,
-}
-
 /// What one daemon knows of the others, and what it tells them.
 pub struct MemberExchange {
     pub(super) settings: MembershipSettings,
@@ -99,19 +88,22 @@
             table.forget_old(clock_ms);
             table.members(clock_ms)
         };
-        let mut outgoing = self.pack(
+        let mut outgoing = Outgoing::encode(
             &PeerFrame::Heartbeat(heartbeat.clone()),
             schedule.heartbeat_receivers(&members),
         );
         let join = PeerFrame::Join(heartbeat);
-        outgoing.extend(self.pack(&join, schedule.join_receivers(&members)));
+        outgoing.extend(Outgoing::encode(&join, schedule.join_receivers(&members)));
         outgoing.extend(self.questions(&members));
         let receivers = schedule.digest_receivers(&members, clock_ms);
         if !receivers.is_empty() {
             let recent = self.table().known_since(schedule.describe_ms(), clock_ms);
             let digests = schedule.own_digests(&members, &recent);
             for digest in digests {
-                outgoing.extend(self.pack(&PeerFrame::Digest(digest), receivers.clone()));
+                outgoing.extend(Outgoing::encode(
+                    &PeerFrame::Digest(digest),
+                    receivers.clone(),
+                ));
             }
         }
         outgoing
@@ -128,9 +120,12 @@
             }
             Ok(PeerFrame::Join(heartbeat)) => {
                 self.hear(from, heartbeat);
-                self.answer_all(from)
+                answers(from, answer_all(self.members()))
+            }
+            Ok(PeerFrame::Ask(ids)) => {
+                let domain = &self.settings.failure_domain;
+                answers(from, answer_some(&self.members(), domain, &ids))
             }
-            Ok(PeerFrame::Ask(ids)) => self.answer(from, &ids),
             Ok(PeerFrame::Answer(digest)) => {
                 self.table().merge(&digest, self.clock.monotonic_ms());
                 Vec::new()
@@ -169,34 +164,7 @@
         }
         let salt = format!("ask-{}", self.clock.monotonic_ms());
         let receivers = self.some_live_members(members, salt.as_bytes());
-        self.pack(&PeerFrame::Ask(silent), receivers)
-    }
-
-    fn answer(&self, to: SocketAddr, ids: &[MemberId]) -> Vec<Outgoing> {
-        let members = self.members();
-        let entries: Vec<DigestEntry> = members
-            .iter()
-            .filter(|member| self.is_in_own_domain(member) && member.age_ms < ANSWER_AGE_MAX_MS)
-            .filter(|member| ids.contains(&member.heartbeat.member))
-            .map(|member| DigestEntry::new(&member.heartbeat, member.age_ms, true))
-            .collect();
-        self.pack_answers(to, &self.settings.failure_domain, &entries)
-    }
-
-    fn answer_all(&self, to: SocketAddr) -> Vec<Outgoing> {
-        let mut members = self.members();
-        members.retain(|member| member.state != MemberState::Dead);
-        members.sort_by(|a, b| a.heartbeat.failure_domain.cmp(&b.heartbeat.failure_domain));
-        let by_domain = members
-            .chunk_by(|a, b| a.heartbeat.failure_domain == b.heartbeat.failure_domain)
-            .map(|group| {
-                let entries: Vec<DigestEntry> = group
-                    .iter()
-                    .map(|member| DigestEntry::new(&member.heartbeat, member.age_ms, true))
-                    .collect();
-                self.pack_answers(to, &group[0].heartbeat.failure_domain, &entries)
-            });
-        by_domain.flatten().collect()
+        Outgoing::encode(&PeerFrame::Ask(silent), receivers)
     }
 
     /// Takes in another domain's digest and passes news on inside the own domain.
@@ -206,12 +174,7 @@
             return Vec::new();
         }
         let receivers = self.some_live_members(&self.members(), frame);
-        let frame: Arc<[u8]> = frame.into();
-        let outgoing = receivers.into_iter().map(|to| Outgoing {
-            to,
-            frame: Arc::clone(&frame),
-        });
-        outgoing.collect()
+        Outgoing::encoded(frame, receivers)
     }
 
     /// Returns some live members of the own domain; which ones follows from the salt.
@@ -236,33 +199,6 @@
         member.heartbeat.failure_domain == self.settings.failure_domain
     }
 
-    fn pack_answers(
-        &self,
-        to: SocketAddr,
-        domain: &FailureDomain,
-        entries: &[DigestEntry],
-    ) -> Vec<Outgoing> {
-        let digests = Digest::split(domain, entries).into_iter();
-        digests
-            .flat_map(|digest| self.pack(&PeerFrame::Answer(digest), vec![to]))
-            .collect()
-    }
-
-    fn pack(&self, frame: &PeerFrame, receivers: Vec<SocketAddr>) -> Vec<Outgoing> {
-        let frame: Arc<[u8]> = match encode(frame) {
-            Ok(frame) => frame.into(),
-            Err(error) => {
-                warn!("membership: can't encode a frame: {error}");
-                return Vec::new();
-            }
-        };
-        let outgoing = receivers.into_iter().map(|to| Outgoing {
-            to,
-            frame: Arc::clone(&frame),
-        });
-        outgoing.collect()
-    }
-
     fn own_heartbeat(&self, sequence: u64) -> Heartbeat {
         Heartbeat {
             member: self.settings.member.clone(),
@@ -288,6 +224,13 @@
     }
 }
 
+fn answers(to: SocketAddr, digests: Vec<Digest>) -> Vec<Outgoing> {
+    let frames = digests.into_iter().map(PeerFrame::Answer);
+    frames
+        .flat_map(|frame| Outgoing::encode(&frame, vec![to]))
+        .collect()
+}
+
 impl MembershipView for MemberExchange {
     fn own_id(&self) -> MemberId {
         self.settings.member.clone()
--- a/crates/peer/src/membership/mod.rs
+++ b/crates/peer/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! The daemons that are alive: heartbeats inside a failure domain, digests between domains.
 
+mod answers;
 mod codec;
 mod digest;
 mod draining_board;
@@ -11,6 +12,7 @@
 mod membership_service;
 mod membership_settings;
 mod membership_view;
+mod outgoing;
 mod own_time;
 mod relays;
 mod rollout;
@@ -29,12 +31,12 @@
 pub use heartbeat::MemberId;
 pub use heartbeat::Role;
 pub use member_exchange::MemberExchange;
-pub use member_exchange::Outgoing;
 pub use member_table::Member;
 pub use member_table::MemberState;
 pub use member_table::MemberTable;
 pub use membership_service::MembershipService;
 pub use membership_settings::MembershipSettings;
 pub use membership_view::MembershipView;
+pub use outgoing::Outgoing;
 pub use relays::choose_relays;
 pub use rollout::Rollout;
--- a/crates/peer/tests/membership.rs
+++ b/crates/peer/tests/membership.rs
@@ -121,6 +121,19 @@
     assert_eq!(network.not_alive(), []);
 }
 
+#[test]
+fn others_take_over_when_all_relays_freeze_at_once() {
+    let mut network = settled(&[5, 5], 13);
+    network.freeze(0);
+    network.freeze(1);
+
+    network.run(60);
+
+    let mut lost = network.given_up();
+    lost.retain(|(by, of)| *by > 1 && *of > 1);
+    assert_eq!(lost, []);
+}
+
 #[test]
 fn a_restart_is_told_from_its_predecessor() {
     let mut network = settled(&[3, 3], 7);
