Run repeated keys once and serve through one other front

A caller's repeat with the same Idempotency-Key ran again, because fronts shared nothing, and a failure domain without a free target refused although others stood idle. Each key now has a home, chosen by rendezvous hash over the domain's live fronts, which runs its request once and keeps the answer for ten minutes. Before it runs anything it notes the key at every other front of the domain that isn't known to be dead; one that can't be asked means a refusal with not-run. So the table survives the death of all fronts but one, and fronts whose views differ don't both run a key. A key that only rests with a target was ruled out, since targets need not keep keys and a new target would take keys over.

What the own domain can't serve goes to a front of another one, for one hop, within a budget of bytes and only if time is left; verdicts and keys stay as they are. Eleven tests over real sockets show both, counted at the targets.

--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -153,6 +153,12 @@
 fn check_front(raw: &RawSettings, front: &RawFront) -> Result<FrontSettings, FieldFault> {
     let connections_max = number("front.connections_max", front.connections_max, 1, 100_000)?;
     let body_max_bytes = number("front.body_max_bytes", front.body_max_bytes, 1, 64 << 20)?;
+    let forward_bytes_per_second = number(
+        "front.forward_bytes_per_second",
+        front.forward_bytes_per_second,
+        0,
+        1 << 30,
+    )?;
     let bodies_max_bytes = number(
         "front.bodies_max_bytes",
         front.bodies_max_bytes,
@@ -167,6 +173,7 @@
         bodies_max_bytes: bodies_max_bytes as usize,
         requests_max: number("front.requests_max", front.requests_max, 1, 100_000)? as usize,
         fronts_max: number("front.fronts_max", front.fronts_max, 1, 64)? as usize,
+        forward_bytes_per_second: forward_bytes_per_second as usize,
         policy: Policy::default(),
         failure_domain: raw.failure_domain.clone(),
     })
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -64,6 +64,8 @@
     pub(super) requests_max: u64,
     #[serde(default = "defaults::fronts_max")]
     pub(super) fronts_max: u64,
+    #[serde(default = "defaults::forward_bytes_per_second")]
+    pub(super) forward_bytes_per_second: u64,
 }
 
 /// The service that places batch work.
@@ -150,6 +152,10 @@
         8
     }
 
+    pub(super) fn forward_bytes_per_second() -> u64 {
+        1 << 20
+    }
+
     pub(super) fn shard_count() -> u64 {
         1
     }
--- /dev/null
+++ b/crates/front/src/front_handler.rs
@@ -0,0 +1,94 @@
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_types::ids::ServiceName;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::front::Front;
+use crate::request::Cause;
+use crate::request::RequestError;
+use crate::request::RequestHead;
+use crate::request::read_request_body;
+use crate::request::refuse;
+use crate::routing::Route;
+use crate::routing::find_route;
+
+const SLOW: &str = "slow";
+
+/// Answers callers, and counts what they were answered.
+pub(crate) struct FrontHandler {
+    pub(crate) front: Arc<Front>,
+}
+
+#[async_trait]
+impl HttpHandler for FrontHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let config = self.front.config.current();
+        let Some(route) = find_route(&config, request.uri().path()) else {
+            let error = RequestError::not_run(Cause::NoService, "no service has this path");
+            return self.lose(None, &error);
+        };
+        let started_at = Instant::now();
+        self.front.metrics.count_request(&route.service);
+        let result = self.exchange(&route, request).await;
+        let latency_ms = started_at.elapsed().as_millis() as u64;
+        match result {
+            Ok(answer) => {
+                self.count_answer(&route, &answer, latency_ms);
+                answer
+            }
+            Err(error) => {
+                if error.cause.counts_against_objective() {
+                    let cause = Some(error.cause.name());
+                    let objective = route.settings.objective;
+                    self.front.burn.count(&route.service, objective, cause);
+                }
+                self.lose(Some(&route.service), &error)
+            }
+        }
+    }
+}
+
+impl FrontHandler {
+    async fn exchange(
+        &self,
+        route: &Route,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RequestError> {
+        let _admitted = self.front.admit(route)?;
+        let head = RequestHead::of(&request);
+        let settings = &self.front.settings;
+        let body = read_request_body(
+            request.into_body(),
+            settings.body_max_bytes,
+            settings.body_timeout,
+            &self.front.memory,
+        )
+        .await?;
+        self.front.run(route.clone(), head, body).await
+    }
+
+    fn count_answer(&self, route: &Route, answer: &Response<AnswerBody>, latency_ms: u64) {
+        let is_in_time = latency_ms <= route.settings.objective.latency_ms;
+        self.front.metrics.count_answer(&route.service, is_in_time);
+        let cause = match is_in_time {
+            _ if answer.status().is_server_error() => Some(Cause::ServerError.name()),
+            true => None,
+            false => Some(SLOW),
+        };
+        let objective = route.settings.objective;
+        self.front.burn.count(&route.service, objective, cause);
+    }
+
+    fn lose(&self, service: Option<&ServiceName>, error: &RequestError) -> Response<AnswerBody> {
+        let metrics = &self.front.metrics;
+        metrics.count_loss(service, error.cause, error.verdict);
+        self.front.losses.note(error);
+        refuse(error)
+    }
+}
--- a/crates/front/src/front_service.rs
+++ b/crates/front/src/front_service.rs
@@ -14,13 +14,22 @@
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_types::ids::TargetId;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::FrontSettings;
 use crate::burn::BurnBoard;
+use crate::forward::ByteBudget;
+use crate::forward::CALL_NAME;
+use crate::forward::ForwardHandler;
+use crate::forward::Forwarder;
 use crate::front::Front;
+use crate::front_handler::FrontHandler;
+use crate::idempotency::NOTE_CALL;
+use crate::idempotency::NoteHandler;
 use crate::limit::Admission;
 use crate::metrics::FrontMetrics;
 use crate::metrics::LossLog;
@@ -77,7 +86,17 @@
             metrics: Arc::clone(&metrics),
             fronts: FrontCount::new(settings.fronts_max, Instant::now()),
         };
+        let membership = registry.find::<dyn MembershipView>(names::MEMBERSHIP)?;
+        let forwarder = Forwarder {
+            peers: registry.find::<PeerClient>(names::PEER_CLIENT)?,
+            membership: Arc::clone(&membership),
+            failure_domain: settings.failure_domain.clone(),
+            budget: ByteBudget::new(settings.forward_bytes_per_second),
+        };
         let front = Arc::new(Front {
+            membership,
+            forwarder,
+            keys: Arc::default(),
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             targets: Arc::clone(&targets),
             memory: Arc::new(Semaphore::new(settings.bodies_max_bytes)),
@@ -87,11 +106,20 @@
             losses: LossLog::default(),
             settings: settings.clone(),
         });
+        let handler = Arc::new(ForwardHandler {
+            front: Arc::clone(&front),
+        });
+        let notes = Arc::new(NoteHandler {
+            keys: Arc::clone(&front.keys),
+        });
+        let peer_handlers = registry.find::<PeerHandlers>(names::PEER_HANDLERS)?;
+        peer_handlers.add(CALL_NAME, handler);
+        peer_handlers.add(NOTE_CALL, notes);
         let server = HttpServer::bind(
             "front",
             settings.listen_address,
             settings.connections_max,
-            front,
+            Arc::new(FrontHandler { front }),
         )
         .await?;
         let address = server.local_address();
--- a/crates/front/src/front_settings.rs
+++ b/crates/front/src/front_settings.rs
@@ -22,6 +22,8 @@
     pub requests_max: usize,
     /// The most fronts of the failure domain, a restarted one counted twice.
     pub fronts_max: usize,
+    /// The bytes a second that may go to other failure domains and come back.
+    pub forward_bytes_per_second: usize,
     /// How targets are chosen.
     pub policy: Policy,
     /// The front's own failure domain.
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -1,10 +1,13 @@
 //! The request path: callers' requests are routed to targets, with a verdict on each answer.
 
 pub mod burn;
+pub mod forward;
 mod front;
+mod front_handler;
 mod front_service;
 mod front_settings;
 pub mod headers;
+pub mod idempotency;
 pub mod limit;
 pub mod metrics;
 pub mod request;
--- a/crates/front/src/metrics/front_metrics.rs
+++ b/crates/front/src/metrics/front_metrics.rs
@@ -34,6 +34,7 @@
     slow: Family<ServiceLabels, Counter>,
     losses: Family<LossLabels, Counter>,
     retries: Family<CauseLabels, Counter>,
+    forwards: Family<CauseLabels, Counter>,
     waiting: Family<ServiceLabels, Gauge>,
     ejected: Family<ServiceLabels, Gauge>,
 }
@@ -51,6 +52,8 @@
             let help = "Requests refused or lost";
             front.register("losses", help, self.losses.clone());
             front.register("retries", "Tries after the first", self.retries.clone());
+            let help = "Requests sent to other failure domains";
+            front.register("forwards", help, self.forwards.clone());
             let help = "Requests that wait for a slot";
             front.register("waiting", help, self.waiting.clone());
             let help = "Targets that get no work but probes";
@@ -88,6 +91,15 @@
         self.retries.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that goes to another failure domain, by why the own one didn't serve it.
+    pub fn count_forward(&self, service: &ServiceName, cause: Cause) {
+        let labels = CauseLabels {
+            service: service.to_string(),
+            cause: cause.name(),
+        };
+        self.forwards.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of waiting requests and of ejected targets.
     pub fn set_state(&self, service: &ServiceName, waiting: usize, ejected: usize) {
         let labels = labels(service);
--- a/crates/front/src/request/cause.rs
+++ b/crates/front/src/request/cause.rs
@@ -57,6 +57,12 @@
     RequestInvalid,
     /// The target answered with a server error.
     ServerError,
+    /// Another front couldn't be reached, or its answer was lost.
+    PeerFailed,
+    /// The key was used before, and its answer can't be given again.
+    KeyConflict,
+    /// It isn't certain which front keeps the key.
+    KeyHomeUnknown,
 }
 
 impl Cause {
@@ -74,6 +80,20 @@
                 | Self::BodyTimeout
                 | Self::BodyIncomplete
                 | Self::RequestInvalid
+                | Self::KeyConflict
+        )
+    }
+
+    /// Returns whether another failure domain may serve what this one can't.
+    pub fn may_differ_elsewhere(self) -> bool {
+        matches!(
+            self,
+            Self::QueueFull
+                | Self::QueueTimeout
+                | Self::NoTarget
+                | Self::ConnectFailed
+                | Self::TargetFull
+                | Self::TargetDraining
         )
     }
 
@@ -86,6 +106,7 @@
             Self::BodyIncomplete | Self::RequestInvalid => StatusCode::BAD_REQUEST,
             Self::Priority => StatusCode::TOO_MANY_REQUESTS,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::KeyConflict => StatusCode::CONFLICT,
             _ if verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_GATEWAY,
         }
--- a/crates/front/src/request/exchange.rs
+++ b/crates/front/src/request/exchange.rs
@@ -1,6 +1,3 @@
-use std::sync::Arc;
-use std::time::Duration;
-
 use dotterelhook_kernel::http::AnswerBody;
 use dotterelhook_types::Verdict;
 use dotterelhook_types::ids::TargetId;
@@ -21,24 +18,25 @@
 const TRIES_MAX: usize = 3;
 
 /// One caller's request on its way through the front.
-pub struct Exchange {
+pub struct Exchange<'a> {
     /// The service that it belongs to.
-    pub route: Route,
+    pub route: &'a Route,
     /// Its head.
-    pub head: RequestHead,
+    pub head: &'a RequestHead,
     /// Its whole body.
-    pub body: RequestBody,
+    pub body: &'a RequestBody,
     /// The service's targets and their queue.
-    pub targets: Arc<ServiceTargets>,
+    pub targets: &'a ServiceTargets,
     /// Where retries are counted.
-    pub metrics: Arc<FrontMetrics>,
+    pub metrics: &'a FrontMetrics,
+    /// When the caller must have its answer.
+    pub deadline: Instant,
 }
 
-impl Exchange {
+impl Exchange<'_> {
     /// Tries targets until one answers or the request is given up on.
     pub async fn run(&self) -> Result<Response<AnswerBody>, RequestError> {
-        let timeout = Duration::from_millis(self.route.settings.timeout_ms);
-        let deadline = Instant::now() + timeout;
+        let deadline = self.deadline;
         self.targets.retry_budget().add_fresh();
         let is_idempotent = self.route.settings.is_idempotent(self.head.method.as_str());
         let mut excluded: Vec<TargetId> = Vec::new();
@@ -50,7 +48,7 @@
             };
             let target = lease.entry().target.clone();
             let body = self.body.bytes.clone();
-            let mut error = match attempt::send(lease, &self.head, body, deadline).await {
+            let mut error = match attempt::send(lease, self.head, body, deadline).await {
                 Ok(answer) => return Ok(with_verdict(answer, Verdict::Ran)),
                 Err(error) => error,
             };
--- a/crates/front/src/request/request_body.rs
+++ b/crates/front/src/request/request_body.rs
@@ -19,6 +19,16 @@
     _memory: Option<OwnedSemaphorePermit>,
 }
 
+impl RequestBody {
+    /// Takes bytes that another limit covers.
+    pub fn unlimited(bytes: Bytes) -> Self {
+        Self {
+            bytes,
+            _memory: None,
+        }
+    }
+}
+
 /// Reads a whole body of limited size; each byte of it takes one permit of the memory.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/front/tests/peers.rs
@@ -0,0 +1,286 @@
+//! Requests that go through another front: keys that are repeated, and other failure domains.
+
+mod fixtures;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dotterelhook_front::FrontSettings;
+use dotterelhook_peer::membership::MemberState;
+use dotterelhook_standins::server::Fault;
+use dotterelhook_standins::server::FaultBody;
+use dotterelhook_standins::target::TargetServer;
+use dotterelhook_standins::target::TargetSettings;
+use fixtures::PATH;
+use fixtures::TestFront;
+use fixtures::header;
+use fixtures::introduce;
+use fixtures::request;
+use fixtures::send;
+use fixtures::settings;
+use fixtures::start_named_front;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use tokio::net::TcpListener;
+
+const TIMEOUT_MS: u64 = 60_000;
+
+async fn target_server() -> (Arc<TargetServer>, SocketAddr) {
+    let target = Arc::new(TargetServer::new(TargetSettings {
+        slots: 8,
+        connections_max: 64,
+        service_time: Duration::ZERO,
+    }));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(Arc::clone(&target).serve(listener));
+    (target, address)
+}
+
+fn set_fault(target: &TargetServer, fault: Fault) {
+    target.faults().set(FaultBody { fault, delay_ms: 0 });
+}
+
+async fn front(host: &str, domain: &str, targets: &[SocketAddr]) -> TestFront {
+    let settings = FrontSettings {
+        failure_domain: domain.parse().unwrap(),
+        ..settings()
+    };
+    start_named_front(host, settings, TIMEOUT_MS, targets).await
+}
+
+fn keyed(key: &str, body: &str) -> Request<Full<Bytes>> {
+    Request::post(PATH)
+        .header("host", "front")
+        .header("x-request-id", key)
+        .header("idempotency-key", key)
+        .body(Full::new(Bytes::from(body.to_owned())))
+        .unwrap()
+}
+
+async fn purchase(front: &TestFront, key: &str) -> Response<Bytes> {
+    send(front.address, keyed(key, "a voucher")).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_repeat_through_any_front_gets_the_first_answer_and_runs_once() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    let two = front("laguna-2", "laguna", &[address]).await;
+    introduce(&[&one, &two]);
+
+    for number in 0..20 {
+        let key = format!("key-{number}");
+        for front in [&one, &two, &one] {
+            let answer = purchase(front, &key).await;
+            assert_eq!(answer.status(), 200, "{:?}", answer.body());
+            assert_eq!(&answer.body()[..], b"a voucher");
+            assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some("ran"));
+        }
+    }
+
+    let counters = target.counters();
+    assert_eq!((counters.executed, counters.repeated), (20, 0));
+}
+
+#[tokio::test]
+async fn repeats_at_the_same_time_run_once() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    let two = front("laguna-2", "laguna", &[address]).await;
+    introduce(&[&one, &two]);
+
+    for number in 0..20 {
+        let key = format!("key-{number}");
+        let (a, b, c) = tokio::join!(
+            purchase(&one, &key),
+            purchase(&two, &key),
+            purchase(&one, &key)
+        );
+        let statuses = [a.status(), b.status(), c.status()];
+        assert!(statuses.iter().any(|status| *status == 200), "{statuses:?}");
+    }
+
+    let counters = target.counters();
+    assert_eq!((counters.executed, counters.repeated), (20, 0));
+}
+
+#[tokio::test]
+async fn a_key_used_for_another_request_is_refused() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    introduce(&[&one]);
+    purchase(&one, "key").await;
+
+    let answer = send(one.address, keyed("key", "two vouchers"))
+        .await
+        .unwrap();
+
+    assert_eq!(answer.status(), 409);
+    assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some("not-run"));
+    assert_eq!(target.counters().executed, 1);
+}
+
+#[tokio::test]
+async fn a_repeat_after_a_lost_answer_does_not_run_again() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    introduce(&[&one]);
+    set_fault(&target, Fault::LoseAnswers);
+
+    let lost = purchase(&one, "key").await;
+    set_fault(&target, Fault::None);
+    let repeat = purchase(&one, "key").await;
+
+    assert_eq!(
+        header(&lost, "x-dotterelhook-verdict"),
+        Some("may-have-run")
+    );
+    assert_eq!(repeat.status(), 409);
+    assert_eq!(target.counters().executed, 1);
+}
+
+#[tokio::test]
+async fn a_repeat_after_a_refusal_runs() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    let two = front("laguna-2", "laguna", &[address]).await;
+    introduce(&[&one, &two]);
+    set_fault(&target, Fault::Full);
+    let refused = purchase(&one, "key").await;
+    set_fault(&target, Fault::None);
+
+    let answer = loop {
+        let answer = purchase(&two, "key").await;
+        if answer.status() != 503 {
+            break answer;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    };
+
+    assert_eq!(header(&refused, "x-dotterelhook-verdict"), Some("not-run"));
+    assert_eq!(answer.status(), 200);
+    assert_eq!(target.counters().executed, 1);
+}
+
+#[tokio::test]
+async fn a_key_survives_the_death_of_its_home() {
+    let (target, address) = target_server().await;
+    for number in 0..10 {
+        let key = format!("key-{number}");
+        let one = front("laguna-1", "laguna", &[address]).await;
+        let two = front("laguna-2", "laguna", &[address]).await;
+        introduce(&[&one, &two]);
+        purchase(&one, &key).await;
+
+        // One of the two was the home; each is seen as dead by the other in turn.
+        introduce(&[&two]);
+        let repeat = purchase(&two, &key).await;
+
+        assert!([200, 409].contains(&repeat.status().as_u16()));
+        assert_eq!(target.counters().executed, number + 1);
+    }
+}
+
+#[tokio::test]
+async fn a_key_is_refused_while_a_front_that_may_know_it_does_not_answer() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    let gone = front("laguna-2", "laguna", &[address]).await;
+    let mut lost = gone.member();
+    // Nothing listens there, and nobody said yet that the front is dead.
+    let closed = tokio::net::TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    lost.heartbeat.peer_address = closed.local_addr().unwrap();
+    *one.membership.members.lock().unwrap() = vec![one.member(), lost.clone()];
+
+    let refused = purchase(&one, "key").await;
+    lost.state = MemberState::Dead;
+    *one.membership.members.lock().unwrap() = vec![one.member(), lost];
+    let served = purchase(&one, "key").await;
+
+    assert_eq!(refused.status(), 503);
+    assert_eq!(header(&refused, "x-dotterelhook-verdict"), Some("not-run"));
+    assert_eq!(served.status(), 200);
+    assert_eq!(target.counters().executed, 1);
+}
+
+#[tokio::test]
+async fn fronts_whose_views_differ_do_not_both_run_a_key() {
+    let (target, address) = target_server().await;
+    let one = front("laguna-1", "laguna", &[address]).await;
+    let two = front("laguna-2", "laguna", &[address]).await;
+    introduce(&[&one, &two]);
+    introduce(&[&two]);
+
+    for number in 0..20 {
+        let key = format!("key-{number}");
+        let (a, b) = tokio::join!(purchase(&one, &key), purchase(&two, &key));
+        let _ = (a, b);
+    }
+
+    assert_eq!(target.counters().repeated, 0);
+}
+
+#[tokio::test]
+async fn another_domain_serves_what_the_own_one_can_not() {
+    let (near, near_address) = target_server().await;
+    let (far, far_address) = target_server().await;
+    let own = front("laguna-1", "laguna", &[near_address]).await;
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    introduce(&[&own, &other]);
+    set_fault(&near, Fault::Full);
+
+    let answer = send(own.address, request("POST", "x")).await.unwrap();
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some("ran"));
+    assert_eq!((near.counters().executed, far.counters().executed), (0, 1));
+}
+
+#[tokio::test]
+async fn a_request_goes_one_hop_and_keeps_its_verdict() {
+    let (near, near_address) = target_server().await;
+    let (far, far_address) = target_server().await;
+    let own = front("laguna-1", "laguna", &[near_address]).await;
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    introduce(&[&own, &other]);
+    let cases = [
+        (Fault::LoseAnswers, "may-have-run"),
+        (Fault::Full, "not-run"),
+    ];
+
+    for (fault, verdict) in cases {
+        set_fault(&near, Fault::Full);
+        set_fault(&far, fault);
+        let answer = send(own.address, request("POST", "x")).await.unwrap();
+
+        assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some(verdict));
+        assert_eq!((near.counters().executed, far.counters().executed), (0, 1));
+    }
+}
+
+#[tokio::test]
+async fn without_budget_or_time_no_other_domain_is_asked() {
+    let (near, near_address) = target_server().await;
+    let (far, far_address) = target_server().await;
+    set_fault(&near, Fault::Full);
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    for (timeout_ms, budget) in [(TIMEOUT_MS, 10), (20, 1 << 20)] {
+        let settings = FrontSettings {
+            forward_bytes_per_second: budget,
+            ..settings()
+        };
+        let own = start_named_front("laguna-1", settings, timeout_ms, &[near_address]).await;
+        introduce(&[&own, &other]);
+
+        let answer = send(own.address, request("POST", "x")).await.unwrap();
+
+        assert_eq!(answer.status(), 503);
+        assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some("not-run"));
+    }
+    assert_eq!(far.counters().executed, 0);
+}
--- a/crates/front/tests/planned_stop.rs
+++ b/crates/front/tests/planned_stop.rs
@@ -138,3 +138,18 @@
     drop(senders);
     assert!(stop.await.unwrap());
 }
+
+#[tokio::test]
+async fn answers_of_a_draining_front_ask_to_close_the_connection() {
+    let front = start_front(TIMEOUT_MS, &[]).await;
+    let before = fixtures::send(front.address, request("POST", "x")).await;
+
+    front.kernel.draining().cancel();
+    let after = fixtures::send(front.address, request("POST", "x")).await;
+
+    assert_eq!(fixtures::header(&before.unwrap(), "connection"), None);
+    assert_eq!(
+        fixtures::header(&after.unwrap(), "connection"),
+        Some("close")
+    );
+}
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -146,7 +146,7 @@
     let (leaving, leaving_address) = target_server(8).await;
     let (_stays, stays_address) = target_server(8).await;
     let front = start_front(TIMEOUT_MS, &[leaving_address, stays_address]).await;
-    let mut hosts = snapshot(&[leaving_address, stays_address]);
+    let mut hosts = snapshot(&[leaving_address, stays_address], &front.failure_domain);
     hosts.targets[0].state = HostState::Leaving;
     front.hosts.0.store(Arc::new(hosts));
     let service = front.handle.targets.service(&SERVICE.parse().unwrap());
