Report service-level burn summed over all fronts

Operators could not see how fast a service spends its error budget or why. A further test shows that a request which may have run here is never called not-run because another domain refused it; it fails when forwarding ignores the verdict. The command itself has been compiled and not yet run against daemons.

--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,6 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
+    report    print how fast services spend their error budgets
 
 Each command has --help and --json.
 
@@ -81,6 +82,18 @@
     dotterelhook jobs --daemon 127.0.0.1:7101
 ";
 
+const REPORT: &str = "\
+USAGE:
+    dotterelhook report burn --daemon ADDRESS
+
+Asks every front that the daemon knows and sums up, for each service and window, the
+requests, the share answered within the objective, and the burn rate: 1x spends the
+error budget exactly. Says which fronts can't be reached; the sums are then too low.
+
+EXAMPLE:
+    dotterelhook report burn --daemon 127.0.0.1:7101 --json
+";
+
 /// Returns the help of a command, or of all.
 pub(super) fn text(command: Option<&str>) -> &'static str {
     match command {
@@ -90,6 +103,7 @@
         Some("history") => HISTORY,
         Some("status") => STATUS,
         Some("jobs") => JOBS,
+        Some("report") => REPORT,
         _ => OVERVIEW,
     }
 }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod publish;
 mod read_config;
+mod report_burn;
 mod status;
 mod table;
 
@@ -15,4 +16,5 @@
 pub(crate) use history::history;
 pub(crate) use jobs::jobs;
 pub(crate) use publish::publish;
+pub(crate) use report_burn::report_burn;
 pub(crate) use status::status;
--- /dev/null
+++ b/crates/cli/src/command/report_burn.rs
@@ -0,0 +1,136 @@
+use std::collections::BTreeMap;
+
+use dotterelhook_front::burn::ServiceBurn;
+use dotterelhook_front::burn::WindowBurn;
+use dotterelhook_peer::membership::Member;
+use dotterelhook_peer::membership::Role;
+use dotterelhook_platform::http::JsonClient;
+use dotterelhook_types::ids::ServiceName;
+use serde_json::Value;
+use serde_json::json;
+
+use super::table::new_table;
+use crate::cli::CommonArguments;
+use crate::cli::Failure;
+
+const CAUSES_SHOWN: usize = 3;
+
+/// Prints how fast services spend their error budgets, summed over all fronts.
+pub(crate) async fn report_burn(arguments: pico_args::Arguments) -> Result<(), Failure> {
+    let mut arguments = CommonArguments::parse(arguments)?;
+    let daemon = arguments.daemon()?;
+    let is_json = arguments.is_json;
+    let timeout = arguments.timeout;
+    arguments.finish()?;
+    let members: Vec<Member> = daemon.get("/members").await?.check()?.decode()?;
+    let mut services = BTreeMap::new();
+    let mut missing = Vec::new();
+    for member in members
+        .iter()
+        .filter(|member| member.heartbeat.member.role == Role::Front)
+    {
+        let client = JsonClient::new(member.heartbeat.admin_address, timeout);
+        let answer = client.get("/burn").await.and_then(|answer| answer.check());
+        match answer.and_then(|answer| answer.decode::<Vec<ServiceBurn>>()) {
+            Ok(counted) => counted
+                .into_iter()
+                .for_each(|service| add(&mut services, service)),
+            Err(error) => {
+                let heartbeat = &member.heartbeat;
+                let domain = &heartbeat.failure_domain;
+                missing.push(format!("{} of {domain}: {error}", heartbeat.member));
+            }
+        }
+    }
+    if is_json {
+        let report = json!({
+            "services": services.values().map(to_json).collect::<Vec<Value>>(),
+            "missing": missing,
+        });
+        let text = serde_json::to_string_pretty(&report).map_err(Failure::usage)?;
+        println!("{text}");
+    } else {
+        print_table(services.values());
+    }
+    if missing.is_empty() {
+        return Ok(());
+    }
+    Err(Failure::Refused(format!(
+        "incomplete, no answer from {}",
+        missing.join(", ")
+    )))
+}
+
+/// Adds one front's counts; where objectives differ, those of the last front are shown.
+fn add(services: &mut BTreeMap<ServiceName, ServiceBurn>, counted: ServiceBurn) {
+    let Some(known) = services.get_mut(&counted.service) else {
+        services.insert(counted.service.clone(), counted);
+        return;
+    };
+    known.objective = counted.objective;
+    for window in counted.windows {
+        let same = |known: &&mut WindowBurn| known.window_s == window.window_s;
+        match known.windows.iter_mut().find(same) {
+            Some(sum) => sum.add(&window),
+            None => known.windows.push(window),
+        }
+    }
+}
+
+fn to_json(service: &ServiceBurn) -> Value {
+    let windows = service.windows.iter().map(|window| {
+        json!({
+            "window_s": window.window_s,
+            "total": window.total,
+            "good": window.good,
+            "attainment_percent": window.attainment_percent(),
+            "burn_rate": window.burn_rate(&service.objective),
+            "bad_by_cause": window.bad_by_cause,
+        })
+    });
+    json!({
+        "service": service.service,
+        "objective": service.objective,
+        "windows": windows.collect::<Vec<Value>>(),
+    })
+}
+
+fn print_table<'a>(services: impl Iterator<Item = &'a ServiceBurn>) {
+    let headings = [
+        "SERVICE", "WINDOW", "REQUESTS", "GOOD", "AIM", "BURN", "CAUSES",
+    ];
+    let mut table = new_table(&headings);
+    for service in services {
+        for window in &service.windows {
+            table.add_row([
+                service.service.to_string(),
+                format!("{} min", window.window_s / 60),
+                window.total.to_string(),
+                or_none(window.attainment_percent(), "%"),
+                format!("{}%", service.objective.good_percent),
+                or_none(window.burn_rate(&service.objective), "x"),
+                causes(window),
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+fn or_none(value: Option<f64>, unit: &str) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| format!("{value:.2}{unit}"))
+}
+
+/// Returns the most frequent causes, largest first.
+fn causes(window: &WindowBurn) -> String {
+    let mut causes: Vec<(&str, u64)> = window
+        .bad_by_cause
+        .iter()
+        .map(|(cause, count)| (&**cause, *count))
+        .collect();
+    causes.sort_by_key(|(_, count)| std::cmp::Reverse(*count));
+    let shown = causes.iter().take(CAUSES_SHOWN);
+    let texts: Vec<String> = shown
+        .map(|(cause, count)| format!("{cause} {count}"))
+        .collect();
+    texts.join(", ")
+}
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -11,6 +11,10 @@
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
+use dotterelhook_standins::target::End;
+use dotterelhook_standins::target::RawTarget;
+use dotterelhook_standins::target::ReadUpTo;
+use dotterelhook_standins::target::Script;
 use dotterelhook_standins::target::TargetServer;
 use dotterelhook_standins::target::TargetSettings;
 use fixtures::PATH;
@@ -263,6 +267,31 @@
     }
 }
 
+#[tokio::test]
+async fn a_request_that_may_have_run_here_is_not_said_to_be_not_run_elsewhere() {
+    let script = Script {
+        read: ReadUpTo::Whole,
+        answer: Vec::new(),
+        end: End::Close,
+    };
+    let (far, far_address) = target_server().await;
+    set_fault(&far, Fault::Full);
+    let closed = tokio::net::TcpSocket::new_v4().unwrap();
+    closed.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    for _ in 0..20 {
+        let cut = RawTarget::start(script.clone()).await.unwrap();
+        let near = [cut.address(), closed.local_addr().unwrap()];
+        let own = front("laguna-1", "laguna", &near).await;
+        introduce(&[&own, &other]);
+
+        let answer = send(own.address, request("GET", "")).await.unwrap();
+
+        let verdict = header(&answer, "x-dotterelhook-verdict").unwrap();
+        assert_eq!(verdict == "not-run", cut.heads() == 0, "{verdict}");
+    }
+}
+
 #[tokio::test]
 async fn without_budget_or_time_no_other_domain_is_asked() {
     let (near, near_address) = target_server().await;
