Test the fold of a shard by properties and by a table of refusals

A table names the refusal of each rule. The removal of an open attempt before its validation, and a success counted after a cancellation, are the faults of the former fold that these tests are for.

--- /dev/null
+++ b/crates/state/tests/shard.rs
@@ -0,0 +1,369 @@
+//! The fold of a shard: refusals change nothing, repeats change nothing, snapshots lose nothing.
+
+use std::collections::BTreeMap;
+
+use dotterelhook_state::shard::AttemptEnd;
+use dotterelhook_state::shard::RunSpec;
+use dotterelhook_state::shard::RunStatus;
+use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_state::shard::ShardRecord;
+use dotterelhook_state::shard::ShardRefusal;
+use dotterelhook_state::shard::ShardState;
+use dotterelhook_state::shard::SnapshotReader;
+use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Epoch;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::Sequence;
+use dotterelhook_types::sizes::Resources;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngSeed;
+
+const KEPT_CLOSED_RUNS: usize = 5_000;
+
+fn capacity() -> Resources {
+    Resources::new(4_000, 16_000)
+}
+
+fn run_id(index: usize) -> RunId {
+    format!("run-{index}").parse().expect("a name")
+}
+
+fn attempt(run: usize, task: u32, number: u32) -> AttemptId {
+    format!("run-{run}:{task}:{number}").parse().expect("an id")
+}
+
+fn submit(run: usize, tasks: u32) -> ShardEvent {
+    let settings = serde_json::json!({
+        "tasks": tasks,
+        "size": { "cpu_milli": 1_500, "memory_mb": 100 },
+        "run_time_ms": 1_000,
+        "deadline_ms": 60_000,
+        "attempts_max": 2,
+    });
+    ShardEvent::Submit {
+        run: run_id(run),
+        spec: Box::new(RunSpec {
+            team: "night".parse().expect("a name"),
+            job: format!("job-{run}").parse().expect("a name"),
+            settings: serde_json::from_value(settings).expect("a job"),
+            deadline_at_unix_ms: 1_000,
+        }),
+    }
+}
+
+fn worker(index: usize, incarnation: u64) -> ShardEvent {
+    ShardEvent::Worker {
+        worker: format!("w{index}").parse().expect("a name"),
+        incarnation: Incarnation(incarnation),
+        capacity: capacity(),
+    }
+}
+
+fn start(run: usize, task: u32, number: u32, at: usize) -> ShardEvent {
+    ShardEvent::Start {
+        attempt: attempt(run, task, number),
+        worker: format!("w{at}").parse().expect("a name"),
+        size: Resources::new(1_500, 100),
+    }
+}
+
+fn end(run: usize, task: u32, number: u32, end: AttemptEnd) -> ShardEvent {
+    let attempt = attempt(run, task, number);
+    ShardEvent::End { attempt, end }
+}
+
+fn failed() -> AttemptEnd {
+    AttemptEnd::Failed {
+        cause: "broken".into(),
+    }
+}
+
+fn record(host: &str, epoch: u64, sequence: u64, event: ShardEvent) -> ShardRecord {
+    ShardRecord {
+        host: host.parse().expect("a name"),
+        incarnation: Incarnation(1),
+        sequence: Sequence(sequence),
+        epoch: Epoch(epoch),
+        event,
+    }
+}
+
+/// A shard with an owner that appends one record after the other.
+struct Fold {
+    state: ShardState,
+    offset: u64,
+}
+
+impl Fold {
+    fn owned() -> Self {
+        let mut fold = Self {
+            state: ShardState::default(),
+            offset: 0,
+        };
+        let claim = record("h0", 1, 1, ShardEvent::Claim);
+        assert_eq!(fold.apply(claim), Ok(()));
+        fold
+    }
+
+    fn apply(&mut self, record: ShardRecord) -> Result<(), ShardRefusal> {
+        let offset = Offset(self.offset);
+        self.offset += 1;
+        self.state.apply_record(offset, record)
+    }
+
+    fn add(&mut self, event: ShardEvent) -> Result<(), ShardRefusal> {
+        let record = record("h0", 1, self.offset + 1, event);
+        self.apply(record)
+    }
+
+    fn add_all(&mut self, events: impl IntoIterator<Item = ShardEvent>) {
+        for event in events {
+            assert_eq!(self.add(event.clone()), Ok(()), "{event:?}");
+        }
+    }
+}
+
+/// Returns the parts of a state that a refused record must not change.
+fn kept(state: &ShardState) -> String {
+    let mut value = serde_json::to_value(state).expect("plain data");
+    let fields = value.as_object_mut().expect("an object");
+    fields.remove("next_offset");
+    fields.remove("owner_sequence");
+    value.to_string()
+}
+
+fn events() -> impl Strategy<Value = ShardEvent> {
+    let ends = prop_oneof![
+        3 => Just(AttemptEnd::Succeeded),
+        2 => Just(failed()),
+        1 => Just(AttemptEnd::Lost),
+        1 => Just(AttemptEnd::Cancelled),
+        1 => Just(AttemptEnd::Evicted { checkpoint: Some("c".into()) }),
+    ];
+    let ids = || (0_usize..4, 0_u32..4, 1_u32..4);
+    prop_oneof![
+        2 => (0_usize..4, 1_u32..4).prop_map(|(run, tasks)| submit(run, tasks)),
+        1 => (0_usize..3, 1_u64..3).prop_map(|(w, incarnation)| worker(w, incarnation)),
+        6 => (ids(), 0_usize..3).prop_map(|((r, t, n), w)| start(r, t, n, w)),
+        5 => (ids(), ends).prop_map(|((r, t, n), how)| end(r, t, n, how)),
+        1 => (0_usize..4).prop_map(|r| ShardEvent::Cancel { run: run_id(r) }),
+        1 => (0_usize..4).prop_map(|r| ShardEvent::Overdue { run: run_id(r) }),
+        1 => (0_usize..4).prop_map(|r| ShardEvent::Fail { run: run_id(r), cause: "no".into() }),
+    ]
+}
+
+fn check_accounts(state: &ShardState) {
+    let mut used: BTreeMap<&str, Resources> = BTreeMap::new();
+    for open in state.open_attempts().values() {
+        let sum = used.entry(open.worker.as_str()).or_default();
+        *sum = sum.saturating_add(&open.size);
+    }
+    for (worker, account) in state.workers() {
+        let sum = used.get(worker.as_str()).copied().unwrap_or_default();
+        assert_eq!(account.used, sum);
+        assert!(sum.fits_in(&account.capacity));
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn a_refused_record_changes_nothing(events in prop::collection::vec(events(), 1..120)) {
+        let mut fold = Fold::owned();
+
+        for event in events {
+            let before = kept(&fold.state);
+            let result = fold.add(event.clone());
+
+            if result.is_err() {
+                prop_assert_eq!(&before, &kept(&fold.state), "{:?}", event);
+            }
+            check_accounts(&fold.state);
+        }
+    }
+
+    #[test]
+    fn repeated_records_change_nothing(
+        events in prop::collection::vec(events(), 1..60),
+        repeats in prop::collection::vec(any::<prop::sample::Index>(), 1..60),
+    ) {
+        let mut once = Fold::owned();
+        let mut often = Fold::owned();
+        let mut sent = Vec::new();
+
+        for (index, (event, repeat)) in events.iter().zip(&repeats).enumerate() {
+            let own = record("h0", 1, index as u64 + 2, event.clone());
+            sent.push(own.clone());
+            prop_assert_eq!(once.apply(own.clone()), often.apply(own));
+            let again = repeat.get(&sent).clone();
+            prop_assert_eq!(often.apply(again), Err(ShardRefusal::Repeated));
+        }
+
+        // Offsets differ by the repeats; what was decided does not.
+        prop_assert_eq!(once.state.ledger(), often.state.ledger());
+    }
+
+    #[test]
+    fn a_snapshot_is_the_state(events in prop::collection::vec(events(), 1..120)) {
+        let mut fold = Fold::owned();
+        for event in events {
+            let _ = fold.add(event);
+        }
+        let mut reader = SnapshotReader::default();
+
+        fold.state.to_chunks().iter().for_each(|chunk| reader.take(chunk));
+
+        prop_assert_eq!(reader.into_newest(), Some(fold.state));
+    }
+}
+
+#[test]
+fn each_refusal_has_its_rule() {
+    let mut fold = Fold::owned();
+    fold.add_all([worker(0, 2), submit(0, 3), submit(1, 1), start(0, 0, 1, 0)]);
+    fold.add_all([ShardEvent::Cancel { run: run_id(1) }, start(0, 1, 1, 0)]);
+    let cases = [
+        (submit(0, 3), Ok(())),
+        (start(0, 0, 2, 0), Err(ShardRefusal::NotNextAttempt)),
+        (start(0, 2, 2, 0), Err(ShardRefusal::NotNextAttempt)),
+        (start(0, 9, 1, 0), Err(ShardRefusal::NotNextAttempt)),
+        (start(0, 2, 1, 0), Err(ShardRefusal::WorkerFull)),
+        (start(0, 2, 1, 1), Err(ShardRefusal::UnknownWorker)),
+        (start(1, 0, 1, 0), Err(ShardRefusal::RunEnded)),
+        (start(7, 0, 1, 0), Err(ShardRefusal::UnknownRun)),
+        (end(0, 2, 1, AttemptEnd::Lost), Err(ShardRefusal::NotOpen)),
+        (worker(0, 1), Err(ShardRefusal::StaleIncarnation)),
+        (
+            ShardEvent::Cancel { run: run_id(1) },
+            Err(ShardRefusal::RunEnded),
+        ),
+        (
+            ShardEvent::Cancel { run: run_id(7) },
+            Err(ShardRefusal::UnknownRun),
+        ),
+    ];
+
+    for (event, expected) in cases {
+        assert_eq!(fold.add(event.clone()), expected, "{event:?}");
+    }
+}
+
+#[test]
+fn only_the_newest_claim_may_write() {
+    let mut fold = Fold::owned();
+    let late = record("h0", 1, 50, submit(0, 1));
+
+    let stale_claim = fold.apply(record("h1", 1, 1, ShardEvent::Claim));
+    let claim = fold.apply(record("h1", 2, 1, ShardEvent::Claim));
+    let of_former_owner = fold.apply(late);
+    let with_new_epoch = fold.apply(record("h0", 2, 51, submit(0, 1)));
+    let claim_again = fold.apply(record("h1", 2, 1, ShardEvent::Claim));
+
+    assert_eq!(stale_claim, Err(ShardRefusal::StaleEpoch));
+    assert_eq!(claim, Ok(()));
+    assert_eq!(of_former_owner, Err(ShardRefusal::StaleEpoch));
+    assert_eq!(with_new_epoch, Err(ShardRefusal::NotOwner));
+    assert_eq!(claim_again, Err(ShardRefusal::StaleEpoch));
+}
+
+#[test]
+fn a_later_incarnation_ends_what_ran_before() {
+    let mut fold = Fold::owned();
+    fold.add_all([
+        worker(0, 1),
+        submit(0, 2),
+        start(0, 0, 1, 0),
+        start(0, 1, 1, 0),
+    ]);
+
+    fold.add_all([worker(0, 2)]);
+
+    assert!(fold.state.open_attempts().is_empty());
+    assert_eq!(fold.state.runs()[&run_id(0)].waiting_tasks().len(), 2);
+    check_accounts(&fold.state);
+}
+
+#[test]
+fn a_success_after_a_cancellation_counts_no_result() {
+    let mut fold = Fold::owned();
+    fold.add_all([worker(0, 1), submit(0, 1), start(0, 0, 1, 0)]);
+
+    fold.add_all([ShardEvent::Cancel { run: run_id(0) }]);
+    fold.add_all([end(0, 0, 1, AttemptEnd::Succeeded)]);
+
+    let run = &fold.state.runs()[&run_id(0)];
+    assert_eq!((run.status, run.done), (RunStatus::Cancelled, 0));
+}
+
+#[test]
+fn a_run_fails_by_failures_on_several_workers_only() {
+    let mut fold = Fold::owned();
+    fold.add_all([worker(0, 1), worker(1, 1), submit(0, 1)]);
+
+    fold.add_all([start(0, 0, 1, 0), end(0, 0, 1, failed())]);
+    fold.add_all([start(0, 0, 2, 0), end(0, 0, 2, failed())]);
+    let after_one_worker = fold.state.runs()[&run_id(0)].status;
+    fold.add_all([start(0, 0, 3, 1), end(0, 0, 3, failed())]);
+
+    assert_eq!(after_one_worker, RunStatus::Active);
+    let run = &fold.state.runs()[&run_id(0)];
+    assert_eq!(run.status, RunStatus::Failed);
+    assert_eq!(run.cause.as_deref(), Some("task 0: broken"));
+}
+
+#[test]
+fn a_quarantined_worker_takes_one_probe_and_a_success_frees_it() {
+    let mut fold = Fold::owned();
+    fold.add_all([worker(0, 1), worker(1, 1)]);
+    for run in 0..3 {
+        fold.add_all([
+            submit(run, 3),
+            start(run, 0, 1, 0),
+            end(run, 0, 1, failed()),
+        ]);
+    }
+
+    let probe = fold.add(start(0, 1, 1, 0));
+    let second = fold.add(start(0, 2, 1, 0));
+    fold.add_all([end(0, 1, 1, AttemptEnd::Succeeded)]);
+    let after = fold.add(start(0, 2, 1, 0));
+
+    assert_eq!((probe, second), (Ok(()), Err(ShardRefusal::Quarantined)));
+    assert_eq!(after, Ok(()));
+}
+
+#[test]
+fn closed_runs_are_pruned_by_count_and_their_ids_stay_taken() {
+    let mut fold = Fold::owned();
+    for run in 0..=KEPT_CLOSED_RUNS {
+        fold.add_all([submit(run, 1), ShardEvent::Cancel { run: run_id(run) }]);
+    }
+
+    let again = fold.add(submit(0, 1));
+
+    assert_eq!(fold.state.runs().len(), KEPT_CLOSED_RUNS);
+    assert_eq!(again, Err(ShardRefusal::RunPruned));
+}
+
+#[test]
+fn a_snapshot_of_which_a_piece_is_missing_is_passed_over() {
+    let mut fold = Fold::owned();
+    (0..3_000).for_each(|run| fold.add_all([submit(run, 1)]));
+    let chunks = fold.state.to_chunks();
+    let mut reader = SnapshotReader::default();
+
+    chunks.iter().skip(1).for_each(|chunk| reader.take(chunk));
+    reader.take("not a chunk");
+
+    assert!(chunks.len() > 1);
+    assert_eq!(reader.into_newest(), None);
+}
