--- a/crates/standins/src/worker/mod.rs
+++ b/crates/standins/src/worker/mod.rs
@@ -1,8 +1,10 @@
 //! A stand-in for the agent of a worker.
 
+mod memory_worker;
 mod worker_model;
 mod worker_server;
 
+pub use memory_worker::MemoryWorker;
 pub use worker_model::Interval;
 pub use worker_model::WorkerModel;
 pub use worker_model::WorkerRefusal;
