--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -69,9 +69,10 @@
 USAGE:
     dotterelhook status --daemon ADDRESS
 
-The address is the admin address of any daemon. OFFSET is what a daemon has in force,
-HEARD the age of its newest heartbeat, LOG the age of its last contact with the platform's
-log. Exits with 4 if a failure domain can't be reached from that daemon.
+The address is the admin address of any daemon. OFFSET is what a daemon has in
+force, HEARD the age of its newest heartbeat, LOG the age of its last contact
+with the platform's log. Exits with 4 if a failure domain can't be reached from
+that daemon.
 
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
@@ -91,9 +92,10 @@
 USAGE:
     dotterelhook report burn --daemon ADDRESS
 
-Asks every front that the daemon knows and sums up, for each service and window, the
-requests, the share answered within the objective, and the burn rate: 1x spends the
-error budget exactly. Says which fronts can't be reached; the sums are then too low.
+Asks every front that the daemon knows and sums up, for each service and window,
+the requests, the share answered within the objective, and the burn rate: 1x
+spends the error budget exactly. Says which fronts can't be reached; the sums
+are then too low.
 
 EXAMPLE:
     dotterelhook report burn --daemon 127.0.0.1:7101 --json
