--- a/crates/standins/src/faults/checks.rs
+++ b/crates/standins/src/faults/checks.rs
@@ -157,7 +157,10 @@
 pub fn check_operators(state: &ConfigState, seen: &[Offset]) -> Vec<Finding> {
     let backwards = seen.windows(2).filter(|pair| pair[1] < pair[0]);
     let backwards = backwards.map(|pair| format!("{} came after {}", pair[1], pair[0]));
-    let accepted = state.outcomes().filter(|outcome| outcome.refusal.is_none());
+    let accepted = state
+        .outcomes()
+        .iter()
+        .filter(|outcome| outcome.refusal.is_none());
     vec![
         Finding::new(
             "the configuration in force never reverts",
