Tell of draining targets a few times instead of always

Each heartbeat repeated every target that its sender had seen draining in the last minute, to every member of the domain: about 20 bytes a target and receiver each second, so that a few targets of a planned replacement would have cost more than all of membership, and 256 of them would not have fitted into one packet.

A report is now told in five heartbeats, at most 24 reports in each, and again after 30 s if the target is still seen; receivers keep what they heard for a minute and give it with its age. Keeping only the newest heartbeat's list was ruled out, since a report would vanish with the next one. The first telling of 300 takes 13 heartbeats.

--- a/crates/peer/src/membership/heartbeat.rs
+++ b/crates/peer/src/membership/heartbeat.rs
@@ -81,6 +81,6 @@
     pub log_contact_age_ms: Option<u64>,
     /// Whether the sender is about to stop.
     pub is_draining: bool,
-    /// Targets that the sender saw draining; only heartbeats of the own domain carry them.
+    /// Targets that the sender saw draining lately; each is told a few times, not always.
     pub draining_targets: Vec<DrainingTarget>,
 }
--- a/crates/peer/src/membership/member_exchange.rs
+++ b/crates/peer/src/membership/member_exchange.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Digest;
+use super::DrainingTarget;
 use super::Heartbeat;
 use super::Member;
 use super::MemberId;
@@ -147,7 +148,12 @@
             self.refusals.add("own-name", cause);
             return;
         }
-        self.table().hear(heartbeat, self.clock.monotonic_ms());
+        let now_ms = self.clock.monotonic_ms();
+        if heartbeat.failure_domain == self.settings.failure_domain {
+            self.draining_board
+                .hear(&heartbeat.draining_targets, now_ms);
+        }
+        self.table().hear(heartbeat, now_ms);
     }
 
     /// Asks some members about those that were not heard lately.
@@ -211,7 +217,7 @@
             config_offset: self.config.current().next_offset(),
             log_contact_age_ms: self.config.log_contact_age_ms(),
             is_draining: self.draining.is_cancelled(),
-            draining_targets: self.draining_board.recent(self.clock.monotonic_ms()),
+            draining_targets: self.draining_board.announce(self.clock.monotonic_ms()),
         }
     }
 
@@ -241,6 +247,11 @@
     }
 
     fn report_draining(&self, target: &TargetId) {
-        self.draining_board.add(target, self.clock.monotonic_ms());
+        self.draining_board
+            .report(target, self.clock.monotonic_ms());
+    }
+
+    fn draining_targets(&self) -> Vec<DrainingTarget> {
+        self.draining_board.recent(self.clock.monotonic_ms())
     }
 }
--- a/crates/peer/tests/membership.rs
+++ b/crates/peer/tests/membership.rs
@@ -197,6 +197,30 @@
     assert_eq!(network.nodes[0].membership.draining_targets(), []);
 }
 
+#[test]
+fn many_draining_targets_all_arrive_in_frames_of_one_packet() {
+    const TARGETS: usize = 100;
+    const PACKET_MAX_BYTES: usize = 1_400;
+    let mut network = settled(&[4], 14);
+    network.loss = 0.2;
+    for index in 0..TARGETS {
+        let target: TargetId = format!("laguna-booking-executor-{index}")
+            .parse()
+            .expect("a name");
+        network.nodes[1].membership.report_draining(&target);
+    }
+    let longest = network.frames_of(1).iter().map(|out| out.frame.len()).max();
+
+    network.run(TARGETS * 5 / 24 + 10);
+
+    let known = network.nodes[2].membership.draining_targets().len();
+    assert!(
+        longest.is_some_and(|bytes| bytes < PACKET_MAX_BYTES),
+        "{longest:?}"
+    );
+    assert!(known > TARGETS * 99 / 100, "{known}");
+}
+
 /// Returns the bytes that the busiest node sends in a second, packet headers included.
 fn busiest_bytes_per_second(domain_sizes: &[usize]) -> u64 {
     const SECONDS: usize = 60;
