--- a/crates/front/src/request/attempt.rs
+++ b/crates/front/src/request/attempt.rs
@@ -11,7 +11,6 @@
 use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use super::Cause;
@@ -24,7 +23,7 @@
 use crate::target::Lease;
 use crate::target::Outcome;
 
-/// A target that still works on a request after this time loses the connection.
+/// A target that still works on a request so long after the deadline loses the connection.
 const ABANDONED_MAX: Duration = Duration::from_secs(30);
 
 type AttemptResult = Result<Response<AnswerBody>, RequestError>;
@@ -57,7 +56,7 @@
     let allows_chunked = head.allows_chunked;
     tokio::spawn(async move {
         let exchange = exchange(lease, connection, request, allows_chunked);
-        if let Ok(result) = timeout(ABANDONED_MAX, exchange).await {
+        if let Ok(result) = timeout_at(deadline + ABANDONED_MAX, exchange).await {
             // A caller that left needs no answer.
             let _ = report.send(result);
         }
--- a/crates/front/src/target/pool.rs
+++ b/crates/front/src/target/pool.rs
@@ -141,11 +141,8 @@
     }
 
     pub(super) fn take_idle(&self) -> Option<Connection> {
+        self.close_old_idle();
         let mut idle = self.idle();
-        let now = Instant::now();
-        idle.retain(|(connection, since)| {
-            !connection.is_closed() && now.duration_since(*since) < IDLE_MAX
-        });
         let ready = idle
             .iter()
             .rposition(|(connection, _)| SendRequest::is_ready(connection))?;
@@ -159,11 +156,12 @@
         }
     }
 
-    /// Closes connections that no request uses.
+    /// Closes connections that no request has used for long; answers still on their way stay.
     pub fn close_old_idle(&self) {
         let now = Instant::now();
         self.idle().retain(|(connection, since)| {
-            !connection.is_closed() && now.duration_since(*since) < IDLE_MAX
+            let is_old = connection.is_ready() && now.duration_since(*since) >= IDLE_MAX;
+            !connection.is_closed() && !is_old
         });
     }
 
--- a/crates/front/src/target/service_targets.rs
+++ b/crates/front/src/target/service_targets.rs
@@ -23,7 +23,9 @@
 use crate::request::Cause;
 use crate::request::RequestError;
 
-const WAIT_MAX_PARTS_OF_TIMEOUT: u64 = 4;
+/// A request waits for at most half of the time in which it should be answered.
+const WAIT_MAX_PART_OF_OBJECTIVE: u64 = 2;
+const WAIT_MAX_PART_OF_TIMEOUT: u64 = 4;
 
 /// The targets of one service, its queue and its budget of retries.
 #[derive(Debug, Default)]
@@ -107,10 +109,10 @@
             let detail = "the service has no usable target";
             return Err(RequestError::not_run(Cause::NoTarget, detail));
         }
-        let part_ms = settings.timeout_ms / WAIT_MAX_PARTS_OF_TIMEOUT;
-        let wait_max = Duration::from_millis(settings.objective.latency_ms.min(part_ms));
+        let part_ms = settings.objective.latency_ms / WAIT_MAX_PART_OF_OBJECTIVE;
+        let wait_max_ms = part_ms.min(settings.timeout_ms / WAIT_MAX_PART_OF_TIMEOUT);
         let terms = QueueTerms {
-            wait_max,
+            wait_max: Duration::from_millis(wait_max_ms),
             deadline,
             slots,
         };
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -162,6 +162,28 @@
     assert_eq!(leaving.counters().executed, 0);
 }
 
+#[tokio::test]
+async fn a_target_that_another_front_saw_draining_gets_no_new_work() {
+    let (leaving, leaving_address) = target_server(8).await;
+    let (_stays, stays_address) = target_server(8).await;
+    let front = start_front(TIMEOUT_MS, &[leaving_address, stays_address]).await;
+    let mut other = front.member();
+    other.heartbeat.member.host = "laguna-2".parse().unwrap();
+    other.heartbeat.draining_targets = vec!["target-0".parse().unwrap()];
+    *front.membership.members.lock().unwrap() = vec![front.member(), other];
+    let service = front.handle.targets.service(&SERVICE.parse().unwrap());
+    let service = service.unwrap();
+    while service.pools().len() > 1 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    for _ in 0..40 {
+        send(front.address, request("POST", "x")).await.unwrap();
+    }
+
+    assert_eq!(leaving.counters().executed, 0);
+}
+
 #[tokio::test]
 async fn bad_requests_are_refused_with_a_clear_status() {
     let (target, address) = target_server(8).await;
