--- a/crates/front/src/front_service.rs
+++ b/crates/front/src/front_service.rs
@@ -11,12 +11,14 @@
 use dotterelhook_kernel::names;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
+use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_types::ids::TargetId;
+use rapidhash::v3::rapidhash_v3;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
@@ -172,15 +174,19 @@
     fn front_view(&self) -> FrontView {
         let own_id = self.membership.own_id();
         let peers = self.membership.live_peers(Role::Front);
-        let others = peers.iter().filter(|peer| peer.heartbeat.member != own_id);
-        let rank = others
-            .clone()
-            .filter(|peer| peer.heartbeat.member < own_id)
-            .count();
-        let fronts = others.count() + 1;
+        let mut names: Vec<MemberId> = peers
+            .into_iter()
+            .map(|peer| peer.heartbeat.member)
+            .filter(|member| *member != own_id)
+            .collect();
+        let rank = names.iter().filter(|name| **name < own_id).count();
+        names.push(own_id);
+        names.sort();
+        let text: Vec<String> = names.iter().map(ToString::to_string).collect();
         FrontView {
-            fronts,
+            fronts: names.len(),
             rank,
+            names: rapidhash_v3(text.join(" ").as_bytes()),
             is_settled: false,
         }
     }
--- a/crates/front/src/target/share.rs
+++ b/crates/front/src/target/share.rs
@@ -15,6 +15,8 @@
     pub fronts: usize,
     /// This front's place among them, from zero.
     pub rank: usize,
+    /// A hash of the fronts' names, which tells views of one size apart.
+    pub names: u64,
     /// Whether this view has held for long, so that the other fronts hold it too.
     pub is_settled: bool,
 }
@@ -67,6 +69,7 @@
         FrontView {
             fronts: most_seen.unwrap_or(1).max(least),
             rank: seen.rank,
+            names: seen.names,
             is_settled: !is_new && self.seen.len() == 1,
         }
     }
--- a/crates/front/tests/limits.rs
+++ b/crates/front/tests/limits.rs
@@ -74,7 +74,7 @@
     fn shares_of_one_view_sum_up_to_the_slots(fronts in 1_usize..=64, slots in 0_usize..=64, number in 0_u32..100) {
         let target = target(number);
 
-        let views = (0..fronts).map(|rank| FrontView { fronts, rank, is_settled: true });
+        let views = (0..fronts).map(|rank| FrontView { fronts, rank, names: 0, is_settled: true });
         let sum: usize = views.map(|view| share(slots, &target, view)).sum();
 
         prop_assert_eq!(sum, slots);
@@ -95,7 +95,8 @@
                 let seen = |other: &usize| lives[*other].is_seen_by(index, at_ms);
                 let others: Vec<usize> = (0..lives.len()).filter(|other| *other != index).filter(seen).collect();
                 let rank = others.iter().filter(|other| **other < index).count();
-                let view = FrontView { fronts: others.len() + 1, rank, is_settled: false };
+                let names = others.iter().map(|other| 1 << other).sum();
+                let view = FrontView { fronts: others.len() + 1, rank, names, is_settled: false };
                 let count = counts[index].get_or_insert_with(|| FrontCount::new(FRONTS_MAX, now));
                 sum += share(slots, &target, count.update(view, now));
                 new_fronts += usize::from(life.is_new(at_ms));
