Choose between two different targets and test slow and cut links

The two are now always different, and if neither has a free slot the least loaded of all is taken instead of any.

Two tests send requests to another domain over an imitated link: with 5 ms and up to 5 ms of jitter every answer comes whole, and a link that is cut while the target works gives may-have-run with one run at the target. Loss of packets isn't imitated; TCP would turn it into delay.

--- a/crates/front/src/target/service_targets.rs
+++ b/crates/front/src/target/service_targets.rs
@@ -8,7 +8,7 @@
 use dotterelhook_platform::hosts::TargetEntry;
 use dotterelhook_state::config::ServiceSettings;
 use dotterelhook_types::ids::TargetId;
-use rand::RngExt;
+use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
@@ -125,14 +125,10 @@
         let is_free = |pool: &&Arc<TargetPool>| {
             pool.in_flight() < pool.limit() && !excluded.contains(&pool.entry().target)
         };
-        if self.policy == Policy::LeastWorkOfTwo
-            && let Some(chosen) = self.less_work_of_two(&pools, is_free)
-        {
-            return chosen.try_lease();
-        }
         let free = pools.iter().filter(is_free);
         let chosen = match self.policy {
-            Policy::Random | Policy::LeastWorkOfTwo => free.choose(&mut rand::rng()),
+            Policy::Random => free.choose(&mut rand::rng()),
+            Policy::LeastWorkOfTwo => self.least_work_of_two(&pools, is_free),
             Policy::LeastInFlight => free.min_by_key(|pool| pool.in_flight()),
             Policy::RoundRobin => {
                 let turn = self.turn.fetch_add(1, Ordering::Relaxed) % pools.len().max(1);
@@ -143,23 +139,20 @@
         chosen?.try_lease()
     }
 
-    fn less_work_of_two<'a>(
+    /// Chooses between two random targets, or among all if neither of the two is free.
+    fn least_work_of_two<'a>(
         &self,
         pools: &'a [Arc<TargetPool>],
         is_free: impl Fn(&&'a Arc<TargetPool>) -> bool,
     ) -> Option<&'a Arc<TargetPool>> {
-        if pools.is_empty() {
-            return None;
-        }
-        let mut rng = rand::rng();
-        let first = &pools[rng.random_range(0..pools.len())];
-        let second = &pools[rng.random_range(0..pools.len())];
         let usual_ms = self.queue.latency_ms().unwrap_or(1.0);
         let work = |pool: &Arc<TargetPool>| {
             (pool.in_flight() + 1) as f64 * pool.latency_ms().unwrap_or(usual_ms)
         };
-        let free = [first, second].into_iter().filter(is_free);
-        free.min_by(|a, b| work(a).total_cmp(&work(b)))
+        let least = |a: &&Arc<TargetPool>, b: &&Arc<TargetPool>| work(a).total_cmp(&work(b));
+        let two = pools.sample(&mut rand::rng(), 2);
+        let of_two = two.filter(&is_free).min_by(least);
+        of_two.or_else(|| pools.iter().filter(&is_free).min_by(least))
     }
 }
 
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -9,6 +9,8 @@
 use bytes::Bytes;
 use dotterelhook_front::FrontSettings;
 use dotterelhook_peer::membership::MemberState;
+use dotterelhook_standins::link::LinkState;
+use dotterelhook_standins::link::TcpLink;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
 use dotterelhook_standins::target::End;
@@ -65,6 +67,18 @@
         .unwrap()
 }
 
+/// Starts a link on a port that was free a moment ago, until one is still free.
+async fn link_to(to: SocketAddr) -> (Arc<TcpLink>, SocketAddr) {
+    loop {
+        let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        if let Ok(link) = TcpLink::start(address, to).await {
+            return (link, address);
+        }
+    }
+}
+
 async fn purchase(front: &TestFront, key: &str) -> Response<Bytes> {
     send(front.address, keyed(key, "a voucher")).await.unwrap()
 }
@@ -245,6 +259,59 @@
     assert_eq!((near.counters().executed, far.counters().executed), (0, 1));
 }
 
+#[tokio::test]
+async fn answers_stay_whole_over_a_link_that_is_slow_and_jitters() {
+    let (far, far_address) = target_server().await;
+    let own = front("laguna-1", "laguna", &[]).await;
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    let (link, link_address) = link_to(other.peer_address).await;
+    link.set(LinkState {
+        is_cut: false,
+        delay_ms: 5,
+        jitter_ms: 5,
+    });
+    let mut seen = other.member();
+    seen.heartbeat.peer_address = link_address;
+    *own.membership.members.lock().unwrap() = vec![own.member(), seen];
+
+    for number in 0..50 {
+        let body = format!("{number} ").repeat(500);
+        let answer = send(own.address, request("POST", &body)).await.unwrap();
+
+        assert_eq!(answer.status(), 200);
+        assert_eq!(&answer.body()[..], body.as_bytes());
+    }
+    assert_eq!(far.counters().executed, 50);
+}
+
+#[tokio::test]
+async fn a_link_that_is_cut_in_the_middle_leaves_the_outcome_open() {
+    let (far, far_address) = target_server().await;
+    set_fault(&far, Fault::Frozen);
+    let own = start_named_front("laguna-1", settings(), 1_000, &[]).await;
+    let other = front("pampanga-1", "pampanga", &[far_address]).await;
+    let (link, link_address) = link_to(other.peer_address).await;
+    let mut seen = other.member();
+    seen.heartbeat.peer_address = link_address;
+    *own.membership.members.lock().unwrap() = vec![own.member(), seen];
+    let waiting = tokio::spawn(send(own.address, request("POST", "x")));
+    while far.counters().in_flight == 0 {
+        tokio::task::yield_now().await;
+    }
+
+    link.set(LinkState {
+        is_cut: true,
+        ..LinkState::default()
+    });
+    let answer = waiting.await.unwrap().unwrap();
+
+    assert_eq!(
+        header(&answer, "x-dotterelhook-verdict"),
+        Some("may-have-run")
+    );
+    assert_eq!(far.counters().executed, 1);
+}
+
 #[tokio::test]
 async fn a_request_goes_one_hop_and_keeps_its_verdict() {
     let (near, near_address) = target_server().await;
