Test answers without a body and request bodies that break off

Answers to HEAD, and those with 204 or 304, carry no body, and a check for a length could have refused them; the test shows that it doesn't, three times on one kept connection each. A second test sends half a body, with a length and in chunks, and counts at the target that nothing ran.

--- a/crates/front/tests/answers.rs
+++ b/crates/front/tests/answers.rs
@@ -264,3 +264,28 @@
     assert_eq!(answer.status(), 200);
     assert_eq!(answer.body().len(), 400_000);
 }
+
+#[tokio::test]
+async fn answers_without_a_body_are_whole() {
+    let cases = [
+        ("HEAD", "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", 200),
+        ("GET", "HTTP/1.1 204 No Content\r\n\r\n", 204),
+        ("GET", "HTTP/1.1 304 Not Modified\r\netag: x\r\n\r\n", 304),
+    ];
+    for (method, answer, status) in cases {
+        let script = Script {
+            read: ReadUpTo::Whole,
+            answer: answer.as_bytes().to_vec(),
+            end: End::Next,
+        };
+        let target = RawTarget::start(script).await.unwrap();
+        let front = start_front(TIMEOUT_MS, &[target.address()]).await;
+
+        for _ in 0..3 {
+            let answer = send(front.address, request(method, "")).await.unwrap();
+
+            assert_eq!(answer.status(), status);
+            assert!(answer.body().is_empty());
+        }
+    }
+}
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -268,3 +268,21 @@
 
     assert_eq!(target.counters().executed, 10);
 }
+
+#[tokio::test]
+async fn a_request_whose_body_breaks_off_runs_nowhere() {
+    let (target, address) = target_server(8).await;
+    let front = start_front(TIMEOUT_MS, &[address]).await;
+    let heads = ["content-length: 900", "transfer-encoding: chunked"];
+
+    for head in heads {
+        let mut stream = TcpStream::connect(front.address).await.unwrap();
+        let sent = format!("POST {PATH} HTTP/1.1\r\nhost: f\r\n{head}\r\n\r\n5\r\nhello\r\n");
+        stream.write_all(sent.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut received = Vec::new();
+        let _ = stream.read_to_end(&mut received).await;
+    }
+
+    assert_eq!(target.counters().executed, 0);
+}
