Add the report of losses and show runs whose shard has no owner

A run whose shard had no owner was in no scheduler's answer, so that it was missing without a word, and nothing listed overdue runs or what open attempts wait for. Every scheduler now tells the runs of all shards that it follows and whether it owns them; the command line keeps the owner's line for each run. `report losses` lists failed and overdue runs, waits for silent workers with the reason, and active runs without an owner. Asking owners only and comparing shard counts was ruled out, since a scheduler that is down can't be asked what it owned. Tested against stand-in schedulers: each kind of loss, the owner's last word, a missing answer.

--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,6 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
+    report    print what failed, is overdue or waits for a worker
 
 Each command has --help and --json.
 
@@ -81,6 +82,17 @@
     dotterelhook jobs --daemon 127.0.0.1:7101
 ";
 
+const REPORT: &str = "\
+USAGE:
+    dotterelhook report losses --daemon ADDRESS
+
+Asks every scheduler that the daemon knows and lists the runs that failed, are
+past their deadline, wait for a silent worker, or have a shard without an owner.
+
+EXAMPLE:
+    dotterelhook report losses --daemon 127.0.0.1:7101
+";
+
 /// Returns the help of a command, or of all.
 pub(super) fn text(command: Option<&str>) -> &'static str {
     match command {
@@ -90,6 +102,7 @@
         Some("history") => HISTORY,
         Some("status") => STATUS,
         Some("jobs") => JOBS,
+        Some("report") => REPORT,
         _ => OVERVIEW,
     }
 }
--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -34,6 +34,7 @@
         Some("check") => command::check(arguments),
         Some("publish") => command::publish(arguments).await,
         Some("jobs") => command::jobs(arguments).await,
+        Some("report") => report(arguments).await,
         Some("status") => command::status(arguments).await,
         Some("get") => command::get(arguments).await,
         Some("history") => command::history(arguments).await,
@@ -41,3 +42,13 @@
         None => Ok(()),
     }
 }
+
+async fn report(mut arguments: pico_args::Arguments) -> Result<(), Failure> {
+    match arguments.subcommand().map_err(Failure::usage)?.as_deref() {
+        Some("losses") => command::report_losses(arguments).await,
+        Some(other) => Err(Failure::usage(format!("there is no report {other:?}"))),
+        None => Err(Failure::usage(
+            "which report? try: dotterelhook report losses",
+        )),
+    }
+}
--- a/crates/cli/src/command/jobs.rs
+++ b/crates/cli/src/command/jobs.rs
@@ -1,10 +1,6 @@
-use dotterelhook_peer::membership::Member;
-use dotterelhook_peer::membership::MemberState;
-use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::http::JsonClient;
-use dotterelhook_state::shard::LedgerLine;
 use serde_json::json;
 
+use super::run_lines::RunLines;
 use super::table::new_table;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
@@ -16,46 +12,23 @@
     let is_json = arguments.is_json;
     let timeout = arguments.timeout;
     arguments.finish()?;
-    let members: Vec<Member> = daemon.get("/members").await?.check()?.decode()?;
-    let mut lines: Vec<LedgerLine> = Vec::new();
-    let mut missing = Vec::new();
-    for member in members
-        .iter()
-        .filter(|m| m.heartbeat.member.role == Role::Scheduler)
-    {
-        let client = JsonClient::new(member.heartbeat.admin_address, timeout);
-        let answer = client.get("/runs").await.and_then(|answer| answer.check());
-        match answer.and_then(|answer| answer.decode::<Vec<LedgerLine>>()) {
-            Ok(found) => lines.extend(found),
-            Err(_) if member.state == MemberState::Dead => {}
-            Err(error) => missing.push(format!("{}: {error}", member.heartbeat.member)),
-        }
-    }
-    lines.sort_by(|a, b| a.run.cmp(&b.run));
+    let runs = RunLines::read(&daemon, timeout).await?;
     if is_json {
-        let report = json!({ "runs": lines, "missing": missing });
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&report).map_err(Failure::usage)?
-        );
+        let report = json!({ "runs": runs.lines, "missing": runs.missing });
+        let text = serde_json::to_string_pretty(&report).map_err(Failure::usage)?;
+        println!("{text}");
     } else {
-        print_table(&lines);
-    }
-    if missing.is_empty() {
-        return Ok(());
+        print_table(&runs);
     }
-    Err(Failure::Refused(format!(
-        "incomplete, no answer from {}",
-        missing.join(", ")
-    )))
+    runs.check()
 }
 
-fn print_table(lines: &[LedgerLine]) {
+fn print_table(runs: &RunLines) {
     let headings = [
         "RUN", "TEAM", "JOB", "STATUS", "DONE", "RUNNING", "WAITING", "NOTE",
     ];
     let mut table = new_table(&headings);
-    for line in lines {
+    for line in &runs.lines {
         let overdue = if line.is_overdue { "overdue" } else { "" };
         table.add_row([
             line.run.to_string(),
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -7,6 +7,8 @@
 mod jobs;
 mod publish;
 mod read_config;
+mod report_losses;
+mod run_lines;
 mod status;
 mod table;
 
@@ -15,4 +17,5 @@
 pub(crate) use history::history;
 pub(crate) use jobs::jobs;
 pub(crate) use publish::publish;
+pub(crate) use report_losses::report_losses;
 pub(crate) use status::status;
--- /dev/null
+++ b/crates/cli/tests/losses.rs
@@ -0,0 +1,176 @@
+//! The report of losses, against schedulers that say what they know.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::process::Output;
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_platform::http::json_answer;
+use dotterelhook_standins::server::Answer;
+use dotterelhook_standins::server::FaultSwitch;
+use dotterelhook_standins::server::Handler;
+use dotterelhook_standins::server::bind;
+use dotterelhook_standins::server::serve;
+use hyper::Method;
+use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
+/// A scheduler's admin interface with fixed answers.
+struct Scheduler {
+    members: Value,
+    runs: Value,
+    faults: FaultSwitch,
+}
+
+#[async_trait]
+impl Handler for Scheduler {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn handle(&self, _: &Method, path: &str, _: &str, _: Bytes) -> Answer {
+        match path {
+            "/members" => json_answer(StatusCode::OK, &self.members),
+            "/runs" => json_answer(StatusCode::OK, &self.runs),
+            _ => json_answer(StatusCode::NOT_FOUND, &"no such path"),
+        }
+    }
+}
+
+fn member(host: &str, address: SocketAddr) -> Value {
+    json!({
+        "heartbeat": {
+            "member": { "host": host, "role": "scheduler" },
+            "incarnation": 1,
+            "failure_domain": "laguna",
+            "peer_address": address,
+            "admin_address": address,
+            "api_address": address,
+            "config_offset": 0,
+            "log_contact_age_ms": null,
+            "is_draining": false,
+            "known_addresses": [],
+            "draining_targets": [],
+        },
+        "age_ms": 0,
+        "state": "alive",
+    })
+}
+
+fn line(run: &str, change: &Value) -> Value {
+    let mut line = json!({
+        "run": run, "team": "night", "job": "cut", "status": "active", "is_overdue": false,
+        "tasks": 4, "done": 1, "running": 1, "waiting": 2, "deadline_at_unix_ms": 9,
+        "cause": null, "is_from_owner": true,
+    });
+    let fields = line.as_object_mut().unwrap();
+    fields.extend(change.as_object().unwrap().clone());
+    line
+}
+
+/// Serves one scheduler that names the given further ones, and returns its address.
+async fn served(runs: Value, others: &[Value]) -> SocketAddr {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = bind(any_port).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut members = vec![member("h0", address)];
+    members.extend_from_slice(others);
+    let scheduler = Scheduler {
+        members: json!(members),
+        runs,
+        faults: FaultSwitch::default(),
+    };
+    tokio::spawn(serve(listener, Arc::new(scheduler)));
+    address
+}
+
+async fn report(daemon: SocketAddr) -> (Output, Value) {
+    let output = tokio::task::spawn_blocking(move || {
+        Command::new(env!("CARGO_BIN_EXE_dotterelhook"))
+            .args([
+                "report",
+                "losses",
+                "--json",
+                "--daemon",
+                &daemon.to_string(),
+            ])
+            .output()
+            .unwrap()
+    });
+    let output = output.await.unwrap();
+    let report = serde_json::from_slice(&output.stdout).unwrap_or_default();
+    (output, report)
+}
+
+fn kinds(report: &Value) -> Vec<(&str, &str)> {
+    let losses = report["losses"].as_array().unwrap();
+    losses
+        .iter()
+        .map(|loss| {
+            (
+                loss["run"]["run"].as_str().unwrap(),
+                loss["kind"].as_str().unwrap(),
+            )
+        })
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_loss_has_its_line() {
+    let runs = json!([
+        line("a-fine", &json!({})),
+        line(
+            "b-failed",
+            &json!({ "status": "failed", "cause": "task 3: broken" })
+        ),
+        line("c-overdue", &json!({ "is_overdue": true })),
+        line("d-waits", &json!({ "waits": ["waits for worker w1"] })),
+        line("e-alone", &json!({ "is_from_owner": false })),
+        line(
+            "f-done",
+            &json!({ "status": "complete", "is_from_owner": false })
+        ),
+    ]);
+    let daemon = served(runs, &[]).await;
+
+    let (output, report) = report(daemon).await;
+
+    assert!(output.status.success());
+    let expected = [
+        ("b-failed", "failed"),
+        ("c-overdue", "overdue"),
+        ("d-waits", "waits-for-worker"),
+        ("e-alone", "no-owner"),
+    ];
+    assert_eq!(kinds(&report), expected);
+    assert_eq!(report["losses"][0]["detail"], "task 3: broken");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_owner_has_the_last_word_on_a_run() {
+    let follower = json!([line(
+        "run",
+        &json!({ "is_from_owner": false, "is_overdue": true })
+    )]);
+    let follower = served(follower, &[]).await;
+    let owner = json!([line("run", &json!({}))]);
+    let daemon = served(owner, &[member("h1", follower)]).await;
+
+    let (_, report) = report(daemon).await;
+
+    assert!(kinds(&report).is_empty(), "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_scheduler_without_an_answer_makes_the_report_incomplete() {
+    let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
+    let daemon = served(json!([]), &[member("h1", nobody)]).await;
+
+    let (output, report) = report(daemon).await;
+
+    assert_eq!(output.status.code(), Some(4));
+    assert_eq!(report["missing"].as_array().unwrap().len(), 1);
+}
--- a/crates/scheduler/src/shard/ledger.rs
+++ b/crates/scheduler/src/shard/ledger.rs
@@ -9,14 +9,15 @@
 use super::shard_task::ShardTask;
 
 impl ShardTask {
-    /// Returns a line for each run, with what its open attempts wait for.
+    /// Returns a line for each run; an owner adds what open attempts wait for.
     pub(super) fn ledger(&self) -> Vec<LedgerLine> {
+        let mut lines = self.state.ledger();
         if !self.is_owner() {
-            return Vec::new();
+            return lines;
         }
         let mut waits = self.waits();
-        let mut lines = self.state.ledger();
         for line in &mut lines {
+            line.is_from_owner = true;
             line.waits = waits.remove(&line.run).unwrap_or_default();
         }
         lines
--- a/crates/state/src/shard/ledger.rs
+++ b/crates/state/src/shard/ledger.rs
@@ -32,6 +32,8 @@
     pub deadline_at_unix_ms: u64,
     /// Why the run failed.
     pub cause: Option<Box<str>>,
+    /// Whether the line is of the shard's owner; others may lag behind it.
+    pub is_from_owner: bool,
     /// What the run's open attempts wait for, one line for each worker.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub waits: Vec<Box<str>>,
@@ -52,6 +54,7 @@
             waiting: run.waiting_tasks().len() as u32,
             deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
             cause: run.cause.clone(),
+            is_from_owner: false,
             waits: Vec::new(),
         });
         lines.collect()
