--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -52,7 +52,7 @@
             "config_offset": 0,
             "log_contact_age_ms": null,
             "is_draining": false,
-            "known_addresses": [],
+            "sequence": 1,
             "draining_targets": [],
         },
         "age_ms": 0,
@@ -138,7 +138,7 @@
 
     let (output, report) = report(daemon).await;
 
-    assert!(output.status.success());
+    assert!(output.status.success(), "{output:?}");
     let expected = [
         ("b-failed", "failed"),
         ("c-overdue", "overdue"),
