--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,7 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
-    report    print how fast services spend their error budgets
+    report    print error budgets, or what failed, is overdue or waits
 
 Each command has --help and --json.
 
@@ -91,14 +91,20 @@
 const REPORT: &str = "\
 USAGE:
     dotterelhook report burn --daemon ADDRESS
+    dotterelhook report losses --daemon ADDRESS
 
-Asks every front that the daemon knows and sums up, for each service and window,
-the requests, the share answered within the objective, and the burn rate: 1x
-spends the error budget exactly. Says which fronts can't be reached; the sums
-are then too low.
+burn asks every front that the daemon knows and sums up, for each service and
+window, the requests, the share answered within the objective, and the burn
+rate: 1x spends the error budget exactly. Says which fronts can't be reached;
+the sums are then too low.
+
+losses asks every scheduler that the daemon knows and lists the runs that
+failed, are past their deadline, wait for a silent worker, or have a shard
+without an owner.
 
 EXAMPLE:
     dotterelhook report burn --daemon 127.0.0.1:7101 --json
+    dotterelhook report losses --daemon 127.0.0.1:7101
 ";
 
 /// Returns the help of a command, or of all.
