--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,6 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
+    report    print how fast services spend their error budgets
 
 Each command has --help and --json.
 
@@ -19,15 +20,16 @@
     1  failed; nothing was changed
     2  the command line or a file is invalid
     3  unknown; the change may still take effect
-    4  refused, or not in force everywhere
+    4  refused, not in force everywhere, or a failure domain can't be reached
 ";
 
 const CHECK: &str = "\
 USAGE:
-    dotterelhook check DIRECTORY
+    dotterelhook check DIRECTORY [--hosts ADDRESS]
 
 The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
 TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
+With --hosts, the platform's host list, sizes that fit no worker are faults too.
 
 EXAMPLE:
     dotterelhook check examples/config/habagat
@@ -35,10 +37,12 @@
 
 const PUBLISH: &str = "\
 USAGE:
-    dotterelhook publish DIRECTORY --log ADDRESS [--dry-run] [--timeout-ms N]
-        [--wait --daemon ADDRESS]
+    dotterelhook publish [DIRECTORY] --log ADDRESS [--remove PATH]...
+        [--hosts ADDRESS] [--dry-run] [--timeout-ms N] [--wait --daemon ADDRESS]
 
 Prints the plan first, then publishes only what differs from what is in force.
+A path that the directory lacks stays in force; only --remove removes it.
+With --hosts, the platform's host list, sizes that fit no worker are refused.
 With --wait it returns when every live daemon has the change in force.
 
 EXAMPLE:
@@ -65,7 +69,9 @@
 USAGE:
     dotterelhook status --daemon ADDRESS
 
-The address is the admin address of any daemon.
+The address is the admin address of any daemon. OFFSET is what a daemon has in force,
+HEARD the age of its newest heartbeat, LOG the age of its last contact with the platform's
+log. Exits with 4 if a failure domain can't be reached from that daemon.
 
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
@@ -81,6 +87,18 @@
     dotterelhook jobs --daemon 127.0.0.1:7101
 ";
 
+const REPORT: &str = "\
+USAGE:
+    dotterelhook report burn --daemon ADDRESS
+
+Asks every front that the daemon knows and sums up, for each service and window, the
+requests, the share answered within the objective, and the burn rate: 1x spends the
+error budget exactly. Says which fronts can't be reached; the sums are then too low.
+
+EXAMPLE:
+    dotterelhook report burn --daemon 127.0.0.1:7101 --json
+";
+
 /// Returns the help of a command, or of all.
 pub(super) fn text(command: Option<&str>) -> &'static str {
     match command {
@@ -90,6 +108,7 @@
         Some("history") => HISTORY,
         Some("status") => STATUS,
         Some("jobs") => JOBS,
+        Some("report") => REPORT,
         _ => OVERVIEW,
     }
 }
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::FrontSettings;
+use dotterelhook_front::target::Policy;
 use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MembershipSettings;
 use dotterelhook_peer::membership::Role;
@@ -54,6 +55,7 @@
     type Error = FieldFault;
 
     fn try_from(raw: RawSettings) -> Result<Self, FieldFault> {
+        check_distinct_addresses(&raw)?;
         let incarnation = new_incarnation();
         let call_timeout = milliseconds(
             "platform.call_timeout_ms",
@@ -82,7 +84,8 @@
             .map(|part| check_scheduler(&raw, part, incarnation))
             .transpose()?;
         let (role, api_address) = match (&front, &scheduler) {
-            (Some(front), _) => (Role::Front, front.listen_address),
+            (Some(front), None) => (Role::Front, front.listen_address),
+            (Some(_), Some(scheduler)) => (Role::Combined, scheduler.listen_address),
             (None, Some(scheduler)) => (Role::Scheduler, scheduler.listen_address),
             (None, None) => {
                 return Err(FieldFault::new(
@@ -109,6 +112,13 @@
             api_address,
             seed_addresses: raw.peers.seed_addresses.clone(),
             heartbeat_interval,
+            relay_count: number("peers.relays", raw.peers.relays, 2, 8)? as usize,
+            digest_interval: milliseconds(
+                "peers.digest_interval_ms",
+                raw.peers.digest_interval_ms,
+                1_000,
+                4_000,
+            )?,
         };
         Ok(Self {
             admin_address: raw.admin_address,
@@ -124,14 +134,55 @@
     }
 }
 
+/// Checks that each listener of the daemon has an address of its own.
+fn check_distinct_addresses(raw: &RawSettings) -> Result<(), FieldFault> {
+    let front = raw.front.as_ref().map(|front| front.listen_address);
+    let scheduler = raw
+        .scheduler
+        .as_ref()
+        .map(|scheduler| scheduler.listen_address);
+    let listeners = [
+        ("admin_address", Some(raw.admin_address)),
+        ("peers.listen_address", Some(raw.peers.listen_address)),
+        ("front.listen_address", front),
+        ("scheduler.listen_address", scheduler),
+    ];
+    for (index, (field, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index]
+            .iter()
+            .find(|(_, other)| other == address);
+        if let (Some(_), Some((other, _))) = (address, earlier) {
+            return Err(FieldFault::new(*field, format!("already used by {other}")));
+        }
+    }
+    Ok(())
+}
+
 fn check_front(raw: &RawSettings, front: &RawFront) -> Result<FrontSettings, FieldFault> {
     let connections_max = number("front.connections_max", front.connections_max, 1, 100_000)?;
     let body_max_bytes = number("front.body_max_bytes", front.body_max_bytes, 1, 64 << 20)?;
+    let forward_bytes_per_second = number(
+        "front.forward_bytes_per_second",
+        front.forward_bytes_per_second,
+        0,
+        1 << 30,
+    )?;
+    let bodies_max_bytes = number(
+        "front.bodies_max_bytes",
+        front.bodies_max_bytes,
+        front.body_max_bytes,
+        1 << 30,
+    )?;
     Ok(FrontSettings {
         listen_address: front.listen_address,
         connections_max: connections_max as usize,
         body_max_bytes: body_max_bytes as usize,
         body_timeout: milliseconds("front.body_timeout_ms", front.body_timeout_ms, 10, 600_000)?,
+        bodies_max_bytes: bodies_max_bytes as usize,
+        requests_max: number("front.requests_max", front.requests_max, 1, 100_000)? as usize,
+        fronts_max: number("front.fronts_max", front.fronts_max, 1, 64)? as usize,
+        forward_bytes_per_second: forward_bytes_per_second as usize,
+        policy: Policy::default(),
         failure_domain: raw.failure_domain.clone(),
     })
 }
