Follow restarted workers, failed runs and probes in placement

The fold now ends a worker's attempts when it records a new incarnation, and fails runs by a record; the index knew neither and would have kept the attempts' room and the runs' tasks. It now reads both, and lists each kind of record by name, so that a new kind does not compile unnoticed. A quarantined worker takes one probe at a time, so a round gives it one start and turns to the next worker, rather than proposing many that would be dropped.

Reading the whole shard again after such records was ruled out, as a domain that comes back restarts hundreds of workers at once. The property test now restarts workers and fails runs, and was seen to fail without each of the two; the new test of a probe failed without its limit.

--- a/crates/scheduler/src/placement/indexed/indexed_placer.rs
+++ b/crates/scheduler/src/placement/indexed/indexed_placer.rs
@@ -7,7 +7,6 @@
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::RunId;
-use dotterelhook_types::ids::TaskId;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 
@@ -99,6 +98,27 @@
         }
     }
 
+    /// Reads a worker that may have restarted and lost its attempts.
+    fn reread_worker(&mut self, state: &ShardState, worker: &WorkerId) {
+        if self.free.free(worker).is_some() {
+            for attempt in self.open_attempts(worker) {
+                if !state.open_attempts().contains_key(&attempt) {
+                    self.remove_open(state, &attempt);
+                }
+            }
+        }
+        self.read_worker(state, worker);
+    }
+
+    fn open_attempts(&self, worker: &WorkerId) -> Vec<AttemptId> {
+        let mut attempts = Vec::new();
+        for run in self.runs.values() {
+            let here = run.open.iter().filter(|(_, open)| *open.worker == *worker);
+            attempts.extend(here.map(|(index, open)| run.attempt(*index, open.number)));
+        }
+        attempts
+    }
+
     fn add_run(&mut self, state: &ShardState, id: &RunId) {
         if self.runs.contains_key(id) {
             return;
@@ -230,7 +250,7 @@
 
     fn observe(&mut self, state: &ShardState, event: &ShardEvent, now_unix_ms: u64) {
         match event {
-            ShardEvent::Worker { worker, .. } => self.read_worker(state, worker),
+            ShardEvent::Worker { worker, .. } => self.reread_worker(state, worker),
             ShardEvent::Submit { run, .. } => self.add_run(state, run),
             ShardEvent::Start {
                 attempt,
@@ -250,8 +270,10 @@
                     self.reread_run(state, &attempt.task.run);
                 }
             }
-            ShardEvent::Cancel { run } => self.reread_run(state, run),
-            _ => {}
+            ShardEvent::Cancel { run } | ShardEvent::Fail { run, .. } => {
+                self.reread_run(state, run);
+            }
+            ShardEvent::Claim | ShardEvent::Release | ShardEvent::Overdue { .. } => {}
         }
     }
 
@@ -274,13 +296,7 @@
                     continue;
                 };
                 loads[position].running.push(RunningTask {
-                    attempt: AttemptId {
-                        task: TaskId {
-                            run: run.id.clone(),
-                            index: *index,
-                        },
-                        number: open.number,
-                    },
+                    attempt: run.attempt(*index, open.number),
                     size: open.size,
                     priority: run.class.priority,
                     is_checkpointable: run.is_checkpointable,
--- a/crates/scheduler/src/placement/indexed/overlay.rs
+++ b/crates/scheduler/src/placement/indexed/overlay.rs
@@ -56,8 +56,7 @@
             avoided.get_or_insert_with(|| Arc::clone(worker));
         }
         for worker in unusable {
-            index.set_out(&worker, true);
-            self.unusable.push(worker);
+            self.take_out(index, worker);
         }
         match (found, avoided) {
             (Some(worker), _) => Ok(worker),
@@ -79,6 +78,12 @@
         index.set_free(worker, free.saturating_sub(size));
     }
 
+    /// Takes a worker out of the order until a later round finds it usable.
+    pub(super) fn take_out(&mut self, index: &mut FreeIndex, worker: Arc<WorkerId>) {
+        index.set_out(&worker, true);
+        self.unusable.push(worker);
+    }
+
     /// Keeps a worker free for the rest of the round; one at most.
     pub(super) fn hold(&mut self, index: &mut FreeIndex, worker: Arc<WorkerId>) {
         index.set_out(&worker, true);
--- a/crates/scheduler/src/placement/indexed/queued_run.rs
+++ b/crates/scheduler/src/placement/indexed/queued_run.rs
@@ -4,8 +4,10 @@
 use dotterelhook_state::shard::Run;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::TaskState;
+use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::TaskId;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 
@@ -58,6 +60,15 @@
         queued
     }
 
+    /// Names an attempt at one of its tasks.
+    pub(super) fn attempt(&self, index: u32, number: u32) -> AttemptId {
+        let run = self.id.clone();
+        AttemptId {
+            task: TaskId { run, index },
+            number,
+        }
+    }
+
     /// Reads again which tasks wait.
     pub(super) fn read_waiting(&mut self, run: &Run) {
         self.waiting.clear();
--- a/crates/scheduler/src/placement/indexed/round.rs
+++ b/crates/scheduler/src/placement/indexed/round.rs
@@ -250,6 +250,10 @@
         self.overlay
             .take(&mut self.placer.free, worker, &class.size);
         self.started.push((team, class.size));
+        if (self.context.takes_one)(worker) {
+            let free = &mut self.placer.free;
+            self.overlay.take_out(free, Arc::clone(worker));
+        }
         self.outcome.starts.push(Proposal {
             attempt,
             worker: WorkerId::clone(worker),
--- a/crates/scheduler/src/placement/placement_context.rs
+++ b/crates/scheduler/src/placement/placement_context.rs
@@ -18,6 +18,8 @@
     pub pairs: &'a dyn PairAdvice,
     /// Says which workers may take new work; quarantined and leaving ones may not.
     pub usable: &'a dyn Fn(&WorkerId) -> bool,
+    /// Says which workers take one start in a round; quarantined ones that are probed do.
+    pub takes_one: &'a dyn Fn(&WorkerId) -> bool,
     /// Whether the inventory of every listed worker was recorded; before, no run is called
     /// never runnable.
     pub has_all_workers: bool,
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -20,6 +20,7 @@
 use dotterelhook_state::config::Priority;
 use dotterelhook_state::shard::AttemptEnd;
 use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::TeamName;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Accelerators;
@@ -41,6 +42,8 @@
     Cancel(Index),
     Wait(u64),
     Leave(Index),
+    Restart(Index),
+    Fail(Index),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -59,6 +62,8 @@
         any::<Index>().prop_map(Step::Cancel),
         (0_u64..1_200_000).prop_map(Step::Wait),
         any::<Index>().prop_map(Step::Leave),
+        any::<Index>().prop_map(Step::Restart),
+        any::<Index>().prop_map(Step::Fail),
     ]
 }
 
@@ -88,6 +93,7 @@
         sizes: &DeclaredSizes,
         pairs: &AnyPair,
         usable,
+        takes_one: &|_| false,
         has_all_workers: true,
         now_unix_ms: 0,
         starts_max: 20,
@@ -119,6 +125,7 @@
         let limit = quota.map(size);
         let mut left = worker(0);
         let mut runs = 0;
+        let mut incarnation = 1;
 
         for step in steps {
             match step {
@@ -156,7 +163,21 @@
                     let run = format!("run-{}", index.index(runs) + 1).parse().unwrap();
                     shard.record(ShardEvent::Cancel { run });
                 }
-                Step::Cancel(_) => {}
+                Step::Fail(index) if runs > 0 => {
+                    let run = format!("run-{}", index.index(runs) + 1).parse().unwrap();
+                    let cause = "x".into();
+                    shard.record(ShardEvent::Fail { run, cause });
+                }
+                Step::Cancel(_) | Step::Fail(_) => {}
+                Step::Restart(index) => {
+                    let index = index.index(capacities.len());
+                    incarnation += 1;
+                    shard.record(ShardEvent::Worker {
+                        worker: worker(index),
+                        incarnation: Incarnation(incarnation),
+                        capacity: size(capacities[index]),
+                    });
+                }
                 Step::Wait(time_ms) => shard.now_unix_ms += time_ms,
             }
             let mut rebuilt = IndexedPlacer::new(LONG_WAIT);
@@ -314,6 +335,28 @@
     assert!(has_started, "the large task never started");
 }
 
+#[test]
+fn a_worker_that_is_probed_gets_one_start_in_a_round() {
+    let mut shard = shard(&[(20, 20, 0), (3, 3, 0)]);
+    shard.submit("run-1", "team", job(9, size((1, 1, 0)), Priority::Normal));
+    for round in 0..2 {
+        let placement = shard.placer.propose(&PlacementContext {
+            quotas: &NoQuotas,
+            sizes: &DeclaredSizes,
+            pairs: &AnyPair,
+            usable: &|_| true,
+            takes_one: &|id| *id == worker(0),
+            has_all_workers: true,
+            now_unix_ms: 0,
+            starts_max: 10,
+        });
+
+        let at_probed = |start: &&Proposal| start.worker == worker(0);
+        assert_eq!(placement.starts.len(), 4, "round {round}");
+        assert_eq!(placement.starts.iter().filter(at_probed).count(), 1);
+    }
+}
+
 /// Keeps each job away from the first worker.
 struct AvoidFirst;
 
@@ -335,6 +378,7 @@
             sizes: &DeclaredSizes,
             pairs: &AvoidFirst,
             usable: &|_| true,
+            takes_one: &|_| false,
             has_all_workers: true,
             now_unix_ms: shard.now_unix_ms,
             starts_max: 10,
@@ -361,6 +405,7 @@
         sizes: &sizes,
         pairs: &AnyPair,
         usable: &|_| true,
+        takes_one: &|_| false,
         has_all_workers: true,
         now_unix_ms: 0,
         starts_max: 10,
--- a/crates/standins/examples/bench_placement.rs
+++ b/crates/standins/examples/bench_placement.rs
@@ -140,6 +140,7 @@
             sizes: &DeclaredSizes,
             pairs: &AnyPair,
             usable: &is_usable,
+            takes_one: &|_| false,
             has_all_workers: true,
             now_unix_ms: NOW_UNIX_MS,
             starts_max,
