Place by the index, within quotas, and evict for urgent work

Cause: the shard's task still used the first placement, which scanned all runs and workers for each start, knew no quota and never made room for urgent work. Two tests of the whole shard failed first: a team took more than its quota, and an urgent task waited for the end of another.

Change: the owner follows its records with the indexed placer, gives it the shard's part of each quota and the larger of declared and observed sizes, evicts the fewest victims for urgent tasks by the path that leaving workers use, and shows long waits with their reason in the ledger. Ruled out: following the stream while not owner; a rebuild on takeover is enough.

--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -21,7 +21,8 @@
 
 use crate::api::RunApi;
 use crate::api::RunApiContext;
-use crate::placement::LeastUsed;
+use crate::placement::FewestVictims;
+use crate::placement::IndexedPlacer;
 use crate::run_board::RunBoard;
 use crate::run_board::Shards;
 use crate::shard::ShardContext;
@@ -86,7 +87,9 @@
             hosts: registry.find::<dyn HostView>(names::HOSTS)?,
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
-            placement: Arc::new(LeastUsed),
+            config: registry.find::<dyn ConfigView>(names::CONFIG)?,
+            new_placer: || Box::new(IndexedPlacer::default()),
+            eviction: Arc::new(FewestVictims),
             metrics: metrics.clone(),
         })
     }
--- a/crates/scheduler/src/shard/inventories.rs
+++ b/crates/scheduler/src/shard/inventories.rs
@@ -65,6 +65,7 @@
         }
         self.clean_up(inventory);
         self.evict_excess(worker);
+        self.observe_usage(inventory);
     }
 
     fn open_at(&self, worker: &WorkerId) -> Vec<(AttemptId, OpenAttempt)> {
@@ -86,6 +87,10 @@
     fn take_attempt_report(&mut self, report: &AttemptReport, open: &OpenAttempt) {
         let attempt = report.attempt.clone();
         let end = match report.status {
+            AttemptStatus::Running if self.evicting.contains(&attempt) => {
+                self.evict(&attempt);
+                return;
+            }
             AttemptStatus::Running if self.is_wanted(&attempt) => {
                 self.send(&open.worker, WorkerCommand::Keep(attempt));
                 return;
@@ -163,6 +168,14 @@
         }
     }
 
+    /// Has an open attempt write a checkpoint and stop.
+    pub(super) fn evict(&self, attempt: &AttemptId) {
+        if let Some(open) = self.state.open_attempts().get(attempt) {
+            let command = WorkerCommand::Evict(attempt.clone(), stop_body(open));
+            self.send(&open.worker, command);
+        }
+    }
+
     fn propose_end(&mut self, attempt: AttemptId, end: AttemptEnd) {
         if self.proposed_ends.insert(attempt.clone()) {
             self.ends.push_back(ShardEvent::End { attempt, end });
--- a/crates/scheduler/src/shard/ledger.rs
+++ b/crates/scheduler/src/shard/ledger.rs
@@ -19,6 +19,8 @@
         for line in &mut lines {
             line.is_from_owner = true;
             line.waits = waits.remove(&line.run).unwrap_or_default();
+            line.waits
+                .extend(self.placement_waits.get(&line.run).cloned());
         }
         lines
     }
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -16,6 +16,8 @@
     pub failed_appends: Counter,
     /// Snapshots that were appended.
     pub snapshots: Counter,
+    /// Attempts evicted to make room for urgent tasks.
+    pub evictions: Counter,
 }
 
 impl ShardMetrics {
@@ -48,6 +50,11 @@
                 &self.failed_appends,
             ),
             ("snapshots", "Snapshots appended", &self.snapshots),
+            (
+                "evictions",
+                "Attempts evicted for urgent tasks",
+                &self.evictions,
+            ),
         ];
         for (name, help, counter) in entries {
             registry.register(format!("scheduler_{name}"), help, counter.clone());
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod metrics;
 mod ownership;
+mod placing;
 mod read_back;
 mod reader;
 mod shard_context;
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -58,6 +58,7 @@
         self.right = Some(Arc::new(right));
         self.owned_since_ms = self.now_ms();
         self.workers_changed = true;
+        self.placer.rebuild(&self.state);
         self.snapshot_at_ms = self.now_ms();
     }
 
@@ -73,6 +74,8 @@
         self.silent_since_unix_ms.clear();
         self.cool_off_until_ms.clear();
         self.proposed_ends.clear();
+        self.evicting.clear();
+        self.placement_waits.clear();
         self.appender.abandon();
         self.waiters.answer_all(&Err(SubmitError::NotOwner));
     }
--- /dev/null
+++ b/crates/scheduler/src/shard/placing.rs
@@ -0,0 +1,108 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use dotterelhook_platform::worker::Inventory;
+use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::WorkerId;
+use spdlog::info;
+
+use super::shard_task::ShardTask;
+use crate::placement::AnyPair;
+use crate::placement::EvictionContext;
+use crate::placement::JobKey;
+use crate::placement::Placement;
+use crate::placement::PlacementContext;
+use crate::placement::Proposal;
+use crate::placement::Shortfall;
+use crate::quota::ShardQuotas;
+
+const STARTS_PER_BATCH_MAX: usize = 500;
+const EVICTIONS_PER_BATCH_MAX: usize = 16;
+
+impl ShardTask {
+    /// Returns events for the next starts, and begins evictions for urgent tasks without room.
+    pub(super) fn place(&mut self) -> Vec<ShardEvent> {
+        self.placement_waits.clear();
+        if !self.state.has_waiting_tasks() {
+            return Vec::new();
+        }
+        let usable = self.usable_workers();
+        let placement = self.propose(&usable);
+        self.evict_for(&placement.shortfalls, &usable);
+        self.placement_waits = waits(&placement);
+        placement.starts.into_iter().map(start_event).collect()
+    }
+
+    fn propose(&mut self, usable: &BTreeSet<WorkerId>) -> Placement {
+        let shard = &self.context.shard;
+        let config = self.context.config.current();
+        let quotas = ShardQuotas::new(config, shard.index, self.context.shard_count);
+        let recorded = self.state.workers();
+        let context = PlacementContext {
+            quotas: &quotas,
+            sizes: &self.observed_sizes,
+            pairs: &AnyPair,
+            usable: &|worker| usable.contains(worker),
+            takes_one: &|worker| recorded.get(worker).is_some_and(|a| a.is_quarantined()),
+            has_all_workers: self.workers.keys().all(|w| recorded.contains_key(w)),
+            now_unix_ms: self.context.clock.unix_ms(),
+            starts_max: STARTS_PER_BATCH_MAX,
+        };
+        self.placer.propose(&context)
+    }
+
+    /// Has attempts make room; each is stopped with a checkpoint and recorded as evicted.
+    fn evict_for(&mut self, shortfalls: &[Shortfall], usable: &BTreeSet<WorkerId>) {
+        if shortfalls.is_empty() {
+            return;
+        }
+        let evictions = self.context.eviction.choose(&EvictionContext {
+            shortfalls,
+            loads: &self.placer.worker_loads(),
+            pending: &self.evicting,
+            usable: &|worker| usable.contains(worker),
+            evictions_max: EVICTIONS_PER_BATCH_MAX,
+        });
+        for eviction in evictions {
+            info!(
+                "shard: attempt {} makes room on {}",
+                eviction.attempt, eviction.worker
+            );
+            self.context.metrics.evictions.inc();
+            self.evict(&eviction.attempt);
+            self.evicting.insert(eviction.attempt);
+        }
+    }
+
+    /// Takes in what tasks of a job used, so that later ones reserve enough.
+    pub(super) fn observe_usage(&mut self, inventory: &Inventory) {
+        for sample in &inventory.usage {
+            let run = sample.attempt.as_ref().map(|attempt| &attempt.task.run);
+            if let Some(run) = run.and_then(|run| self.state.runs().get(run)) {
+                let job = JobKey {
+                    team: run.spec.team.clone(),
+                    job: run.spec.job.clone(),
+                };
+                self.observed_sizes.record(&job, &sample.used);
+            }
+        }
+    }
+}
+
+fn start_event(proposal: Proposal) -> ShardEvent {
+    ShardEvent::Start {
+        attempt: proposal.attempt,
+        worker: proposal.worker,
+        size: proposal.size,
+    }
+}
+
+/// Returns why runs start nothing, for the ledger.
+fn waits(placement: &Placement) -> BTreeMap<RunId, Box<str>> {
+    let long = placement.long_waits.iter();
+    let long = long.map(|wait| (wait.run.clone(), wait.to_string().into()));
+    let never = placement.never_runnable.iter();
+    let never = never.map(|never| (never.run.clone(), never.to_string().into()));
+    long.chain(never).collect()
+}
--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -31,8 +31,13 @@
             };
             let own = self.is_own(&read).then(|| read.clone());
             let worker = own.as_ref().and_then(|own| self.ending_worker(own));
+            let event = read.event.clone();
             let result = self.state.apply_record(record.offset, read);
             self.follow_ownership(asked_at_ms);
+            if result.is_ok() && self.right.is_some() {
+                let now_unix_ms = self.context.clock.unix_ms();
+                self.placer.observe(&self.state, &event, now_unix_ms);
+            }
             if let Some(own) = own {
                 self.observe(&own, result, worker);
             }
@@ -110,6 +115,7 @@
     /// Lets the worker forget an attempt whose end stands in the log.
     fn note_end(&mut self, attempt: &AttemptId, end: &AttemptEnd, worker: &WorkerId) {
         self.proposed_ends.remove(attempt);
+        self.evicting.remove(attempt);
         if let Some(handle) = self.workers.get(worker) {
             handle.send(WorkerCommand::Forget(attempt.clone()));
         }
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_platform::clock::Clock;
@@ -11,7 +12,8 @@
 use dotterelhook_types::ids::Incarnation;
 
 use super::ShardMetrics;
-use crate::placement::PlacementPolicy;
+use crate::placement::EvictionPolicy;
+use crate::placement::Placer;
 
 const DRIFT_PERCENT: u32 = 1;
 const RENEWAL_RIGHT: Duration = Duration::from_secs(3 * 3_600);
@@ -73,8 +75,12 @@
     pub membership: Arc<dyn MembershipView>,
     /// Connections to workers.
     pub agents: Arc<dyn WorkerAgents>,
-    /// Chooses the next starts.
-    pub placement: Arc<dyn PlacementPolicy>,
+    /// The configuration in force, which holds the teams' quotas.
+    pub config: Arc<dyn ConfigView>,
+    /// Creates what chooses the next starts.
+    pub new_placer: fn() -> Box<dyn Placer>,
+    /// Chooses which attempts make room for urgent tasks.
+    pub eviction: Arc<dyn EvictionPolicy>,
     /// The counts.
     pub metrics: ShardMetrics,
 }
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -10,6 +10,7 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::RunId;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use spdlog::info;
@@ -24,6 +25,8 @@
 use super::reader::Feed;
 use super::reader::Reader;
 use super::waiters::Waiters;
+use crate::placement::ObservedSizes;
+use crate::placement::Placer;
 use crate::run_board::ShardCommand;
 use crate::worker::Contact;
 use crate::worker::RenewalRight;
@@ -62,6 +65,10 @@
     pub(super) workers_changed: bool,
     pub(super) has_caught_up: bool,
     pub(super) is_releasing: bool,
+    pub(super) placer: Box<dyn Placer>,
+    pub(super) observed_sizes: ObservedSizes,
+    pub(super) evicting: BTreeSet<AttemptId>,
+    pub(super) placement_waits: BTreeMap<RunId, Box<str>>,
     results: mpsc::Sender<AppendResult>,
 }
 
@@ -76,6 +83,7 @@
     let (commands, received) = mpsc::channel(COMMANDS_MAX);
     let (reports, received_reports) = mpsc::channel(REPORTS_MAX);
     let (results, received_results) = mpsc::channel(RESULTS_MAX);
+    let placer = (context.new_placer)();
     let task = ShardTask {
         appender: Appender::new(context.host.clone(), context.incarnation),
         context,
@@ -101,6 +109,10 @@
         workers_changed: false,
         has_caught_up: false,
         is_releasing: false,
+        placer,
+        observed_sizes: ObservedSizes::default(),
+        evicting: BTreeSet::new(),
+        placement_waits: BTreeMap::new(),
         results,
     };
     let inputs = Inputs {
@@ -223,7 +235,7 @@
         take_front(&mut self.asked, &mut events);
         events.extend(self.overdue_events());
         events.extend(self.never_runs_events());
-        events.extend(self.start_events());
+        events.extend(self.place());
         self.appender.set_batch(self.state.epoch(), events);
         self.snapshot_if_due();
     }
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -4,21 +4,17 @@
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_platform::hosts::WorkerEntry;
 use dotterelhook_platform::worker::StartBody;
-use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::TaskState;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::WorkerId;
 use rapidhash::v3::rapidhash_v3;
 
 use super::shard_task::ShardTask;
-use crate::placement::Proposal;
 use crate::worker::WorkerCommand;
 use crate::worker::WorkerContext;
 use crate::worker::WorkerHandle;
 use crate::worker::spawn_worker_task;
 
-const STARTS_PER_BATCH_MAX: usize = 500;
-
 impl ShardTask {
     /// Keeps a task for each worker of the shard that the host list names.
     pub(super) fn refresh_workers(&mut self) {
@@ -78,29 +74,16 @@
         }))
     }
 
-    /// Returns events for the next starts.
-    pub(super) fn start_events(&self) -> Vec<ShardEvent> {
-        if !self.state.has_waiting_tasks() {
-            return Vec::new();
-        }
+    /// Returns the workers that may take new work.
+    pub(super) fn usable_workers(&self) -> BTreeSet<WorkerId> {
         let now_ms = self.now_ms();
-        let usable = |worker: &WorkerId| {
-            !self.leaving.contains(worker)
+        let is_usable = |worker: &&WorkerId| {
+            !self.leaving.contains(*worker)
                 && self.answers(worker, now_ms)
                 && self.takes_work(worker)
         };
-        let policy = &self.context.placement;
-        let proposals = policy.propose(&self.state, &usable, STARTS_PER_BATCH_MAX);
-        let mut probed = BTreeSet::new();
-        proposals
-            .into_iter()
-            .filter(|proposal| self.is_allowed(proposal, &mut probed))
-            .map(|proposal| ShardEvent::Start {
-                attempt: proposal.attempt,
-                worker: proposal.worker,
-                size: proposal.size,
-            })
-            .collect()
+        let workers = self.state.workers().keys();
+        workers.filter(is_usable).cloned().collect()
     }
 
     /// Returns whether a worker answered this owner lately.
@@ -119,13 +102,6 @@
         !has_probe && !is_cooling
     }
 
-    /// Lets one probe at a time through to a quarantined worker.
-    fn is_allowed(&self, proposal: &Proposal, probed: &mut BTreeSet<WorkerId>) -> bool {
-        let account = self.state.workers().get(&proposal.worker);
-        let is_quarantined = account.is_some_and(|account| account.is_quarantined());
-        !is_quarantined || probed.insert(proposal.worker.clone())
-    }
-
     /// Sends a recorded attempt to its worker, if the worker answered this owner.
     pub(super) fn start(&self, attempt: &AttemptId, worker: &WorkerId) {
         let Some(handle) = self.workers.get(worker) else {
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -2,5 +2,6 @@
 
 mod accounts;
 mod faults;
+mod policy;
 mod takeovers;
 mod world;
--- /dev/null
+++ b/crates/scheduler/tests/shard/policy.rs
@@ -0,0 +1,81 @@
+//! Quotas and urgent work, from the shard's task to the workers.
+
+use dotterelhook_state::config::BatchJob;
+use dotterelhook_state::config::Priority;
+use dotterelhook_types::ids::RunId;
+use dotterelhook_types::sizes::Resources;
+
+use crate::world::WORKERS;
+use crate::world::World;
+use crate::world::job;
+use crate::world::sound_times;
+
+const TASK_TIME_MS: u64 = 20_000;
+const TASK_CPU_MILLI: u64 = 2_000;
+const TASK_MEMORY_MB: u64 = 1_000;
+
+async fn owned_world() -> World {
+    let mut world = World::new(sound_times());
+    world
+        .until("an owner", |state| state.workers().len() == WORKERS)
+        .await;
+    world
+}
+
+fn run_id(name: &str) -> RunId {
+    name.parse().expect("a name")
+}
+
+fn sized_job(tasks: u32, priority: Priority) -> BatchJob {
+    let mut job = job(tasks, TASK_TIME_MS, TASK_CPU_MILLI);
+    job.size = Resources::new(TASK_CPU_MILLI, TASK_MEMORY_MB);
+    job.priority = priority;
+    job
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_team_never_takes_more_than_its_quota() {
+    let mut world = owned_world().await;
+    let quota = Resources::new(2 * TASK_CPU_MILLI, 2 * TASK_MEMORY_MB);
+    world.views.set_quota(&quota);
+    world.submit(&run_id("night"), &sized_job(5, Priority::Normal));
+
+    for _ in 0..200 {
+        world.pass(1_000).await;
+        let state = world.state().await;
+        assert!(state.open_attempts().len() <= 2);
+    }
+
+    let state = world.state().await;
+    assert!(state.active_runs().is_empty());
+    assert_eq!(world.fleet.intervals().len(), 5);
+}
+
+#[tokio::test(start_paused = true)]
+async fn urgent_work_evicts_other_work_which_resumes_once() {
+    let mut world = owned_world().await;
+    let fill = 2 * WORKERS as u32 + 2;
+    world.submit(&run_id("fill"), &sized_job(fill, Priority::Low));
+    world
+        .until("starts", |state| !state.open_attempts().is_empty())
+        .await;
+    world.pass(2_000).await;
+
+    world.submit(&run_id("urgent"), &sized_job(1, Priority::Urgent));
+    world
+        .until("the urgent start", |state| {
+            let mut open = state.open_attempts().keys();
+            open.any(|attempt| attempt.task.run.as_str() == "urgent")
+        })
+        .await;
+
+    let evicted = world.state().await;
+    let fills = evicted.runs()[&run_id("fill")].done;
+    assert_eq!(fills, 0, "the urgent task waited for the end of another");
+    world
+        .until("the end", |state| state.active_runs().is_empty())
+        .await;
+    let resumed = world.fleet.started();
+    let resumed = resumed.values().filter(|checkpoint| checkpoint.is_some());
+    assert_eq!(resumed.count(), 1);
+}
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -10,7 +10,8 @@
 use dotterelhook_platform::log::LogPage;
 use dotterelhook_platform::log::MemoryLog;
 use dotterelhook_scheduler::ShardCommand;
-use dotterelhook_scheduler::placement::LeastUsed;
+use dotterelhook_scheduler::placement::FewestVictims;
+use dotterelhook_scheduler::placement::IndexedPlacer;
 use dotterelhook_scheduler::shard::ShardContext;
 use dotterelhook_scheduler::shard::ShardMetrics;
 use dotterelhook_scheduler::shard::spawn_shard_task;
@@ -74,7 +75,9 @@
                 host,
                 frozen: frozen.subscribe(),
             }),
-            placement: Arc::new(LeastUsed),
+            config: Arc::clone(&world.views) as _,
+            new_placer: || Box::new(IndexedPlacer::default()),
+            eviction: Arc::new(FewestVictims),
             metrics: metrics.clone(),
         };
         let stopping = CancellationToken::new();
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::membership::Heartbeat;
 use dotterelhook_peer::membership::Member;
@@ -13,10 +14,13 @@
 use dotterelhook_platform::hosts::HostSnapshot;
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TargetId;
+use dotterelhook_types::sizes::Resources;
+use serde_json::json;
 
 use super::agents::worker_address;
 
@@ -24,6 +28,7 @@
 pub(crate) struct Views {
     live: Mutex<BTreeMap<usize, Incarnation>>,
     hosts: Mutex<Arc<HostSnapshot>>,
+    config: Mutex<Arc<ConfigState>>,
 }
 
 pub(crate) fn host_id(host: usize) -> HostId {
@@ -46,6 +51,7 @@
         Self {
             live: Mutex::default(),
             hosts: Mutex::new(Arc::new(list)),
+            config: Mutex::default(),
         }
     }
 
@@ -57,6 +63,18 @@
         };
     }
 
+    /// Puts a quota of the team `night` in force.
+    pub(crate) fn set_quota(&self, batch: &Resources) {
+        let publication = json!({
+            "writer": "test", "sequence": 1, "team": "night", "path": "night/quota",
+            "base_offset": null, "body": { "batch": batch }
+        });
+        let mut state = ConfigState::default();
+        let applied = state.apply(Offset(0), &publication.to_string());
+        applied.expect("a valid publication");
+        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(state);
+    }
+
     pub(crate) fn set_leaving(&self, worker: usize, is_leaving: bool) {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let mut list = HostSnapshot::clone(&hosts);
@@ -69,7 +87,7 @@
     }
 
     pub(crate) fn heal(&self) {
-        let workers = self.current().workers.len();
+        let workers = HostView::current(self).workers.len();
         (0..workers).for_each(|worker| self.set_leaving(worker, false));
     }
 }
@@ -130,3 +148,17 @@
         state: MemberState::Alive,
     }
 }
+
+impl ConfigView for Views {
+    fn current(&self) -> Arc<ConfigState> {
+        Arc::clone(&self.config.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn is_known(&self) -> bool {
+        true
+    }
+
+    fn log_contact_age_ms(&self) -> Option<u64> {
+        None
+    }
+}
