--- a/crates/standins/src/faults/daemon_process.rs
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -64,6 +64,8 @@
     /// Asks for a planned stop and returns whether the process exited with 0.
     pub fn terminate(&mut self) -> bool {
         self.signal("-TERM");
+        // A frozen process takes the signal only when it goes on.
+        self.thaw();
         let child = self.child.take();
         child.is_some_and(|mut child| child.wait().is_ok_and(|status| status.success()))
     }
