--- a/crates/cli/src/command/read_config.rs
+++ b/crates/cli/src/command/read_config.rs
@@ -75,7 +75,7 @@
     from: Offset,
     first: Offset,
 ) -> Result<ConfigState, CallError> {
-    match read_snapshot(log).await? {
+    match read_snapshot(log, first).await? {
         Some(snapshot) if snapshot.state.next_offset() >= first => Ok(snapshot.state),
         _ => Err(CallError::not_run(format!(
             "records {from} to {first} have expired and no snapshot covers them"
--- a/crates/peer/src/config/config_follower.rs
+++ b/crates/peer/src/config/config_follower.rs
@@ -86,7 +86,7 @@
 
 /// Starts from the newest snapshot if there is one, else from the first record.
 async fn start(log: &dyn Log, store: &ConfigStore) -> Result<(), CallError> {
-    match read_snapshot(log).await? {
+    match read_snapshot(log, Offset(0)).await? {
         Some(snapshot) => {
             store.adopt(snapshot.state, "a snapshot");
             Ok(())
@@ -140,7 +140,7 @@
     page: &LogPage,
 ) -> Result<(), CallError> {
     let first = page.first_offset;
-    if let Some(snapshot) = read_snapshot(log).await?
+    if let Some(snapshot) = read_snapshot(log, first).await?
         && snapshot.state.next_offset() >= first
     {
         store.adopt(snapshot.state, "a snapshot");
--- a/crates/peer/src/config/snapshot_keeper.rs
+++ b/crates/peer/src/config/snapshot_keeper.rs
@@ -71,7 +71,7 @@
     }
 
     async fn write_if_due(&self) -> Result<(), CallError> {
-        if let Some(newest) = read_snapshot(self.log).await? {
+        if let Some(newest) = read_snapshot(self.log, Offset(0)).await? {
             self.see(newest.state.next_offset(), newest.written_unix_ms);
         }
         if !self.is_due() {
--- a/crates/peer/src/config/snapshot_policy.rs
+++ b/crates/peer/src/config/snapshot_policy.rs
@@ -17,7 +17,8 @@
 
 /// Returns whether a snapshot at the given offset should be written now.
 ///
-/// A snapshot is itself a record that expires, so it is written again even without a change.
+/// A process that is behind the newest snapshot writes none. A snapshot is itself a record
+/// that expires, so it is written again even without a change.
 pub(super) fn is_due(next_offset: Offset, newest: Option<SnapshotAge>, log: LogBounds) -> bool {
     if next_offset == Offset(0) {
         return false;
@@ -25,6 +26,9 @@
     let Some(newest) = newest else {
         return true;
     };
+    if newest.next_offset > next_offset {
+        return false;
+    }
     let covered = newest.next_offset.0;
     let uncovered_records = next_offset.0.saturating_sub(covered);
     let is_changed = uncovered_records > 0;
--- a/crates/peer/src/config/snapshot_reader.rs
+++ b/crates/peer/src/config/snapshot_reader.rs
@@ -14,11 +14,13 @@
 
 /// Reads the newest whole snapshot that the log keeps.
 ///
-/// Reads back from the end in growing windows, so that older snapshots cost nothing.
+/// Reads back from the end in growing windows, so that older snapshots cost nothing, until a
+/// snapshot covers all records below the given offset: one that was finished late may be older
+/// than those before it.
 ///
 /// # Errors
 /// The log can't be reached or did not answer in time.
-pub async fn read_snapshot(log: &dyn Log) -> Result<Option<Snapshot>, CallError> {
+pub async fn read_snapshot(log: &dyn Log, covering: Offset) -> Result<Option<Snapshot>, CallError> {
     let page = log
         .read(SNAPSHOT_STREAM, Offset(u64::MAX), 1, Duration::ZERO)
         .await?;
@@ -27,7 +29,8 @@
         let start = page.end_offset.0.saturating_sub(window_records);
         let start = Offset(start.max(page.first_offset.0));
         let found = read_window(log, start).await?;
-        if found.is_some() || start <= page.first_offset {
+        let covers = |found: &Snapshot| found.state.next_offset() >= covering;
+        if found.as_ref().is_some_and(covers) || start <= page.first_offset {
             return Ok(found);
         }
         window_records = window_records.saturating_mul(WINDOW_GROWTH);
--- a/crates/peer/tests/config_snapshots.rs
+++ b/crates/peer/tests/config_snapshots.rs
@@ -22,7 +22,7 @@
 const MINUTE: Duration = Duration::from_secs(60);
 
 async fn snapshot_offset(log: &MemoryLog) -> Option<Offset> {
-    let snapshot = read_snapshot(log).await.expect("the log works");
+    let snapshot = read_snapshot(log, Offset(0)).await.expect("the log works");
     snapshot.map(|snapshot| snapshot.state.next_offset())
 }
 
@@ -166,3 +166,40 @@
 
     assert_eq!(found, Some(Offset(6)));
 }
+
+#[tokio::test(start_paused = true)]
+async fn an_old_snapshot_that_was_finished_late_hides_no_newer_one() {
+    let log = Arc::new(MemoryLog::default());
+    publish(&log, 0..30).await;
+    append_parts(&log, "newer", 25, usize::MAX).await;
+    let late: Vec<u64> = vec![3; 40];
+    for jobs in late {
+        append_parts(&log, "thawed", jobs, usize::MAX).await;
+    }
+    log.expire(CONFIG_STREAM, Offset(20));
+
+    let (_kernel, view) = follow(log).await;
+    wait_for_offset(&*view, 30).await;
+
+    assert_eq!(*view.current(), state_of(30));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_is_behind_writes_no_snapshot() {
+    let log = Arc::new(MemoryLog::default());
+    publish(&log, 0..10).await;
+    let (_kernel, view) = follow(log.clone()).await;
+    wait_for_offset(&*view, 10).await;
+    log.set_fault(LogFault::Down);
+    tokio::time::sleep(MINUTE).await;
+    log.set_fault(LogFault::None);
+    publish(&log, 10..30).await;
+    log.expire(CONFIG_STREAM, Offset(20));
+    append_parts(&log, "newer", 15, usize::MAX).await;
+    let written = snapshot_records(&log).await;
+
+    tokio::time::sleep(60 * MINUTE).await;
+
+    assert_eq!(view.current().next_offset(), Offset(10));
+    assert_eq!(snapshot_records(&log).await, written);
+}
