--- a/crates/front/src/front_service.rs
+++ b/crates/front/src/front_service.rs
@@ -11,15 +11,26 @@
 use dotterelhook_kernel::names;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
+use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_types::ids::TargetId;
+use rapidhash::v3::rapidhash_v3;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 use crate::FrontSettings;
 use crate::burn::BurnBoard;
+use crate::forward::ByteBudget;
+use crate::forward::CALL_NAME;
+use crate::forward::ForwardHandler;
+use crate::forward::Forwarder;
 use crate::front::Front;
+use crate::front_handler::FrontHandler;
+use crate::idempotency::NOTE_CALL;
+use crate::idempotency::NoteHandler;
 use crate::limit::Admission;
 use crate::metrics::FrontMetrics;
 use crate::metrics::LossLog;
@@ -76,7 +87,17 @@
             metrics: Arc::clone(&metrics),
             fronts: FrontCount::new(settings.fronts_max, Instant::now()),
         };
+        let membership = registry.find::<dyn MembershipView>(names::MEMBERSHIP)?;
+        let forwarder = Forwarder {
+            peers: registry.find::<PeerClient>(names::PEER_CLIENT)?,
+            membership: Arc::clone(&membership),
+            failure_domain: settings.failure_domain.clone(),
+            budget: ByteBudget::new(settings.forward_bytes_per_second),
+        };
         let front = Arc::new(Front {
+            membership,
+            forwarder,
+            keys: Arc::default(),
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             targets: Arc::clone(&targets),
             memory: Arc::new(Semaphore::new(settings.bodies_max_bytes)),
@@ -86,11 +107,20 @@
             losses: LossLog::default(),
             settings: settings.clone(),
         });
+        let handler = Arc::new(ForwardHandler {
+            front: Arc::clone(&front),
+        });
+        let notes = Arc::new(NoteHandler {
+            keys: Arc::clone(&front.keys),
+        });
+        let peer_handlers = registry.find::<PeerHandlers>(names::PEER_HANDLERS)?;
+        peer_handlers.add(CALL_NAME, handler);
+        peer_handlers.add(NOTE_CALL, notes);
         let server = HttpServer::bind(
             "front",
             settings.listen_address,
             settings.connections_max,
-            front,
+            Arc::new(FrontHandler { front }),
         )
         .await?;
         let address = server.local_address();
@@ -143,15 +173,19 @@
     fn front_view(&self) -> FrontView {
         let own_id = self.membership.own_id();
         let peers = self.membership.live_peers(Role::Front);
-        let others = peers.iter().filter(|peer| peer.heartbeat.member != own_id);
-        let rank = others
-            .clone()
-            .filter(|peer| peer.heartbeat.member < own_id)
-            .count();
-        let fronts = others.count() + 1;
+        let mut names: Vec<MemberId> = peers
+            .into_iter()
+            .map(|peer| peer.heartbeat.member)
+            .filter(|member| *member != own_id)
+            .collect();
+        let rank = names.iter().filter(|name| **name < own_id).count();
+        names.push(own_id);
+        names.sort();
+        let text: Vec<String> = names.iter().map(ToString::to_string).collect();
         FrontView {
-            fronts,
+            fronts: names.len(),
             rank,
+            names: rapidhash_v3(text.join(" ").as_bytes()),
             is_settled: false,
         }
     }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod faults;
 pub mod hosts;
+pub mod interference;
 pub mod link;
 pub mod load;
 pub mod log;
