--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -46,9 +46,10 @@
 async fn report(mut arguments: pico_args::Arguments) -> Result<(), Failure> {
     match arguments.subcommand().map_err(Failure::usage)?.as_deref() {
         Some("burn") => command::report_burn(arguments).await,
+        Some("losses") => command::report_losses(arguments).await,
         Some(other) => Err(Failure::usage(format!("there is no report {other:?}"))),
         None => Err(Failure::usage(
-            "which report? try: dotterelhook report burn",
+            "which report? try: dotterelhook report burn, or report losses",
         )),
     }
 }
