--- a/crates/state/src/config/config_state.rs
+++ b/crates/state/src/config/config_state.rs
@@ -19,10 +19,7 @@
 use super::Refusal;
 use super::ServiceSettings;
 use super::WriterId;
-use super::outcome::shorten;
 use super::outcome::shorten_fault;
-use super::publication::PUBLICATION_MAX_BYTES;
-use super::publication::WRITER_MAX_BYTES;
 use super::quota_rules::check_quota;
 use super::recent_map::RecentMap;
 use super::removals::Removals;
@@ -140,7 +137,7 @@
             return Err(Refusal::Gap { next_offset });
         }
         self.next_offset = offset.next();
-        let publication = match decode(payload) {
+        let publication = match Publication::parse(payload) {
             Ok(publication) => publication,
             Err(cause) => {
                 let refusal = Refusal::Malformed { cause };
@@ -251,15 +248,3 @@
         outcomes.push_back(Arc::new(outcome));
     }
 }
-
-fn decode(payload: &str) -> Result<Publication, Box<str>> {
-    if payload.len() > PUBLICATION_MAX_BYTES {
-        return Err(format!("larger than {PUBLICATION_MAX_BYTES} bytes").into());
-    }
-    let publication: Publication =
-        serde_json::from_str(payload).map_err(|error| shorten(&error.to_string()))?;
-    if publication.writer.len() > WRITER_MAX_BYTES {
-        return Err(format!("the writer's id is longer than {WRITER_MAX_BYTES} bytes").into());
-    }
-    Ok(publication)
-}
--- a/crates/state/src/config/publication.rs
+++ b/crates/state/src/config/publication.rs
@@ -6,11 +6,12 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use super::outcome::shorten;
+
 /// The largest record that is taken as a publication.
 pub const PUBLICATION_MAX_BYTES: usize = 64 << 10;
 
-/// The longest writer's id.
-pub(super) const WRITER_MAX_BYTES: usize = 64;
+const WRITER_MAX_BYTES: usize = 64;
 
 /// Names one writer of a stream; a new process takes a new one.
 pub type WriterId = Box<str>;
@@ -33,3 +34,18 @@
     /// The new document; absent to remove the path.
     pub body: Option<Value>,
 }
+
+impl Publication {
+    /// Decodes a record of limited size.
+    pub(super) fn parse(payload: &str) -> Result<Self, Box<str>> {
+        if payload.len() > PUBLICATION_MAX_BYTES {
+            return Err(format!("larger than {PUBLICATION_MAX_BYTES} bytes").into());
+        }
+        let publication: Self =
+            serde_json::from_str(payload).map_err(|error| shorten(&error.to_string()))?;
+        if publication.writer.len() > WRITER_MAX_BYTES {
+            return Err(format!("the writer's id is longer than {WRITER_MAX_BYTES} bytes").into());
+        }
+        Ok(publication)
+    }
+}
