Ask for descriptions that a digest leaves out

Half of a digest was ages in milliseconds and descriptions repeated in turn.

Ages now travel in tenths of a second and seconds, and only new members are described. Repeating descriptions less often was tried first and failed the test of mixed faults (any_mix_of_faults_heals): a daemon that was frozen while a member restarted with a lower incarnation did not accept it within a minute, because it needs three heartbeats and knew no description of them. A daemon that meets an unknown key now asks the sender of the digest for its description, and keeps the description of a process that it has not yet accepted.

--- a/crates/peer/src/membership/answers.rs
+++ b/crates/peer/src/membership/answers.rs
@@ -5,6 +5,7 @@
 use super::Member;
 use super::MemberId;
 use super::MemberState;
+use super::digest::process_key;
 
 const FRESH_AGE_MAX_MS: u64 = 2_500;
 
@@ -22,9 +23,22 @@
     Digest::split(domain, &describe(asked))
 }
 
+/// Returns the members that keys name.
+pub(super) fn answer_keys(mut members: Vec<Member>, keys: &[u32]) -> Vec<Digest> {
+    members.retain(|member| {
+        let heartbeat = &member.heartbeat;
+        keys.contains(&process_key(&heartbeat.member, heartbeat.incarnation))
+    });
+    by_domain(members)
+}
+
 /// Returns all that is known, dead members aside.
 pub(super) fn answer_all(mut members: Vec<Member>) -> Vec<Digest> {
     members.retain(|member| member.state != MemberState::Dead);
+    by_domain(members)
+}
+
+fn by_domain(mut members: Vec<Member>) -> Vec<Digest> {
     members.sort_by(|a, b| a.heartbeat.failure_domain.cmp(&b.heartbeat.failure_domain));
     let by_domain =
         members.chunk_by(|a, b| a.heartbeat.failure_domain == b.heartbeat.failure_domain);
--- a/crates/peer/src/membership/digest.rs
+++ b/crates/peer/src/membership/digest.rs
@@ -11,6 +11,8 @@
 use super::MemberId;
 
 const ENTRIES_MAX: usize = 16;
+const MS_PER_DS: u64 = 100;
+const MS_PER_S: u64 = 1_000;
 
 /// What seldom changes of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,12 +36,12 @@
     pub key: u32,
     /// The heartbeat's number.
     pub sequence: u64,
-    /// Time since the heartbeat was heard.
-    pub age_ms: u64,
+    /// Time since the heartbeat was heard, in tenths of a second.
+    pub age_ds: u64,
     /// The next offset of the member's configuration.
     pub config_offset: Offset,
-    /// The time since the log last answered the member.
-    pub log_contact_age_ms: Option<u64>,
+    /// The time since the log last answered the member, in seconds.
+    pub log_contact_age_s: Option<u64>,
     /// Whether the member is about to stop.
     pub is_draining: bool,
     /// The description; left out of most digests.
@@ -52,9 +54,9 @@
         Self {
             key: process_key(&heartbeat.member, heartbeat.incarnation),
             sequence: heartbeat.sequence,
-            age_ms,
+            age_ds: age_ms / MS_PER_DS,
             config_offset: heartbeat.config_offset,
-            log_contact_age_ms: heartbeat.log_contact_age_ms,
+            log_contact_age_s: heartbeat.log_contact_age_ms.map(|age_ms| age_ms / MS_PER_S),
             is_draining: heartbeat.is_draining,
             description: is_described.then(|| Description {
                 member: heartbeat.member.clone(),
@@ -66,6 +68,11 @@
         }
     }
 
+    /// Returns the time since the heartbeat was heard in milliseconds.
+    pub(super) fn age_ms(&self) -> u64 {
+        self.age_ds.saturating_mul(MS_PER_DS)
+    }
+
     /// Returns the heartbeat, given the description sent now or earlier.
     pub(super) fn heartbeat(&self, domain: &FailureDomain, described: &Description) -> Heartbeat {
         Heartbeat {
@@ -77,7 +84,9 @@
             admin_address: described.admin_address,
             api_address: described.api_address,
             config_offset: self.config_offset,
-            log_contact_age_ms: self.log_contact_age_ms,
+            log_contact_age_ms: self
+                .log_contact_age_s
+                .map(|age_s| age_s.saturating_mul(MS_PER_S)),
             is_draining: self.is_draining,
             draining_targets: Vec::new(),
         }
--- a/crates/peer/src/membership/frame.rs
+++ b/crates/peer/src/membership/frame.rs
@@ -14,7 +14,9 @@
     Join(Heartbeat),
     /// Asks whether the receiver heard members that the sender did not hear lately.
     Ask(Vec<MemberId>),
-    /// Answers `Join` and `Ask`.
+    /// Asks for the descriptions of keys that a digest named.
+    Describe(Vec<u32>),
+    /// Answers `Join`, `Ask` and `Describe`.
     Answer(Digest),
     /// Tells other failure domains who lives in one; passed on inside a domain.
     Digest(Digest),
--- a/crates/peer/src/membership/member_entry.rs
+++ b/crates/peer/src/membership/member_entry.rs
@@ -10,16 +10,26 @@
 /// predecessor, or a successor whose clock went back.
 #[derive(Clone, Debug)]
 struct Rival {
-    incarnation: Incarnation,
-    sequence: u64,
+    heartbeat: Heartbeat,
+    key: u32,
     heartbeats: u32,
 }
 
+impl Rival {
+    fn new(heartbeat: &Heartbeat) -> Self {
+        Self {
+            heartbeat: heartbeat.clone(),
+            key: process_key(&heartbeat.member, heartbeat.incarnation),
+            heartbeats: 1,
+        }
+    }
+}
+
 /// The newest heartbeat of a member, and what protects it from older ones.
 #[derive(Clone, Debug)]
 pub(super) struct MemberEntry {
     pub(super) heartbeat: Heartbeat,
-    pub(super) key: u32,
+    key: u32,
     pub(super) heard_at_ms: u64,
     pub(super) known_since_ms: u64,
     replaced: Option<Incarnation>,
@@ -39,6 +49,15 @@
         }
     }
 
+    /// Returns the newest heartbeat of the process that a key names.
+    pub(super) fn of_key(&self, key: u32) -> Option<&Heartbeat> {
+        if self.key == key {
+            return Some(&self.heartbeat);
+        }
+        let rival = self.rival.as_ref().filter(|rival| rival.key == key);
+        rival.map(|rival| &rival.heartbeat)
+    }
+
     /// Takes in a heartbeat; returns whether it was news.
     pub(super) fn hear(&mut self, heartbeat: Heartbeat, heard_at_ms: u64, now_ms: u64) -> bool {
         let known = self.heartbeat.incarnation;
@@ -72,17 +91,12 @@
             self.rival = None;
             return false;
         }
-        let rival = self.rival.get_or_insert(Rival {
-            incarnation: heartbeat.incarnation,
-            sequence: 0,
-            heartbeats: 0,
-        });
-        if rival.incarnation != heartbeat.incarnation {
-            self.rival = None;
-            return false;
-        }
-        if heartbeat.sequence > rival.sequence {
-            rival.sequence = heartbeat.sequence;
+        let rival = match &mut self.rival {
+            Some(rival) if rival.heartbeat.incarnation == heartbeat.incarnation => rival,
+            other => other.insert(Rival::new(heartbeat)),
+        };
+        if heartbeat.sequence > rival.heartbeat.sequence {
+            rival.heartbeat = heartbeat.clone();
             rival.heartbeats += 1;
         }
         rival.heartbeats >= RIVAL_HEARTBEATS_MIN
--- a/crates/peer/src/membership/member_exchange.rs
+++ b/crates/peer/src/membership/member_exchange.rs
@@ -22,6 +22,7 @@
 use super::Outgoing;
 use super::PeerFrame;
 use super::answers::answer_all;
+use super::answers::answer_keys;
 use super::answers::answer_some;
 use super::decode;
 use super::draining_board::DrainingBoard;
@@ -131,7 +132,8 @@
                 self.table().merge(&digest, self.clock.monotonic_ms());
                 Vec::new()
             }
-            Ok(PeerFrame::Digest(digest)) => self.pass_on(&digest, frame),
+            Ok(PeerFrame::Describe(keys)) => answers(from, answer_keys(self.members(), &keys)),
+            Ok(PeerFrame::Digest(digest)) => self.pass_on(from, &digest, frame),
             Err(error) => {
                 let cause = format!("frame from {from} refused: {error}");
                 self.refusals.add(error.reason(), cause);
@@ -174,13 +176,18 @@
     }
 
     /// Takes in another domain's digest and passes news on inside the own domain.
-    fn pass_on(&self, digest: &Digest, frame: &[u8]) -> Vec<Outgoing> {
+    fn pass_on(&self, from: SocketAddr, digest: &Digest, frame: &[u8]) -> Vec<Outgoing> {
+        let unknown = self.table().unknown_keys(digest);
         let is_news = self.table().merge(digest, self.clock.monotonic_ms());
-        if !is_news || digest.failure_domain == self.settings.failure_domain {
-            return Vec::new();
+        let mut outgoing = Vec::new();
+        if !unknown.is_empty() {
+            outgoing.extend(Outgoing::encode(&PeerFrame::Describe(unknown), vec![from]));
+        }
+        if is_news && digest.failure_domain != self.settings.failure_domain {
+            let receivers = self.some_live_members(&self.members(), frame);
+            outgoing.extend(Outgoing::encoded(frame, receivers));
         }
-        let receivers = self.some_live_members(&self.members(), frame);
-        Outgoing::encoded(frame, receivers)
+        outgoing
     }
 
     /// Returns some live members of the own domain; which ones follows from the salt.
--- a/crates/peer/src/membership/member_table.rs
+++ b/crates/peer/src/membership/member_table.rs
@@ -91,11 +91,20 @@
                 continue;
             };
             let heartbeat = entry.heartbeat(&digest.failure_domain, &description);
-            is_news |= self.hear_of(heartbeat, entry.age_ms, clock_ms);
+            is_news |= self.hear_of(heartbeat, entry.age_ms(), clock_ms);
         }
         is_news
     }
 
+    /// Returns the keys of a digest's entries that are neither described nor known.
+    pub fn unknown_keys(&self, digest: &Digest) -> Vec<u32> {
+        let unknown = digest
+            .entries
+            .iter()
+            .filter(|entry| self.description(entry).is_none());
+        unknown.map(|entry| entry.key).collect()
+    }
+
     /// Drops members that were not heard for very long.
     pub fn forget_old(&mut self, clock_ms: u64) {
         let now_ms = self.time.advance(clock_ms);
@@ -158,8 +167,12 @@
         if entry.description.is_some() {
             return entry.description.clone();
         }
-        let known = self.entries.values().find(|known| known.key == entry.key);
-        known.and_then(|known| DigestEntry::new(&known.heartbeat, 0, true).description)
+        let known = self.of_key(entry.key)?;
+        DigestEntry::new(known, 0, true).description
+    }
+
+    fn of_key(&self, key: u32) -> Option<&Heartbeat> {
+        self.entries.values().find_map(|entry| entry.of_key(key))
     }
 
     fn state(&self, heartbeat: &Heartbeat, age_ms: u64, now_ms: u64) -> MemberState {
--- a/crates/peer/src/membership/schedule.rs
+++ b/crates/peer/src/membership/schedule.rs
@@ -17,7 +17,6 @@
 const DEAD_EVERY: u64 = 5;
 const JOIN_BEATS: u64 = 5;
 const JOIN_EVERY: u64 = 60;
-const DESCRIBE_EVERY: u64 = 8;
 const DESCRIBE_DIGESTS: u64 = 3;
 const DIGEST_PAUSE_MIN_MS: u64 = 900;
 
@@ -139,11 +138,9 @@
         let own = members.iter().filter(|member| {
             member.heartbeat.failure_domain == self.own_domain && member.state != MemberState::Dead
         });
-        let entries: Vec<DigestEntry> = (0..)
-            .zip(own)
-            .map(|(index, member)| {
-                let has_turn = (index + self.digests).is_multiple_of(DESCRIBE_EVERY);
-                let is_described = has_turn || recent.contains(&member.heartbeat.member);
+        let entries: Vec<DigestEntry> = own
+            .map(|member| {
+                let is_described = recent.contains(&member.heartbeat.member);
                 DigestEntry::new(&member.heartbeat, member.age_ms, is_described)
             })
             .collect();
