--- a/crates/standins/examples/bench_membership/counted_log.rs
+++ b/crates/standins/examples/bench_membership/counted_log.rs
@@ -28,6 +28,22 @@
     pub(crate) held: u64,
 }
 
+/// Counts a call until it ends or its connection breaks.
+struct Held<'a>(&'a AtomicU64);
+
+impl<'a> Held<'a> {
+    fn new(count: &'a AtomicU64) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl CountedLog {
     /// Creates an empty log.
     pub(crate) fn new() -> Self {
@@ -64,9 +80,9 @@
             &self.reads
         };
         counter.fetch_add(1, Ordering::Relaxed);
-        self.held.fetch_add(1, Ordering::Relaxed);
+        let held = Held::new(&self.held);
         let answer = self.log.handle(method, path, query, body).await;
-        self.held.fetch_sub(1, Ordering::Relaxed);
+        drop(held);
         let (head, body) = answer.into_parts();
         let whole = body.collect().await.expect("a whole body").to_bytes();
         self.answer_bytes
