--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -5,11 +5,14 @@
 mod get;
 mod history;
 mod jobs;
+mod plan;
 mod publish;
+mod publisher;
 mod read_config;
 mod report_burn;
 mod status;
 mod table;
+mod worker_fit;
 
 pub(crate) use check::check;
 pub(crate) use get::get;
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -84,7 +84,8 @@
             .map(|part| check_scheduler(&raw, part, incarnation))
             .transpose()?;
         let (role, api_address) = match (&front, &scheduler) {
-            (Some(front), _) => (Role::Front, front.listen_address),
+            (Some(front), None) => (Role::Front, front.listen_address),
+            (Some(_), Some(scheduler)) => (Role::Combined, scheduler.listen_address),
             (None, Some(scheduler)) => (Role::Scheduler, scheduler.listen_address),
             (None, None) => {
                 return Err(FieldFault::new(
@@ -111,6 +112,13 @@
             api_address,
             seed_addresses: raw.peers.seed_addresses.clone(),
             heartbeat_interval,
+            relay_count: number("peers.relays", raw.peers.relays, 2, 8)? as usize,
+            digest_interval: milliseconds(
+                "peers.digest_interval_ms",
+                raw.peers.digest_interval_ms,
+                1_000,
+                4_000,
+            )?,
         };
         Ok(Self {
             admin_address: raw.admin_address,
--- a/crates/front/src/forward/forwarder.rs
+++ b/crates/front/src/forward/forwarder.rs
@@ -50,7 +50,7 @@
         let members = self.membership.members();
         let others = members.into_iter().filter(|member| {
             member.state == MemberState::Alive
-                && member.heartbeat.member.role == Role::Front
+                && member.heartbeat.member.role.covers(Role::Front)
                 && member.heartbeat.failure_domain != self.failure_domain
         });
         let other: Member = others.choose(&mut rand::rng())?;
@@ -117,7 +117,7 @@
         let members = self.membership.members();
         let others = members.into_iter().filter(|member| {
             member.state != MemberState::Dead
-                && member.heartbeat.member.role == Role::Front
+                && member.heartbeat.member.role.covers(Role::Front)
                 && member.heartbeat.member != own_id
                 && member.heartbeat.failure_domain == self.failure_domain
         });
--- a/crates/front/src/target/service_targets.rs
+++ b/crates/front/src/target/service_targets.rs
@@ -8,7 +8,6 @@
 use dotterelhook_platform::hosts::TargetEntry;
 use dotterelhook_state::config::ServiceSettings;
 use dotterelhook_types::ids::TargetId;
-use rand::seq::IndexedRandom;
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 
@@ -128,7 +127,7 @@
         let free = pools.iter().filter(is_free);
         let chosen = match self.policy {
             Policy::Random => free.choose(&mut rand::rng()),
-            Policy::LeastWorkOfTwo => self.least_work_of_two(&pools, is_free),
+            Policy::LeastWorkOfTwo => self.less_work_of_two(free),
             Policy::LeastInFlight => free.min_by_key(|pool| pool.in_flight()),
             Policy::RoundRobin => {
                 let turn = self.turn.fetch_add(1, Ordering::Relaxed) % pools.len().max(1);
@@ -139,20 +138,16 @@
         chosen?.try_lease()
     }
 
-    /// Chooses between two random targets, or among all if neither of the two is free.
-    fn least_work_of_two<'a>(
+    fn less_work_of_two<'a>(
         &self,
-        pools: &'a [Arc<TargetPool>],
-        is_free: impl Fn(&&'a Arc<TargetPool>) -> bool,
+        free: impl Iterator<Item = &'a Arc<TargetPool>>,
     ) -> Option<&'a Arc<TargetPool>> {
         let usual_ms = self.queue.latency_ms().unwrap_or(1.0);
         let work = |pool: &Arc<TargetPool>| {
             (pool.in_flight() + 1) as f64 * pool.latency_ms().unwrap_or(usual_ms)
         };
-        let least = |a: &&Arc<TargetPool>, b: &&Arc<TargetPool>| work(a).total_cmp(&work(b));
-        let two = pools.sample(&mut rand::rng(), 2);
-        let of_two = two.filter(&is_free).min_by(least);
-        of_two.or_else(|| pools.iter().filter(&is_free).min_by(least))
+        let two = free.sample(&mut rand::rng(), 2);
+        two.into_iter().min_by(|a, b| work(a).total_cmp(&work(b)))
     }
 }
 
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::target::HealthState;
+use dotterelhook_peer::membership::DrainingTarget;
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
@@ -169,7 +170,10 @@
     let front = start_front(TIMEOUT_MS, &[leaving_address, stays_address]).await;
     let mut other = front.member();
     other.heartbeat.member.host = "laguna-2".parse().unwrap();
-    other.heartbeat.draining_targets = vec!["target-0".parse().unwrap()];
+    other.heartbeat.draining_targets = vec![DrainingTarget {
+        target: "target-0".parse().unwrap(),
+        age_ms: 0,
+    }];
     *front.membership.members.lock().unwrap() = vec![front.member(), other];
     let service = front.handle.targets.service(&SERVICE.parse().unwrap());
     let service = service.unwrap();
