--- a/crates/scheduler/src/placement/indexed/overlay.rs
+++ b/crates/scheduler/src/placement/indexed/overlay.rs
@@ -16,7 +16,8 @@
 #[derive(Default)]
 pub(super) struct Overlay {
     free_before: BTreeMap<Arc<WorkerId>, Resources>,
-    out: Vec<Arc<WorkerId>>,
+    held: Option<Arc<WorkerId>>,
+    unusable: Vec<Arc<WorkerId>>,
     without_room: Vec<Resources>,
 }
 
@@ -77,20 +78,27 @@
         index.set_free(worker, free.saturating_sub(size));
     }
 
-    /// Keeps a worker from taking work in the round.
+    /// Takes a worker out of the order until a later round finds it usable.
     pub(super) fn take_out(&mut self, index: &mut FreeIndex, worker: Arc<WorkerId>) {
         index.set_out(&worker, true);
-        self.out.push(worker);
+        self.unusable.push(worker);
     }
 
-    /// Takes all changes back.
-    pub(super) fn restore(&mut self, index: &mut FreeIndex) {
-        for worker in self.out.drain(..) {
+    /// Keeps a worker free for the rest of the round; one at most.
+    pub(super) fn hold(&mut self, index: &mut FreeIndex, worker: Arc<WorkerId>) {
+        index.set_out(&worker, true);
+        self.held = Some(worker);
+    }
+
+    /// Takes all changes back; returns the unusable workers, which stay out of the order.
+    pub(super) fn restore(&mut self, index: &mut FreeIndex) -> Vec<Arc<WorkerId>> {
+        if let Some(worker) = self.held.take() {
             index.set_out(&worker, false);
         }
         for (worker, free) in std::mem::take(&mut self.free_before) {
             index.set_free(&worker, free);
         }
+        std::mem::take(&mut self.unusable)
     }
 
     fn keep_without_room(&mut self, size: Resources) {
