--- a/crates/front/src/routing/route.rs
+++ b/crates/front/src/routing/route.rs
@@ -13,10 +13,7 @@
 
 /// Finds the service with the longest prefix of the path.
 pub fn find_route(config: &ConfigState, path: &str) -> Option<Route> {
-    let matching = config
-        .services()
-        .filter(|(_, s)| path.starts_with(&*s.path_prefix));
-    let (service, settings) = matching.max_by_key(|(_, s)| s.path_prefix.len())?;
+    let (service, settings) = config.route(path)?;
     Some(Route {
         service: service.clone(),
         settings: settings.clone(),
