--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,7 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
-    report    print what failed, is overdue or waits for a worker
+    report    print losses of runs, or how fast services spend error budgets
 
 Each command has --help and --json.
 
@@ -20,15 +20,16 @@
     1  failed; nothing was changed
     2  the command line or a file is invalid
     3  unknown; the change may still take effect
-    4  refused, or not in force everywhere
+    4  refused, not in force everywhere, or a failure domain can't be reached
 ";
 
 const CHECK: &str = "\
 USAGE:
-    dotterelhook check DIRECTORY
+    dotterelhook check DIRECTORY [--hosts ADDRESS]
 
 The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
 TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
+With --hosts, the platform's host list, sizes that fit no worker are faults too.
 
 EXAMPLE:
     dotterelhook check examples/config/habagat
@@ -36,10 +37,12 @@
 
 const PUBLISH: &str = "\
 USAGE:
-    dotterelhook publish DIRECTORY --log ADDRESS [--dry-run] [--timeout-ms N]
-        [--wait --daemon ADDRESS]
+    dotterelhook publish [DIRECTORY] --log ADDRESS [--remove PATH]...
+        [--hosts ADDRESS] [--dry-run] [--timeout-ms N] [--wait --daemon ADDRESS]
 
 Prints the plan first, then publishes only what differs from what is in force.
+A path that the directory lacks stays in force; only --remove removes it.
+With --hosts, the platform's host list, sizes that fit no worker are refused.
 With --wait it returns when every live daemon has the change in force.
 
 EXAMPLE:
@@ -66,7 +69,10 @@
 USAGE:
     dotterelhook status --daemon ADDRESS
 
-The address is the admin address of any daemon.
+The address is the admin address of any daemon. OFFSET is what a daemon has in
+force, HEARD the age of its newest heartbeat, LOG the age of its last contact
+with the platform's log. Exits with 4 if a failure domain can't be reached
+from that daemon.
 
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
@@ -84,12 +90,19 @@
 
 const REPORT: &str = "\
 USAGE:
+    dotterelhook report burn --daemon ADDRESS
     dotterelhook report losses --daemon ADDRESS
 
-Asks every scheduler that the daemon knows and lists the runs that failed, are
-past their deadline, wait for a silent worker, or have a shard without an owner.
+burn asks every front that the daemon knows and sums up, for each service and
+window, the requests, the share answered within the objective, and the burn
+rate: 1x spends the error budget exactly. Says which fronts can't be reached;
+the sums are then too low.
+
+losses asks every scheduler and lists the runs that failed, are past their
+deadline, wait for a silent worker, or have a shard without an owner.
 
 EXAMPLE:
+    dotterelhook report burn --daemon 127.0.0.1:7101 --json
     dotterelhook report losses --daemon 127.0.0.1:7101
 ";
 
--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -31,7 +31,7 @@
         return Ok(());
     }
     match name {
-        Some("check") => command::check(arguments),
+        Some("check") => command::check(arguments).await,
         Some("publish") => command::publish(arguments).await,
         Some("jobs") => command::jobs(arguments).await,
         Some("report") => report(arguments).await,
@@ -45,10 +45,11 @@
 
 async fn report(mut arguments: pico_args::Arguments) -> Result<(), Failure> {
     match arguments.subcommand().map_err(Failure::usage)?.as_deref() {
+        Some("burn") => command::report_burn(arguments).await,
         Some("losses") => command::report_losses(arguments).await,
         Some(other) => Err(Failure::usage(format!("there is no report {other:?}"))),
         None => Err(Failure::usage(
-            "which report? try: dotterelhook report losses",
+            "which report? try: dotterelhook report burn, or report losses",
         )),
     }
 }
--- a/crates/cli/src/command/run_lines.rs
+++ b/crates/cli/src/command/run_lines.rs
@@ -26,7 +26,7 @@
         let mut missing = Vec::new();
         for member in members
             .iter()
-            .filter(|m| m.heartbeat.member.role == Role::Scheduler)
+            .filter(|m| m.heartbeat.member.role.covers(Role::Scheduler))
         {
             let client = JsonClient::new(member.heartbeat.admin_address, timeout);
             let answer = client.get("/runs").await.and_then(|answer| answer.check());
