--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,7 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
-    report    print losses of runs, or how fast services spend error budgets
+    report    print error budgets, or what failed, is overdue or waits
 
 Each command has --help and --json.
 
@@ -71,8 +71,8 @@
 
 The address is the admin address of any daemon. OFFSET is what a daemon has in
 force, HEARD the age of its newest heartbeat, LOG the age of its last contact
-with the platform's log. Exits with 4 if a failure domain can't be reached
-from that daemon.
+with the platform's log. Exits with 4 if a failure domain can't be reached from
+that daemon.
 
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
@@ -98,8 +98,9 @@
 rate: 1x spends the error budget exactly. Says which fronts can't be reached;
 the sums are then too low.
 
-losses asks every scheduler and lists the runs that failed, are past their
-deadline, wait for a silent worker, or have a shard without an owner.
+losses asks every scheduler that the daemon knows and lists the runs that
+failed, are past their deadline, wait for a silent worker, or have a shard
+without an owner.
 
 EXAMPLE:
     dotterelhook report burn --daemon 127.0.0.1:7101 --json
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -21,7 +21,9 @@
 
 use crate::api::RunApi;
 use crate::api::RunApiContext;
-use crate::placement::LeastUsed;
+use crate::placement::FewestVictims;
+use crate::placement::IndexedPlacer;
+use crate::quota::ConfigQuotas;
 use crate::run_board::RunBoard;
 use crate::run_board::Shards;
 use crate::shard::ShardContext;
@@ -29,6 +31,8 @@
 use crate::shard::ShardTimes;
 use crate::shard::spawn_shard_task;
 
+const LONG_WAIT: Duration = Duration::from_secs(600);
+
 /// What the scheduler needs to know.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -86,7 +90,13 @@
             hosts: registry.find::<dyn HostView>(names::HOSTS)?,
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
-            placement: Arc::new(LeastUsed),
+            new_placer: || Box::new(IndexedPlacer::new(LONG_WAIT)),
+            eviction: Arc::new(FewestVictims),
+            quotas: Arc::new(ConfigQuotas {
+                config: registry.find::<dyn ConfigView>(names::CONFIG)?,
+                shard_index: index,
+                shard_count: self.settings.shard_count,
+            }),
             metrics: metrics.clone(),
         })
     }
--- a/crates/scheduler/src/shard/inventories.rs
+++ b/crates/scheduler/src/shard/inventories.rs
@@ -86,6 +86,11 @@
     fn take_attempt_report(&mut self, report: &AttemptReport, open: &OpenAttempt) {
         let attempt = report.attempt.clone();
         let end = match report.status {
+            AttemptStatus::Running if self.evicting.contains(&attempt) => {
+                let command = WorkerCommand::Evict(attempt, stop_body(open));
+                self.send(&open.worker, command);
+                return;
+            }
             AttemptStatus::Running if self.is_wanted(&attempt) => {
                 self.send(&open.worker, WorkerCommand::Keep(attempt));
                 return;
--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -66,6 +66,10 @@
             self.note_refusal(record, refusal);
             return;
         }
+        if let Some(placer) = &mut self.placer {
+            let now_unix_ms = self.context.clock.unix_ms();
+            placer.observe(&self.state, &record.event, now_unix_ms);
+        }
         match &record.event {
             ShardEvent::Start {
                 attempt, worker, ..
@@ -110,6 +114,7 @@
     /// Lets the worker forget an attempt whose end stands in the log.
     fn note_end(&mut self, attempt: &AttemptId, end: &AttemptEnd, worker: &WorkerId) {
         self.proposed_ends.remove(attempt);
+        self.evicting.remove(attempt);
         if let Some(handle) = self.workers.get(worker) {
             handle.send(WorkerCommand::Forget(attempt.clone()));
         }
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -11,7 +11,9 @@
 use dotterelhook_types::ids::Incarnation;
 
 use super::ShardMetrics;
-use crate::placement::PlacementPolicy;
+use crate::placement::EvictionPolicy;
+use crate::placement::Placer;
+use crate::quota::QuotaView;
 
 const DRIFT_PERCENT: u32 = 1;
 const RENEWAL_RIGHT: Duration = Duration::from_secs(3 * 3_600);
@@ -73,8 +75,12 @@
     pub membership: Arc<dyn MembershipView>,
     /// Connections to workers.
     pub agents: Arc<dyn WorkerAgents>,
-    /// Chooses the next starts.
-    pub placement: Arc<dyn PlacementPolicy>,
+    /// Creates what chooses the next starts.
+    pub new_placer: fn() -> Box<dyn Placer>,
+    /// Chooses what makes room for urgent tasks.
+    pub eviction: Arc<dyn EvictionPolicy>,
+    /// What each team may take at once in this shard.
+    pub quotas: Arc<dyn QuotaView>,
     /// The counts.
     pub metrics: ShardMetrics,
 }
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -24,6 +24,7 @@
 use super::reader::Feed;
 use super::reader::Reader;
 use super::waiters::Waiters;
+use crate::placement::Placer;
 use crate::run_board::ShardCommand;
 use crate::worker::Contact;
 use crate::worker::RenewalRight;
@@ -41,6 +42,8 @@
     pub(super) context: ShardContext,
     pub(super) state: ShardState,
     pub(super) appender: Appender,
+    pub(super) placer: Option<Box<dyn Placer>>,
+    pub(super) evicting: BTreeSet<AttemptId>,
     pub(super) right: Option<Arc<RenewalRight>>,
     pub(super) workers: BTreeMap<WorkerId, WorkerHandle>,
     pub(super) contacts: BTreeMap<WorkerId, Arc<Contact>>,
@@ -78,6 +81,8 @@
     let (results, received_results) = mpsc::channel(RESULTS_MAX);
     let task = ShardTask {
         appender: Appender::new(context.host.clone(), context.incarnation),
+        placer: None,
+        evicting: BTreeSet::new(),
         context,
         state: ShardState::default(),
         right: None,
@@ -174,6 +179,7 @@
             Feed::Snapshot(state) if state.next_offset() > self.state.next_offset() => {
                 self.snapshot_offset = state.next_offset();
                 self.state = *state;
+                self.rebuild_placer();
                 // The pages that follow say whether this process still owns the shard.
                 self.has_caught_up = false;
             }
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -4,6 +4,7 @@
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_platform::hosts::WorkerEntry;
 use dotterelhook_platform::worker::StartBody;
+use dotterelhook_platform::worker::StopBody;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::TaskState;
 use dotterelhook_types::ids::AttemptId;
@@ -11,13 +12,21 @@
 use rapidhash::v3::rapidhash_v3;
 
 use super::shard_task::ShardTask;
+use crate::placement::AnyPair;
+use crate::placement::DeclaredSizes;
+use crate::placement::Eviction;
+use crate::placement::EvictionContext;
+use crate::placement::PlacementContext;
+use crate::placement::Placer;
 use crate::placement::Proposal;
+use crate::placement::Shortfall;
 use crate::worker::WorkerCommand;
 use crate::worker::WorkerContext;
 use crate::worker::WorkerHandle;
 use crate::worker::spawn_worker_task;
 
 const STARTS_PER_BATCH_MAX: usize = 500;
+const EVICTIONS_PER_BATCH_MAX: usize = 100;
 
 impl ShardTask {
     /// Keeps a task for each worker of the shard that the host list names.
@@ -78,29 +87,66 @@
         }))
     }
 
-    /// Returns events for the next starts.
-    pub(super) fn start_events(&self) -> Vec<ShardEvent> {
+    /// Returns events for the next starts, and evicts what stands in the way of urgent tasks.
+    pub(super) fn start_events(&mut self) -> Vec<ShardEvent> {
+        let Some(mut placer) = self.placer.take() else {
+            return Vec::new();
+        };
         if !self.state.has_waiting_tasks() {
+            self.placer = Some(placer);
             return Vec::new();
         }
-        let now_ms = self.now_ms();
-        let usable = |worker: &WorkerId| {
-            !self.leaving.contains(worker)
-                && self.answers(worker, now_ms)
-                && self.takes_work(worker)
+        let usable = |worker: &WorkerId| self.is_usable(worker);
+        let context = PlacementContext {
+            quotas: &*self.context.quotas,
+            sizes: &DeclaredSizes,
+            pairs: &AnyPair,
+            usable: &usable,
+            takes_one: &|worker: &WorkerId| self.is_quarantined(worker),
+            has_all_workers: false,
+            now_unix_ms: self.context.clock.unix_ms(),
+            starts_max: STARTS_PER_BATCH_MAX,
         };
-        let policy = &self.context.placement;
-        let proposals = policy.propose(&self.state, &usable, STARTS_PER_BATCH_MAX);
-        let mut probed = BTreeSet::new();
-        proposals
-            .into_iter()
-            .filter(|proposal| self.is_allowed(proposal, &mut probed))
-            .map(|proposal| ShardEvent::Start {
-                attempt: proposal.attempt,
-                worker: proposal.worker,
-                size: proposal.size,
-            })
-            .collect()
+        let placement = placer.propose(&context);
+        let evictions = self.choose_evictions(&placement.shortfalls, &*placer);
+        let events = placement.starts.into_iter().map(start_event).collect();
+        self.placer = Some(placer);
+        self.evict(evictions);
+        events
+    }
+
+    fn choose_evictions(&self, shortfalls: &[Shortfall], placer: &dyn Placer) -> Vec<Eviction> {
+        if shortfalls.is_empty() {
+            return Vec::new();
+        }
+        self.context.eviction.choose(&EvictionContext {
+            shortfalls,
+            loads: &placer.worker_loads(),
+            pending: &self.evicting,
+            usable: &|worker: &WorkerId| self.is_usable(worker),
+            evictions_max: EVICTIONS_PER_BATCH_MAX,
+        })
+    }
+
+    fn evict(&mut self, evictions: Vec<Eviction>) {
+        for eviction in evictions {
+            let Some(open) = self.state.open_attempts().get(&eviction.attempt) else {
+                continue;
+            };
+            let start_offset = open.offset;
+            if let Some(handle) = self.workers.get(&eviction.worker) {
+                let attempt = eviction.attempt.clone();
+                handle.send(WorkerCommand::Evict(attempt, StopBody { start_offset }));
+            }
+            self.evicting.insert(eviction.attempt);
+        }
+    }
+
+    /// Returns whether a worker may take new work.
+    fn is_usable(&self, worker: &WorkerId) -> bool {
+        !self.leaving.contains(worker)
+            && self.answers(worker, self.now_ms())
+            && self.takes_work(worker)
     }
 
     /// Returns whether a worker answered this owner lately.
@@ -119,11 +165,9 @@
         !has_probe && !is_cooling
     }
 
-    /// Lets one probe at a time through to a quarantined worker.
-    fn is_allowed(&self, proposal: &Proposal, probed: &mut BTreeSet<WorkerId>) -> bool {
-        let account = self.state.workers().get(&proposal.worker);
-        let is_quarantined = account.is_some_and(|account| account.is_quarantined());
-        !is_quarantined || probed.insert(proposal.worker.clone())
+    fn is_quarantined(&self, worker: &WorkerId) -> bool {
+        let account = self.state.workers().get(worker);
+        account.is_some_and(|account| account.is_quarantined())
     }
 
     /// Sends a recorded attempt to its worker, if the worker answered this owner.
@@ -157,3 +201,11 @@
         })
     }
 }
+
+fn start_event(proposal: Proposal) -> ShardEvent {
+    ShardEvent::Start {
+        attempt: proposal.attempt,
+        worker: proposal.worker,
+        size: proposal.size,
+    }
+}
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -20,11 +20,13 @@
 use dotterelhook_state::config::Priority;
 use dotterelhook_state::shard::AttemptEnd;
 use dotterelhook_state::shard::ShardEvent;
+use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::TeamName;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Accelerators;
 use dotterelhook_types::sizes::Resources;
 use fixture::LONG_WAIT;
+use fixture::SameLimit;
 use fixture::Shard;
 use fixture::job;
 use fixture::worker;
@@ -39,6 +41,9 @@
     End(Index, AttemptEnd),
     Cancel(Index),
     Wait(u64),
+    Leave(Index),
+    Restart(Index),
+    Fail(Index),
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -56,6 +61,9 @@
         (any::<Index>(), end).prop_map(|(index, end)| Step::End(index, end)),
         any::<Index>().prop_map(Step::Cancel),
         (0_u64..1_200_000).prop_map(Step::Wait),
+        any::<Index>().prop_map(Step::Leave),
+        any::<Index>().prop_map(Step::Restart),
+        any::<Index>().prop_map(Step::Fail),
     ]
 }
 
@@ -73,7 +81,27 @@
     shard
 }
 
-/// What each team's open attempts and the given starts take.
+/// Returns the starts of one round at a time when no run has waited long, since a rebuilt
+/// index does not know when a run last started a task.
+fn starts_without_long_waits(
+    placer: &mut IndexedPlacer,
+    limit: Option<Resources>,
+    usable: &dyn Fn(&WorkerId) -> bool,
+) -> Vec<Proposal> {
+    let context = PlacementContext {
+        quotas: &SameLimit(limit),
+        sizes: &DeclaredSizes,
+        pairs: &AnyPair,
+        usable,
+        takes_one: &|_| false,
+        has_all_workers: true,
+        now_unix_ms: 0,
+        starts_max: 20,
+    };
+    placer.propose(&context).starts
+}
+
+/// What each team's open attempts take.
 fn used_by_team(shard: &Shard) -> BTreeMap<TeamName, Resources> {
     let mut used = BTreeMap::new();
     for (attempt, open) in shard.state.open_attempts() {
@@ -92,13 +120,12 @@
         capacities in prop::collection::vec((1_u64..20, 1_u64..20, 0_u64..3), 1..8),
         steps in prop::collection::vec(step(), 1..40),
         quota in prop::option::of((1_u64..30, 1_u64..30, 0_u64..4)),
-        leaving in any::<Index>(),
     ) {
         let mut shard = shard(&capacities);
         let limit = quota.map(size);
-        let left = worker(leaving.index(capacities.len()));
-        let usable = |id: &WorkerId| *id != left;
+        let mut left = worker(0);
         let mut runs = 0;
+        let mut incarnation = 1;
 
         for step in steps {
             match step {
@@ -107,10 +134,12 @@
                     let job = job(tasks, size(dimensions), priority);
                     shard.submit(&format!("run-{runs}"), &format!("team-{team}"), job);
                 }
+                Step::Leave(index) => left = worker(index.index(capacities.len())),
                 Step::Place(starts_max) => {
+                    let usable = |id: &WorkerId| *id != left;
                     let before = shard.placer.clone();
                     let placement = shard.propose_within(starts_max, limit, &usable);
-                    prop_assert!(shard.placer == before, "a round changed the index");
+                    prop_assert!(shard.placer.is_equivalent(&before), "a round changed the index");
                     prop_assert_eq!(&placement, &shard.propose_within(starts_max, limit, &usable));
                     prop_assert!(placement.starts.len() <= starts_max);
                     for proposal in &placement.starts {
@@ -134,12 +163,30 @@
                     let run = format!("run-{}", index.index(runs) + 1).parse().unwrap();
                     shard.record(ShardEvent::Cancel { run });
                 }
-                Step::Cancel(_) => {}
+                Step::Fail(index) if runs > 0 => {
+                    let run = format!("run-{}", index.index(runs) + 1).parse().unwrap();
+                    let cause = "x".into();
+                    shard.record(ShardEvent::Fail { run, cause });
+                }
+                Step::Cancel(_) | Step::Fail(_) => {}
+                Step::Restart(index) => {
+                    let index = index.index(capacities.len());
+                    incarnation += 1;
+                    shard.record(ShardEvent::Worker {
+                        worker: worker(index),
+                        incarnation: Incarnation(incarnation),
+                        capacity: size(capacities[index]),
+                    });
+                }
                 Step::Wait(time_ms) => shard.now_unix_ms += time_ms,
             }
             let mut rebuilt = IndexedPlacer::new(LONG_WAIT);
             rebuilt.rebuild(&shard.state);
             prop_assert!(rebuilt.is_equivalent(&shard.placer), "the index has drifted");
+            let usable = |id: &WorkerId| *id != left;
+            let fresh = starts_without_long_waits(&mut rebuilt, limit, &usable);
+            let followed = starts_without_long_waits(&mut shard.placer, limit, &usable);
+            prop_assert_eq!(fresh, followed);
         }
     }
 
@@ -288,6 +335,28 @@
     assert!(has_started, "the large task never started");
 }
 
+#[test]
+fn a_worker_that_is_probed_gets_one_start_in_a_round() {
+    let mut shard = shard(&[(20, 20, 0), (3, 3, 0)]);
+    shard.submit("run-1", "team", job(9, size((1, 1, 0)), Priority::Normal));
+    for round in 0..2 {
+        let placement = shard.placer.propose(&PlacementContext {
+            quotas: &NoQuotas,
+            sizes: &DeclaredSizes,
+            pairs: &AnyPair,
+            usable: &|_| true,
+            takes_one: &|id| *id == worker(0),
+            has_all_workers: true,
+            now_unix_ms: 0,
+            starts_max: 10,
+        });
+
+        let at_probed = |start: &&Proposal| start.worker == worker(0);
+        assert_eq!(placement.starts.len(), 4, "round {round}");
+        assert_eq!(placement.starts.iter().filter(at_probed).count(), 1);
+    }
+}
+
 /// Keeps each job away from the first worker.
 struct AvoidFirst;
 
@@ -309,6 +378,7 @@
             sizes: &DeclaredSizes,
             pairs: &AvoidFirst,
             usable: &|_| true,
+            takes_one: &|_| false,
             has_all_workers: true,
             now_unix_ms: shard.now_unix_ms,
             starts_max: 10,
@@ -335,6 +405,7 @@
         sizes: &sizes,
         pairs: &AnyPair,
         usable: &|_| true,
+        takes_one: &|_| false,
         has_all_workers: true,
         now_unix_ms: 0,
         starts_max: 10,
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -10,7 +10,8 @@
 use dotterelhook_platform::log::LogPage;
 use dotterelhook_platform::log::MemoryLog;
 use dotterelhook_scheduler::ShardCommand;
-use dotterelhook_scheduler::placement::LeastUsed;
+use dotterelhook_scheduler::placement::FewestVictims;
+use dotterelhook_scheduler::placement::IndexedPlacer;
 use dotterelhook_scheduler::shard::ShardContext;
 use dotterelhook_scheduler::shard::ShardMetrics;
 use dotterelhook_scheduler::shard::spawn_shard_task;
@@ -30,6 +31,7 @@
 use super::views::host_id;
 
 const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
+const LONG_WAIT: Duration = Duration::from_secs(600);
 const FAST_PER_MILLE: u64 = 1_009;
 
 /// One scheduler process.
@@ -74,7 +76,9 @@
                 host,
                 frozen: frozen.subscribe(),
             }),
-            placement: Arc::new(LeastUsed),
+            new_placer: || Box::new(IndexedPlacer::new(LONG_WAIT)),
+            eviction: Arc::new(FewestVictims),
+            quotas: Arc::clone(&world.views) as _,
             metrics: metrics.clone(),
         };
         let stopping = CancellationToken::new();
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -13,10 +13,13 @@
 use dotterelhook_platform::hosts::HostSnapshot;
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_scheduler::quota::QuotaView;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TargetId;
+use dotterelhook_types::ids::TeamName;
+use dotterelhook_types::sizes::Resources;
 
 use super::agents::worker_address;
 
@@ -24,6 +27,7 @@
 pub(crate) struct Views {
     live: Mutex<BTreeMap<usize, Incarnation>>,
     hosts: Mutex<Arc<HostSnapshot>>,
+    quota: Mutex<Option<Resources>>,
 }
 
 pub(crate) fn host_id(host: usize) -> HostId {
@@ -46,6 +50,7 @@
         Self {
             live: Mutex::default(),
             hosts: Mutex::new(Arc::new(list)),
+            quota: Mutex::default(),
         }
     }
 
@@ -57,6 +62,10 @@
         };
     }
 
+    pub(crate) fn set_quota(&self, quota: Resources) {
+        *self.quota.lock().unwrap_or_else(PoisonError::into_inner) = Some(quota);
+    }
+
     pub(crate) fn set_leaving(&self, worker: usize, is_leaving: bool) {
         let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
         let mut list = HostSnapshot::clone(&hosts);
@@ -74,6 +83,12 @@
     }
 }
 
+impl QuotaView for Views {
+    fn limit(&self, _: &TeamName) -> Option<Resources> {
+        *self.quota.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl HostView for Views {
     fn current(&self) -> Arc<HostSnapshot> {
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
