Let go of attempts that a worker's restart ended

The record of a worker's later incarnation ends what was open there, but the owner reacted to end records only: such attempts were neither counted as lost nor dropped from the worker's task, whose renewals went on naming them, and marks of evictions under way stayed for ever. The owner now collects what a record is about to end before it applies it, for both kinds of record, and reacts once it was accepted. The new test fails before the change (0 lost attempts counted, 1 expected) and passes after it; all 20 tests of the shard passed.

--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -6,6 +6,7 @@
 use dotterelhook_state::shard::ShardRecord;
 use dotterelhook_state::shard::ShardRefusal;
 use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::WorkerId;
 use spdlog::warn;
 
@@ -17,6 +18,13 @@
 const COOL_OFF: Duration = Duration::from_millis(500);
 const PROBE_PAUSE: Duration = Duration::from_secs(30);
 
+/// An attempt that one record ends.
+struct Ending {
+    attempt: AttemptId,
+    end: AttemptEnd,
+    worker: WorkerId,
+}
+
 impl ShardTask {
     /// Applies a page of records and reacts to those of this process.
     pub(super) fn apply_page(&mut self, asked_at_ms: u64, page: &LogPage) {
@@ -30,11 +38,11 @@
                 continue;
             };
             let own = self.is_own(&read).then(|| read.clone());
-            let worker = own.as_ref().and_then(|own| self.ending_worker(own));
+            let endings = own.as_ref().map(|own| self.endings(own));
             let result = self.state.apply_record(record.offset, read);
             self.follow_ownership(asked_at_ms);
             if let Some(own) = own {
-                self.observe(&own, result, worker);
+                self.observe(&own, result, endings.unwrap_or_default());
             }
         }
         self.log_contact_ms = self.log_contact_ms.max(asked_at_ms);
@@ -46,20 +54,45 @@
         record.host == self.context.host && record.incarnation == self.context.incarnation
     }
 
-    /// Returns the worker of the attempt that a record is about to end.
-    fn ending_worker(&self, record: &ShardRecord) -> Option<WorkerId> {
-        let ShardEvent::End { attempt, .. } = &record.event else {
-            return None;
-        };
-        let open = self.state.open_attempts().get(attempt)?;
-        Some(open.worker.clone())
+    /// Returns the attempts that a record is about to end.
+    fn endings(&self, record: &ShardRecord) -> Vec<Ending> {
+        match &record.event {
+            ShardEvent::End { attempt, end } => {
+                let open = self.state.open_attempts().get(attempt);
+                let ending = open.map(|open| Ending {
+                    attempt: attempt.clone(),
+                    end: end.clone(),
+                    worker: open.worker.clone(),
+                });
+                ending.into_iter().collect()
+            }
+            ShardEvent::Worker {
+                worker,
+                incarnation,
+                ..
+            } => self.endings_by_restart(worker, *incarnation),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns what a worker's later incarnation ends.
+    fn endings_by_restart(&self, worker: &WorkerId, incarnation: Incarnation) -> Vec<Ending> {
+        let account = self.state.workers().get(worker);
+        let restarted = account.filter(|account| account.incarnation < incarnation);
+        let open = restarted.into_iter().flat_map(|account| &account.open);
+        open.map(|attempt| Ending {
+            attempt: attempt.clone(),
+            end: AttemptEnd::Lost,
+            worker: worker.clone(),
+        })
+        .collect()
     }
 
     fn observe(
         &mut self,
         record: &ShardRecord,
         result: Result<(), ShardRefusal>,
-        worker: Option<WorkerId>,
+        endings: Vec<Ending>,
     ) {
         self.appender.confirm(record.sequence);
         if let Err(refusal) = result {
@@ -70,15 +103,13 @@
             let now_unix_ms = self.context.clock.unix_ms();
             placer.observe(&self.state, &record.event, now_unix_ms);
         }
+        for ending in endings {
+            self.note_end(&ending);
+        }
         match &record.event {
             ShardEvent::Start {
                 attempt, worker, ..
             } => self.start(attempt, worker),
-            ShardEvent::End { attempt, end } => {
-                if let Some(worker) = worker {
-                    self.note_end(attempt, end, &worker);
-                }
-            }
             ShardEvent::Worker { .. } => self.workers_changed = true,
             ShardEvent::Overdue { run } => self.note_overdue(run),
             event => self.answer_event(event, &Ok(())),
@@ -112,7 +143,12 @@
     }
 
     /// Lets the worker forget an attempt whose end stands in the log.
-    fn note_end(&mut self, attempt: &AttemptId, end: &AttemptEnd, worker: &WorkerId) {
+    fn note_end(&mut self, ending: &Ending) {
+        let Ending {
+            attempt,
+            end,
+            worker,
+        } = ending;
         self.proposed_ends.remove(attempt);
         self.evicting.remove(attempt);
         if let Some(handle) = self.workers.get(worker) {
--- a/crates/scheduler/tests/shard/accounts.rs
+++ b/crates/scheduler/tests/shard/accounts.rs
@@ -344,3 +344,24 @@
 
     assert_eq!(most_open, 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn work_of_a_restarted_worker_is_counted_as_lost_and_starts_again() {
+    let mut world = owned_world().await;
+    let owner = world.owner().await.expect("an owner");
+    world.submit(&run_id("run"), &job(3, 20_000, 4_000));
+    world
+        .until("starts", |state| state.open_attempts().len() == 3)
+        .await;
+    world.pass(1_000).await;
+
+    world.fleet.restart(0);
+    world
+        .until("the end", |state| state.active_runs().is_empty())
+        .await;
+
+    let metrics = &world.process(owner).expect("a process").metrics;
+    assert_eq!(metrics.lost_attempts.get(), 1);
+    assert_eq!(world.fleet.intervals().len(), 4);
+    assert_eq!(world.state().await.runs()[&run_id("run")].done, 3);
+}
