--- a/crates/scheduler/src/quota/mod.rs
+++ b/crates/scheduler/src/quota/mod.rs
@@ -1,11 +1,9 @@
 //! How much of a failure domain's workers each team may take at once.
 
-mod config_quotas;
 mod quota_view;
 mod shard_quotas;
 mod team_usage;
 
-pub(crate) use config_quotas::ConfigQuotas;
 pub use quota_view::NoQuotas;
 pub use quota_view::QuotaView;
 pub use shard_quotas::ShardQuotas;
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -23,7 +23,6 @@
 use crate::api::RunApiContext;
 use crate::placement::FewestVictims;
 use crate::placement::IndexedPlacer;
-use crate::quota::ConfigQuotas;
 use crate::run_board::RunBoard;
 use crate::run_board::Shards;
 use crate::shard::ShardContext;
@@ -31,8 +30,6 @@
 use crate::shard::ShardTimes;
 use crate::shard::spawn_shard_task;
 
-const LONG_WAIT: Duration = Duration::from_secs(600);
-
 /// What the scheduler needs to know.
 #[derive(Clone, Debug)]
 pub struct SchedulerSettings {
@@ -90,13 +87,9 @@
             hosts: registry.find::<dyn HostView>(names::HOSTS)?,
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
-            new_placer: || Box::new(IndexedPlacer::new(LONG_WAIT)),
+            config: registry.find::<dyn ConfigView>(names::CONFIG)?,
+            new_placer: || Box::new(IndexedPlacer::default()),
             eviction: Arc::new(FewestVictims),
-            quotas: Arc::new(ConfigQuotas {
-                config: registry.find::<dyn ConfigView>(names::CONFIG)?,
-                shard_index: index,
-                shard_count: self.settings.shard_count,
-            }),
             metrics: metrics.clone(),
         })
     }
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -58,8 +58,7 @@
         self.right = Some(Arc::new(right));
         self.owned_since_ms = self.now_ms();
         self.workers_changed = true;
-        self.placer = Some((self.context.new_placer)());
-        self.rebuild_placer();
+        self.placer.rebuild(&self.state);
         self.snapshot_at_ms = self.now_ms();
     }
 
@@ -69,25 +68,18 @@
         warn!("shard: {} is no longer owned here", self.context.shard);
         self.drop_workers();
         self.right = None;
-        self.placer = None;
-        self.evicting.clear();
         self.ends.clear();
         self.asked.clear();
         self.inventories.clear();
         self.silent_since_unix_ms.clear();
         self.cool_off_until_ms.clear();
         self.proposed_ends.clear();
+        self.evicting.clear();
+        self.placement_waits.clear();
         self.appender.abandon();
         self.waiters.answer_all(&Err(SubmitError::NotOwner));
     }
 
-    /// Has the placer read the whole shard anew.
-    pub(super) fn rebuild_placer(&mut self) {
-        if let Some(placer) = &mut self.placer {
-            placer.rebuild(&self.state);
-        }
-    }
-
     fn drop_workers(&mut self) {
         self.workers.clear();
         self.contacts.clear();
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_platform::clock::Clock;
@@ -13,7 +14,6 @@
 use super::ShardMetrics;
 use crate::placement::EvictionPolicy;
 use crate::placement::Placer;
-use crate::quota::QuotaView;
 
 const DRIFT_PERCENT: u32 = 1;
 const RENEWAL_RIGHT: Duration = Duration::from_secs(3 * 3_600);
@@ -75,12 +75,12 @@
     pub membership: Arc<dyn MembershipView>,
     /// Connections to workers.
     pub agents: Arc<dyn WorkerAgents>,
+    /// The configuration in force, which holds the teams' quotas.
+    pub config: Arc<dyn ConfigView>,
     /// Creates what chooses the next starts.
     pub new_placer: fn() -> Box<dyn Placer>,
-    /// Chooses what makes room for urgent tasks.
+    /// Chooses which attempts make room for urgent tasks.
     pub eviction: Arc<dyn EvictionPolicy>,
-    /// What each team may take at once in this shard.
-    pub quotas: Arc<dyn QuotaView>,
     /// The counts.
     pub metrics: ShardMetrics,
 }
--- a/crates/scheduler/tests/shard/accounts.rs
+++ b/crates/scheduler/tests/shard/accounts.rs
@@ -6,7 +6,6 @@
 use dotterelhook_platform::log::Log;
 use dotterelhook_scheduler::ShardCommand;
 use dotterelhook_scheduler::SubmitError;
-use dotterelhook_state::config::Priority;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::RunId;
@@ -295,56 +294,6 @@
     assert_eq!(world.fleet.intervals().len(), 2);
 }
 
-#[tokio::test(start_paused = true)]
-async fn an_urgent_run_makes_room_for_itself() {
-    let mut world = owned_world().await;
-    world.submit(&run_id("low"), &job(3, 60_000, 4_000));
-    world
-        .until("starts", |state| state.open_attempts().len() == 3)
-        .await;
-    world.pass(2_000).await;
-
-    let mut urgent = job(1, 1_000, 4_000);
-    urgent.priority = Priority::Urgent;
-    world.submit(&run_id("urgent"), &urgent);
-    world
-        .until("the urgent run's end", |state| {
-            let run = state.runs().get(&run_id("urgent"));
-            run.is_some_and(|run| run.status == RunStatus::Complete)
-        })
-        .await;
-    world
-        .until("the end", |state| state.active_runs().is_empty())
-        .await;
-
-    assert_eq!(world.state().await.runs()[&run_id("low")].done, 3);
-    assert_eq!(world.fleet.intervals().len(), 5);
-    world.check_checkpoints().await;
-}
-
-#[tokio::test(start_paused = true)]
-async fn a_team_never_takes_more_than_its_quota() {
-    let mut world = owned_world().await;
-    world.views.set_quota(Resources::new(2_000, 16_000));
-
-    world.submit(&run_id("run"), &job(6, 1_000, 1_000));
-    let mut most_open = 0;
-    loop {
-        world.pass(200).await;
-        let state = world.state().await;
-        most_open = most_open.max(state.open_attempts().len());
-        if state
-            .runs()
-            .values()
-            .any(|run| run.status == RunStatus::Complete)
-        {
-            break;
-        }
-    }
-
-    assert_eq!(most_open, 2);
-}
-
 #[tokio::test(start_paused = true)]
 async fn work_of_a_restarted_worker_is_counted_as_lost_and_starts_again() {
     let mut world = owned_world().await;
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -31,7 +31,6 @@
 use super::views::host_id;
 
 const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
-const LONG_WAIT: Duration = Duration::from_secs(600);
 const FAST_PER_MILLE: u64 = 1_009;
 
 /// One scheduler process.
@@ -76,9 +75,9 @@
                 host,
                 frozen: frozen.subscribe(),
             }),
-            new_placer: || Box::new(IndexedPlacer::new(LONG_WAIT)),
+            config: Arc::clone(&world.views) as _,
+            new_placer: || Box::new(IndexedPlacer::default()),
             eviction: Arc::new(FewestVictims),
-            quotas: Arc::clone(&world.views) as _,
             metrics: metrics.clone(),
         };
         let stopping = CancellationToken::new();
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::membership::Heartbeat;
 use dotterelhook_peer::membership::Member;
@@ -13,13 +14,13 @@
 use dotterelhook_platform::hosts::HostSnapshot;
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_platform::hosts::WorkerEntry;
-use dotterelhook_scheduler::quota::QuotaView;
+use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TargetId;
-use dotterelhook_types::ids::TeamName;
 use dotterelhook_types::sizes::Resources;
+use serde_json::json;
 
 use super::agents::worker_address;
 
@@ -27,7 +28,7 @@
 pub(crate) struct Views {
     live: Mutex<BTreeMap<usize, Incarnation>>,
     hosts: Mutex<Arc<HostSnapshot>>,
-    quota: Mutex<Option<Resources>>,
+    config: Mutex<Arc<ConfigState>>,
 }
 
 pub(crate) fn host_id(host: usize) -> HostId {
@@ -50,7 +51,7 @@
         Self {
             live: Mutex::default(),
             hosts: Mutex::new(Arc::new(list)),
-            quota: Mutex::default(),
+            config: Mutex::default(),
         }
     }
 
@@ -62,8 +63,16 @@
         };
     }
 
-    pub(crate) fn set_quota(&self, quota: Resources) {
-        *self.quota.lock().unwrap_or_else(PoisonError::into_inner) = Some(quota);
+    /// Puts a quota of the team `night` in force.
+    pub(crate) fn set_quota(&self, batch: &Resources) {
+        let publication = json!({
+            "writer": "test", "sequence": 1, "team": "night", "path": "night/quota",
+            "base_offset": null, "body": { "batch": batch }
+        });
+        let mut state = ConfigState::default();
+        let applied = state.apply(Offset(0), &publication.to_string());
+        applied.expect("a valid publication");
+        *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(state);
     }
 
     pub(crate) fn set_leaving(&self, worker: usize, is_leaving: bool) {
@@ -78,17 +87,11 @@
     }
 
     pub(crate) fn heal(&self) {
-        let workers = self.current().workers.len();
+        let workers = HostView::current(self).workers.len();
         (0..workers).for_each(|worker| self.set_leaving(worker, false));
     }
 }
 
-impl QuotaView for Views {
-    fn limit(&self, _: &TeamName) -> Option<Resources> {
-        *self.quota.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 impl HostView for Views {
     fn current(&self) -> Arc<HostSnapshot> {
         let hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
@@ -145,3 +148,17 @@
         state: MemberState::Alive,
     }
 }
+
+impl ConfigView for Views {
+    fn current(&self) -> Arc<ConfigState> {
+        Arc::clone(&self.config.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn is_known(&self) -> bool {
+        true
+    }
+
+    fn log_contact_age_ms(&self) -> Option<u64> {
+        None
+    }
+}
