--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -186,6 +186,7 @@
             Feed::Snapshot(state) if state.next_offset() > self.state.next_offset() => {
                 self.snapshot_offset = state.next_offset();
                 self.state = *state;
+                self.placer.rebuild(&self.state);
                 // The pages that follow say whether this process still owns the shard.
                 self.has_caught_up = false;
             }
