--- a/crates/standins/examples/bench_placement.rs
+++ b/crates/standins/examples/bench_placement.rs
@@ -1,11 +1,15 @@
 //! Measures placement against workers, running tasks and waiting runs, and records on the log.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::time::Duration;
 use std::time::Instant;
 
 use dotterelhook_scheduler::placement::AnyPair;
 use dotterelhook_scheduler::placement::DeclaredSizes;
+use dotterelhook_scheduler::placement::EvictionContext;
+use dotterelhook_scheduler::placement::EvictionPolicy;
+use dotterelhook_scheduler::placement::FewestVictims;
 use dotterelhook_scheduler::placement::IndexedPlacer;
 use dotterelhook_scheduler::placement::LeastUsed;
 use dotterelhook_scheduler::placement::Placement;
@@ -13,6 +17,7 @@
 use dotterelhook_scheduler::placement::PlacementPolicy;
 use dotterelhook_scheduler::placement::Placer;
 use dotterelhook_scheduler::placement::Proposal;
+use dotterelhook_scheduler::placement::Shortfall;
 use dotterelhook_scheduler::quota::NoQuotas;
 use dotterelhook_state::config::BatchJob;
 use dotterelhook_state::config::Priority;
@@ -271,6 +276,42 @@
     );
 }
 
+/// Measures the choice of victims for urgent tasks on full workers.
+fn measure_evictions(case: &Case, tasks: usize) {
+    let mut shard = fill(case);
+    loop {
+        let placement = shard.propose(500);
+        if placement.starts.is_empty() {
+            break;
+        }
+        placement.starts.into_iter().for_each(|p| shard.start(p));
+    }
+    let from = Instant::now();
+    let loads = shard.placer.worker_loads();
+    let read = from.elapsed();
+    let shortfalls = [Shortfall {
+        run: "urgent".parse().expect("valid"),
+        size: Resources::new(8_000, 24_000),
+        tasks,
+    }];
+    let from = Instant::now();
+    let evictions = FewestVictims.choose(&EvictionContext {
+        shortfalls: &shortfalls,
+        loads: &loads,
+        pending: &BTreeSet::new(),
+        usable: &is_usable,
+        evictions_max: usize::MAX,
+    });
+    println!(
+        "{:>7} {:>7} {tasks:>6} {:>8} {:>8.1} {:>8.1}",
+        case.workers,
+        shard.state.open_attempts().len(),
+        evictions.len(),
+        read.as_secs_f64() * 1e3,
+        from.elapsed().as_secs_f64() * 1e3,
+    );
+}
+
 /// Prints what the records of starts and ends take, as JSON and as other encodings.
 fn measure_records() {
     let case = Case {
@@ -347,5 +388,14 @@
             starts_per_round: 50,
         });
     }
+    println!("workers running urgent  victims  read ms choose ms");
+    for workers in [50, 500, 2_100, 8_400] {
+        let case = Case {
+            workers,
+            waiting_runs: 100,
+            starts_per_round: 500,
+        };
+        measure_evictions(&case, 50);
+    }
     measure_records();
 }
--- a/crates/standins/examples/bench_policy.rs
+++ b/crates/standins/examples/bench_policy.rs
@@ -276,12 +276,16 @@
     ]
 }
 
-fn compare(offered: f64, seeds: u64, duration_s: u64) {
-    let settings = ModelSettings {
+fn compare(settings: ModelSettings, seeds: u64, duration_s: u64) {
+    let ModelSettings {
         offered,
-        ..ModelSettings::default()
-    };
-    println!("offered {offered}, {seeds} seeds, {duration_s} s each; mean +- standard deviation");
+        services,
+        noise,
+        ..
+    } = settings;
+    println!(
+        "offered {offered}, {services} services, noise {noise}: {seeds} seeds of {duration_s} s"
+    );
     let mut base: Vec<Score> = Vec::new();
     for (index, (name, _)) in controllers().iter().enumerate() {
         let scores: Vec<Score> = (0..seeds)
@@ -324,13 +328,22 @@
 
 fn main() {
     let mut arguments = pico_args::Arguments::from_env();
-    let seeds = arguments.opt_value_from_str("--seeds").expect("a number");
-    let duration_s = arguments
-        .opt_value_from_str("--duration-s")
-        .expect("a number");
-    let seeds = seeds.unwrap_or(DEFAULT_SEEDS);
-    let duration_s = duration_s.unwrap_or(DEFAULT_DURATION_S);
+    let mut number = |key: &'static str, usual: f64| {
+        let given: Option<f64> = arguments.opt_value_from_str(key).expect("a number");
+        given.unwrap_or(usual)
+    };
+    let usual = ModelSettings::default();
+    let seeds = number("--seeds", DEFAULT_SEEDS as f64) as u64;
+    let duration_s = number("--duration-s", DEFAULT_DURATION_S as f64) as u64;
+    let services = number("--services", usual.services as f64) as usize;
+    let noise = number("--noise", usual.noise);
     for offered in [0.3, 0.6, 1.0] {
-        compare(offered, seeds, duration_s);
+        let settings = ModelSettings {
+            offered,
+            services,
+            noise,
+            ..usual
+        };
+        compare(settings, seeds, duration_s);
     }
 }
