--- a/crates/cli/src/command/report_burn.rs
+++ b/crates/cli/src/command/report_burn.rs
@@ -27,7 +27,7 @@
     let mut missing = Vec::new();
     for member in members
         .iter()
-        .filter(|member| member.heartbeat.member.role == Role::Front)
+        .filter(|member| member.heartbeat.member.role.covers(Role::Front))
     {
         let client = JsonClient::new(member.heartbeat.admin_address, timeout);
         let answer = client.get("/burn").await.and_then(|answer| answer.check());
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::target::HealthState;
+use dotterelhook_peer::membership::DrainingTarget;
 use dotterelhook_platform::hosts::HostState;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
@@ -162,6 +163,31 @@
     assert_eq!(leaving.counters().executed, 0);
 }
 
+#[tokio::test]
+async fn a_target_that_another_front_saw_draining_gets_no_new_work() {
+    let (leaving, leaving_address) = target_server(8).await;
+    let (_stays, stays_address) = target_server(8).await;
+    let front = start_front(TIMEOUT_MS, &[leaving_address, stays_address]).await;
+    let mut other = front.member();
+    other.heartbeat.member.host = "laguna-2".parse().unwrap();
+    other.heartbeat.draining_targets = vec![DrainingTarget {
+        target: "target-0".parse().unwrap(),
+        age_ms: 0,
+    }];
+    *front.membership.members.lock().unwrap() = vec![front.member(), other];
+    let service = front.handle.targets.service(&SERVICE.parse().unwrap());
+    let service = service.unwrap();
+    while service.pools().len() > 1 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+
+    for _ in 0..40 {
+        send(front.address, request("POST", "x")).await.unwrap();
+    }
+
+    assert_eq!(leaving.counters().executed, 0);
+}
+
 #[tokio::test]
 async fn bad_requests_are_refused_with_a_clear_status() {
     let (target, address) = target_server(8).await;
@@ -246,3 +272,21 @@
 
     assert_eq!(target.counters().executed, 10);
 }
+
+#[tokio::test]
+async fn a_request_whose_body_breaks_off_runs_nowhere() {
+    let (target, address) = target_server(8).await;
+    let front = start_front(TIMEOUT_MS, &[address]).await;
+    let heads = ["content-length: 900", "transfer-encoding: chunked"];
+
+    for head in heads {
+        let mut stream = TcpStream::connect(front.address).await.unwrap();
+        let sent = format!("POST {PATH} HTTP/1.1\r\nhost: f\r\n{head}\r\n\r\n5\r\nhello\r\n");
+        stream.write_all(sent.as_bytes()).await.unwrap();
+        stream.shutdown().await.unwrap();
+        let mut received = Vec::new();
+        let _ = stream.read_to_end(&mut received).await;
+    }
+
+    assert_eq!(target.counters().executed, 0);
+}
