--- a/crates/platform/tests/host_list.rs
+++ b/crates/platform/tests/host_list.rs
@@ -138,6 +138,40 @@
     }
 }
 
+#[tokio::test]
+async fn an_unchanged_list_is_not_sent_again() {
+    let http = http(PATIENCE).await;
+    http.fill(snapshot(3)).await;
+
+    let first = http.list.read().await;
+    let second = http.list.read().await;
+
+    assert_eq!(first, Ok(snapshot(3)));
+    assert_eq!(second, first);
+    assert_eq!(http.server.lists_sent(), 1);
+    http.fill(snapshot(4)).await;
+    assert_eq!(http.list.read().await, Ok(snapshot(4)));
+    assert_eq!(http.server.lists_sent(), 2);
+}
+
+#[tokio::test]
+async fn a_list_of_one_failure_domain_leaves_out_the_others() {
+    let http = http(PATIENCE).await;
+    let mut entries = snapshot(3);
+    entries.targets[0].failure_domain = "pampanga".parse().expect("a name");
+    entries.workers[1].failure_domain = "pampanga".parse().expect("a name");
+    http.fill(entries).await;
+    let domain = "pampanga".parse().expect("a name");
+    let list = HttpHostList::new(http.address, PATIENCE).for_domain(domain);
+
+    let read = list.read().await.expect("a list");
+
+    let targets: Vec<&str> = read.targets.iter().map(|t| t.target.as_str()).collect();
+    let workers: Vec<&str> = read.workers.iter().map(|w| w.worker.as_str()).collect();
+    assert_eq!(targets, ["executor-0"]);
+    assert_eq!(workers, ["worker-1"]);
+}
+
 #[tokio::test]
 async fn a_list_that_is_down_is_an_error_and_comes_back() {
     for fixture in fixtures().await {
--- a/crates/standins/src/hosts/host_server.rs
+++ b/crates/standins/src/hosts/host_server.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,10 +14,12 @@
 use hyper::Method;
 use hyper::StatusCode;
 use serde::Deserialize;
+use serde_json::json;
 
 use crate::server::Answer;
 use crate::server::FaultSwitch;
 use crate::server::Handler;
+use crate::server::query_number;
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -24,11 +28,20 @@
     state: HostState,
 }
 
+/// The list from some moment on; versions are numbered from one.
+#[derive(Clone, Debug)]
+struct Version {
+    number: u64,
+    at: Instant,
+    snapshot: HostSnapshot,
+}
+
 /// The host list over HTTP; readers see it as it was some time ago.
 #[derive(Debug)]
 pub struct HostServer {
     lag: Duration,
-    versions: Mutex<VecDeque<(Instant, HostSnapshot)>>,
+    versions: Mutex<VecDeque<Version>>,
+    lists_sent: AtomicU64,
     faults: FaultSwitch,
 }
 
@@ -38,28 +51,64 @@
         Self {
             lag,
             versions: Mutex::default(),
+            lists_sent: AtomicU64::new(0),
             faults: FaultSwitch::default(),
         }
     }
 
-    fn visible(&self) -> HostSnapshot {
+    /// Returns how often a whole list was sent.
+    pub fn lists_sent(&self) -> u64 {
+        self.lists_sent.load(Ordering::SeqCst)
+    }
+
+    fn visible(&self) -> Option<Version> {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_visible = |at: Instant| at.elapsed() >= self.lag;
-        while versions.get(1).is_some_and(|(at, _)| is_visible(*at)) {
+        let is_visible = |version: &Version| version.at.elapsed() >= self.lag;
+        while versions.get(1).is_some_and(is_visible) {
             versions.pop_front();
         }
-        let oldest = versions.front().filter(|(at, _)| is_visible(*at));
-        oldest
-            .map(|(_, snapshot)| snapshot.clone())
-            .unwrap_or_default()
+        versions
+            .front()
+            .filter(|oldest| is_visible(oldest))
+            .cloned()
+    }
+
+    fn list(&self, query: &str) -> Answer {
+        let visible = self.visible();
+        let number = visible.as_ref().map_or(0, |version| version.number);
+        if query_number(query, "known_version") == Some(number) {
+            return json_answer(StatusCode::NOT_MODIFIED, &());
+        }
+        self.lists_sent.fetch_add(1, Ordering::SeqCst);
+        let mut snapshot = visible.map(|version| version.snapshot).unwrap_or_default();
+        let domain = query
+            .split('&')
+            .find_map(|pair| pair.strip_prefix("failure_domain="));
+        if let Some(domain) = domain {
+            snapshot
+                .targets
+                .retain(|t| t.failure_domain.as_str() == domain);
+            snapshot
+                .workers
+                .retain(|w| w.failure_domain.as_str() == domain);
+        }
+        let list = json!({
+            "version": number, "targets": snapshot.targets, "workers": snapshot.workers
+        });
+        json_answer(StatusCode::OK, &list)
     }
 
     fn change(&self, edit: impl FnOnce(&mut HostSnapshot)) {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let newest = versions.back().map(|(_, snapshot)| snapshot.clone());
-        let mut snapshot = newest.unwrap_or_default();
+        let newest = versions.back().cloned();
+        let number = newest.as_ref().map_or(1, |version| version.number + 1);
+        let mut snapshot = newest.map(|version| version.snapshot).unwrap_or_default();
         edit(&mut snapshot);
-        versions.push_back((Instant::now(), snapshot));
+        versions.push_back(Version {
+            number,
+            at: Instant::now(),
+            snapshot,
+        });
     }
 
     fn add(&self, entries: HostSnapshot) {
@@ -95,9 +144,9 @@
         &self.faults
     }
 
-    async fn handle(&self, method: &Method, path: &str, _query: &str, body: Bytes) -> Answer {
+    async fn handle(&self, method: &Method, path: &str, query: &str, body: Bytes) -> Answer {
         match (method, path) {
-            (&Method::GET, "/hosts") => json_answer(StatusCode::OK, &self.visible()),
+            (&Method::GET, "/hosts") => self.list(query),
             (&Method::POST, "/hosts") => match serde_json::from_slice(&body) {
                 Ok(entries) => {
                     self.add(entries);
