--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -229,11 +229,8 @@
 }
 
 fn number(field: &str, value: u64, min: u64, max: u64) -> Result<u64, FieldFault> {
-    if (min..=max).contains(&value) {
-        Ok(value)
-    } else {
-        Err(FieldFault::new(field, format!("must be {min} to {max}")))
-    }
+    FieldFault::check_range(field, value, min, max)?;
+    Ok(value)
 }
 
 fn milliseconds(field: &str, value_ms: u64, min: u64, max: u64) -> Result<Duration, FieldFault> {
--- a/crates/front/src/headers.rs
+++ b/crates/front/src/headers.rs
@@ -1,7 +1,9 @@
 //! Names of the headers that the front reads and writes.
 
+use dotterelhook_types::Verdict;
+
 /// Says whether the request ran: `not-run`, `may-have-run` or `ran`.
-pub const VERDICT: &str = "x-dotterelhook-verdict";
+pub const VERDICT: &str = Verdict::HEADER;
 
 /// Says why a request was refused or failed.
 pub const CAUSE: &str = "x-dotterelhook-cause";
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -205,8 +205,8 @@
     let verdict: &'static str = verdict.into();
     answer
         .headers_mut()
-        .insert("x-dotterelhook-verdict", HeaderValue::from_static(verdict));
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+        .insert(Verdict::HEADER, HeaderValue::from_static(verdict));
+    if status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::GATEWAY_TIMEOUT {
         answer
             .headers_mut()
             .insert(RETRY_AFTER, HeaderValue::from(RETRY_AFTER_SECONDS));
--- a/crates/scheduler/src/shard/placing.rs
+++ b/crates/scheduler/src/shard/placing.rs
@@ -1,7 +1,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use dotterelhook_platform::worker::Inventory;
+use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_types::ids::RunId;
 use dotterelhook_types::ids::WorkerId;
@@ -35,8 +37,9 @@
     }
 
     fn propose(&mut self, usable: &BTreeSet<WorkerId>) -> Placement {
-        let shard = &self.context.shard;
         let config = self.context.config.current();
+        self.forget_removed_jobs(&config);
+        let shard = &self.context.shard;
         let quotas = ShardQuotas::new(config, shard.index, self.context.shard_count);
         let recorded = self.state.workers();
         let context = PlacementContext {
@@ -52,6 +55,19 @@
         self.placer.propose(&context)
     }
 
+    /// Forgets what jobs used that are no longer published.
+    fn forget_removed_jobs(&mut self, config: &Arc<ConfigState>) {
+        let is_same = self
+            .seen_config
+            .as_ref()
+            .is_some_and(|seen| Arc::ptr_eq(seen, config));
+        if !is_same {
+            self.observed_sizes
+                .retain(|key| config.job(&key.team, &key.job).is_some());
+            self.seen_config = Some(Arc::clone(config));
+        }
+    }
+
     /// Has attempts make room; each is stopped with a checkpoint and recorded as evicted.
     fn evict_for(&mut self, shortfalls: &[Shortfall], usable: &BTreeSet<WorkerId>) {
         if shortfalls.is_empty() {
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_types::ids::AttemptId;
@@ -67,6 +68,7 @@
     pub(super) is_releasing: bool,
     pub(super) placer: Box<dyn Placer>,
     pub(super) observed_sizes: ObservedSizes,
+    pub(super) seen_config: Option<Arc<ConfigState>>,
     pub(super) evicting: BTreeSet<AttemptId>,
     pub(super) placement_waits: BTreeMap<RunId, Box<str>>,
     results: mpsc::Sender<AppendResult>,
@@ -111,6 +113,7 @@
         is_releasing: false,
         placer,
         observed_sizes: ObservedSizes::default(),
+        seen_config: None,
         evicting: BTreeSet::new(),
         placement_waits: BTreeMap::new(),
         results,
--- a/crates/scheduler/tests/shard/accounts.rs
+++ b/crates/scheduler/tests/shard/accounts.rs
@@ -8,7 +8,6 @@
 use dotterelhook_scheduler::SubmitError;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_types::ids::Offset;
-use dotterelhook_types::ids::RunId;
 use dotterelhook_types::sizes::Resources;
 use tokio::sync::oneshot;
 
@@ -17,24 +16,12 @@
 use crate::world::WORKERS;
 use crate::world::World;
 use crate::world::job;
+use crate::world::run_id;
 use crate::world::shard;
-use crate::world::sound_times;
-
-async fn owned_world() -> World {
-    let mut world = World::new(sound_times());
-    world
-        .until("an owner", |state| state.workers().len() == WORKERS)
-        .await;
-    world
-}
-
-fn run_id(name: &str) -> RunId {
-    name.parse().expect("a name")
-}
 
 #[tokio::test(start_paused = true)]
 async fn work_on_a_leaving_worker_resumes_once_from_its_checkpoint() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     world.submit(&run_id("run"), &job(1, 20_000, 1_000));
     world
         .until("a start", |state| !state.open_attempts().is_empty())
@@ -59,7 +46,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_shrinks_gives_up_its_newest_work() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     world.submit(&run_id("run"), &job(6, 30_000, 2_000));
     world
         .until("starts", |state| state.open_attempts().len() == 6)
@@ -78,7 +65,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_fails_several_jobs_is_quarantined_and_returns() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     world.fleet.set_fails_all(0, true);
 
     for index in 0..8 {
@@ -129,7 +116,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_job_that_fails_on_several_workers_fails_and_quarantines_none() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     (0..WORKERS).for_each(|worker| world.fleet.set_fails_all(worker, true));
 
     world.submit(&run_id("run"), &job(2, 1_000, 1_000));
@@ -157,7 +144,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_job_too_large_for_every_worker_is_refused_with_the_reason() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
 
     let result = world
         .submit_named("run", "cut", &job(1, 1_000, 5_000))
@@ -175,7 +162,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_waiting_run_fails_when_the_workers_shrink_below_it() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     world.submit(&run_id("run"), &job(9, 30_000, 4_000));
     world
         .until("starts", |state| state.open_attempts().len() == 3)
@@ -193,7 +180,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_run_past_its_deadline_is_counted_and_still_ends() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     let owner = world.owner().await.expect("an owner");
     world.submit(&run_id("run"), &job(1, DEADLINE_AT_UNIX_MS, 1_000));
     world
@@ -215,7 +202,7 @@
 #[tokio::test(start_paused = true)]
 async fn ten_thousand_cancellations_hold_up_no_start() {
     const RUNS: usize = 10_000;
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     let owner = world.owner().await.expect("an owner");
     let commands = world.process(owner).expect("a process").commands.clone();
     let mut answers = Vec::new();
@@ -264,7 +251,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_new_process_goes_on_from_a_snapshot_after_records_expired() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     world.submit(&run_id("run"), &job(2, 4_000_000, 1_000));
     world
         .until("starts", |state| state.open_attempts().len() == 2)
@@ -296,7 +283,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn work_of_a_restarted_worker_is_counted_as_lost_and_starts_again() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     let owner = world.owner().await.expect("an owner");
     world.submit(&run_id("run"), &job(3, 20_000, 4_000));
     world
--- a/crates/scheduler/tests/shard/policy.rs
+++ b/crates/scheduler/tests/shard/policy.rs
@@ -2,30 +2,17 @@
 
 use dotterelhook_state::config::BatchJob;
 use dotterelhook_state::config::Priority;
-use dotterelhook_types::ids::RunId;
 use dotterelhook_types::sizes::Resources;
 
 use crate::world::WORKERS;
 use crate::world::World;
 use crate::world::job;
-use crate::world::sound_times;
+use crate::world::run_id;
 
 const TASK_TIME_MS: u64 = 20_000;
 const TASK_CPU_MILLI: u64 = 2_000;
 const TASK_MEMORY_MB: u64 = 1_000;
 
-async fn owned_world() -> World {
-    let mut world = World::new(sound_times());
-    world
-        .until("an owner", |state| state.workers().len() == WORKERS)
-        .await;
-    world
-}
-
-fn run_id(name: &str) -> RunId {
-    name.parse().expect("a name")
-}
-
 fn sized_job(tasks: u32, priority: Priority) -> BatchJob {
     let mut job = job(tasks, TASK_TIME_MS, TASK_CPU_MILLI);
     job.size = Resources::new(TASK_CPU_MILLI, TASK_MEMORY_MB);
@@ -35,7 +22,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn a_team_never_takes_more_than_its_quota() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     let quota = Resources::new(2 * TASK_CPU_MILLI, 2 * TASK_MEMORY_MB);
     world.views.set_quota(&quota);
     world.submit(&run_id("night"), &sized_job(5, Priority::Normal));
@@ -53,7 +40,7 @@
 
 #[tokio::test(start_paused = true)]
 async fn urgent_work_evicts_other_work_which_resumes_once() {
-    let mut world = owned_world().await;
+    let mut world = World::owned().await;
     let fill = 2 * WORKERS as u32 + 2;
     world.submit(&run_id("fill"), &sized_job(fill, Priority::Low));
     world
--- a/crates/scheduler/tests/shard/world/mod.rs
+++ b/crates/scheduler/tests/shard/world/mod.rs
@@ -86,6 +86,15 @@
         world
     }
 
+    /// Returns a sound world whose shard has an owner that knows all workers.
+    pub(crate) async fn owned() -> Self {
+        let mut world = Self::new(sound_times());
+        world
+            .until("an owner", |state| state.workers().len() == WORKERS)
+            .await;
+        world
+    }
+
     pub(crate) fn start(&mut self, host: usize) {
         if self.processes[host].is_some() {
             return;
@@ -306,6 +315,10 @@
     }
 }
 
+pub(crate) fn run_id(name: &str) -> RunId {
+    name.parse().expect("a name")
+}
+
 pub(crate) fn job(tasks: u32, run_time_ms: u64, cpu_milli: u64) -> BatchJob {
     let job = serde_json::json!({
         "tasks": tasks,
--- a/crates/standins/src/faults/request_load.rs
+++ b/crates/standins/src/faults/request_load.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use dotterelhook_platform::http::read_body;
+use dotterelhook_types::Verdict;
 use http_body_util::Full;
 use hyper::Request;
 use hyper_util::client::legacy::Client;
@@ -14,7 +15,6 @@
 use hyper_util::rt::TokioExecutor;
 use tokio::sync::watch;
 
-const VERDICT_HEADER: &str = "x-dotterelhook-verdict";
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 const ANSWER_MAX_BYTES: usize = 1 << 16;
 
@@ -108,7 +108,7 @@
         return Told::Nothing;
     };
     let is_success = answer.status().is_success();
-    let verdict = answer.headers().get(VERDICT_HEADER).cloned();
+    let verdict = answer.headers().get(Verdict::HEADER).cloned();
     let Ok(body) = read_body(answer.into_body(), ANSWER_MAX_BYTES).await else {
         return Told::Nothing;
     };
--- a/crates/standins/src/load/load_run.rs
+++ b/crates/standins/src/load/load_run.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use dotterelhook_platform::http::read_body;
+use dotterelhook_types::Verdict;
 use hdrhistogram::Histogram;
 use http_body_util::Full;
 use hyper::Method;
@@ -19,7 +20,6 @@
 
 use super::LoadReport;
 
-const VERDICT_HEADER: &str = "x-dotterelhook-verdict";
 const BODY_MAX_BYTES: usize = 1 << 20;
 const LATENCY_MAX_US: u64 = 120_000_000;
 
@@ -149,7 +149,7 @@
     let status = answer.status();
     let verdict = answer
         .headers()
-        .get(VERDICT_HEADER)
+        .get(Verdict::HEADER)
         .and_then(|v| v.to_str().ok());
     let label = format!("{} {}", status.as_u16(), verdict.unwrap_or("no verdict"));
     match read_body(answer.into_body(), BODY_MAX_BYTES).await {
--- a/crates/standins/src/target/target_server.rs
+++ b/crates/standins/src/target/target_server.rs
@@ -5,6 +5,7 @@
 
 use dotterelhook_platform::http::json_answer;
 use dotterelhook_platform::http::read_body;
+use dotterelhook_types::Verdict;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
@@ -25,8 +26,6 @@
 use crate::server::Fault;
 use crate::server::FaultSwitch;
 
-/// The header that marks a refusal whose request did not run.
-const VERDICT_HEADER: &str = "x-dotterelhook-verdict";
 /// The header that marks a refusal by a target that is about to leave.
 const DRAINING_HEADER: &str = "x-dotterelhook-draining";
 const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -175,7 +174,7 @@
 fn refuse(is_draining: bool) -> Answer {
     let mut answer = json_answer(StatusCode::SERVICE_UNAVAILABLE, &"not run");
     let headers = answer.headers_mut();
-    headers.insert(VERDICT_HEADER, HeaderValue::from_static("not-run"));
+    headers.insert(Verdict::HEADER, HeaderValue::from_static("not-run"));
     if is_draining {
         headers.insert(DRAINING_HEADER, HeaderValue::from_static("true"));
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/state/src/config/batch_job.rs
+++ b/crates/state/src/config/batch_job.rs
@@ -3,7 +3,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::service::check_range;
 use super::service::check_size;
 
 const TASKS_MAX: u32 = 100_000;
@@ -85,16 +84,16 @@
     type Error = FieldFault;
 
     fn try_from(raw: RawBatchJob) -> Result<Self, FieldFault> {
-        check_range("tasks", raw.tasks.into(), 1, TASKS_MAX.into())?;
+        FieldFault::check_range("tasks", raw.tasks.into(), 1, TASKS_MAX.into())?;
         check_size(&raw.size)?;
-        check_range("run_time_ms", raw.run_time_ms, 1, RUN_TIME_MAX_MS)?;
-        check_range(
+        FieldFault::check_range("run_time_ms", raw.run_time_ms, 1, RUN_TIME_MAX_MS)?;
+        FieldFault::check_range(
             "deadline_ms",
             raw.deadline_ms,
             raw.run_time_ms,
             RUN_TIME_MAX_MS,
         )?;
-        check_range(
+        FieldFault::check_range(
             "attempts_max",
             raw.attempts_max.into(),
             1,
--- a/crates/state/src/config/service.rs
+++ b/crates/state/src/config/service.rs
@@ -65,11 +65,11 @@
                 "must start and end with '/'",
             ));
         }
-        check_range("timeout_ms", raw.timeout_ms, 1, TIMEOUT_MAX_MS)?;
-        check_range("priority", raw.priority.into(), 0, PRIORITY_MAX.into())?;
-        check_range("replicas", raw.replicas.into(), 1, REPLICAS_MAX.into())?;
+        FieldFault::check_range("timeout_ms", raw.timeout_ms, 1, TIMEOUT_MAX_MS)?;
+        FieldFault::check_range("priority", raw.priority.into(), 0, PRIORITY_MAX.into())?;
+        FieldFault::check_range("replicas", raw.replicas.into(), 1, REPLICAS_MAX.into())?;
         check_size(&raw.size)?;
-        check_range(
+        FieldFault::check_range(
             "objective.latency_ms",
             raw.objective.latency_ms,
             1,
@@ -101,24 +101,12 @@
 
 /// Checks that one task or executor takes something, and no more than any worker has.
 pub(super) fn check_size(size: &Resources) -> Result<(), FieldFault> {
-    check_range("size.cpu_milli", size.cpu_milli.0, 1, TASK_CPU_MAX_MILLI)?;
-    check_range("size.memory_mb", size.memory_mb.0, 1, TASK_MEMORY_MAX_MB)?;
-    check_range(
+    FieldFault::check_range("size.cpu_milli", size.cpu_milli.0, 1, TASK_CPU_MAX_MILLI)?;
+    FieldFault::check_range("size.memory_mb", size.memory_mb.0, 1, TASK_MEMORY_MAX_MB)?;
+    FieldFault::check_range(
         "size.accelerators",
         size.accelerators.0,
         0,
         TASK_ACCELERATORS_MAX,
     )
 }
-
-/// Checks that a number lies within its bounds, both included.
-pub(super) fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<(), FieldFault> {
-    if (min..=max).contains(&value) {
-        return Ok(());
-    }
-    let rule = match max {
-        u64::MAX => format!("must be {min} or more"),
-        max => format!("must be {min} to {max}"),
-    };
-    Err(FieldFault::new(field, rule))
-}
--- a/crates/types/src/document/fault.rs
+++ b/crates/types/src/document/fault.rs
@@ -21,6 +21,21 @@
             rule: rule.into(),
         }
     }
+
+    /// Checks that a number lies within its bounds, both included.
+    ///
+    /// # Errors
+    /// Names the bounds; the largest number is no upper bound.
+    pub fn check_range(field: &str, value: u64, min: u64, max: u64) -> Result<(), Self> {
+        if (min..=max).contains(&value) {
+            return Ok(());
+        }
+        let rule = match max {
+            u64::MAX => format!("must be {min} or more"),
+            max => format!("must be {min} to {max}"),
+        };
+        Err(Self::new(field, rule))
+    }
 }
 
 impl fmt::Display for FieldFault {
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -32,6 +32,9 @@
 }
 
 impl Verdict {
+    /// The header by which HTTP answers carry the verdict.
+    pub const HEADER: &str = "x-dotterelhook-verdict";
+
     /// Returns whether a request that ended so may be sent again.
     pub fn allows_retry(self, idempotent: bool) -> bool {
         match self {
