Protect services from the batch work beside them

Cause: the learned score of pairs was measured on a model but no shard used it, since the inventory carried no latency of a service. A test of the whole shard, in which one job slows a service down, failed with the steps left out: nothing was throttled.

Change: usage samples may name a service and its latency; the owner feeds them, starts and ends to the controller, asks it before placement, and throttles or evicts what it names by the path that urgent work uses. Ruled out: latencies from the fronts, which would need another message between daemons.

Over real processes nothing was measured.

--- a/crates/platform/src/worker/messages.rs
+++ b/crates/platform/src/worker/messages.rs
@@ -2,6 +2,7 @@
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
+use dotterelhook_types::ids::ServiceName;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use serde::Deserialize;
@@ -48,9 +49,15 @@
 /// Lagging usage of one attempt or service on a worker.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageSample {
-    /// The attempt; absent for the services on the worker together.
+    /// The attempt; absent for a service.
     #[serde(default)]
     pub attempt: Option<AttemptId>,
+    /// The service; absent for an attempt.
+    #[serde(default)]
+    pub service: Option<ServiceName>,
+    /// The service's latency at a fixed percentile.
+    #[serde(default)]
+    pub latency_us: Option<u64>,
     /// What it took.
     pub used: Resources,
     /// How old the measurement is.
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -21,6 +21,8 @@
 
 use crate::api::RunApi;
 use crate::api::RunApiContext;
+use crate::interference::LearnedPairs;
+use crate::interference::LearnedPairsSettings;
 use crate::placement::FewestVictims;
 use crate::placement::IndexedPlacer;
 use crate::run_board::RunBoard;
@@ -89,6 +91,7 @@
             agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             new_placer: || Box::new(IndexedPlacer::default()),
+            new_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
             eviction: Arc::new(FewestVictims),
             metrics: metrics.clone(),
         })
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -16,6 +16,8 @@
     pub failed_appends: Counter,
     /// Snapshots that were appended.
     pub snapshots: Counter,
+    /// Attempts evicted because they slowed services down.
+    pub interference_evictions: Counter,
     /// Attempts evicted to make room for urgent tasks.
     pub evictions: Counter,
 }
@@ -50,6 +52,11 @@
                 &self.failed_appends,
             ),
             ("snapshots", "Snapshots appended", &self.snapshots),
+            (
+                "interference_evictions",
+                "Attempts evicted for the services beside them",
+                &self.interference_evictions,
+            ),
             (
                 "evictions",
                 "Attempts evicted for urgent tasks",
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -3,11 +3,13 @@
 mod append_task;
 mod appender;
 mod commands;
+mod interference_watch;
 mod inventories;
 mod ledger;
 mod metrics;
 mod ownership;
 mod placing;
+mod protection;
 mod read_back;
 mod reader;
 mod shard_context;
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -9,6 +9,7 @@
 use spdlog::info;
 use spdlog::warn;
 
+use super::interference_watch::InterferenceWatch;
 use super::shard_task::ShardTask;
 use crate::run_board::SubmitError;
 use crate::worker::RenewalRight;
@@ -59,6 +60,11 @@
         self.owned_since_ms = self.now_ms();
         self.workers_changed = true;
         self.placer.rebuild(&self.state);
+        self.interference = InterferenceWatch::new((self.context.new_controller)());
+        let now_ms = self.now_ms();
+        for attempt in self.state.open_attempts().keys() {
+            self.interference.start(&self.state, attempt, now_ms);
+        }
         self.snapshot_at_ms = self.now_ms();
     }
 
--- a/crates/scheduler/src/shard/placing.rs
+++ b/crates/scheduler/src/shard/placing.rs
@@ -10,7 +10,7 @@
 use spdlog::info;
 
 use super::shard_task::ShardTask;
-use crate::placement::AnyPair;
+use crate::interference::ControllerAdvice;
 use crate::placement::EvictionContext;
 use crate::placement::JobKey;
 use crate::placement::Placement;
@@ -45,7 +45,10 @@
         let context = PlacementContext {
             quotas: &quotas,
             sizes: &self.observed_sizes,
-            pairs: &AnyPair,
+            pairs: &ControllerAdvice {
+                controller: &*self.interference.controller,
+                state: &self.state,
+            },
             usable: &|worker| usable.contains(worker),
             takes_one: &|worker| recorded.get(worker).is_some_and(|a| a.is_quarantined()),
             has_all_workers: self.workers.keys().all(|w| recorded.contains_key(w)),
@@ -103,6 +106,10 @@
                 self.observed_sizes.record(&job, &sample.used);
             }
         }
+        let config = self.context.config.current();
+        let now_ms = self.now_ms();
+        self.interference
+            .measure(&self.state, &config, inventory, now_ms);
     }
 }
 
--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -40,11 +40,13 @@
             let own = self.is_own(&read).then(|| read.clone());
             let endings = own.as_ref().map(|own| self.endings(own));
             let event = read.event.clone();
+            let ended = self.ended_by(&event);
             let result = self.state.apply_record(record.offset, read);
             self.follow_ownership(asked_at_ms);
             if result.is_ok() && self.right.is_some() {
                 let now_unix_ms = self.context.clock.unix_ms();
                 self.placer.observe(&self.state, &event, now_unix_ms);
+                self.watch(&event, &ended);
             }
             if let Some(own) = own {
                 self.observe(&own, result, endings.unwrap_or_default());
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -12,6 +12,7 @@
 use dotterelhook_types::ids::Incarnation;
 
 use super::ShardMetrics;
+use crate::interference::InterferenceController;
 use crate::placement::EvictionPolicy;
 use crate::placement::Placer;
 
@@ -79,6 +80,8 @@
     pub config: Arc<dyn ConfigView>,
     /// Creates what chooses the next starts.
     pub new_placer: fn() -> Box<dyn Placer>,
+    /// Creates what protects services from the batch work beside them.
+    pub new_controller: fn() -> Box<dyn InterferenceController>,
     /// Chooses which attempts make room for urgent tasks.
     pub eviction: Arc<dyn EvictionPolicy>,
     /// The counts.
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -23,6 +23,7 @@
 use super::append_task::AppendResult;
 use super::append_task::spawn_append;
 use super::appender::Appender;
+use super::interference_watch::InterferenceWatch;
 use super::reader::Feed;
 use super::reader::Reader;
 use super::waiters::Waiters;
@@ -70,6 +71,7 @@
     pub(super) observed_sizes: ObservedSizes,
     pub(super) seen_config: Option<Arc<ConfigState>>,
     pub(super) evicting: BTreeSet<AttemptId>,
+    pub(super) interference: InterferenceWatch,
     pub(super) placement_waits: BTreeMap<RunId, Box<str>>,
     results: mpsc::Sender<AppendResult>,
 }
@@ -86,6 +88,7 @@
     let (reports, received_reports) = mpsc::channel(REPORTS_MAX);
     let (results, received_results) = mpsc::channel(RESULTS_MAX);
     let placer = (context.new_placer)();
+    let controller = (context.new_controller)();
     let task = ShardTask {
         appender: Appender::new(context.host.clone(), context.incarnation),
         context,
@@ -115,6 +118,7 @@
         observed_sizes: ObservedSizes::default(),
         seen_config: None,
         evicting: BTreeSet::new(),
+        interference: InterferenceWatch::new(controller),
         placement_waits: BTreeMap::new(),
         results,
     };
@@ -209,6 +213,7 @@
         if self.right.is_some() {
             self.refresh_workers();
             self.give_up_silent();
+            self.protect_services();
         }
         if !self.appender.is_busy() {
             self.fill_batch();
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -47,8 +47,12 @@
             let account = state.workers().get(worker);
             account.is_some_and(|account| !account.open.is_empty())
         };
-        self.workers
-            .retain(|worker, _| listed.contains(worker) || has_work(worker));
+        let gone = |worker: &WorkerId| !listed.contains(worker) && !has_work(worker);
+        let forgotten: Vec<WorkerId> = self.workers.keys().filter(|w| gone(w)).cloned().collect();
+        for worker in forgotten {
+            self.workers.remove(&worker);
+            self.interference.forget_worker(&worker);
+        }
     }
 
     /// Returns whether a worker's rack belongs to this shard.
--- a/crates/scheduler/src/worker/worker_task.rs
+++ b/crates/scheduler/src/worker/worker_task.rs
@@ -39,6 +39,8 @@
     Stop(AttemptId, StopBody),
     /// Have an attempt write a checkpoint, then stop it.
     Evict(AttemptId, StopBody),
+    /// Limit an attempt to a share of its processor time, in percent.
+    Throttle(AttemptId, u32),
     /// The attempt's end is recorded.
     Forget(AttemptId),
 }
@@ -191,6 +193,11 @@
                     Called::Obeyed(agent.stop(&attempt, &body).await)
                 });
             }
+            WorkerCommand::Throttle(attempt, cpu_percent) => {
+                let call =
+                    async move { Called::Obeyed(agent.throttle(&attempt, cpu_percent).await) };
+                self.calls.spawn(call);
+            }
             WorkerCommand::Forget(attempt) => {
                 self.kept.remove(&attempt);
                 self.expected_ends.remove(&attempt);
--- a/crates/scheduler/tests/shard/policy.rs
+++ b/crates/scheduler/tests/shard/policy.rs
@@ -12,6 +12,9 @@
 const TASK_TIME_MS: u64 = 20_000;
 const TASK_CPU_MILLI: u64 = 2_000;
 const TASK_MEMORY_MB: u64 = 1_000;
+const LONG_TASK_MS: u64 = 3_600_000;
+const QUIET_US: u64 = 10_000;
+const SLOWED_US: u64 = 16_000;
 
 fn sized_job(tasks: u32, priority: Priority) -> BatchJob {
     let mut job = job(tasks, TASK_TIME_MS, TASK_CPU_MILLI);
@@ -38,6 +41,29 @@
     assert_eq!(world.fleet.intervals().len(), 5);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_job_that_slows_a_service_down_is_throttled_then_evicted() {
+    let mut world = World::owned().await;
+    for _ in 0..60 {
+        world.fleet.measure(QUIET_US, SLOWED_US);
+        world.pass(1_000).await;
+    }
+    world.submit(&run_id("noisy"), &job(1, LONG_TASK_MS, TASK_CPU_MILLI));
+
+    let mut evicted = false;
+    for _ in 0..300 {
+        world.fleet.measure(QUIET_US, SLOWED_US);
+        world.pass(1_000).await;
+        evicted |= world.fleet.started().len() > 1;
+    }
+
+    let throttled = world.fleet.throttled();
+    let (first, percent) = throttled.first().expect("a throttled attempt");
+    assert_eq!(first.task.run, run_id("noisy"));
+    assert!(*percent < 100);
+    assert!(evicted, "the attempt was never taken off its worker");
+}
+
 #[tokio::test(start_paused = true)]
 async fn urgent_work_evicts_other_work_which_resumes_once() {
     let mut world = World::owned().await;
--- a/crates/scheduler/tests/shard/world/agents.rs
+++ b/crates/scheduler/tests/shard/world/agents.rs
@@ -10,6 +10,7 @@
 use dotterelhook_platform::worker::RenewBody;
 use dotterelhook_platform::worker::StartBody;
 use dotterelhook_platform::worker::StopBody;
+use dotterelhook_platform::worker::UsageSample;
 use dotterelhook_platform::worker::WorkerAgent;
 use dotterelhook_platform::worker::WorkerAgents;
 use dotterelhook_standins::worker::Interval;
@@ -61,6 +62,7 @@
     links: Mutex<BTreeMap<(usize, usize), LinkFault>>,
     started: Mutex<BTreeMap<AttemptId, Option<Box<str>>>>,
     incarnation: Mutex<u64>,
+    throttled: Mutex<Vec<(AttemptId, u32)>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -82,6 +84,7 @@
             sites: (0..workers).map(site).collect(),
             links: Mutex::default(),
             started: Mutex::default(),
+            throttled: Mutex::default(),
             incarnation: Mutex::new(1),
         }
     }
@@ -108,6 +111,21 @@
         lock(&self.sites[worker].model).set_capacity(capacity);
     }
 
+    /// Has each worker report a latency of its service, by whether batch work runs there.
+    pub(crate) fn measure(&self, quiet_us: u64, beside_batch_us: u64) {
+        for site in &self.sites {
+            let mut model = lock(&site.model);
+            let runs = model.intervals().iter().any(|i| i.to_ms.is_none());
+            model.set_usage(vec![UsageSample {
+                attempt: None,
+                service: Some("previews".parse().expect("a name")),
+                latency_us: Some(if runs { beside_batch_us } else { quiet_us }),
+                used: Resources::new(1_000, 1_000),
+                age_ms: 0,
+            }]);
+        }
+    }
+
     pub(crate) fn set_fails_all(&self, worker: usize, fails_all: bool) {
         lock(&self.sites[worker].model).set_fails_all(fails_all);
     }
@@ -120,6 +138,11 @@
         }
     }
 
+    /// Returns the attempts that were throttled or released, with the percent.
+    pub(crate) fn throttled(&self) -> Vec<(AttemptId, u32)> {
+        lock(&self.throttled).clone()
+    }
+
     pub(crate) fn started(&self) -> BTreeMap<AttemptId, Option<Box<str>>> {
         lock(&self.started).clone()
     }
@@ -256,7 +279,8 @@
         .await
     }
 
-    async fn throttle(&self, _: &AttemptId, _: u32) -> Result<(), CallError> {
+    async fn throttle(&self, attempt: &AttemptId, cpu_percent: u32) -> Result<(), CallError> {
+        lock(&self.fleet.throttled).push((attempt.clone(), cpu_percent));
         Ok(())
     }
 
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -10,6 +10,8 @@
 use dotterelhook_platform::log::LogPage;
 use dotterelhook_platform::log::MemoryLog;
 use dotterelhook_scheduler::ShardCommand;
+use dotterelhook_scheduler::interference::LearnedPairs;
+use dotterelhook_scheduler::interference::LearnedPairsSettings;
 use dotterelhook_scheduler::placement::FewestVictims;
 use dotterelhook_scheduler::placement::IndexedPlacer;
 use dotterelhook_scheduler::shard::ShardContext;
@@ -77,6 +79,7 @@
             }),
             config: Arc::clone(&world.views) as _,
             new_placer: || Box::new(IndexedPlacer::default()),
+            new_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
             eviction: Arc::new(FewestVictims),
             metrics: metrics.clone(),
         };
--- a/crates/standins/src/worker/worker_model.rs
+++ b/crates/standins/src/worker/worker_model.rs
@@ -6,6 +6,7 @@
 use dotterelhook_platform::worker::RenewBody;
 use dotterelhook_platform::worker::StartBody;
 use dotterelhook_platform::worker::StopBody;
+use dotterelhook_platform::worker::UsageSample;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
@@ -65,6 +66,7 @@
     forgotten_offset: Option<Offset>,
     intervals: Vec<Interval>,
     most_used: Resources,
+    usage: Vec<UsageSample>,
 }
 
 impl WorkerModel {
@@ -80,9 +82,15 @@
             forgotten_offset: None,
             intervals: Vec::new(),
             most_used: Resources::default(),
+            usage: Vec::new(),
         }
     }
 
+    /// Replaces the lagging measurements that the worker reports.
+    pub fn set_usage(&mut self, usage: Vec<UsageSample>) {
+        self.usage = usage;
+    }
+
     /// Makes every attempt that starts from now on fail at once.
     pub fn set_fails_all(&mut self, fails_all: bool) {
         self.fails_all = fails_all;
@@ -298,7 +306,7 @@
             now_ms,
             capacity: self.capacity,
             attempts: attempts.collect(),
-            usage: Vec::new(),
+            usage: self.usage.clone(),
         }
     }
 
