--- a/crates/cli/src/command/report_losses.rs
+++ b/crates/cli/src/command/report_losses.rs
@@ -39,6 +39,8 @@
         let report = json!({ "losses": losses, "missing": runs.missing });
         let text = serde_json::to_string_pretty(&report).map_err(Failure::usage)?;
         println!("{text}");
+    } else if losses.is_empty() {
+        println!("no losses among {} runs", runs.lines.len());
     } else {
         print_table(&losses);
     }
--- a/crates/scheduler/src/placement/least_used.rs
+++ b/crates/standins/examples/bench_placement/least_used.rs
@@ -1,6 +1,7 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
+use dotterelhook_scheduler::placement::Proposal;
 use dotterelhook_state::shard::Run;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::ShardState;
@@ -11,15 +12,13 @@
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 
-use super::PlacementPolicy;
-use super::Proposal;
-
 /// Places tasks by priority and age, each on the worker with the most free processor time.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LeastUsed;
+pub(crate) struct LeastUsed;
 
-impl PlacementPolicy for LeastUsed {
-    fn propose(
+impl LeastUsed {
+    /// Returns up to `starts_max` starts that fit together, on usable workers.
+    pub(crate) fn propose(
         &self,
         state: &ShardState,
         usable: &dyn Fn(&WorkerId) -> bool,
--- a/crates/standins/examples/bench_placement.rs
+++ b/crates/standins/examples/bench_placement/main.rs
@@ -1,5 +1,7 @@
 //! Measures placement against workers, running tasks and waiting runs, and records on the log.
 
+mod least_used;
+
 use std::collections::BTreeSet;
 use std::fs;
 use std::time::Duration;
@@ -11,10 +13,8 @@
 use dotterelhook_scheduler::placement::EvictionPolicy;
 use dotterelhook_scheduler::placement::FewestVictims;
 use dotterelhook_scheduler::placement::IndexedPlacer;
-use dotterelhook_scheduler::placement::LeastUsed;
 use dotterelhook_scheduler::placement::Placement;
 use dotterelhook_scheduler::placement::PlacementContext;
-use dotterelhook_scheduler::placement::PlacementPolicy;
 use dotterelhook_scheduler::placement::Placer;
 use dotterelhook_scheduler::placement::Proposal;
 use dotterelhook_scheduler::placement::Shortfall;
@@ -34,6 +34,7 @@
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 use hdrhistogram::Histogram;
+use least_used::LeastUsed;
 
 const LONG_WAIT: Duration = Duration::from_secs(900);
 const TASKS_PER_WORKER: f64 = 79_000.0 / 8_400.0;
