Follow ended attempts once, and only for the owner's own records

Change: an owner's accepted records are all its own, so both followers are fed where those are handled; one function rebuilds both; services are looked up by name. Ruled out: keeping a second list of ended attempts beside the first.

--- a/crates/scheduler/src/shard/interference_watch.rs
+++ b/crates/scheduler/src/shard/interference_watch.rs
@@ -103,8 +103,8 @@
 ) -> Option<ServiceSample> {
     let service = sample.service.clone()?;
     let latency_us = sample.latency_us? as f64;
-    let declared = config.services().find(|(name, _)| **name == service);
-    let declared_milli = declared.map(|(_, settings)| settings.size.cpu_milli.0);
+    let declared = config.service(&service);
+    let declared_milli = declared.map(|settings| settings.size.cpu_milli.0);
     let load = declared_milli.map_or(1.0, |milli| sample.used.cpu_milli.0 as f64 / milli as f64);
     Some(ServiceSample {
         worker: worker.clone(),
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -59,13 +59,18 @@
         self.right = Some(Arc::new(right));
         self.owned_since_ms = self.now_ms();
         self.workers_changed = true;
+        self.rebuild_followers();
+        self.snapshot_at_ms = self.now_ms();
+    }
+
+    /// Has placement and interference control read the whole shard anew.
+    pub(super) fn rebuild_followers(&mut self) {
         self.placer.rebuild(&self.state);
         self.interference = InterferenceWatch::new((self.context.new_controller)());
         let now_ms = self.now_ms();
         for attempt in self.state.open_attempts().keys() {
             self.interference.start(&self.state, attempt, now_ms);
         }
-        self.snapshot_at_ms = self.now_ms();
     }
 
     /// Drops what an owner holds. Records that were not read back by now never take effect:
--- a/crates/scheduler/src/shard/protection.rs
+++ b/crates/scheduler/src/shard/protection.rs
@@ -3,6 +3,7 @@
 use dotterelhook_types::ids::WorkerId;
 use spdlog::info;
 
+use super::read_back::Ending;
 use super::shard_task::ShardTask;
 use crate::interference::Action;
 use crate::interference::Step;
@@ -54,34 +55,15 @@
         }
     }
 
-    /// Returns the attempts that an event is about to end, with their worker.
-    pub(super) fn ended_by(&self, event: &ShardEvent) -> Vec<(WorkerId, AttemptId)> {
-        match event {
-            ShardEvent::End { attempt, .. } => {
-                let open = self.state.open_attempts().get(attempt);
-                let ended = open.map(|open| (open.worker.clone(), attempt.clone()));
-                ended.into_iter().collect()
-            }
-            ShardEvent::Worker { worker, .. } => {
-                let account = self.state.workers().get(worker);
-                let open = account.into_iter().flat_map(|account| &account.open);
-                open.map(|attempt| (worker.clone(), attempt.clone()))
-                    .collect()
-            }
-            _ => Vec::new(),
-        }
-    }
-
     /// Tells the interference controller of an accepted event.
-    pub(super) fn watch(&mut self, event: &ShardEvent, ended: &[(WorkerId, AttemptId)]) {
+    pub(super) fn watch(&mut self, event: &ShardEvent, endings: &[Ending]) {
         let now_ms = self.now_ms();
         if let ShardEvent::Start { attempt, .. } = event {
             self.interference.start(&self.state, attempt, now_ms);
         }
-        for (worker, attempt) in ended {
-            if !self.state.open_attempts().contains_key(attempt) {
-                self.interference.controller.ended(worker, attempt, now_ms);
-            }
+        for ending in endings {
+            let controller = &mut self.interference.controller;
+            controller.ended(&ending.worker, &ending.attempt, now_ms);
         }
     }
 }
--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -19,10 +19,10 @@
 const PROBE_PAUSE: Duration = Duration::from_secs(30);
 
 /// An attempt that one record ends.
-struct Ending {
-    attempt: AttemptId,
-    end: AttemptEnd,
-    worker: WorkerId,
+pub(super) struct Ending {
+    pub(super) attempt: AttemptId,
+    pub(super) end: AttemptEnd,
+    pub(super) worker: WorkerId,
 }
 
 impl ShardTask {
@@ -39,15 +39,8 @@
             };
             let own = self.is_own(&read).then(|| read.clone());
             let endings = own.as_ref().map(|own| self.endings(own));
-            let event = read.event.clone();
-            let ended = self.ended_by(&event);
             let result = self.state.apply_record(record.offset, read);
             self.follow_ownership(asked_at_ms);
-            if result.is_ok() && self.right.is_some() {
-                let now_unix_ms = self.context.clock.unix_ms();
-                self.placer.observe(&self.state, &event, now_unix_ms);
-                self.watch(&event, &ended);
-            }
             if let Some(own) = own {
                 self.observe(&own, result, endings.unwrap_or_default());
             }
@@ -106,6 +99,10 @@
             self.note_refusal(record, refusal);
             return;
         }
+        // While a process owns the shard, every accepted record is its own.
+        let now_unix_ms = self.context.clock.unix_ms();
+        self.placer.observe(&self.state, &record.event, now_unix_ms);
+        self.watch(&record.event, &endings);
         for ending in endings {
             self.note_end(&ending);
         }
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -193,7 +193,9 @@
             Feed::Snapshot(state) if state.next_offset() > self.state.next_offset() => {
                 self.snapshot_offset = state.next_offset();
                 self.state = *state;
-                self.placer.rebuild(&self.state);
+                if self.right.is_some() {
+                    self.rebuild_followers();
+                }
                 // The pages that follow say whether this process still owns the shard.
                 self.has_caught_up = false;
             }
--- a/crates/state/src/config/config_state.rs
+++ b/crates/state/src/config/config_state.rs
@@ -98,6 +98,11 @@
         self.services.iter()
     }
 
+    /// Returns the settings of a service, if it is in force.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceSettings> {
+        self.services.get(name)
+    }
+
     /// Returns the service with the longest prefix of a request's path.
     ///
     /// Costs one look-up for each slash of the path, whatever the number of services.
--- a/crates/state/src/config/service_index.rs
+++ b/crates/state/src/config/service_index.rs
@@ -37,6 +37,12 @@
         self.by_name.values().filter_map(|entry| entry.service())
     }
 
+    /// Returns the settings of a service.
+    pub(super) fn get(&self, name: &ServiceName) -> Option<&ServiceSettings> {
+        let (_, settings) = self.by_name.get(name)?.service()?;
+        Some(settings)
+    }
+
     /// Returns the service with the longest prefix of a request's path.
     pub(super) fn route(&self, path: &str) -> Option<(&ServiceName, &ServiceSettings)> {
         let prefixes = path.rmatch_indices('/').map(|(at, _)| &path[..=at]);
