--- a/crates/platform/src/http/json_client.rs
+++ b/crates/borders/src/http/json_client.rs
@@ -1,22 +1,17 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use dotterelhook_types::CallError;
-use http_body_util::Full;
 use hyper::Method;
-use hyper::Request;
 use hyper::StatusCode;
-use hyper::header::CONTENT_TYPE;
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use super::read_body;
-
-const ANSWER_MAX_BYTES: usize = 64 << 20;
+use super::HttpAnswer;
+use super::HttpCall;
+use super::HttpClient;
 
 /// An answer of the platform: status and JSON body.
 #[derive(Clone, Debug)]
@@ -58,24 +53,16 @@
 /// Sends JSON requests to one address, with a time limit for each.
 #[derive(Clone, Debug)]
 pub struct JsonClient {
-    address: SocketAddr,
     timeout: Duration,
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Arc<HttpClient>,
 }
 
 impl JsonClient {
     /// Creates a client; nothing is connected yet.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(timeout));
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
         Self {
-            address,
             timeout,
-            client,
+            client: Arc::new(HttpClient::new(address)),
         }
     }
 
@@ -118,35 +105,12 @@
         body: Bytes,
         hold: Duration,
     ) -> Result<JsonAnswer, CallError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.address))
-            .header(CONTENT_TYPE, "application/json")
-            .body(Full::new(body))
-            .map_err(|e| CallError::not_run(e.to_string()))?;
-        match tokio::time::timeout(self.timeout + hold, self.exchange(request)).await {
-            Ok(result) => result,
-            Err(_) => {
-                let limit_ms = (self.timeout + hold).as_millis();
-                Err(CallError::may_have_run(format!(
-                    "no answer within {limit_ms} ms"
-                )))
-            }
-        }
-    }
-
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<JsonAnswer, CallError> {
-        let answer = self.client.request(request).await.map_err(|error| {
-            if error.is_connect() {
-                CallError::not_run(format!("can't connect to {}", self.address))
-            } else {
-                CallError::may_have_run(format!("the connection to {} broke", self.address))
-            }
-        })?;
-        let status = answer.status();
-        let body = read_body(answer.into_body(), ANSWER_MAX_BYTES)
-            .await
-            .map_err(CallError::may_have_run)?;
+        let call = HttpCall {
+            method,
+            body,
+            ..HttpCall::get(path, self.timeout + hold)
+        };
+        let HttpAnswer { status, body, .. } = self.client.call(call).await?;
         Ok(JsonAnswer { status, body })
     }
 }
--- a/crates/cli/src/cli/arguments.rs
+++ b/crates/cli/src/cli/arguments.rs
@@ -2,8 +2,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::http::JsonClient;
-use dotterelhook_platform::log::HttpLog;
+use dotterelhook_borders::http::JsonClient;
+use dotterelhook_borders::log::HttpLog;
 use dotterelhook_types::CallError;
 use dotterelhook_types::Verdict;
 use dotterelhook_types::ids::ConfigPath;
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -2,9 +2,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::Rollout;
-use dotterelhook_platform::http::JsonClient;
 use dotterelhook_types::ids::ConfigPath;
 use dotterelhook_types::ids::Offset;
 
--- a/crates/cli/src/command/publisher.rs
+++ b/crates/cli/src/command/publisher.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::Log;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::config::Outcome;
--- a/crates/cli/src/command/read_config.rs
+++ b/crates/cli/src/command/read_config.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
+use dotterelhook_borders::log::Log;
 use dotterelhook_peer::config::read_snapshot;
-use dotterelhook_platform::log::Log;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::CallError;
--- a/crates/cli/src/command/report_burn.rs
+++ b/crates/cli/src/command/report_burn.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_front::burn::ServiceBurn;
 use dotterelhook_front::burn::WindowBurn;
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::http::JsonClient;
 use dotterelhook_types::ids::ServiceName;
 use serde_json::Value;
 use serde_json::json;
--- a/crates/cli/src/command/run_lines.rs
+++ b/crates/cli/src/command/run_lines.rs
@@ -1,10 +1,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::http::JsonClient;
 use dotterelhook_state::shard::LedgerLine;
 use dotterelhook_types::ids::RunId;
 
--- a/crates/cli/src/command/worker_fit.rs
+++ b/crates/cli/src/command/worker_fit.rs
@@ -1,11 +1,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::HostList;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::HttpHostList;
-use dotterelhook_platform::worker::HttpWorkers;
-use dotterelhook_platform::worker::WorkerAgents;
+use dotterelhook_borders::hosts::HostList;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::HttpHostList;
+use dotterelhook_borders::worker::HttpWorkers;
+use dotterelhook_borders::worker::WorkerAgents;
 use dotterelhook_state::config::ConfigDocument;
 use dotterelhook_types::CallError;
 use dotterelhook_types::document::FieldFault;
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dotterelhook_platform::http::json_answer;
+use dotterelhook_borders::http::json_answer;
 use dotterelhook_standins::server::Answer;
 use dotterelhook_standins::server::FaultSwitch;
 use dotterelhook_standins::server::Handler;
--- a/crates/cli/tests/status.rs
+++ b/crates/cli/tests/status.rs
@@ -6,12 +6,12 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dotterelhook_borders::http::json_answer;
 use dotterelhook_peer::membership::Heartbeat;
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::http::json_answer;
 use dotterelhook_standins::log::LogServer;
 use dotterelhook_standins::server::Answer;
 use dotterelhook_standins::server::FaultSwitch;
--- a/crates/daemon/src/cli/arguments.rs
+++ b/crates/daemon/src/cli/arguments.rs
@@ -21,9 +21,7 @@
             return Ok(Self::Help);
         }
         let only_check = arguments.contains("--check");
-        let settings = arguments
-            .value_from_os_str("--settings", |text| Ok::<_, String>(PathBuf::from(text)))
-            .map_err(|error| error.to_string())?;
+        let settings = read_settings_path(&mut arguments)?;
         let rest = arguments.finish();
         if !rest.is_empty() {
             return Err(format!("unknown arguments: {rest:?}").into());
@@ -34,3 +32,17 @@
         })
     }
 }
+
+fn read_settings_path(arguments: &mut pico_args::Arguments) -> Result<PathBuf, Box<str>> {
+    let variable: Option<String> = arguments
+        .opt_value_from_str("--settings-from")
+        .map_err(|error| error.to_string())?;
+    match variable {
+        Some(variable) => std::env::var_os(&variable)
+            .map(PathBuf::from)
+            .ok_or_else(|| format!("the variable {variable} is not set").into()),
+        None => arguments
+            .value_from_os_str("--settings", |text| Ok::<_, String>(PathBuf::from(text)))
+            .map_err(|error| error.to_string().into()),
+    }
+}
--- a/crates/daemon/src/cli/logging.rs
+++ b/crates/daemon/src/cli/logging.rs
@@ -5,7 +5,9 @@
 use spdlog::formatter::PatternFormatter;
 use spdlog::formatter::pattern;
 use spdlog::sink::StdStreamSink;
+use spdlog::sink::WriteSink;
 
+use crate::jobs::LineBuffer;
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
 
@@ -28,3 +30,18 @@
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// Sends log lines to the standard output through a buffer, each named after the host.
+pub(super) fn start_buffered(host: &str, level: LogLevel, lines: LineBuffer) -> eyre::Result<()> {
+    let sink = WriteSink::builder()
+        .target(lines)
+        .formatter(JsonFormatter::new())
+        .build()?;
+    let logger = Logger::builder()
+        .name(host)
+        .sink(Arc::new(sink))
+        .level_filter(level.filter())
+        .build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -12,6 +12,10 @@
 use dotterelhook_types::document::Fault;
 
 use crate::daemon::Daemon;
+use crate::jobs::JobsDaemon;
+use crate::jobs::JobsSettings;
+use crate::jobs::LineBuffer;
+use crate::jobs::RawJobsSettings;
 use crate::settings::DaemonSettings;
 
 const EXIT_BAD_SETTINGS: i32 = 2;
@@ -21,9 +25,12 @@
 
 USAGE:
     dotterelhookd --settings FILE [--check]
+    dotterelhookd --settings-from VARIABLE [--check]
 
 OPTIONS:
     --settings FILE   the settings, JSON with comments
+    --settings-from VARIABLE
+                      the environment variable that holds the path of the settings
     --check           check the settings and exit
     --help            print this text
 
@@ -64,11 +71,31 @@
         println!("{}: valid", settings.display());
         return Ok(());
     }
-    logging::start(checked.log_level, checked.log_format)?;
-    Daemon::new(checked).run()
+    match checked {
+        Checked::Runs(checked) => {
+            logging::start(checked.log_level, checked.log_format)?;
+            Daemon::new(*checked).run()
+        }
+        Checked::Jobs(checked) => {
+            let lines = LineBuffer::default();
+            lines.start_writer()?;
+            logging::start_buffered(&checked.host, checked.log_level, lines.clone())?;
+            let result = JobsDaemon::new(*checked).run();
+            lines.write_out();
+            result
+        }
+    }
 }
 
-fn load(file: &Path) -> Result<DaemonSettings, Fault> {
+/// The checked settings of either kind of daemon.
+enum Checked {
+    /// Takes requests and places runs of declared batch jobs.
+    Runs(Box<DaemonSettings>),
+    /// Runs jobs that carry their own steps.
+    Jobs(Box<JobsSettings>),
+}
+
+fn load(file: &Path) -> Result<Checked, Fault> {
     let name = file.display().to_string();
     let text = fs::read_to_string(file).map_err(|error| Fault {
         file: name.clone().into(),
@@ -79,6 +106,12 @@
         rule: format!("can't read the file: {error}").into(),
     })?;
     let document = Document::parse(&name, &text)?;
+    if document.value().get("jobs").is_some() {
+        let raw: RawJobsSettings = document.decode()?;
+        let checked = JobsSettings::try_from(raw).map_err(|fault| document.locate(&fault))?;
+        return Ok(Checked::Jobs(Box::new(checked)));
+    }
     let raw = document.decode()?;
-    DaemonSettings::try_from_raw(raw).map_err(|fault| document.locate(&fault))
+    let checked = DaemonSettings::try_from_raw(raw).map_err(|fault| document.locate(&fault))?;
+    Ok(Checked::Runs(Box::new(checked)))
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,5 +1,10 @@
 use std::sync::Arc;
 
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::clock::SystemClock;
+use dotterelhook_borders::hosts::HttpHostList;
+use dotterelhook_borders::log::HttpLog;
+use dotterelhook_borders::log::Log;
 use dotterelhook_front::FrontService;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
@@ -10,11 +15,6 @@
 use dotterelhook_peer::membership::MembershipService;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerServer;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::clock::SystemClock;
-use dotterelhook_platform::hosts::HttpHostList;
-use dotterelhook_platform::log::HttpLog;
-use dotterelhook_platform::log::Log;
 use dotterelhook_scheduler::SchedulerService;
 use eyre::bail;
 use tokio::signal::unix::SignalKind;
--- /dev/null
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -0,0 +1,180 @@
+use std::sync::Arc;
+
+use dotterelhook_adapter::JobApi;
+use dotterelhook_adapter::UsersPlatform;
+use dotterelhook_jobs::border::Platform;
+use dotterelhook_jobs::border::Store;
+use dotterelhook_jobs::config::ConfigBoard;
+use dotterelhook_jobs::config::ConfigFollower;
+use dotterelhook_jobs::entry::EntryHandler;
+use dotterelhook_jobs::entry::OwnerCalls;
+use dotterelhook_jobs::entry::ReadyHandler;
+use dotterelhook_jobs::entry::add_owner_handlers;
+use dotterelhook_jobs::feed::StoreHealth;
+use dotterelhook_jobs::feed::TrackedStore;
+use dotterelhook_jobs::observe::Decision;
+use dotterelhook_jobs::observe::JobMetrics;
+use dotterelhook_jobs::ownership::Candidate;
+use dotterelhook_jobs::ownership::MemberName;
+use dotterelhook_jobs::ownership::OwnerBoard;
+use dotterelhook_jobs::ownership::OwnerContext;
+use dotterelhook_jobs::ownership::OwnerDirectory;
+use dotterelhook_kernel::Kernel;
+use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_kernel::http::HttpServer;
+use dotterelhook_kernel::names;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerHandlers;
+use dotterelhook_peer::rpc::PeerServer;
+use spdlog::info;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use super::JobsSettings;
+use crate::settings::new_incarnation;
+
+/// The most connections to the ready and metrics addresses at once.
+const ADMIN_CONNECTIONS_MAX: usize = 64;
+
+/// One process that takes clients' jobs and stands for the ownership of cells.
+pub(crate) struct JobsDaemon {
+    settings: JobsSettings,
+}
+
+impl JobsDaemon {
+    /// Creates a daemon with checked settings; nothing runs yet.
+    pub(crate) fn new(settings: JobsSettings) -> Self {
+        Self { settings }
+    }
+
+    /// Runs until the process is told to stop, then stops gracefully.
+    ///
+    /// One thread serves everything: a host of a fraction of a core gains nothing from more.
+    pub(crate) fn run(self) -> eyre::Result<()> {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        runtime.block_on(self.serve())
+    }
+
+    async fn serve(self) -> eyre::Result<()> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let unready_for = self.settings.unready_for;
+        let drain_max = self.settings.drain_max;
+        let kernel = Kernel::default();
+        self.start(&kernel).await?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                // Addresses and limits hold for the life of a process; it goes on.
+                _ = hangup.recv() => info!("{}", Decision::Reloaded, kv: { outcome = "kept" }),
+            }
+        }
+        info!("{}", Decision::Stopping);
+        kernel.stop(unready_for, drain_max).await;
+        Ok(())
+    }
+
+    async fn start(self, kernel: &Kernel) -> eyre::Result<()> {
+        let settings = self.settings;
+        let incarnation = new_incarnation();
+        info!("{}", Decision::Started, kv: {
+            domain: = settings.failure_domain,
+            incarnation: = incarnation,
+        });
+        let metrics = Arc::new(Metrics::default());
+        let job_metrics = JobMetrics::default();
+        job_metrics.register(&metrics);
+        kernel
+            .registry()
+            .provide::<Metrics>(names::METRICS, Arc::clone(&metrics));
+        let platform: Arc<dyn Platform> = Arc::new(UsersPlatform::new(
+            settings.store_address,
+            settings.store_timeout,
+            settings.order_timeout,
+        ));
+        let health = Arc::new(StoreHealth::default());
+        let store: Arc<dyn Store> = Arc::new(TrackedStore::new(
+            platform.store(),
+            Arc::clone(&health),
+            job_metrics.clone(),
+        ));
+        let config = Arc::new(ConfigBoard::default());
+        let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store)));
+        let board = Arc::new(OwnerBoard::default());
+        let cell_count = settings.cell.cell_count;
+        let context = Arc::new(OwnerContext {
+            platform: Arc::clone(&platform),
+            store: Arc::clone(&store),
+            health: Arc::clone(&health),
+            config: Arc::clone(&config),
+            directory: Arc::clone(&directory),
+            settings: Arc::new(settings.cell),
+            member: MemberName {
+                host: settings.host,
+                incarnation,
+            },
+            peer_address: settings.peer_address,
+            metrics: job_metrics.clone(),
+        });
+
+        let peer_server = PeerServer::new(settings.peer_address);
+        kernel.start(Box::new(peer_server)).await?;
+        let handlers = kernel
+            .registry()
+            .find::<PeerHandlers>(names::PEER_HANDLERS)?;
+        add_owner_handlers(&handlers, &board);
+
+        let ready = Arc::new(ReadyHandler {
+            config: Arc::clone(&config),
+            health: Arc::clone(&health),
+            silence_max: settings.entry.ready_silence_max,
+            draining: kernel.draining(),
+            metrics,
+        });
+        for (prefix, address) in [
+            ("ready", settings.ready_address),
+            ("metrics", settings.metrics_address),
+        ] {
+            let handler = Arc::clone(&ready) as Arc<dyn HttpHandler>;
+            HttpServer::bind(prefix, address, ADMIN_CONNECTIONS_MAX, handler)
+                .await?
+                .spawn(kernel);
+        }
+        let peers = Arc::new(PeerClient::default());
+        let calls = OwnerCalls::new(
+            Arc::clone(&board),
+            Arc::clone(&directory),
+            peers,
+            cell_count,
+        );
+        let entry = Arc::new(EntryHandler {
+            protocol: Arc::new(JobApi),
+            config: Arc::clone(&config),
+            store: Arc::clone(&store),
+            health,
+            owners: calls,
+            settings: settings.entry,
+            cell_count,
+            metrics: job_metrics,
+            recent: Default::default(),
+        });
+        HttpServer::bind(
+            "entry",
+            settings.clients_address,
+            settings.connections_max,
+            entry,
+        )
+        .await?
+        .spawn(kernel);
+
+        tokio::spawn(ConfigFollower::new(platform, store, config).run());
+        tokio::spawn(async move { directory.run().await });
+        kernel.spawn(Candidate::new(context, board, kernel.draining()).run());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -0,0 +1,223 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use dotterelhook_jobs::cell::CellSettings;
+use dotterelhook_jobs::entry::EntrySettings;
+use dotterelhook_types::document::FieldFault;
+use serde::Deserialize;
+
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
+use crate::settings::RawLog;
+use crate::settings::RawStop;
+use crate::settings::milliseconds;
+use crate::settings::number;
+
+/// The settings file as written.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RawJobsSettings {
+    host: Box<str>,
+    failure_domain: Box<str>,
+    jobs: RawJobs,
+    #[serde(default)]
+    stop: RawStop,
+    #[serde(default)]
+    log: RawLog,
+}
+
+/// The service that runs jobs.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawJobs {
+    clients_address: SocketAddr,
+    ready_address: SocketAddr,
+    peer_address: SocketAddr,
+    metrics_address: SocketAddr,
+    store_address: SocketAddr,
+    #[serde(default = "defaults::connections_max")]
+    connections_max: u64,
+    #[serde(default = "defaults::cell_count")]
+    cell_count: u64,
+    lease_max_ms: u64,
+    #[serde(default = "defaults::lease_ms")]
+    lease_ms: u64,
+    #[serde(default = "defaults::renewal_hold_ms")]
+    renewal_hold_ms: u64,
+    #[serde(default = "defaults::order_timeout_ms")]
+    order_timeout_ms: u64,
+    #[serde(default = "defaults::store_timeout_ms")]
+    store_timeout_ms: u64,
+    #[serde(default = "defaults::renewal_right_ms")]
+    renewal_right_ms: u64,
+    #[serde(default = "defaults::commit_interval_ms")]
+    commit_interval_ms: u64,
+    stop_max_ms: u64,
+    #[serde(default = "defaults::early_max_ms")]
+    early_max_ms: u64,
+    #[serde(default = "defaults::retention_ms")]
+    retention_ms: u64,
+    membership_ttl_min_ms: u64,
+    #[serde(default = "defaults::membership_ttl_ms")]
+    membership_ttl_ms: u64,
+    #[serde(default = "defaults::retry_after_ms")]
+    retry_after_ms: u64,
+}
+
+/// The checked settings of a daemon that runs jobs.
+#[derive(Clone, Debug)]
+pub(crate) struct JobsSettings {
+    pub(crate) host: Box<str>,
+    pub(crate) failure_domain: Box<str>,
+    pub(crate) clients_address: SocketAddr,
+    pub(crate) ready_address: SocketAddr,
+    pub(crate) peer_address: SocketAddr,
+    pub(crate) metrics_address: SocketAddr,
+    pub(crate) store_address: SocketAddr,
+    pub(crate) connections_max: usize,
+    pub(crate) store_timeout: Duration,
+    pub(crate) order_timeout: Duration,
+    pub(crate) cell: CellSettings,
+    pub(crate) entry: EntrySettings,
+    pub(crate) unready_for: Duration,
+    pub(crate) drain_max: Duration,
+    pub(crate) log_level: LogLevel,
+    pub(crate) log_format: LogFormat,
+}
+
+impl TryFrom<RawJobsSettings> for JobsSettings {
+    type Error = FieldFault;
+
+    fn try_from(raw: RawJobsSettings) -> Result<Self, FieldFault> {
+        let jobs = &raw.jobs;
+        check_addresses(jobs)?;
+        let field = |name: &str| format!("jobs.{name}");
+        let ms = |name: &str, value, min, max| milliseconds(&field(name), value, min, max);
+        let lease_max_ms = jobs.lease_max_ms;
+        ms("lease_max_ms", lease_max_ms, 500, 600_000)?;
+        let lease_ms = jobs.lease_ms.min(lease_max_ms);
+        let store_timeout = ms("store_timeout_ms", jobs.store_timeout_ms, 10, 60_000)?;
+        let order_timeout = ms("order_timeout_ms", jobs.order_timeout_ms, 10, lease_ms / 3)?;
+        let renewal_hold = ms("renewal_hold_ms", jobs.renewal_hold_ms, 10, 2_000)?;
+        if (jobs.renewal_hold_ms + jobs.order_timeout_ms) * 2 > lease_ms {
+            let rule = "with order_timeout_ms, must fit twice into lease_ms";
+            return Err(FieldFault::new(field("renewal_hold_ms"), rule));
+        }
+        let ttl_min_ms = jobs.membership_ttl_min_ms;
+        let cell = CellSettings {
+            cell_count: number(&field("cell_count"), jobs.cell_count, 1, 64)? as u32,
+            lease: ms("lease_ms", jobs.lease_ms, 500, 600_000)?
+                .min(Duration::from_millis(lease_max_ms)),
+            renewal_hold,
+            order_timeout,
+            renewal_right: ms("renewal_right_ms", jobs.renewal_right_ms, 100, 600_000)?,
+            commit_interval: ms("commit_interval_ms", jobs.commit_interval_ms, 1, 2_000)?,
+            stop_max: ms("stop_max_ms", jobs.stop_max_ms, 0, 60_000)?,
+            retention: ms("retention_ms", jobs.retention_ms, 1_000, 86_400_000)?,
+            early_max: ms("early_max_ms", jobs.early_max_ms, 0, 60_000)?,
+            membership_ttl: ms(
+                "membership_ttl_ms",
+                jobs.membership_ttl_ms,
+                ttl_min_ms,
+                60_000,
+            )?,
+        };
+        let connections_max = number(&field("connections_max"), jobs.connections_max, 1, 100_000)?;
+        Ok(Self {
+            clients_address: jobs.clients_address,
+            ready_address: jobs.ready_address,
+            peer_address: jobs.peer_address,
+            metrics_address: jobs.metrics_address,
+            store_address: jobs.store_address,
+            connections_max: connections_max as usize,
+            store_timeout,
+            order_timeout,
+            cell,
+            entry: EntrySettings {
+                retry_after: ms("retry_after_ms", jobs.retry_after_ms, 1, 60_000)?,
+                ..EntrySettings::default()
+            },
+            unready_for: milliseconds("stop.unready_ms", raw.stop.unready_ms, 0, 60_000)?,
+            drain_max: milliseconds("stop.drain_max_ms", raw.stop.drain_max_ms, 0, 3_600_000)?,
+            log_level: raw.log.level,
+            log_format: raw.log.format,
+            host: raw.host,
+            failure_domain: raw.failure_domain,
+        })
+    }
+}
+
+fn check_addresses(jobs: &RawJobs) -> Result<(), FieldFault> {
+    let listeners = [
+        ("jobs.clients_address", jobs.clients_address),
+        ("jobs.ready_address", jobs.ready_address),
+        ("jobs.peer_address", jobs.peer_address),
+        ("jobs.metrics_address", jobs.metrics_address),
+    ];
+    for (index, (field, address)) in listeners.iter().enumerate() {
+        let earlier = listeners[..index]
+            .iter()
+            .find(|(_, other)| other == address);
+        if let Some((other, _)) = earlier {
+            return Err(FieldFault::new(*field, format!("already used by {other}")));
+        }
+    }
+    Ok(())
+}
+
+/// Values of fields that a file leaves out.
+mod defaults {
+    pub(super) fn connections_max() -> u64 {
+        2_048
+    }
+
+    pub(super) fn cell_count() -> u64 {
+        1
+    }
+
+    /// Long enough for a takeover, short enough to give up a silent executor soon.
+    pub(super) fn lease_ms() -> u64 {
+        6_000
+    }
+
+    pub(super) fn renewal_hold_ms() -> u64 {
+        1_000
+    }
+
+    /// Many times a round trip between failure domains.
+    pub(super) fn order_timeout_ms() -> u64 {
+        500
+    }
+
+    /// Above the answers of a store that is slow by a factor of 60.
+    pub(super) fn store_timeout_ms() -> u64 {
+        1_000
+    }
+
+    /// Longer than the outages of the store that running tasks must outlive.
+    pub(super) fn renewal_right_ms() -> u64 {
+        12_000
+    }
+
+    /// Bounds an owner's appends to 40 a second.
+    pub(super) fn commit_interval_ms() -> u64 {
+        25
+    }
+
+    pub(super) fn early_max_ms() -> u64 {
+        0
+    }
+
+    /// Above the time for which clients may ask for a finished job.
+    pub(super) fn retention_ms() -> u64 {
+        180_000
+    }
+
+    pub(super) fn membership_ttl_ms() -> u64 {
+        1_500
+    }
+
+    pub(super) fn retry_after_ms() -> u64 {
+        1_000
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod cli;
 mod daemon;
+mod jobs;
 mod settings;
 
 fn main() -> eyre::Result<()> {
--- a/crates/daemon/src/settings/checks.rs
+++ b/crates/daemon/src/settings/checks.rs
@@ -161,13 +161,13 @@
     })
 }
 
-fn number(field: &str, value: u64, min: u64, max: u64) -> Result<u64, FieldFault> {
+pub(crate) fn number(field: &str, value: u64, min: u64, max: u64) -> Result<u64, FieldFault> {
     FieldFault::check_range(field, value, min, max)?;
     Ok(value)
 }
 
 /// Checks a time given in milliseconds.
-pub(super) fn milliseconds(
+pub(crate) fn milliseconds(
     field: &str,
     value_ms: u64,
     min: u64,
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -79,7 +79,7 @@
 }
 
 /// Later processes get larger numbers, so that a restart is told from its predecessor.
-fn new_incarnation() -> Incarnation {
+pub(crate) fn new_incarnation() -> Incarnation {
     use std::time::SystemTime;
     use std::time::UNIX_EPOCH;
     let since_epoch = SystemTime::now()
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -5,6 +5,11 @@
 mod log_settings;
 mod raw;
 
+pub(crate) use checks::milliseconds;
+pub(crate) use checks::number;
 pub(crate) use daemon_settings::DaemonSettings;
+pub(crate) use daemon_settings::new_incarnation;
 pub(crate) use log_settings::LogFormat;
 pub(crate) use log_settings::LogLevel;
+pub(crate) use raw::RawLog;
+pub(crate) use raw::RawStop;
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -94,9 +94,9 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawStop {
     #[serde(default = "defaults::unready_ms")]
-    pub(super) unready_ms: u64,
+    pub(crate) unready_ms: u64,
     #[serde(default = "defaults::drain_max_ms")]
-    pub(super) drain_max_ms: u64,
+    pub(crate) drain_max_ms: u64,
 }
 
 impl Default for RawStop {
@@ -113,9 +113,9 @@
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawLog {
     #[serde(default)]
-    pub(super) level: LogLevel,
+    pub(crate) level: LogLevel,
     #[serde(default)]
-    pub(super) format: LogFormat,
+    pub(crate) format: LogFormat,
 }
 
 /// Values of fields that a file leaves out.
--- a/crates/daemon/tests/processes/fixture.rs
+++ b/crates/daemon/tests/processes/fixture.rs
@@ -14,11 +14,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::TargetEntry;
-use dotterelhook_platform::log::HttpLog;
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::TargetEntry;
+use dotterelhook_borders::log::HttpLog;
+use dotterelhook_borders::log::Log;
 use dotterelhook_standins::hosts::HostServer;
 use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::log::LogServer;
--- a/crates/front/src/target/lease.rs
+++ b/crates/front/src/target/lease.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_borders::hosts::TargetEntry;
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
--- a/crates/front/src/target/pool.rs
+++ b/crates/front/src/target/pool.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_borders::hosts::TargetEntry;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::Instant;
 
--- a/crates/front/src/target/service_targets.rs
+++ b/crates/front/src/target/service_targets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_borders::hosts::TargetEntry;
 use dotterelhook_state::config::ServiceSettings;
 use dotterelhook_types::ids::TargetId;
 use rand::seq::IteratorRandom;
--- a/crates/front/src/target/target_set.rs
+++ b/crates/front/src/target/target_set.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::TargetEntry;
 use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::ServiceName;
 use dotterelhook_types::ids::TargetId;
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_borders::hosts::HostState;
 use dotterelhook_front::target::HealthState;
 use dotterelhook_peer::membership::DrainingTarget;
-use dotterelhook_platform::hosts::HostState;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
 use dotterelhook_standins::target::TargetServer;
--- /dev/null
+++ b/crates/jobs/src/border/mod.rs
@@ -0,0 +1,36 @@
+//! The borders to the platform that this package runs on: its store, its executors and the
+//! protocol of its clients.
+
+mod client_protocol;
+mod executor_link;
+mod platform;
+mod store;
+
+pub use client_protocol::CallKind;
+pub use client_protocol::ClientCall;
+pub use client_protocol::ClientProtocol;
+pub use client_protocol::EntryAnswer;
+pub use executor_link::EndedRun;
+pub use executor_link::ExecutorLink;
+pub use executor_link::ExecutorReport;
+pub use executor_link::OrderError;
+pub use executor_link::PaceOrder;
+pub use executor_link::Renewal;
+pub use executor_link::RunEnd;
+pub use executor_link::RunningRun;
+pub use executor_link::StartOrder;
+pub use executor_link::StartRefusal;
+pub use executor_link::StopOrder;
+pub use platform::DecodeError;
+pub use platform::Platform;
+pub use store::AppendAck;
+pub use store::Fence;
+pub use store::Group;
+pub use store::GroupShare;
+pub use store::KeyedRecord;
+pub use store::NewestPage;
+pub use store::Partition;
+pub use store::PartitionOwner;
+pub use store::ReadPage;
+pub use store::Store;
+pub use store::StoreError;
--- /dev/null
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -0,0 +1,257 @@
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use dotterelhook_types::ids::Epoch;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::Instant;
+
+use super::CellSettings;
+use super::Effect;
+use crate::config::DeploymentConfig;
+use crate::fleet::Executor;
+use crate::fleet::Order;
+use crate::fleet::RunPhase;
+use crate::ledger::Job;
+use crate::ledger::JobLedger;
+use crate::ledger::JobProgress;
+use crate::model::ExecutorEntry;
+use crate::model::ExecutorId;
+use crate::model::ExecutorKey;
+use crate::model::JobId;
+use crate::model::JobState;
+use crate::model::QueueName;
+use crate::model::QueueTerms;
+use crate::model::Submission;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+use crate::policy::DeadlineOrder;
+use crate::policy::LeftoverPlacement;
+use crate::policy::Placement;
+use crate::policy::QueueOrder;
+
+/// What an owner knows of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StateAnswer {
+    /// The job's state.
+    Known(JobState),
+    /// No such job was submitted, as of the owner's last read.
+    NotSubmitted,
+}
+
+/// All that the owner of a cell decides on; does no input or output.
+pub struct CellState {
+    pub(super) settings: Arc<CellSettings>,
+    pub(super) epoch: Epoch,
+    pub(super) config: Arc<DeploymentConfig>,
+    pub(super) ledger: JobLedger,
+    pub(super) executors: BTreeMap<ExecutorId, Executor>,
+    /// Jobs whose progress is not stored yet.
+    pub(super) dirty: BTreeSet<JobId>,
+    /// Jobs whose records are to be dropped.
+    pub(super) expired: Vec<JobId>,
+    pub(super) effects: Vec<Effect>,
+    pub(super) order: Box<dyn QueueOrder>,
+    pub(super) placement: Box<dyn Placement>,
+    /// When the leases given by former owners are over for certain.
+    pub(super) former_leases_end: Instant,
+    /// What was placed before the takeover on executors that have not been listed since.
+    pub(super) unlisted: BTreeMap<ExecutorKey, Vec<TaskId>>,
+}
+
+impl CellState {
+    /// Creates the state of a cell that was claimed now.
+    pub fn new(
+        settings: Arc<CellSettings>,
+        epoch: Epoch,
+        config: Arc<DeploymentConfig>,
+        now: Instant,
+    ) -> Self {
+        let former_leases_end = now + settings.renewal_right + settings.lease.mul_f64(1.1);
+        Self {
+            settings,
+            epoch,
+            config,
+            ledger: JobLedger::default(),
+            executors: BTreeMap::new(),
+            dirty: BTreeSet::new(),
+            expired: Vec::new(),
+            effects: Vec::new(),
+            order: Box::new(DeadlineOrder),
+            placement: Box::new(LeftoverPlacement),
+            former_leases_end,
+            unlisted: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the owner's generation.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Puts a configuration in force.
+    pub fn take_config(&mut self, config: Arc<DeploymentConfig>) {
+        self.config = config;
+    }
+
+    /// Restores a job from its records after a takeover.
+    pub fn restore(
+        &mut self,
+        id: JobId,
+        submission: Arc<Submission>,
+        progress: JobProgress,
+        accepted_at: Instant,
+    ) {
+        match progress.outcome {
+            Some(state) if progress.tasks.is_empty() => {
+                self.ledger.restore_finished(id, state, accepted_at);
+            }
+            _ => {
+                self.ledger.restore(id, submission, progress, accepted_at);
+                let Some(job) = self.ledger.job(id) else {
+                    return;
+                };
+                for (task, _, executor) in job.placed_tasks() {
+                    let tasks = self.unlisted.entry(executor.clone()).or_default();
+                    tasks.push(task);
+                }
+            }
+        }
+    }
+
+    /// Takes a submission; a repeat changes nothing.
+    pub fn accept(&mut self, id: JobId, submission: Arc<Submission>, now: Instant) {
+        if self.ledger.accept(id, submission, now) {
+            let queue = self.ledger.job(id).map(|job| &job.submission().terms.name);
+            decided!(Decision::JobAccepted, job: id, queue: queue.map(QueueName::as_str).unwrap_or_default());
+        }
+    }
+
+    /// Takes a cancellation and stops what runs.
+    pub fn cancel(&mut self, id: JobId, now: Instant) {
+        if self.ledger.cancel(id) {
+            decided!(Decision::JobCancelled, job: id);
+            self.dirty.insert(id);
+            self.stop_job(id, now);
+        }
+    }
+
+    /// Returns what a client may be told of its job.
+    pub fn state_of(&self, id: JobId) -> StateAnswer {
+        match self.ledger.shown_state(id) {
+            Some(state) => StateAnswer::Known(state),
+            None => StateAnswer::NotSubmitted,
+        }
+    }
+
+    /// Returns the number of a queue's jobs that have not begun.
+    pub fn pending_count(&self, queue: &QueueName) -> u64 {
+        self.ledger.pending_count(queue)
+    }
+
+    /// Returns the jobs of the cell.
+    pub fn ledger(&self) -> &JobLedger {
+        &self.ledger
+    }
+
+    /// Returns an executor of the cell.
+    pub fn executor(&self, id: &ExecutorId) -> Option<&Executor> {
+        self.executors.get(id)
+    }
+
+    /// Returns the executors of the cell.
+    pub fn executors(&self) -> impl Iterator<Item = &Executor> {
+        self.executors.values()
+    }
+
+    /// Takes what an executor tells of itself; for a new one or a new address, returns its orders.
+    pub fn list_executor(
+        &mut self,
+        entry: ExecutorEntry,
+        now: Instant,
+    ) -> Option<UnboundedReceiver<Order>> {
+        if let Some(executor) = self.executors.get_mut(&entry.id) {
+            let has_restarted = match (entry.incarnation, executor.incarnation) {
+                (Some(listed), Some(known)) => listed > known,
+                _ => false,
+            };
+            if executor.entry.phase != entry.phase {
+                decided!(Decision::ExecutorPhase, executor: entry.id, phase: entry.phase);
+            }
+            executor.is_listed = true;
+            let id = entry.id.clone();
+            let incarnation = entry.incarnation;
+            let has_moved = executor.entry.address != entry.address;
+            executor.entry = entry;
+            let receiver = has_moved.then(|| executor.renew_orders());
+            if let (true, Some(incarnation)) = (has_restarted, incarnation) {
+                self.begin_incarnation(&id, incarnation, now);
+            }
+            return receiver;
+        }
+        let (orders, receiver) = unbounded_channel();
+        decided!(Decision::ExecutorListed, executor: entry.id, domain: entry.domain);
+        let id = entry.id.clone();
+        let executor = Executor::new(entry, orders);
+        self.executors.insert(id.clone(), executor);
+        self.claim_unlisted(&id, now);
+        Some(receiver)
+    }
+
+    /// Notes that the platform lists an executor no more.
+    pub fn unlist_executor(&mut self, id: &ExecutorId) {
+        if let Some(executor) = self.executors.get_mut(id)
+            && executor.is_listed
+        {
+            decided!(Decision::ExecutorUnlisted, executor: id);
+            executor.is_listed = false;
+        }
+    }
+
+    /// Returns what the queue of a job grants now, or granted when it was dropped.
+    pub(super) fn terms_of(config: &DeploymentConfig, job: &Job) -> Arc<QueueTerms> {
+        let accepted = &job.submission().terms;
+        match config.queue(&accepted.name) {
+            Some(terms) => Arc::clone(terms),
+            None => Arc::new(accepted.clone()),
+        }
+    }
+
+    /// Stops everything of a job that runs.
+    pub(super) fn stop_job(&mut self, id: JobId, now: Instant) {
+        let Some(job) = self.ledger.job(id) else {
+            return;
+        };
+        let placed: Vec<(TaskId, ExecutorKey)> = job
+            .placed_tasks()
+            .map(|(task, _, executor)| (task, executor.clone()))
+            .collect();
+        for (task, executor) in placed {
+            self.stop_run(&executor, task, now);
+        }
+    }
+
+    /// Tells an executor to stop a run, unless its start has not been ordered.
+    pub(super) fn stop_run(&mut self, key: &ExecutorKey, task: TaskId, now: Instant) {
+        let Some(executor) = self.executors.get_mut(&key.id) else {
+            return;
+        };
+        let Some(view) = executor.run(task) else {
+            return;
+        };
+        let run = view.run;
+        // A proposed run is taken back when its record is stored.
+        if matches!(view.phase, RunPhase::Proposed | RunPhase::Stopping { .. }) {
+            return;
+        }
+        if let Some(view) = executor.run_mut(task, run) {
+            view.phase = RunPhase::Stopping {
+                sent_at: now,
+                answered_at: None,
+            };
+        }
+        executor.send(Order::Stop(task, run));
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/commits.rs
@@ -0,0 +1,130 @@
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::Batch;
+use super::CellState;
+use super::Effect;
+use crate::border::KeyedRecord;
+use crate::fleet::Order;
+use crate::fleet::RunPhase;
+use crate::ledger::JobProgress;
+use crate::ledger::encode;
+use crate::model::ExecutorKey;
+use crate::model::JobId;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// The most jobs in one append, below the store's limit for a call.
+const JOBS_PER_BATCH_MAX: usize = 400;
+
+/// What is stored, and what follows from it.
+impl CellState {
+    /// Returns whether something waits to be stored or to follow.
+    pub fn has_batch(&self) -> bool {
+        !self.dirty.is_empty() || !self.effects.is_empty() || !self.expired.is_empty()
+    }
+
+    /// Takes what has changed since the last batch.
+    ///
+    /// Effects wait for the records of all jobs, so a batch that is cut short carries none.
+    pub fn take_batch(&mut self) -> Batch {
+        let mut batch = Batch::default();
+        while let Some(id) = self.dirty.pop_first() {
+            if let Some(record) = self.progress_record(id, &mut batch) {
+                batch.records.push(record);
+            }
+            if batch.records.len() >= JOBS_PER_BATCH_MAX {
+                break;
+            }
+        }
+        for id in self.expired.drain(..) {
+            batch.records.push(KeyedRecord {
+                key: id.as_str().into(),
+                value: Bytes::new(),
+            });
+        }
+        if self.dirty.is_empty() {
+            batch.effects = std::mem::take(&mut self.effects);
+        }
+        batch
+    }
+
+    /// Lets everything follow that waited for a batch, which is stored now.
+    pub fn batch_stored(&mut self, batch: Batch, now: Instant) {
+        for (id, state) in batch.shown {
+            let was = self.ledger.shown_state(id);
+            self.ledger.show(id, state, now);
+            if state.is_final() && was != Some(state) {
+                decided!(Decision::JobEnded, job: id, state: state);
+            }
+        }
+        for effect in batch.effects {
+            match effect {
+                Effect::Start {
+                    executor,
+                    task,
+                    run,
+                } => self.release_start(&executor, task, run),
+                Effect::AckEnds { executor, end } => self.ack_ends(&executor, end),
+            }
+        }
+    }
+
+    fn progress_record(&self, id: JobId, batch: &mut Batch) -> Option<KeyedRecord> {
+        let job = self.ledger.job(id)?;
+        batch.shown.push((id, job.state()));
+        let encoded = if job.is_finished() {
+            encode(&JobProgress {
+                outcome: Some(job.state()),
+                tasks: Vec::new(),
+            })
+        } else {
+            encode(job.progress())
+        };
+        match encoded {
+            Ok(value) => Some(KeyedRecord {
+                key: id.as_str().into(),
+                value,
+            }),
+            Err(error) => {
+                // Unreachable for these types; the job would be lost on a takeover.
+                spdlog::error!("cell: the progress of job {id} can't be stored: {error}");
+                None
+            }
+        }
+    }
+
+    /// Hands a stored start to its executor, unless the job was ended meanwhile.
+    fn release_start(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber) {
+        let is_open = self.ledger.job(task.job).is_some_and(|job| job.is_open());
+        let executor = self.executors.get_mut(&key.id);
+        let same_life =
+            |executor: &&mut crate::fleet::Executor| executor.incarnation == Some(key.incarnation);
+        if let Some(executor) = executor.filter(same_life)
+            && let Some(view) = executor.run_mut(task, run)
+        {
+            if is_open {
+                view.phase = RunPhase::Ordered;
+                executor.send(Order::Start(task, run));
+                return;
+            }
+            executor.remove_run(task, run);
+        }
+        if let Some(job) = self.ledger.job_mut(task.job)
+            && job.is_placed(task, run, key)
+        {
+            job.release(task, None, false);
+            self.dirty.insert(task.job);
+        }
+    }
+
+    fn ack_ends(&mut self, key: &ExecutorKey, end: u64) {
+        if let Some(executor) = self.executors.get_mut(&key.id)
+            && executor.incarnation == Some(key.incarnation)
+        {
+            executor.acked_end = executor.acked_end.max(end);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/mod.rs
@@ -0,0 +1,16 @@
+//! A cell: the jobs of some submission partitions and the executors that run them, under one
+//! owner at a time.
+
+mod batch;
+mod cell_settings;
+mod cell_state;
+mod commits;
+mod order_outcomes;
+mod planning;
+mod reports;
+
+pub use batch::Batch;
+pub use batch::Effect;
+pub use cell_settings::CellSettings;
+pub use cell_state::CellState;
+pub use cell_state::StateAnswer;
--- /dev/null
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -0,0 +1,143 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::CellState;
+use crate::border::OrderError;
+use crate::border::StartOrder;
+use crate::border::StartRefusal;
+use crate::border::StopOrder;
+use crate::fleet::Order;
+use crate::fleet::RunPhase;
+use crate::ledger::Job;
+use crate::model::ExecutorId;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// How long an executor that said it has no room gets no new runs; its next report tells more.
+const FULL_PAUSE: Duration = Duration::from_millis(300);
+
+/// What the answers to orders change.
+impl CellState {
+    /// Returns the order for a start, unless it is no longer wanted.
+    pub fn start_order(&self, id: &ExecutorId, task: TaskId, run: RunNumber) -> Option<StartOrder> {
+        let executor = self.executors.get(id)?;
+        let view = executor.run(task).filter(|view| view.run == run)?;
+        if view.phase != RunPhase::Ordered {
+            return None;
+        }
+        let job = self.ledger.job(task.job).filter(|job| job.is_open())?;
+        Some(StartOrder {
+            token: self.epoch,
+            task,
+            run,
+            payload: job.submission().spec.payload.clone(),
+            lease_end_ms: executor.clock?.lease_end_ms(self.settings.lease),
+            checkpoint: job.task(task)?.checkpoint.clone(),
+            ticket: None,
+        })
+    }
+
+    /// Returns the order for a stop.
+    pub fn stop_order(&self, task: TaskId, run: RunNumber) -> StopOrder {
+        StopOrder {
+            token: self.epoch,
+            task,
+            run,
+        }
+    }
+
+    /// Takes the answer to a start.
+    pub fn start_answered(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        answer: Result<(), OrderError>,
+        now: Instant,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(view) = executor.run_mut(task, run) else {
+            return;
+        };
+        let error = match answer {
+            Ok(()) => {
+                if view.phase == RunPhase::Ordered {
+                    view.phase = RunPhase::Running { since: now };
+                    view.progressed_at = now;
+                    decided!(Decision::RunStarted, task: task, run: run, executor: id);
+                }
+                return;
+            }
+            Err(error) => error,
+        };
+        decided!(Decision::RunNotStarted, task: task, run: run, executor: id, cause: error);
+        match error {
+            OrderError::Refused(StartRefusal::Old) => {
+                // The next report tells whether it runs, has ended, or was stopped before.
+                if view.phase == RunPhase::Ordered {
+                    view.phase = RunPhase::Running { since: now };
+                }
+            }
+            OrderError::Refused(refusal) => {
+                match refusal {
+                    StartRefusal::Room => executor.full_until = Some(now + FULL_PAUSE),
+                    StartRefusal::Unhealthy => executor.health.rest(now),
+                    _ => {}
+                }
+                self.take_back(id, task, run);
+            }
+            OrderError::NotSent(_) | OrderError::OtherExecutor => {
+                executor.full_until = Some(now + FULL_PAUSE);
+                self.take_back(id, task, run);
+            }
+            OrderError::Unknown(_) => {
+                // A refusal that comes before the start makes the executor reject it.
+                view.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    answered_at: None,
+                };
+                executor.send(Order::Stop(task, run));
+            }
+            OrderError::Fenced => {}
+        }
+    }
+
+    /// Takes the answer to a stop.
+    pub fn stop_answered(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        answer: Result<(), OrderError>,
+        now: Instant,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if let Some(view) = executor.run_mut(task, run)
+            && let RunPhase::Stopping { answered_at, .. } = &mut view.phase
+            && answer.is_ok()
+        {
+            answered_at.get_or_insert(now);
+        }
+    }
+
+    /// Takes a run back that certainly never started.
+    fn take_back(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let key = executor.key();
+        executor.remove_run(task, run);
+        let is_ours = |job: &&mut Job| key.is_some_and(|key| job.is_placed(task, run, &key));
+        if let Some(job) = self.ledger.job_mut(task.job).filter(is_ours) {
+            job.release(task, None, false);
+            self.dirty.insert(task.job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/planning.rs
@@ -0,0 +1,239 @@
+use tokio::time::Instant;
+
+use super::CellState;
+use super::Effect;
+use crate::fleet::RunPhase;
+use crate::fleet::RunView;
+use crate::ledger::StepRef;
+use crate::ledger::TaskStatus;
+use crate::model::ExecutorId;
+use crate::model::JobId;
+use crate::model::ServiceId;
+use crate::model::StepSpec;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+use crate::policy::PlacementRequest;
+use crate::policy::Rank;
+
+/// The most runs placed in one round, so that a round does not hold up answers.
+const PLACED_PER_ROUND_MAX: usize = 64;
+
+/// A step that has tasks to start.
+struct Waiting {
+    rank: Rank,
+    job: JobId,
+    at: StepRef,
+}
+
+/// Which waiting tasks go where.
+impl CellState {
+    /// Places waiting tasks; returns whether the round was cut short.
+    pub fn plan(&mut self, now: Instant) -> bool {
+        let mut placed = 0;
+        for waiting in self.waiting_steps(now) {
+            placed += self.place_step(&waiting, PLACED_PER_ROUND_MAX - placed, now);
+            if placed >= PLACED_PER_ROUND_MAX {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Makes the occurrences known that are due, by the time of day.
+    pub fn open_due_occurrences(&mut self, now_unix_ms: u64) {
+        let latest_ms = now_unix_ms + self.settings.early_max.as_millis() as u64;
+        for job in self.ledger.jobs_mut() {
+            let Some(schedule) = job.submission().spec.schedule else {
+                continue;
+            };
+            let mut due = job.opened_occurrences();
+            while due < schedule.occurrences && schedule.due_unix_ms(due) <= latest_ms {
+                due += 1;
+            }
+            job.open_occurrences(due);
+        }
+    }
+
+    fn waiting_steps(&self, now: Instant) -> Vec<Waiting> {
+        let mut waiting = Vec::new();
+        for job in self.ledger.jobs().filter(|job| job.is_open()) {
+            let mut terms = None;
+            for at in job.ready_steps() {
+                let terms = terms.get_or_insert_with(|| Self::terms_of(&self.config, job));
+                waiting.push(Waiting {
+                    rank: self.order.rank(job, at, terms, now),
+                    job: job.id(),
+                    at,
+                });
+            }
+        }
+        waiting.sort_by_key(|waiting| waiting.rank);
+        waiting
+    }
+
+    fn place_step(&mut self, waiting: &Waiting, most: usize, now: Instant) -> usize {
+        let Some(job) = self.ledger.job(waiting.job) else {
+            return 0;
+        };
+        let submission = job.submission().clone();
+        let service = Self::terms_of(&self.config, job).service.clone();
+        let tasks: Vec<TaskId> = job
+            .tasks_of(waiting.at)
+            .filter(|(_, progress)| progress.status == TaskStatus::Waiting)
+            .map(|(task, _)| task)
+            .collect();
+        let step = &submission.spec.steps[waiting.at.step as usize];
+        if step.is_gang {
+            return self.place_gang(step, &service, &tasks, now);
+        }
+        let mut placed = 0;
+        for task in tasks.into_iter().take(most) {
+            let Some(executor) = self.choose(step, &service, task, now) else {
+                break;
+            };
+            if self.place(step, task, &executor, now) {
+                placed += 1;
+            }
+        }
+        placed
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        step: &StepSpec,
+        service: &ServiceId,
+        tasks: &[TaskId],
+        now: Instant,
+    ) -> usize {
+        if tasks.len() < step.count as usize {
+            return 0;
+        }
+        let mut chosen = Vec::new();
+        for task in tasks {
+            let Some(executor) = self.choose(step, service, *task, now) else {
+                break;
+            };
+            if !self.place(step, *task, &executor, now) {
+                break;
+            }
+            chosen.push((*task, executor));
+        }
+        if chosen.len() == tasks.len() {
+            return chosen.len();
+        }
+        for (task, id) in chosen {
+            self.unplace(task, &id);
+        }
+        0
+    }
+
+    fn choose(
+        &self,
+        step: &StepSpec,
+        service: &ServiceId,
+        task: TaskId,
+        now: Instant,
+    ) -> Option<ExecutorId> {
+        let silence_max = self.settings.silence_max();
+        let request = PlacementRequest { step };
+        let mut best: Option<(f64, &ExecutorId)> = None;
+        for executor in self.executors.values() {
+            if executor.entry.service != *service || !executor.takes_runs(silence_max, now) {
+                continue;
+            }
+            let Some(score) = self.placement.score(&request, executor) else {
+                continue;
+            };
+            if best.is_some_and(|(best, _)| best >= score) {
+                continue;
+            }
+            let here = || {
+                let siblings = executor.runs().keys().filter(|other| {
+                    other.job == task.job
+                        && other.occurrence == task.occurrence
+                        && other.step == task.step
+                });
+                siblings.count() as u32
+            };
+            if step.per_executor_max.is_some_and(|most| here() >= most) {
+                continue;
+            }
+            best = Some((score, &executor.entry.id));
+        }
+        best.map(|(_, id)| id.clone())
+    }
+
+    fn place(&mut self, step: &StepSpec, task: TaskId, id: &ExecutorId, now: Instant) -> bool {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return false;
+        };
+        let Some(key) = executor.key() else {
+            return false;
+        };
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return false;
+        };
+        // The members of a gang share a run number, which is above all that they had.
+        let gang_run = step.is_gang.then(|| {
+            let at = StepRef {
+                occurrence: task.occurrence,
+                step: task.step,
+            };
+            let members = job.tasks_of(at).map(|(_, member)| match member.status {
+                TaskStatus::Waiting => member.run.next(),
+                _ => member.run,
+            });
+            members.max().unwrap_or_default()
+        });
+        let Some(run) = job.place_as(task, key.clone(), gang_run) else {
+            return false;
+        };
+        decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free());
+        executor.add_run(
+            task,
+            RunView {
+                run,
+                reserved: step.reserved(),
+                filler_cpu_milli: if step.is_filler {
+                    step.need.cpu_milli.0
+                } else {
+                    0
+                },
+                tail_target_ms: step.tail_target_ms,
+                phase: RunPhase::Proposed,
+                checkpoint: None,
+                progress_percent: 0.0,
+                progressed_at: now,
+                recent_figure: None,
+                pace_percent: 100,
+                missed_reports: 0,
+            },
+        );
+        self.dirty.insert(task.job);
+        self.effects.push(Effect::Start {
+            executor: key,
+            task,
+            run,
+        });
+        true
+    }
+
+    /// Takes a proposed run back whose record is not stored yet.
+    fn unplace(&mut self, task: TaskId, id: &ExecutorId) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if let Some(view) = executor.run(task) {
+            let run = view.run;
+            executor.remove_run(task, run);
+        }
+        self.effects.retain(
+            |effect| !matches!(effect, Effect::Start { task: started, .. } if *started == task),
+        );
+        if let Some(job) = self.ledger.job_mut(task.job) {
+            job.release(task, None, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/cell/reports.rs
@@ -0,0 +1,480 @@
+use std::time::Duration;
+
+use dotterelhook_types::ids::Incarnation;
+use tokio::time::Instant;
+
+use super::CellState;
+use super::Effect;
+use crate::border::EndedRun;
+use crate::border::ExecutorReport;
+use crate::border::Renewal;
+use crate::border::RunEnd;
+use crate::border::RunningRun;
+use crate::fleet::ExecutorClock;
+use crate::fleet::Order;
+use crate::fleet::RunPhase;
+use crate::fleet::RunView;
+use crate::model::Checkpoint;
+use crate::model::ExecutorId;
+use crate::model::ExecutorKey;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// How long a stop may go unanswered before it is sent again.
+const STOP_REPEAT: Duration = Duration::from_millis(700);
+/// Reports in a row without a run that should be there, before it is given up.
+const MISSED_REPORTS_MAX: u32 = 2;
+/// The least growth of a run's progress that counts, in percent.
+const PROGRESS_STEP_PERCENT: f64 = 0.5;
+
+/// What the reports of executors, or their silence, change.
+impl CellState {
+    /// Returns the next renewal for an executor, or `None` if its session may end.
+    ///
+    /// Without `may_renew`, the executor is asked but no lease is made longer.
+    pub fn renewal(&self, id: &ExecutorId, may_renew: bool) -> Option<Renewal> {
+        let executor = self.executors.get(id)?;
+        let lease_end_ms = executor
+            .clock
+            .filter(|_| may_renew)
+            .map(|clock| clock.lease_end_ms(self.settings.lease));
+        let hold = if executor.clock.is_some() && executor.seen_end == executor.acked_end {
+            self.settings.renewal_hold
+        } else {
+            Duration::ZERO
+        };
+        Some(Renewal {
+            token: self.epoch,
+            acked_end: executor.acked_end,
+            lease_end_ms,
+            hold,
+        })
+    }
+
+    /// Returns whether an executor has ends that are not stored yet.
+    pub fn has_unstored_ends(&self, id: &ExecutorId) -> bool {
+        self.executors
+            .get(id)
+            .is_some_and(|executor| executor.seen_end > executor.acked_end)
+    }
+
+    /// Takes an executor's report; `asked_at` is when it was asked for.
+    pub fn take_report(
+        &mut self,
+        id: &ExecutorId,
+        report: ExecutorReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let Some(known) = self.executors.get(id).map(|executor| executor.incarnation) else {
+            return;
+        };
+        match known {
+            Some(known) if report.incarnation < known => return,
+            Some(known) if report.incarnation == known => {}
+            Some(_) => self.begin_incarnation(id, report.incarnation, now),
+            None => {
+                if let Some(executor) = self.executors.get_mut(id) {
+                    executor.incarnation = Some(report.incarnation);
+                }
+            }
+        }
+        self.claim_unlisted(id, now);
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let clock = ExecutorClock::new(report.clock_ms, now);
+        executor.clock = Some(clock.later(executor.clock));
+        for ended in &report.ended {
+            self.take_end(id, ended, now);
+        }
+        for running in &report.running {
+            self.take_running(id, running, now);
+        }
+        self.settle_unmentioned(id, &report, asked_at, now);
+    }
+
+    /// Gives up what ran on executors whose leases are over.
+    pub fn lapse_silent(&mut self, now: Instant) {
+        let lease = self.settings.lease;
+        let former_are_over = self.former_leases_end <= now;
+        let lapsed: Vec<ExecutorId> = self
+            .executors
+            .values()
+            .filter(|executor| match executor.clock {
+                Some(_) => executor.is_lapsed(lease, now),
+                None => former_are_over && !executor.runs().is_empty(),
+            })
+            .map(|executor| executor.entry.id.clone())
+            .collect();
+        for id in lapsed {
+            decided!(Decision::ExecutorLapsed, executor: id);
+            self.lose_runs(&id, now);
+            if let Some(executor) = self.executors.get_mut(&id) {
+                executor.clock = None;
+            }
+        }
+        if former_are_over {
+            let unlisted = std::mem::take(&mut self.unlisted);
+            for (key, tasks) in unlisted {
+                for task in tasks {
+                    self.release_restored(&key, task);
+                }
+            }
+        }
+        let dead: Vec<ExecutorId> = self
+            .executors
+            .values()
+            .filter(|executor| {
+                !executor.is_listed && executor.clock.is_none() && executor.runs().is_empty()
+            })
+            .map(|executor| executor.entry.id.clone())
+            .collect();
+        for id in dead {
+            self.executors.remove(&id);
+        }
+    }
+
+    /// Moves what was placed on an executor before the takeover to its view.
+    pub(super) fn claim_unlisted(&mut self, id: &ExecutorId, now: Instant) {
+        let Some(incarnation) = self.executors.get(id).and_then(|found| found.incarnation) else {
+            return;
+        };
+        let keys: Vec<ExecutorKey> = self
+            .unlisted
+            .keys()
+            .filter(|key| key.id == *id)
+            .cloned()
+            .collect();
+        for key in keys {
+            let tasks = self.unlisted.remove(&key).unwrap_or_default();
+            for task in tasks {
+                if key.incarnation == incarnation {
+                    self.restore_run(&key, task, now);
+                } else if key.incarnation < incarnation {
+                    self.release_restored(&key, task);
+                }
+            }
+        }
+    }
+
+    /// Notes that an executor runs a new life, in which nothing of the former one runs.
+    pub(super) fn begin_incarnation(
+        &mut self,
+        id: &ExecutorId,
+        incarnation: Incarnation,
+        now: Instant,
+    ) {
+        decided!(Decision::ExecutorRestarted, executor: id, incarnation: incarnation);
+        self.lose_runs(id, now);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.incarnation = Some(incarnation);
+            executor.clock = None;
+            executor.seen_end = 0;
+            executor.acked_end = 0;
+        }
+    }
+
+    fn restore_run(&mut self, key: &ExecutorKey, task: TaskId, now: Instant) {
+        let Some(job) = self.ledger.job(task.job) else {
+            return;
+        };
+        let Some(progress) = job.task(task) else {
+            return;
+        };
+        if !job.is_placed(task, progress.run, key) {
+            return;
+        }
+        let step = job.step(task.step);
+        let view = RunView {
+            run: progress.run,
+            reserved: step.reserved(),
+            filler_cpu_milli: if step.is_filler {
+                step.need.cpu_milli.0
+            } else {
+                0
+            },
+            tail_target_ms: step.tail_target_ms,
+            phase: RunPhase::Restored,
+            checkpoint: progress.checkpoint.clone(),
+            progress_percent: 0.0,
+            progressed_at: now,
+            recent_figure: None,
+            pace_percent: 100,
+            missed_reports: 0,
+        };
+        if let Some(executor) = self.executors.get_mut(&key.id) {
+            executor.add_run(task, view);
+        }
+    }
+
+    fn release_restored(&mut self, key: &ExecutorKey, task: TaskId) {
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return;
+        };
+        let run = job.task(task).map(|progress| progress.run);
+        if run.is_some_and(|run| job.is_placed(task, run, key)) {
+            decided!(Decision::RunLost, task: task, executor: key, cause: "the executor is gone");
+            job.release(task, None, false);
+            self.dirty.insert(task.job);
+        }
+    }
+
+    fn lose_runs(&mut self, id: &ExecutorId, now: Instant) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(key) = executor.key() else {
+            return;
+        };
+        for (task, view) in executor.take_runs() {
+            if matches!(view.phase, RunPhase::Ordered | RunPhase::Stopping { .. }) {
+                // A start that is still on its way could reach the executor's next life.
+                executor.send(Order::Stop(task, view.run));
+            }
+            let Some(job) = self.ledger.job_mut(task.job) else {
+                continue;
+            };
+            if job.is_placed(task, view.run, &key) {
+                decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted", quiet_ms: now.duration_since(view.progressed_at).as_millis());
+                job.release(task, view.checkpoint, false);
+                self.dirty.insert(task.job);
+            }
+        }
+    }
+
+    fn take_end(&mut self, id: &ExecutorId, ended: &EndedRun, now: Instant) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(key) = executor.key() else {
+            return;
+        };
+        if ended.number <= executor.seen_end {
+            return;
+        }
+        executor.seen_end = ended.number;
+        executor.remove_run(ended.task, ended.run);
+        self.effects.push(Effect::AckEnds {
+            executor: key.clone(),
+            end: ended.number,
+        });
+        self.end_run(&key, ended, now);
+    }
+
+    fn end_run(&mut self, key: &ExecutorKey, ended: &EndedRun, now: Instant) {
+        let task = ended.task;
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return;
+        };
+        if !job.is_placed(task, ended.run, key) {
+            return;
+        }
+        decided!(Decision::RunEnded, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number);
+        self.dirty.insert(task.job);
+        let is_long_running = job.step(task.step).is_long_running;
+        let checkpoint = ended.checkpoint.clone();
+        let executor = self.executors.get_mut(&key.id);
+        match ended.end {
+            RunEnd::Done if !is_long_running => {
+                job.finish(task);
+                if let Some(executor) = executor {
+                    executor.health.note_success();
+                }
+            }
+            RunEnd::Failed => {
+                // A task that failed elsewhere before is more likely to blame than this executor.
+                let is_first = job.task(task).is_some_and(|found| found.failures == 0);
+                job.release(task, checkpoint, true);
+                let terms = Self::terms_of(&self.config, job);
+                job.settle_failures(task, terms.attempts_max);
+                let has_failed = !job.is_open();
+                if let Some(executor) = executor
+                    && is_first
+                {
+                    executor.health.note_failure(task.job, now);
+                }
+                if has_failed {
+                    self.stop_job(task.job, now);
+                }
+            }
+            _ => job.release(task, checkpoint, false),
+        }
+    }
+
+    fn take_running(&mut self, id: &ExecutorId, running: &RunningRun, now: Instant) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(view) = executor.run_mut(running.task, running.run) else {
+            self.stop_stray(id, running.task, running.run, now);
+            return;
+        };
+        view.missed_reports = 0;
+        view.recent_figure = running.recent_figure;
+        if running.checkpoint.is_some() {
+            view.checkpoint.clone_from(&running.checkpoint);
+        }
+        if running.progress_percent >= view.progress_percent + PROGRESS_STEP_PERCENT {
+            view.progress_percent = running.progress_percent;
+            view.progressed_at = now;
+        }
+        match view.phase {
+            RunPhase::Ordered | RunPhase::Restored => {
+                view.phase = RunPhase::Running { since: now };
+                let is_open = self
+                    .ledger
+                    .job(running.task.job)
+                    .is_some_and(|job| job.is_open());
+                if !is_open && let Some(key) = executor.key() {
+                    self.stop_run(&key, running.task, now);
+                }
+            }
+            RunPhase::Stopping { sent_at, .. } if now.duration_since(sent_at) > STOP_REPEAT => {
+                view.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    answered_at: None,
+                };
+                executor.send(Order::Stop(running.task, running.run));
+            }
+            _ => {}
+        }
+    }
+
+    /// Stops a run that is not the task's newest one; until it has ended, it takes room.
+    fn stop_stray(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber, now: Instant) {
+        let step = self.ledger.job(task.job).and_then(|job| {
+            job.task(task)?;
+            Some(job.step(task.step))
+        });
+        let view = RunView {
+            run,
+            reserved: step.map(|step| step.reserved()).unwrap_or_default(),
+            filler_cpu_milli: step
+                .filter(|step| step.is_filler)
+                .map_or(0, |step| step.need.cpu_milli.0),
+            tail_target_ms: None,
+            phase: RunPhase::Stopping {
+                sent_at: now,
+                answered_at: None,
+            },
+            checkpoint: None,
+            progress_percent: 0.0,
+            progressed_at: now,
+            recent_figure: None,
+            pace_percent: 100,
+            missed_reports: 0,
+        };
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.send(Order::Stop(task, run));
+        // A newer run of the same task on the same executor keeps its own view.
+        if executor.run(task).is_none() {
+            decided!(Decision::StrayRun, task: task, run: run, executor: id);
+            executor.add_run(task, view);
+        }
+    }
+
+    /// Decides on runs that should be on the executor but are neither running nor ended there.
+    fn settle_unmentioned(
+        &mut self,
+        id: &ExecutorId,
+        report: &ExecutorReport,
+        asked_at: Instant,
+        now: Instant,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let is_listed = |task: TaskId, run: RunNumber| {
+            report
+                .running
+                .iter()
+                .any(|running| running.task == task && running.run == run)
+        };
+        let unmentioned: Vec<(TaskId, RunNumber)> = executor
+            .runs()
+            .iter()
+            .filter(|(task, view)| !is_listed(**task, view.run))
+            .map(|(task, view)| (*task, view.run))
+            .collect();
+        let settle_after = self.settings.stop_max;
+        let mut gone = Vec::new();
+        for (task, run) in unmentioned {
+            let Some(view) = executor.run_mut(task, run) else {
+                continue;
+            };
+            match view.phase {
+                RunPhase::Proposed | RunPhase::Ordered => {}
+                RunPhase::Restored => {
+                    // The former owner's start never arrived, and no longer can.
+                    view.phase = RunPhase::Ordered;
+                    executor.send(Order::Start(task, run));
+                }
+                RunPhase::Running { since } => {
+                    if asked_at <= since {
+                        continue;
+                    }
+                    view.missed_reports += 1;
+                    if view.missed_reports >= MISSED_REPORTS_MAX {
+                        view.phase = RunPhase::Stopping {
+                            sent_at: now,
+                            answered_at: None,
+                        };
+                        executor.send(Order::Stop(task, run));
+                    }
+                }
+                RunPhase::Stopping {
+                    answered_at: Some(answered_at),
+                    ..
+                } => {
+                    if asked_at > answered_at + settle_after {
+                        gone.push((task, run, view.checkpoint.clone()));
+                    }
+                }
+                RunPhase::Stopping {
+                    sent_at,
+                    answered_at: None,
+                } => {
+                    if now.duration_since(sent_at) > STOP_REPEAT {
+                        view.phase = RunPhase::Stopping {
+                            sent_at: now,
+                            answered_at: None,
+                        };
+                        executor.send(Order::Stop(task, run));
+                    }
+                }
+            }
+        }
+        for (task, run, checkpoint) in gone {
+            self.forget_run(id, task, run, checkpoint);
+        }
+    }
+
+    /// Counts a run no more that the executor neither runs nor can start any more.
+    fn forget_run(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        checkpoint: Option<Checkpoint>,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        executor.remove_run(task, run);
+        let Some(key) = executor.key() else {
+            return;
+        };
+        if let Some(job) = self.ledger.job_mut(task.job)
+            && job.is_placed(task, run, &key)
+        {
+            decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "not listed after a stop");
+            job.release(task, checkpoint, false);
+            self.dirty.insert(task.job);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/config/config_follower.rs
@@ -0,0 +1,72 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::ConfigBoard;
+use crate::border::KeyedRecord;
+use crate::border::Platform;
+use crate::border::Store;
+use crate::feed::FeedBatch;
+use crate::feed::KeyedFeed;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// How long a read waits for a change; bounds how long a silent connection goes unnoticed.
+const HOLD: Duration = Duration::from_millis(1_000);
+/// The pause after a failed read, well below the time in which a change must be in force.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Puts each version of the configuration in force as soon as it is written.
+pub struct ConfigFollower {
+    platform: Arc<dyn Platform>,
+    store: Arc<dyn Store>,
+    board: Arc<ConfigBoard>,
+}
+
+impl ConfigFollower {
+    /// Creates a follower; nothing is read yet.
+    pub fn new(
+        platform: Arc<dyn Platform>,
+        store: Arc<dyn Store>,
+        board: Arc<ConfigBoard>,
+    ) -> Self {
+        Self {
+            platform,
+            store,
+            board,
+        }
+    }
+
+    /// Follows the operators' records for good.
+    pub async fn run(self) {
+        let partition = self.platform.operator_partition();
+        let mut feed = KeyedFeed::new(Arc::clone(&self.store), partition);
+        loop {
+            match feed.next(HOLD).await {
+                Ok(FeedBatch::Snapshot(records) | FeedBatch::Changes(records)) => {
+                    for record in &records {
+                        self.take(record);
+                    }
+                }
+                // The store's health is logged where it is tracked.
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn take(&self, record: &KeyedRecord) {
+        match self.platform.decode_config(record) {
+            Ok(Some(config)) => {
+                let version = config.version();
+                if self.board.offer(config) {
+                    decided!(Decision::ConfigInForce, version: version);
+                }
+            }
+            Ok(None) => {}
+            Err(error) => {
+                decided!(Decision::ConfigUnreadable, key: record.key, cause: error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -0,0 +1,283 @@
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_kernel::http::full_body;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use super::EntrySettings;
+use super::OwnerCalls;
+use super::recent_jobs::RecentJobs;
+use crate::border::CallKind;
+use crate::border::ClientCall;
+use crate::border::ClientProtocol;
+use crate::border::EntryAnswer;
+use crate::border::KeyedRecord;
+use crate::border::Store;
+use crate::border::StoreError;
+use crate::config::ConfigBoard;
+use crate::config::DeploymentConfig;
+use crate::config::QueueRoute;
+use crate::feed::StoreHealth;
+use crate::ledger::encode;
+use crate::model::JobId;
+use crate::model::JobState;
+use crate::model::Submission;
+use crate::observe::Decision;
+use crate::observe::JobMetrics;
+use crate::observe::Outcome;
+use crate::observe::decided;
+use crate::ownership::cell_of;
+use crate::ownership::submissions_of;
+
+/// The pause before an append without an answer is repeated.
+const APPEND_PAUSE: Duration = Duration::from_millis(20);
+/// The pause before an owner is asked again.
+const QUESTION_PAUSE: Duration = Duration::from_millis(100);
+
+/// Answers clients' calls.
+pub struct EntryHandler {
+    /// The protocol of the clients.
+    pub protocol: Arc<dyn ClientProtocol>,
+    /// The configuration in force.
+    pub config: Arc<ConfigBoard>,
+    /// Where submissions are stored.
+    pub store: Arc<dyn Store>,
+    /// Whether the store can be reached.
+    pub health: Arc<StoreHealth>,
+    /// The owners of jobs.
+    pub owners: OwnerCalls,
+    /// How calls are answered.
+    pub settings: EntrySettings,
+    /// How many cells the deployment has.
+    pub cell_count: u32,
+    /// What is counted.
+    pub metrics: JobMetrics,
+    /// Jobs accepted here of late.
+    pub recent: RecentJobList,
+}
+
+/// The jobs that a host accepted of late, shared between its calls.
+#[derive(Debug, Default)]
+pub struct RecentJobList(Mutex<RecentJobs>);
+
+#[async_trait]
+impl HttpHandler for EntryHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived_at = Instant::now();
+        let (head, body) = request.into_parts();
+        let call = self.protocol.decode_head(&head);
+        let wait = call.wait.unwrap_or(self.settings.default_wait);
+        let deadline = arrived_at + wait.saturating_sub(self.settings.answer_margin);
+        let answer = self.answer(&call, body, arrived_at, deadline).await;
+        let response = self.protocol.encode(&answer);
+        self.note(&call, &answer, &response, arrived_at);
+        response.map(full_body)
+    }
+}
+
+impl EntryHandler {
+    async fn answer(
+        &self,
+        call: &ClientCall,
+        body: Incoming,
+        arrived_at: Instant,
+        deadline: Instant,
+    ) -> EntryAnswer {
+        let Some(config) = self.config.current() else {
+            return self.not_done("no configuration has been read yet");
+        };
+        let Some((route, rest)) = config.route(&call.host, &call.path) else {
+            return EntryAnswer::NoQueue;
+        };
+        let deadline = deadline.min(arrived_at + route.timeout);
+        let act = self.act(call.kind, rest, &config, route, body, deadline);
+        match timeout_at(deadline, act).await {
+            Ok(answer) => answer,
+            Err(_) => EntryAnswer::Unknown("the client's wait is over".into()),
+        }
+    }
+
+    async fn act(
+        &self,
+        kind: CallKind,
+        rest: &str,
+        config: &DeploymentConfig,
+        route: &QueueRoute,
+        body: Incoming,
+        deadline: Instant,
+    ) -> EntryAnswer {
+        let id = JobId::from_str(rest);
+        match (kind, id) {
+            (CallKind::Read, _) if rest.is_empty() => self.count(route, deadline).await,
+            (CallKind::Read, Ok(id)) => self.read(id, deadline).await,
+            (CallKind::Cancel, Ok(id)) => self.cancel(id).await,
+            (CallKind::Submit, Ok(id)) => self.submit(id, config, route, body).await,
+            (CallKind::Other, _) => EntryAnswer::NoSuchMethod,
+            (_, Err(error)) => EntryAnswer::Malformed(error.to_string().into()),
+        }
+    }
+
+    async fn submit(
+        &self,
+        id: JobId,
+        config: &DeploymentConfig,
+        route: &QueueRoute,
+        body: Incoming,
+    ) -> EntryAnswer {
+        let limited = Limited::new(body, config.body_max_bytes());
+        let body = match limited.collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return EntryAnswer::Malformed(error.to_string().into()),
+        };
+        let spec = match self.protocol.decode_job(&body) {
+            Ok(spec) => spec,
+            Err(error) => return EntryAnswer::Malformed(error.to_string().into()),
+        };
+        let now_unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let submission = Submission {
+            terms: route.terms.as_ref().clone(),
+            spec,
+            accepted_unix_ms: now_unix.as_millis() as u64,
+        };
+        let value = match encode(&submission) {
+            Ok(value) => value,
+            Err(error) => return EntryAnswer::Malformed(error.to_string().into()),
+        };
+        match self.store_record(id, id.as_str().into(), value).await {
+            Ok(()) => {
+                let mut recent = self.recent.0.lock().unwrap_or_else(PoisonError::into_inner);
+                recent.add(id, self.settings.recent_for, Instant::now());
+                EntryAnswer::Accepted
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    async fn cancel(&self, id: JobId) -> EntryAnswer {
+        let key = format!("{}{id}", crate::ownership::CANCELLATION_MARK);
+        let value = Bytes::from_static(b"cancelled");
+        match self.store_record(id, key.into(), value).await {
+            Ok(()) => EntryAnswer::CancelAccepted,
+            Err(answer) => answer,
+        }
+    }
+
+    /// Stores a record of a job; the client's wait ends the repeats.
+    async fn store_record(
+        &self,
+        id: JobId,
+        key: Box<str>,
+        value: Bytes,
+    ) -> Result<(), EntryAnswer> {
+        if self.health.is_lost() {
+            return Err(self.not_done("the store can't be reached"));
+        }
+        let partition = submissions_of(cell_of(id.as_str(), self.cell_count));
+        let record = [KeyedRecord { key, value }];
+        let mut may_be_stored = false;
+        loop {
+            match self.store.append(partition, &record, None).await {
+                Ok(_) => return Ok(()),
+                Err(StoreError::Unknown(_)) => may_be_stored = true,
+                Err(error) if !may_be_stored => return Err(self.not_done(&error.to_string())),
+                // It may be stored by an earlier try, so "not done" would not be true.
+                Err(_) => {}
+            }
+            sleep(APPEND_PAUSE).await;
+        }
+    }
+
+    async fn read(&self, id: JobId, deadline: Instant) -> EntryAnswer {
+        loop {
+            let asked = self.owners.job_state(id, self.settings.question_timeout);
+            let error = match asked.await {
+                Ok(Some(state)) => return EntryAnswer::State(state),
+                Ok(None) if self.is_recent(id) => {
+                    return EntryAnswer::State(JobState::Pending);
+                }
+                Ok(None) => return EntryAnswer::NoJob,
+                Err(error) => error,
+            };
+            if Instant::now() + self.settings.question_timeout > deadline {
+                return self.not_done(&error.to_string());
+            }
+            sleep(QUESTION_PAUSE).await;
+        }
+    }
+
+    async fn count(&self, route: &QueueRoute, deadline: Instant) -> EntryAnswer {
+        loop {
+            let timeout = self.settings.question_timeout;
+            let error = match self.owners.pending_count(&route.terms.name, timeout).await {
+                Ok(count) => return EntryAnswer::PendingCount(count),
+                Err(error) => error,
+            };
+            if Instant::now() + timeout > deadline {
+                return self.not_done(&error.to_string());
+            }
+            sleep(QUESTION_PAUSE).await;
+        }
+    }
+
+    fn is_recent(&self, id: JobId) -> bool {
+        let recent = self.recent.0.lock().unwrap_or_else(PoisonError::into_inner);
+        recent.contains(id)
+    }
+
+    fn not_done(&self, cause: &str) -> EntryAnswer {
+        EntryAnswer::NotDone {
+            cause: cause.into(),
+            retry_after: self.settings.retry_after,
+        }
+    }
+
+    fn note(
+        &self,
+        call: &ClientCall,
+        answer: &EntryAnswer,
+        response: &Response<Bytes>,
+        arrived_at: Instant,
+    ) {
+        let took = arrived_at.elapsed();
+        let outcome = match answer {
+            EntryAnswer::Accepted | EntryAnswer::CancelAccepted => "stored",
+            EntryAnswer::State(_) | EntryAnswer::PendingCount(_) => "told",
+            EntryAnswer::NoQueue | EntryAnswer::NoJob => "not-found",
+            EntryAnswer::Malformed(_) | EntryAnswer::NoSuchMethod => "malformed",
+            EntryAnswer::NotDone { .. } => "not-done",
+            EntryAnswer::Unknown(_) => "unknown",
+        };
+        let kind = <&'static str>::from(call.kind);
+        let calls = &self.metrics.calls;
+        calls.get_or_create(&Outcome { kind, outcome }).inc();
+        self.metrics.call_seconds.observe(took.as_secs_f64());
+        let cause: &str = match answer {
+            EntryAnswer::NotDone { cause, .. }
+            | EntryAnswer::Unknown(cause)
+            | EntryAnswer::Malformed(cause) => cause,
+            // What was told changes nothing; the counters hold it.
+            EntryAnswer::State(_) | EntryAnswer::PendingCount(_) => return,
+            _ => "",
+        };
+        let version = self.config.current().map_or(0, |config| config.version());
+        decided!(Decision::CallAnswered, kind: kind, path: call.path, status: response.status().as_u16(), cause: cause, config: version, took_ms: took.as_millis());
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/entry/owner_calls.rs
@@ -0,0 +1,149 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_peer::rpc::PeerClient;
+use dotterelhook_peer::rpc::PeerHandler;
+use dotterelhook_peer::rpc::PeerHandlers;
+use dotterelhook_types::CallError;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::ledger::decode;
+use crate::ledger::encode;
+use crate::model::JobId;
+use crate::model::JobState;
+use crate::model::QueueName;
+use crate::ownership::OwnerBoard;
+use crate::ownership::OwnerDirectory;
+use crate::ownership::cell_of;
+
+const JOB_STATE: &str = "job-state";
+const PENDING_COUNT: &str = "pending-count";
+
+/// Asks the owners of cells, in this process or another.
+pub struct OwnerCalls {
+    board: Arc<OwnerBoard>,
+    directory: Arc<OwnerDirectory>,
+    peers: Arc<PeerClient>,
+    cell_count: u32,
+}
+
+impl OwnerCalls {
+    /// Creates the caller's side.
+    pub fn new(
+        board: Arc<OwnerBoard>,
+        directory: Arc<OwnerDirectory>,
+        peers: Arc<PeerClient>,
+        cell_count: u32,
+    ) -> Self {
+        Self {
+            board,
+            directory,
+            peers,
+            cell_count,
+        }
+    }
+
+    /// Returns a job's state; `None` if no such job was submitted.
+    ///
+    /// # Errors
+    /// The owner can't be reached, or does not know for certain.
+    pub async fn job_state(
+        &self,
+        id: JobId,
+        timeout: Duration,
+    ) -> Result<Option<JobState>, CallError> {
+        let cell = cell_of(id.as_str(), self.cell_count);
+        match self.board.find(cell) {
+            Some(owner) => owner.job_state(id),
+            None => self.ask(cell, JOB_STATE, &(cell, id), timeout).await,
+        }
+    }
+
+    /// Returns the number of a queue's jobs that have not begun, over all cells.
+    ///
+    /// # Errors
+    /// Some owner can't be reached.
+    pub async fn pending_count(
+        &self,
+        queue: &QueueName,
+        timeout: Duration,
+    ) -> Result<u64, CallError> {
+        let mut count = 0;
+        for cell in 0..self.cell_count {
+            count += match self.board.find(cell) {
+                Some(owner) => owner.pending_count(queue),
+                None => {
+                    self.ask(cell, PENDING_COUNT, &(cell, queue), timeout)
+                        .await?
+                }
+            };
+        }
+        Ok(count)
+    }
+
+    async fn ask<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        cell: u32,
+        name: &str,
+        question: &Q,
+        timeout: Duration,
+    ) -> Result<A, CallError> {
+        let not_run = |error: crate::ledger::CodecError| CallError::not_run(error.to_string());
+        let Some(owner) = self.directory.owner(cell) else {
+            self.directory.doubt();
+            return Err(CallError::not_run(format!("cell {cell} has no owner yet")));
+        };
+        let frame = encode(question).map_err(not_run)?;
+        let answer = self.peers.call(owner.address, name, frame, timeout).await;
+        if answer.is_err() {
+            self.directory.doubt();
+        }
+        decode(&answer?).map_err(not_run)
+    }
+}
+
+/// Adds the owners' side of the calls.
+pub fn add_owner_handlers(handlers: &PeerHandlers, board: &Arc<OwnerBoard>) {
+    handlers.add(JOB_STATE, Arc::new(JobStateHandler(Arc::clone(board))));
+    handlers.add(
+        PENDING_COUNT,
+        Arc::new(PendingCountHandler(Arc::clone(board))),
+    );
+}
+
+struct JobStateHandler(Arc<OwnerBoard>);
+
+struct PendingCountHandler(Arc<OwnerBoard>);
+
+#[async_trait]
+impl PeerHandler for JobStateHandler {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        let (cell, id): (u32, JobId) = read(&frame)?;
+        let owner = self.0.find(cell).ok_or_else(|| not_owner(cell))?;
+        write(&owner.job_state(id)?)
+    }
+}
+
+#[async_trait]
+impl PeerHandler for PendingCountHandler {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        let (cell, queue): (u32, QueueName) = read(&frame)?;
+        let owner = self.0.find(cell).ok_or_else(|| not_owner(cell))?;
+        write(&owner.pending_count(&queue))
+    }
+}
+
+fn not_owner(cell: u32) -> CallError {
+    CallError::not_run(format!("this host does not own cell {cell}"))
+}
+
+fn read<T: DeserializeOwned>(frame: &[u8]) -> Result<T, CallError> {
+    decode(frame).map_err(|error| CallError::not_run(error.to_string()))
+}
+
+fn write<T: Serialize>(answer: &T) -> Result<Bytes, CallError> {
+    encode(answer).map_err(|error| CallError::not_run(error.to_string()))
+}
--- /dev/null
+++ b/crates/jobs/src/entry/ready_handler.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_kernel::http::full_body;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use tokio_util::sync::CancellationToken;
+
+use crate::config::ConfigBoard;
+use crate::feed::StoreHealth;
+
+/// Tells the balancer whether this host takes clients' calls, and shows metrics.
+pub struct ReadyHandler {
+    /// The configuration in force.
+    pub config: Arc<ConfigBoard>,
+    /// Whether the store can be reached.
+    pub health: Arc<StoreHealth>,
+    /// How long the store may be silent.
+    pub silence_max: Duration,
+    /// Cancelled when the process takes no new work.
+    pub draining: CancellationToken,
+    /// What is counted.
+    pub metrics: Arc<Metrics>,
+}
+
+impl ReadyHandler {
+    /// Returns why the host should get no new connections, if it should not.
+    pub fn unready_reason(&self) -> Option<&'static str> {
+        if self.draining.is_cancelled() {
+            Some("draining")
+        } else if self.config.current().is_none() {
+            Some("no configuration yet")
+        } else if self.health.is_lost() && self.health.silence() > self.silence_max {
+            Some("the store can't be reached")
+        } else {
+            None
+        }
+    }
+}
+
+#[async_trait]
+impl HttpHandler for ReadyHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (status, text) = if request.uri().path() == "/metrics" {
+            match self.metrics.encode() {
+                Ok(text) => (StatusCode::OK, text),
+                Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+            }
+        } else {
+            match self.unready_reason() {
+                None => (StatusCode::OK, "ready\n".to_owned()),
+                Some(reason) => (StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n")),
+            }
+        };
+        let mut answer = Response::new(full_body(text));
+        *answer.status_mut() = status;
+        answer
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/feed/store_health.rs
@@ -0,0 +1,68 @@
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use super::boot_now;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// Failed calls in a row after which the store counts as lost.
+const FAILURES_MAX: u32 = 3;
+
+/// Whether the store can be reached from this process.
+#[derive(Debug)]
+pub struct StoreHealth {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    answered_at: Duration,
+    failures: u32,
+}
+
+impl Default for StoreHealth {
+    fn default() -> Self {
+        Self {
+            state: Mutex::new(State {
+                answered_at: boot_now(),
+                failures: 0,
+            }),
+        }
+    }
+}
+
+impl StoreHealth {
+    /// Notes an answer to a call that was sent at the given time since boot.
+    pub fn note_answer(&self, sent_at: Duration) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.failures >= FAILURES_MAX {
+            let away_ms = boot_now().saturating_sub(state.answered_at).as_millis();
+            decided!(Decision::StoreRegained, away_ms: away_ms);
+        }
+        state.failures = 0;
+        state.answered_at = state.answered_at.max(sent_at);
+    }
+
+    /// Notes a call without an answer, or one that the store refused.
+    pub fn note_failure(&self, cause: &dyn std::fmt::Display) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.failures = state.failures.saturating_add(1);
+        if state.failures == FAILURES_MAX {
+            let silent_ms = boot_now().saturating_sub(state.answered_at).as_millis();
+            decided!(Decision::StoreLost, silent_ms: silent_ms, cause: cause);
+        }
+    }
+
+    /// Returns whether the last calls failed.
+    pub fn is_lost(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.failures >= FAILURES_MAX
+    }
+
+    /// Returns the time since the newest call that was answered, counted from its sending.
+    pub fn silence(&self) -> Duration {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        boot_now().saturating_sub(state.answered_at)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/feed/tracked_store.rs
@@ -0,0 +1,117 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use dotterelhook_types::ids::Offset;
+use tokio::time::Instant;
+
+use super::StoreHealth;
+use super::boot_now;
+use crate::border::AppendAck;
+use crate::border::Fence;
+use crate::border::Group;
+use crate::border::GroupShare;
+use crate::border::KeyedRecord;
+use crate::border::NewestPage;
+use crate::border::Partition;
+use crate::border::PartitionOwner;
+use crate::border::ReadPage;
+use crate::border::Store;
+use crate::border::StoreError;
+use crate::observe::JobMetrics;
+
+/// Counts the calls to a store and notes whether it can be reached.
+pub struct TrackedStore {
+    store: Arc<dyn Store>,
+    health: Arc<StoreHealth>,
+    metrics: JobMetrics,
+}
+
+impl TrackedStore {
+    /// Wraps a store.
+    pub fn new(store: Arc<dyn Store>, health: Arc<StoreHealth>, metrics: JobMetrics) -> Self {
+        Self {
+            store,
+            health,
+            metrics,
+        }
+    }
+
+    async fn track<T>(
+        &self,
+        kind: &'static str,
+        call: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        let sent_at = boot_now();
+        let started = Instant::now();
+        let result = call.await;
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(StoreError::NotDone(_)) => "not-done",
+            Err(StoreError::Unknown(_)) => "unknown",
+            Err(StoreError::Fenced) => "fenced",
+            Err(StoreError::OutOfSequence) => "out-of-sequence",
+            Err(StoreError::Expired) => "expired",
+        };
+        match &result {
+            Err(error @ (StoreError::NotDone(_) | StoreError::Unknown(_))) => {
+                self.health.note_failure(error);
+            }
+            _ => self.health.note_answer(sent_at),
+        }
+        self.metrics
+            .count_store_call(kind, outcome, started.elapsed());
+        result
+    }
+}
+
+#[async_trait]
+impl Store for TrackedStore {
+    async fn append(
+        &self,
+        partition: Partition,
+        records: &[KeyedRecord],
+        fence: Option<Fence>,
+    ) -> Result<AppendAck, StoreError> {
+        let call = self.store.append(partition, records, fence);
+        self.track("append", call).await
+    }
+
+    async fn read(
+        &self,
+        partition: Partition,
+        from: Offset,
+        hold: Duration,
+    ) -> Result<ReadPage, StoreError> {
+        let call = self.store.read(partition, from, hold);
+        self.track("read", call).await
+    }
+
+    async fn newest(
+        &self,
+        partition: Partition,
+        after: Option<&str>,
+    ) -> Result<NewestPage, StoreError> {
+        let call = self.store.newest(partition, after);
+        self.track("newest", call).await
+    }
+
+    async fn join(
+        &self,
+        group: Group,
+        member: &str,
+        ttl: Duration,
+        generation: u64,
+    ) -> Result<GroupShare, StoreError> {
+        let call = self.store.join(group, member, ttl, generation);
+        self.track("join", call).await
+    }
+
+    async fn leave(&self, group: Group, member: &str) -> Result<(), StoreError> {
+        self.track("leave", self.store.leave(group, member)).await
+    }
+
+    async fn owners(&self, group: Group) -> Result<Vec<PartitionOwner>, StoreError> {
+        self.track("owners", self.store.owners(group)).await
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/executor.rs
@@ -0,0 +1,186 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::sizes::Resources;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::Instant;
+
+use super::ExecutorClock;
+use super::Health;
+use super::Order;
+use super::RunPhase;
+use super::RunView;
+use crate::model::ExecutorEntry;
+use crate::model::ExecutorKey;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+
+/// One executor as its owner sees it.
+#[derive(Debug)]
+pub struct Executor {
+    /// What it told of itself.
+    pub entry: ExecutorEntry,
+    /// Whether the platform lists it.
+    pub is_listed: bool,
+    /// Its life, once known.
+    pub incarnation: Option<Incarnation>,
+    /// Its clock, once it has answered in this life.
+    pub clock: Option<ExecutorClock>,
+    /// Ends up to this number were taken over.
+    pub seen_end: u64,
+    /// Ends up to this number are stored.
+    pub acked_end: u64,
+    /// How far it is trusted.
+    pub health: Health,
+    /// No new run before this, since it said that it has no room.
+    pub full_until: Option<Instant>,
+    runs: BTreeMap<TaskId, RunView>,
+    used: Resources,
+    serving_cpu_milli: u64,
+    filler_cpu_milli: u64,
+    orders: UnboundedSender<Order>,
+}
+
+impl Executor {
+    /// Creates an executor that has not answered yet.
+    pub fn new(entry: ExecutorEntry, orders: UnboundedSender<Order>) -> Self {
+        Self {
+            incarnation: entry.incarnation,
+            entry,
+            is_listed: true,
+            clock: None,
+            seen_end: 0,
+            acked_end: 0,
+            health: Health::default(),
+            full_until: None,
+            runs: BTreeMap::new(),
+            used: Resources::default(),
+            serving_cpu_milli: 0,
+            filler_cpu_milli: 0,
+            orders,
+        }
+    }
+
+    /// Returns its id and life, once the life is known.
+    pub fn key(&self) -> Option<ExecutorKey> {
+        self.incarnation.map(|incarnation| ExecutorKey {
+            id: self.entry.id.clone(),
+            incarnation,
+        })
+    }
+
+    /// Returns what runs on it, or is about to.
+    pub fn runs(&self) -> &BTreeMap<TaskId, RunView> {
+        &self.runs
+    }
+
+    /// Returns one run.
+    pub fn run(&self, task: TaskId) -> Option<&RunView> {
+        self.runs.get(&task)
+    }
+
+    /// Returns one run to change everything but what it takes.
+    pub fn run_mut(&mut self, task: TaskId, run: RunNumber) -> Option<&mut RunView> {
+        self.runs.get_mut(&task).filter(|view| view.run == run)
+    }
+
+    /// Counts a run.
+    pub fn add_run(&mut self, task: TaskId, view: RunView) {
+        self.used = self.used.saturating_add(&view.reserved);
+        self.filler_cpu_milli += view.filler_cpu_milli;
+        if view.is_serving() {
+            self.serving_cpu_milli += view.reserved.cpu_milli.0;
+        }
+        if let Some(replaced) = self.runs.insert(task, view) {
+            self.discount(&replaced);
+        }
+    }
+
+    /// Counts a run no more.
+    pub fn remove_run(&mut self, task: TaskId, run: RunNumber) -> Option<RunView> {
+        if self.runs.get(&task)?.run != run {
+            return None;
+        }
+        let view = self.runs.remove(&task)?;
+        self.discount(&view);
+        Some(view)
+    }
+
+    /// Counts nothing any more and returns what was counted.
+    pub fn take_runs(&mut self) -> BTreeMap<TaskId, RunView> {
+        self.used = Resources::default();
+        self.serving_cpu_milli = 0;
+        self.filler_cpu_milli = 0;
+        std::mem::take(&mut self.runs)
+    }
+
+    fn discount(&mut self, view: &RunView) {
+        self.used = self.used.saturating_sub(&view.reserved);
+        self.filler_cpu_milli -= view.filler_cpu_milli;
+        if view.is_serving() {
+            self.serving_cpu_milli -= view.reserved.cpu_milli.0;
+        }
+    }
+
+    /// Returns what is not reserved.
+    pub fn free(&self) -> Resources {
+        self.entry.capacity.saturating_sub(&self.used)
+    }
+
+    /// Returns what is reserved.
+    pub fn used(&self) -> Resources {
+        self.used
+    }
+
+    /// Returns the processor time that its fillers would use, in thousandths of a core.
+    pub fn filler_cpu_milli(&self) -> u64 {
+        self.filler_cpu_milli
+    }
+
+    /// Returns the processor time reserved by runs that serve, in thousandths of a core.
+    pub fn serving_cpu_milli(&self) -> u64 {
+        self.serving_cpu_milli
+    }
+
+    /// Returns whether new runs may be placed here.
+    pub fn takes_runs(&self, silence_max: Duration, now: Instant) -> bool {
+        let is_heard = self
+            .clock
+            .is_some_and(|clock| now.duration_since(clock.heard_at()) <= silence_max);
+        let is_full = self.full_until.is_some_and(|until| now < until);
+        let is_probed = self.health.is_on_probation()
+            && self.runs.values().any(|view| {
+                matches!(view.phase, RunPhase::Proposed | RunPhase::Ordered)
+                    || view.progress_percent < 1.0
+            });
+        self.is_listed
+            && self.incarnation.is_some()
+            && is_heard
+            && !is_full
+            && !self.entry.phase.is_draining()
+            && !self.health.is_resting(now)
+            && !is_probed
+    }
+
+    /// Opens a new way for orders, which ends the former session.
+    pub fn renew_orders(&mut self) -> UnboundedReceiver<Order> {
+        let (orders, receiver) = unbounded_channel();
+        self.orders = orders;
+        receiver
+    }
+
+    /// Hands an order to the executor's session; without a session nothing is sent.
+    pub fn send(&self, order: Order) {
+        // The session ends with the ownership of the cell, and its orders with it.
+        let _ = self.orders.send(order);
+    }
+
+    /// Returns whether all leases are over for certain.
+    pub fn is_lapsed(&self, lease: Duration, now: Instant) -> bool {
+        self.clock
+            .is_some_and(|clock| clock.lapsed_at(lease) <= now)
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/fleet/mod.rs
@@ -0,0 +1,14 @@
+//! The executors of a cell: their leases, what runs on them, and how far they are trusted.
+
+mod executor;
+mod executor_clock;
+mod health;
+mod order;
+mod run_view;
+
+pub use executor::Executor;
+pub use executor_clock::ExecutorClock;
+pub use health::Health;
+pub use order::Order;
+pub use run_view::RunPhase;
+pub use run_view::RunView;
--- /dev/null
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -0,0 +1,67 @@
+use dotterelhook_types::sizes::Resources;
+use tokio::time::Instant;
+
+use crate::model::Checkpoint;
+use crate::model::RunNumber;
+
+/// How far a run on an executor is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunPhase {
+    /// Chosen; its record is not stored yet.
+    Proposed,
+    /// Known from the store only, after a takeover.
+    Restored,
+    /// The start was handed over; no answer yet.
+    Ordered,
+    /// The executor took it, or lists it.
+    Running {
+        /// When that was learned.
+        since: Instant,
+    },
+    /// It is to stop; the stop may be on its way.
+    Stopping {
+        /// When the stop was last handed over.
+        sent_at: Instant,
+        /// When the executor answered the stop.
+        answered_at: Option<Instant>,
+    },
+}
+
+/// One run as it counts on its executor.
+#[derive(Clone, Debug)]
+pub struct RunView {
+    /// The run.
+    pub run: RunNumber,
+    /// What it takes from the executor's account.
+    pub reserved: Resources,
+    /// What it would use of the processor beyond the account, in thousandths of a core.
+    pub filler_cpu_milli: u64,
+    /// The tail that it must keep if it serves, in milliseconds.
+    pub tail_target_ms: Option<u64>,
+    /// How far it is.
+    pub phase: RunPhase,
+    /// The newest saved state that the executor listed.
+    pub checkpoint: Option<Checkpoint>,
+    /// How much of its work is done, 0 to 100.
+    pub progress_percent: f64,
+    /// When it was last seen to make progress.
+    pub progressed_at: Instant,
+    /// The executor's last figure: tail in milliseconds if it serves, else thousandths of a core.
+    pub recent_figure: Option<f64>,
+    /// The share at which it may work.
+    pub pace_percent: u32,
+    /// Reports in a row that did not list it though it should run.
+    pub missed_reports: u32,
+}
+
+impl RunView {
+    /// Returns whether the run serves users of its own.
+    pub fn is_serving(&self) -> bool {
+        self.tail_target_ms.is_some()
+    }
+
+    /// Returns whether it uses what others leave.
+    pub fn is_filler(&self) -> bool {
+        self.filler_cpu_milli > 0
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ledger/codec.rs
@@ -0,0 +1,49 @@
+use std::error::Error;
+use std::fmt;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Stands before each record, so that a later layout can be told from this one.
+const LAYOUT: u8 = 1;
+
+/// A record that can't be encoded or decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CodecError(Box<str>);
+
+impl fmt::Display for CodecError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl Error for CodecError {}
+
+/// Encodes a record of the store or a frame between hosts.
+///
+/// # Errors
+/// The value has a form that the encoding does not support.
+pub fn encode<T: Serialize>(value: &T) -> Result<Bytes, CodecError> {
+    let mut frame = vec![LAYOUT];
+    bincode::serde::encode_into_std_write(value, &mut frame, bincode::config::standard())
+        .map_err(|error| CodecError(error.to_string().into()))?;
+    Ok(frame.into())
+}
+
+/// Decodes a record of the store or a frame between hosts.
+///
+/// # Errors
+/// The bytes are of another layout, cut off or followed by others.
+pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, CodecError> {
+    let Some((&LAYOUT, body)) = frame.split_first() else {
+        return Err(CodecError("the record has an unknown layout".into()));
+    };
+    let (value, used) = bincode::serde::decode_from_slice(body, bincode::config::standard())
+        .map_err(|error| CodecError(error.to_string().into()))?;
+    if used == body.len() {
+        Ok(value)
+    } else {
+        Err(CodecError("bytes follow the record".into()))
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ledger/mod.rs
@@ -0,0 +1,17 @@
+//! What is known of each job: its submission, how far it is, and what its client is told.
+
+mod codec;
+mod job;
+mod job_ledger;
+mod job_progress;
+
+pub use codec::CodecError;
+pub use codec::decode;
+pub use codec::encode;
+pub use job::Job;
+pub use job::StepRef;
+pub use job_ledger::FinishedJob;
+pub use job_ledger::JobLedger;
+pub use job_progress::JobProgress;
+pub use job_progress::TaskProgress;
+pub use job_progress::TaskStatus;
--- /dev/null
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -0,0 +1,88 @@
+use std::time::Duration;
+
+use dotterelhook_kernel::Metrics;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+
+/// The bounds of latency histograms, in seconds; they span a store's answer to a late job.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0, 10.0];
+
+/// What happened, and how it ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Outcome {
+    /// What was done.
+    pub kind: &'static str,
+    /// How it ended.
+    pub outcome: &'static str,
+}
+
+/// Counters and latencies of one process.
+#[derive(Clone, Debug)]
+pub struct JobMetrics {
+    /// Clients' calls by kind and status.
+    pub calls: Family<Outcome, Counter>,
+    /// Calls to the store by kind and outcome.
+    pub store_calls: Family<Outcome, Counter>,
+    /// Orders to executors by kind and outcome.
+    pub orders: Family<Outcome, Counter>,
+    /// Takeovers of cells.
+    pub takeovers: Counter,
+    /// The time to answer a client's call.
+    pub call_seconds: Histogram,
+    /// The time of a call to the store that does not wait for records.
+    pub store_seconds: Histogram,
+    /// The time to take a cell over.
+    pub takeover_seconds: Histogram,
+}
+
+impl Default for JobMetrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(LATENCY_BUCKETS_S);
+        Self {
+            calls: Family::default(),
+            store_calls: Family::default(),
+            orders: Family::default(),
+            takeovers: Counter::default(),
+            call_seconds: histogram(),
+            store_seconds: histogram(),
+            takeover_seconds: histogram(),
+        }
+    }
+}
+
+impl JobMetrics {
+    /// Shows the metrics on the metrics address.
+    pub fn register(&self, metrics: &Metrics) {
+        metrics.register(|registry| {
+            registry.register("calls", "Clients' calls", self.calls.clone());
+            registry.register(
+                "store_calls",
+                "Calls to the store",
+                self.store_calls.clone(),
+            );
+            registry.register("orders", "Orders to executors", self.orders.clone());
+            registry.register("takeovers", "Takeovers of cells", self.takeovers.clone());
+            let help = "Time to answer a client";
+            registry.register("call_seconds", help, self.call_seconds.clone());
+            let help = "Time of a call to the store";
+            registry.register("store_seconds", help, self.store_seconds.clone());
+            let help = "Time to take a cell over";
+            registry.register("takeover_seconds", help, self.takeover_seconds.clone());
+        });
+    }
+
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        self.store_calls
+            .get_or_create(&Outcome { kind, outcome })
+            .inc();
+        self.store_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts an order to an executor.
+    pub fn count_order(&self, kind: &'static str, outcome: &'static str) {
+        self.orders.get_or_create(&Outcome { kind, outcome }).inc();
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/observe/mod.rs
@@ -0,0 +1,9 @@
+//! What a process tells of its decisions: log lines and metrics.
+
+mod decision;
+mod job_metrics;
+
+pub use decision::Decision;
+pub(crate) use decision::decided;
+pub use job_metrics::JobMetrics;
+pub use job_metrics::Outcome;
--- /dev/null
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -0,0 +1,347 @@
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use dotterelhook_types::CallError;
+use dotterelhook_types::ids::Sequence;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::MemberName;
+use super::OwnerDirectory;
+use super::OwnerRecord;
+use super::commit_loop::CommitLoop;
+use super::executor_session::ExecutorSession;
+use super::takeover::Takeover;
+use super::takeover::read_record;
+use super::takeover::take_over;
+use super::topics::CANCELLATION_MARK;
+use super::topics::cell_of;
+use crate::border::KeyedRecord;
+use crate::border::Platform;
+use crate::border::Store;
+use crate::border::StoreError;
+use crate::cell::CellSettings;
+use crate::cell::CellState;
+use crate::cell::StateAnswer;
+use crate::config::ConfigBoard;
+use crate::feed::FeedBatch;
+use crate::feed::KeyedFeed;
+use crate::feed::StoreHealth;
+use crate::model::JobId;
+use crate::model::JobState;
+use crate::model::QueueName;
+use crate::model::Submission;
+use crate::observe::Decision;
+use crate::observe::JobMetrics;
+use crate::observe::decided;
+
+/// How long a read of submissions waits for the next one; bounds the age of what is known.
+const SUBMISSIONS_HOLD: Duration = Duration::from_millis(1_000);
+/// The greatest age of the last read at which a job may be called unknown.
+const FRESH_MAX: Duration = Duration::from_millis(2_500);
+/// The pause between reads of the executors' records, which change all the time.
+const EXECUTORS_PAUSE: Duration = Duration::from_millis(400);
+/// The pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The time between looks at timers.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the owners of cells in one process share.
+pub struct OwnerContext {
+    /// The platform.
+    pub platform: Arc<dyn Platform>,
+    /// Its store, with its calls counted.
+    pub store: Arc<dyn Store>,
+    /// Whether the store can be reached.
+    pub health: Arc<StoreHealth>,
+    /// The configuration in force.
+    pub config: Arc<ConfigBoard>,
+    /// The owners of all cells.
+    pub directory: Arc<OwnerDirectory>,
+    /// How cells are run.
+    pub settings: Arc<CellSettings>,
+    /// This process.
+    pub member: MemberName,
+    /// Where this process takes calls of other hosts.
+    pub peer_address: std::net::SocketAddr,
+    /// What is counted.
+    pub metrics: JobMetrics,
+}
+
+/// The owner of one cell, from its claim until it is replaced or stops.
+pub struct CellOwner {
+    cell: u32,
+    context: Arc<OwnerContext>,
+    state: Mutex<CellState>,
+    /// Something may be placed or stored.
+    pub(super) wake: Notify,
+    /// A batch was stored.
+    pub(super) stored: Notify,
+    /// Ends everything that acts for this owner.
+    released: CancellationToken,
+    submissions_read_at: Mutex<Instant>,
+}
+
+impl CellOwner {
+    /// Claims a cell and begins to act for it.
+    ///
+    /// # Errors
+    /// The store can't be reached, or another host claims the cell as well.
+    pub async fn claim(context: Arc<OwnerContext>, cell: u32) -> Result<Arc<Self>, StoreError> {
+        let started = Instant::now();
+        let Takeover {
+            state,
+            submissions,
+            next_sequence,
+        } = take_over(&context, cell).await?;
+        let record = OwnerRecord {
+            epoch: state.epoch(),
+            member: context.member.clone(),
+            address: context.peer_address,
+        };
+        let jobs = state.ledger().jobs().count();
+        let owner = Arc::new(Self {
+            cell,
+            state: Mutex::new(state),
+            wake: Notify::new(),
+            stored: Notify::new(),
+            released: CancellationToken::new(),
+            submissions_read_at: Mutex::new(started),
+            context: Arc::clone(&context),
+        });
+        context.directory.publish(cell, &record).await?;
+        context.metrics.takeovers.inc();
+        context
+            .metrics
+            .takeover_seconds
+            .observe(started.elapsed().as_secs_f64());
+        decided!(Decision::CellClaimed, cell: cell, epoch: record.epoch, open_jobs: jobs, took_ms: started.elapsed().as_millis());
+        owner.start(submissions, next_sequence);
+        Ok(owner)
+    }
+
+    /// Returns the cell's number.
+    pub fn cell(&self) -> u32 {
+        self.cell
+    }
+
+    /// Returns whether this owner still acts for the cell.
+    pub fn is_active(&self) -> bool {
+        !self.released.is_cancelled()
+    }
+
+    /// Stops acting for the cell.
+    pub fn release(&self, cause: &str) {
+        if self.is_active() {
+            let epoch = self.lock().epoch();
+            decided!(Decision::CellReleased, cell: self.cell, epoch: epoch, cause: cause);
+            self.released.cancel();
+        }
+    }
+
+    /// Waits until this owner acts no more.
+    pub async fn released(&self) {
+        self.released.cancelled().await;
+    }
+
+    /// Waits until everything that is decided is stored, or the limit is over.
+    pub async fn flush(&self, limit: Duration) {
+        let deadline = Instant::now() + limit;
+        while self.is_active() && self.lock().has_batch() && Instant::now() < deadline {
+            self.wake.notify_one();
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Returns what a client may be told of its job.
+    ///
+    /// # Errors
+    /// Submissions have not been read lately, so an unknown job may exist.
+    pub fn job_state(&self, id: JobId) -> Result<Option<JobState>, CallError> {
+        if let StateAnswer::Known(state) = self.lock().state_of(id) {
+            return Ok(Some(state));
+        }
+        let read_at = *self
+            .submissions_read_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if read_at.elapsed() <= FRESH_MAX {
+            Ok(None)
+        } else {
+            Err(CallError::not_run("submissions have not been read lately"))
+        }
+    }
+
+    /// Returns the number of a queue's jobs that have not begun.
+    pub fn pending_count(&self, queue: &QueueName) -> u64 {
+        self.lock().pending_count(queue)
+    }
+
+    /// Changes or looks at the state.
+    pub(super) fn with<T>(&self, act: impl FnOnce(&mut CellState) -> T) -> T {
+        act(&mut self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, CellState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn context(&self) -> &OwnerContext {
+        &self.context
+    }
+
+    /// Returns whether leases may be renewed, by the last contact with the store.
+    pub(super) fn may_renew(&self) -> bool {
+        self.context.health.silence() <= self.context.settings.renewal_right
+    }
+
+    fn start(self: &Arc<Self>, submissions: KeyedFeed, next_sequence: Sequence) {
+        let tasks: [std::pin::Pin<Box<dyn Future<Output = ()> + Send>>; 4] = [
+            Box::pin(Arc::clone(self).follow_submissions(submissions)),
+            Box::pin(Arc::clone(self).follow_executors()),
+            Box::pin(Arc::clone(self).follow_time()),
+            Box::pin(CommitLoop::new(Arc::clone(self), next_sequence).run()),
+        ];
+        for task in tasks {
+            tokio::spawn(self.released.clone().run_until_cancelled_owned(task));
+        }
+    }
+
+    async fn follow_submissions(self: Arc<Self>, mut feed: KeyedFeed) {
+        loop {
+            let asked_at = Instant::now();
+            match feed.next(SUBMISSIONS_HOLD).await {
+                Ok(FeedBatch::Snapshot(records) | FeedBatch::Changes(records)) => {
+                    for record in &records {
+                        self.take_submission(record);
+                    }
+                    *self
+                        .submissions_read_at
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner) = asked_at;
+                    if !records.is_empty() {
+                        self.wake.notify_one();
+                    }
+                }
+                // The store's health is logged where it is tracked.
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn take_submission(&self, record: &KeyedRecord) {
+        if record.value.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        if let Some(id) = record.key.strip_prefix(CANCELLATION_MARK) {
+            if let Ok(id) = JobId::from_str(id) {
+                self.lock().cancel(id, now);
+            }
+        } else if let Some((id, submission)) = read_record::<Submission>(record) {
+            self.lock().accept(id, Arc::new(submission), now);
+        }
+    }
+
+    async fn follow_executors(self: Arc<Self>) {
+        let partition = self.context.platform.executor_partition();
+        let mut feed = KeyedFeed::new(Arc::clone(&self.context.store), partition);
+        loop {
+            match feed.next(Duration::ZERO).await {
+                Ok(batch) => self.take_executors(batch),
+                Err(_) => {
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            }
+            sleep(EXECUTORS_PAUSE).await;
+        }
+    }
+
+    fn take_executors(self: &Arc<Self>, batch: FeedBatch) {
+        let records = match batch {
+            FeedBatch::Changes(records) => records,
+            FeedBatch::Snapshot(records) => {
+                let mut state = self.lock();
+                let gone: Vec<_> = state
+                    .executors()
+                    .map(|executor| executor.entry.id.clone())
+                    .filter(|id| records.iter().all(|record| &*record.key != id.as_str()))
+                    .collect();
+                for id in gone {
+                    state.unlist_executor(&id);
+                }
+                records
+            }
+        };
+        let cell_count = self.context.settings.cell_count;
+        for record in &records {
+            if cell_of(&record.key, cell_count) == self.cell {
+                self.take_executor(record);
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    fn take_executor(self: &Arc<Self>, record: &KeyedRecord) {
+        let id = record.key.as_ref().into();
+        if record.value.is_empty() {
+            self.lock().unlist_executor(&id);
+            return;
+        }
+        let decoded = self
+            .context
+            .platform
+            .decode_executor(&record.key, &record.value);
+        let entry = match decoded {
+            Ok(entry) => entry,
+            Err(error) => {
+                decided!(Decision::ExecutorUnreadable, executor: id, cause: error);
+                self.lock().unlist_executor(&id);
+                return;
+            }
+        };
+        let address = entry.address;
+        let orders = self.lock().list_executor(entry, Instant::now());
+        if let Some(orders) = orders {
+            let link = self.context.platform.link(&id, address);
+            let session = ExecutorSession::new(Arc::clone(self), id, link);
+            let released = self.released.clone();
+            tokio::spawn(released.run_until_cancelled_owned(session.run(orders)));
+        }
+    }
+
+    async fn follow_time(self: Arc<Self>) {
+        let mut config = self.context.config.watch();
+        loop {
+            tokio::select! {
+                () = sleep(TICK) => {}
+                changed = config.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+            let newest = config.borrow_and_update().clone();
+            let now_unix = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default();
+            self.with(|state| {
+                if let Some(config) = newest {
+                    state.take_config(config);
+                }
+                state.open_due_occurrences(now_unix.as_millis() as u64);
+                state.lapse_silent(Instant::now());
+            });
+            self.wake.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -0,0 +1,93 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_types::ids::Sequence;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+use super::CellOwner;
+use super::topics;
+use crate::border::Fence;
+use crate::border::KeyedRecord;
+use crate::border::StoreError;
+use crate::cell::Batch;
+
+/// The first pause after a failed append.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause after failed appends.
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(400);
+
+/// Places waiting tasks, stores what was decided, and lets it take effect.
+pub(super) struct CommitLoop {
+    owner: Arc<CellOwner>,
+    next_sequence: Sequence,
+}
+
+impl CommitLoop {
+    pub(super) fn new(owner: Arc<CellOwner>, next_sequence: Sequence) -> Self {
+        Self {
+            owner,
+            next_sequence,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        loop {
+            self.owner.wake.notified().await;
+            let started = Instant::now();
+            let Some(batch) = self.next_batch(started) else {
+                continue;
+            };
+            if !batch.records.is_empty() && !self.store(&batch.records).await {
+                self.owner.release("the store refused an append");
+                return;
+            }
+            let has_more = self.owner.with(|state| {
+                state.batch_stored(batch, Instant::now());
+                state.has_batch()
+            });
+            if has_more {
+                self.owner.wake.notify_one();
+            }
+            self.owner.stored.notify_waiters();
+            sleep_until(started + self.owner.context().settings.commit_interval).await;
+        }
+    }
+
+    /// Places what waits and takes what is to be stored.
+    fn next_batch(&self, now: Instant) -> Option<Batch> {
+        self.owner.with(|state| {
+            if state.plan(now) {
+                self.owner.wake.notify_one();
+            }
+            state.has_batch().then(|| state.take_batch())
+        })
+    }
+
+    /// Appends until the outcome is certain; returns whether the records are stored.
+    async fn store(&mut self, records: &[KeyedRecord]) -> bool {
+        let fence = Fence {
+            epoch: self.owner.with(|state| state.epoch()),
+            sequence: self.next_sequence,
+        };
+        let partition = topics::progress_of(self.owner.cell());
+        let mut pause = RETRY_PAUSE;
+        loop {
+            let store = &self.owner.context().store;
+            match store.append(partition, records, Some(fence)).await {
+                Ok(_) => {
+                    self.next_sequence = self.next_sequence.next();
+                    return true;
+                }
+                Err(StoreError::Fenced | StoreError::OutOfSequence | StoreError::Expired) => {
+                    return false;
+                }
+                Err(StoreError::NotDone(_) | StoreError::Unknown(_)) => {
+                    sleep(pause).await;
+                    pause = (pause * 2).min(RETRY_PAUSE_MAX);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -0,0 +1,212 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::CellOwner;
+use crate::border::ExecutorLink;
+use crate::border::OrderError;
+use crate::border::PaceOrder;
+use crate::fleet::Order;
+use crate::model::ExecutorId;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+
+/// Orders under way to one executor at once.
+const ORDERS_AT_ONCE_MAX: usize = 4;
+/// How often an order is sent before its outcome counts as unknown.
+const TRIES_MAX: u32 = 3;
+/// The pause between tries.
+const TRY_PAUSE: Duration = Duration::from_millis(30);
+/// The longest wait until ends are stored before the executor is asked again all the same.
+const STORED_WAIT_MAX: Duration = Duration::from_millis(500);
+/// The first pause after a renewal without an answer.
+const RENEWAL_PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause after renewals without an answer.
+const RENEWAL_PAUSE_MAX: Duration = Duration::from_millis(800);
+
+/// Renews the leases on one executor and carries orders to it.
+pub(super) struct ExecutorSession {
+    owner: Arc<CellOwner>,
+    id: ExecutorId,
+    link: Arc<dyn ExecutorLink>,
+    orders_at_once: Arc<Semaphore>,
+}
+
+impl ExecutorSession {
+    pub(super) fn new(owner: Arc<CellOwner>, id: ExecutorId, link: Arc<dyn ExecutorLink>) -> Self {
+        Self {
+            owner,
+            id,
+            link,
+            orders_at_once: Arc::new(Semaphore::new(ORDERS_AT_ONCE_MAX)),
+        }
+    }
+
+    pub(super) async fn run(self, orders: UnboundedReceiver<Order>) {
+        let session = Arc::new(self);
+        tokio::select! {
+            () = session.renew() => {}
+            () = Arc::clone(&session).carry(orders) => {}
+        }
+    }
+
+    /// Asks again and again until the executor is counted no more.
+    async fn renew(&self) {
+        let mut pause = RENEWAL_PAUSE;
+        loop {
+            let may_renew = self.owner.may_renew();
+            let renewal = self.owner.with(|state| state.renewal(&self.id, may_renew));
+            let Some(renewal) = renewal else {
+                return;
+            };
+            let asked_at = Instant::now();
+            match self.link.renew(&renewal).await {
+                Ok(report) => {
+                    pause = RENEWAL_PAUSE;
+                    self.count("renew", "ok");
+                    let now = Instant::now();
+                    self.owner
+                        .with(|state| state.take_report(&self.id, report, asked_at, now));
+                    self.owner.wake.notify_one();
+                    self.wait_until_stored().await;
+                }
+                Err(OrderError::Fenced) => {
+                    self.owner.release("an executor obeys a later owner");
+                    return;
+                }
+                Err(_) => {
+                    self.count("renew", "failed");
+                    sleep(pause).await;
+                    pause = (pause * 2).min(RENEWAL_PAUSE_MAX);
+                }
+            }
+        }
+    }
+
+    /// Waits for the ends of the last report to be stored: until then the executor would repeat
+    /// them at once.
+    async fn wait_until_stored(&self) {
+        let deadline = Instant::now() + STORED_WAIT_MAX;
+        loop {
+            let stored = self.owner.stored.notified();
+            if !self.owner.with(|state| state.has_unstored_ends(&self.id)) {
+                return;
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if timeout(left, stored).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn carry(self: Arc<Self>, mut orders: UnboundedReceiver<Order>) {
+        while let Some(order) = orders.recv().await {
+            let Ok(permit) = Arc::clone(&self.orders_at_once).acquire_owned().await else {
+                return;
+            };
+            let session = Arc::clone(&self);
+            tokio::spawn(async move {
+                match order {
+                    Order::Start(task, run) => session.start(task, run).await,
+                    Order::Stop(task, run) => session.stop(task, run).await,
+                    Order::Pace(task, run, percent) => session.pace(task, run, percent).await,
+                }
+                drop(permit);
+            });
+        }
+    }
+
+    async fn start(&self, task: TaskId, run: RunNumber) {
+        let mut may_have_run = false;
+        for attempt in 1..=TRIES_MAX {
+            if !self.owner.is_active() {
+                return;
+            }
+            let order = self
+                .owner
+                .with(|state| state.start_order(&self.id, task, run));
+            let Some(order) = order else {
+                if may_have_run {
+                    break;
+                }
+                return;
+            };
+            let answer = self.link.start(&order).await;
+            self.count("start", outcome_name(&answer));
+            match answer {
+                Err(OrderError::Fenced) => {
+                    self.owner.release("an executor obeys a later owner");
+                    return;
+                }
+                Err(OrderError::Unknown(_)) if attempt < TRIES_MAX => may_have_run = true,
+                Err(OrderError::NotSent(_)) if attempt < TRIES_MAX => {}
+                Err(OrderError::NotSent(cause)) if may_have_run => {
+                    return self.started(task, run, Err(OrderError::Unknown(cause)));
+                }
+                answer => return self.started(task, run, answer),
+            }
+            sleep(TRY_PAUSE).await;
+        }
+    }
+
+    fn started(&self, task: TaskId, run: RunNumber, answer: Result<(), OrderError>) {
+        let now = Instant::now();
+        self.owner
+            .with(|state| state.start_answered(&self.id, task, run, answer, now));
+        self.owner.wake.notify_one();
+    }
+
+    async fn stop(&self, task: TaskId, run: RunNumber) {
+        for _ in 0..TRIES_MAX {
+            if !self.owner.is_active() {
+                return;
+            }
+            let order = self.owner.with(|state| state.stop_order(task, run));
+            let answer = self.link.stop(&order).await;
+            self.count("stop", outcome_name(&answer));
+            if answer == Err(OrderError::Fenced) {
+                self.owner.release("an executor obeys a later owner");
+                return;
+            }
+            let is_answered = answer.is_ok();
+            let now = Instant::now();
+            self.owner
+                .with(|state| state.stop_answered(&self.id, task, run, answer, now));
+            if is_answered {
+                return;
+            }
+            sleep(TRY_PAUSE).await;
+        }
+    }
+
+    async fn pace(&self, task: TaskId, run: RunNumber, percent: u32) {
+        let order = PaceOrder {
+            token: self.owner.with(|state| state.epoch()),
+            task,
+            run,
+            percent,
+        };
+        let answer = self.link.pace(&order).await;
+        self.count("pace", outcome_name(&answer));
+    }
+
+    fn count(&self, kind: &'static str, outcome: &'static str) {
+        self.owner.context().metrics.count_order(kind, outcome);
+    }
+}
+
+fn outcome_name(answer: &Result<(), OrderError>) -> &'static str {
+    match answer {
+        Ok(()) => "ok",
+        Err(OrderError::Refused(_)) => "refused",
+        Err(OrderError::Fenced) => "fenced",
+        Err(OrderError::OtherExecutor) => "other-executor",
+        Err(OrderError::NotSent(_)) => "not-sent",
+        Err(OrderError::Unknown(_)) => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ownership/member_name.rs
@@ -0,0 +1,46 @@
+use std::error::Error;
+use std::fmt;
+use std::str::FromStr;
+
+use dotterelhook_types::ids::Incarnation;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A text that is not a member's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemberNameError;
+
+impl fmt::Display for MemberNameError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a member's name has the form HOST/INCARNATION")
+    }
+}
+
+impl Error for MemberNameError {}
+
+/// One life of a process on a host, as it stands in the store's group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct MemberName {
+    /// The host.
+    pub host: Box<str>,
+    /// Tells a restarted process from its predecessor.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for MemberName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.host, self.incarnation)
+    }
+}
+
+impl FromStr for MemberName {
+    type Err = MemberNameError;
+
+    fn from_str(text: &str) -> Result<Self, MemberNameError> {
+        let (host, incarnation) = text.rsplit_once('/').ok_or(MemberNameError)?;
+        Ok(Self {
+            host: host.into(),
+            incarnation: incarnation.parse().map_err(|_| MemberNameError)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -0,0 +1,143 @@
+use std::collections::HashMap;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use dotterelhook_types::ids::Epoch;
+use dotterelhook_types::ids::Sequence;
+use rand::RngExt;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::OwnerContext;
+use super::topics;
+use super::topics::CANCELLATION_MARK;
+use crate::border::Fence;
+use crate::border::KeyedRecord;
+use crate::border::StoreError;
+use crate::cell::CellState;
+use crate::feed::FeedBatch;
+use crate::feed::KeyedFeed;
+use crate::ledger::JobProgress;
+use crate::ledger::decode;
+use crate::model::JobId;
+use crate::model::Submission;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// The bits of an epoch that tell claims of the same generation apart.
+const EPOCH_SALT_BITS: u32 = 16;
+/// How often a claim is tried again before the next look at the group.
+const CLAIMS_MAX: u32 = 4;
+/// The pause before another claim.
+const CLAIM_PAUSE: Duration = Duration::from_millis(100);
+/// The greatest age that a restored job is given; the clocks of hosts may differ.
+const AGE_MAX: Duration = Duration::from_secs(600);
+
+/// A cell that was taken over: its state, and where to read on.
+pub(super) struct Takeover {
+    pub(super) state: CellState,
+    pub(super) submissions: KeyedFeed,
+    pub(super) next_sequence: Sequence,
+}
+
+/// Claims a cell and rebuilds its state from the store.
+///
+/// From the claim on, the store refuses what the former owner appends; what is read afterwards is
+/// therefore complete.
+pub(super) async fn take_over(context: &OwnerContext, cell: u32) -> Result<Takeover, StoreError> {
+    let epoch = claim(context, cell).await?;
+    let now = Instant::now();
+    let settings = Arc::clone(&context.settings);
+    let config = context.config.current().unwrap_or_default();
+    let mut state = CellState::new(settings, epoch, config, now);
+    let mut progress_feed = KeyedFeed::new(Arc::clone(&context.store), topics::progress_of(cell));
+    let mut progress = HashMap::new();
+    for record in records(progress_feed.next(Duration::ZERO).await?) {
+        if let Some((id, value)) = read_record::<JobProgress>(&record) {
+            progress.insert(id, value);
+        }
+    }
+    let mut submissions = KeyedFeed::new(Arc::clone(&context.store), topics::submissions_of(cell));
+    let stored = records(submissions.next(Duration::ZERO).await?);
+    let mut cancelled = Vec::new();
+    for record in &stored {
+        if let Some(id) = record.key.strip_prefix(CANCELLATION_MARK) {
+            cancelled.extend(JobId::from_str(id).ok());
+        } else if let Some((id, submission)) = read_record::<Submission>(record) {
+            let age = age_of(&submission);
+            let accepted_at = now.checked_sub(age).unwrap_or(now);
+            let progress = progress.remove(&id).unwrap_or_default();
+            state.restore(id, Arc::new(submission), progress, accepted_at);
+        }
+    }
+    for id in cancelled {
+        state.cancel(id, now);
+    }
+    Ok(Takeover {
+        state,
+        submissions,
+        next_sequence: Sequence(1),
+    })
+}
+
+/// Raises the cell's epoch at the store and returns it.
+async fn claim(context: &OwnerContext, cell: u32) -> Result<Epoch, StoreError> {
+    let mut generation = 0;
+    for _ in 0..CLAIMS_MAX {
+        context.directory.refresh().await?;
+        let known = context.directory.owner(cell);
+        let known = known.map_or(0, |owner| owner.epoch.0 >> EPOCH_SALT_BITS);
+        generation = (generation + 1).max(known + 1);
+        let salt: u64 = rand::rng().random_range(0..1 << EPOCH_SALT_BITS);
+        let epoch = Epoch(generation << EPOCH_SALT_BITS | salt);
+        let fence = Fence {
+            epoch,
+            sequence: Sequence(0),
+        };
+        let claimed = context
+            .store
+            .append(topics::progress_of(cell), &[], Some(fence))
+            .await;
+        match claimed {
+            Ok(_) => return Ok(epoch),
+            Err(StoreError::Fenced) => sleep(CLAIM_PAUSE).await,
+            Err(error) => return Err(error),
+        }
+    }
+    Err(StoreError::Fenced)
+}
+
+fn records(batch: FeedBatch) -> Vec<KeyedRecord> {
+    match batch {
+        FeedBatch::Snapshot(records) | FeedBatch::Changes(records) => records,
+    }
+}
+
+/// Reads a record of our own whose key is a job's id.
+pub(super) fn read_record<T: serde::de::DeserializeOwned>(
+    record: &KeyedRecord,
+) -> Option<(JobId, T)> {
+    let id = JobId::from_str(&record.key);
+    match (id, decode(&record.value)) {
+        (Ok(id), Ok(value)) => Some((id, value)),
+        (Err(error), _) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+        (_, Err(error)) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+    }
+}
+
+fn age_of(submission: &Submission) -> Duration {
+    let now_unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let accepted_unix = Duration::from_millis(submission.accepted_unix_ms);
+    now_unix.saturating_sub(accepted_unix).min(AGE_MAX)
+}
--- /dev/null
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -0,0 +1,68 @@
+use super::Placement;
+use super::PlacementRequest;
+use crate::fleet::Executor;
+use crate::model::StepSpec;
+
+/// The share of its reservation that a serving task uses on average.
+const SERVING_USE: f64 = 0.45;
+/// The least share of a filler's processor need that must be left for it.
+const FILLER_SHARE_MIN: f64 = 0.6;
+/// What a score gains on the rack that holds the step's data.
+const RACK_BONUS: f64 = 10.0;
+
+/// Gives each kind of task the executor that disturbs it least.
+///
+/// Fillers go where most processor time is left over; serving tasks are packed, so that other
+/// executors stay free of them; the rest goes where most is free.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeftoverPlacement;
+
+impl Placement for LeftoverPlacement {
+    fn score(&self, request: &PlacementRequest<'_>, executor: &Executor) -> Option<f64> {
+        let step = request.step;
+        let free = executor.free();
+        if !step.reserved().fits_in(&free) {
+            return None;
+        }
+        let has_label = |label| executor.entry.labels.contains(label);
+        if step
+            .required_label
+            .as_ref()
+            .is_some_and(|label| !has_label(label))
+        {
+            return None;
+        }
+        let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
+        let bonus = match &step.preferred_rack {
+            Some(rack) if has_label(rack) => RACK_BONUS,
+            _ => 0.0,
+        };
+        let score = if step.is_filler {
+            let left_milli = leftover_milli(executor);
+            if left_milli < FILLER_SHARE_MIN * step.need.cpu_milli.0 as f64 {
+                return None;
+            }
+            left_milli / capacity_milli
+        } else if step.is_long_running {
+            executor.used().cpu_milli.0 as f64 / capacity_milli
+        } else {
+            free.cpu_milli.0 as f64 / capacity_milli
+        };
+        Some(score + bonus)
+    }
+}
+
+/// Returns the processor time that fillers can still get, in thousandths of a core.
+fn leftover_milli(executor: &Executor) -> f64 {
+    let serving_milli = executor.serving_cpu_milli();
+    let other_milli = executor.used().cpu_milli.0.saturating_sub(serving_milli);
+    executor.entry.capacity.cpu_milli.0 as f64
+        - SERVING_USE * serving_milli as f64
+        - other_milli as f64
+        - executor.filler_cpu_milli() as f64
+}
+
+/// Returns whether an executor of this size could ever run a task of the step.
+pub(crate) fn could_fit(step: &StepSpec, executor: &Executor) -> bool {
+    step.reserved().fits_in(&executor.entry.capacity)
+}
--- a/crates/peer/src/config/config_follower.rs
+++ b/crates/peer/src/config/config_follower.rs
@@ -2,13 +2,13 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::LogPage;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::names;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::LogPage;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Offset;
--- a/crates/peer/src/config/config_store.rs
+++ b/crates/peer/src/config/config_store.rs
@@ -7,9 +7,9 @@
 use std::sync::atomic::Ordering;
 
 use arc_swap::ArcSwap;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::LogPage;
 use dotterelhook_kernel::Metrics;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::LogPage;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::Offset;
 use spdlog::info;
--- a/crates/peer/src/config/snapshot_keeper.rs
+++ b/crates/peer/src/config/snapshot_keeper.rs
@@ -2,8 +2,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::Log;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::config::SNAPSHOT_STREAM;
 use dotterelhook_state::config::split;
--- a/crates/peer/src/config/snapshot_reader.rs
+++ b/crates/peer/src/config/snapshot_reader.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::Log;
 use dotterelhook_state::config::Assembly;
 use dotterelhook_state::config::SNAPSHOT_STREAM;
 use dotterelhook_state::config::Snapshot;
--- a/crates/peer/src/hosts/host_follower.rs
+++ b/crates/peer/src/hosts/host_follower.rs
@@ -3,12 +3,12 @@
 
 use arc_swap::ArcSwap;
 use async_trait::async_trait;
+use dotterelhook_borders::hosts::HostList;
+use dotterelhook_borders::hosts::HostSnapshot;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::names;
-use dotterelhook_platform::hosts::HostList;
-use dotterelhook_platform::hosts::HostSnapshot;
 
 use super::HostView;
 use super::accept_list;
--- a/crates/peer/src/hosts/host_view.rs
+++ b/crates/peer/src/hosts/host_view.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostSnapshot;
 
 /// Read access to the platform's host list.
 pub trait HostView: Send + Sync {
--- a/crates/peer/src/hosts/vanished.rs
+++ b/crates/peer/src/hosts/vanished.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::TargetEntry;
-use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::TargetEntry;
+use dotterelhook_borders::hosts::WorkerEntry;
 use dotterelhook_types::ids::FailureDomain;
 
 /// A list to go by, and the failure domains whose last known entries it keeps.
--- a/crates/peer/src/membership/member_exchange.rs
+++ b/crates/peer/src/membership/member_exchange.rs
@@ -4,8 +4,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use dotterelhook_borders::clock::Clock;
 use dotterelhook_kernel::Metrics;
-use dotterelhook_platform::clock::Clock;
 use dotterelhook_types::ids::TargetId;
 use rapidhash::v3::rapidhash_v3;
 use tokio_util::sync::CancellationToken;
--- a/crates/peer/src/membership/membership_service.rs
+++ b/crates/peer/src/membership/membership_service.rs
@@ -1,11 +1,11 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use dotterelhook_borders::clock::Clock;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::names;
-use dotterelhook_platform::clock::Clock;
 use eyre::WrapErr;
 use tokio::net::UdpSocket;
 use tokio::time::MissedTickBehavior;
--- a/crates/peer/tests/config_follower.rs
+++ b/crates/peer/tests/config_follower.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::log::LogFault;
-use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_borders::log::LogFault;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_types::ids::Offset;
 use fixture::follow;
--- a/crates/peer/tests/config_peers.rs
+++ b/crates/peer/tests/config_peers.rs
@@ -7,11 +7,11 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dotterelhook_borders::log::LogFault;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::rpc::PeerHandler;
 use dotterelhook_peer::rpc::PeerHandlers;
-use dotterelhook_platform::log::LogFault;
-use dotterelhook_platform::log::MemoryLog;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Offset;
 use fixture::publish;
--- a/crates/peer/tests/config_snapshots.rs
+++ b/crates/peer/tests/config_snapshots.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::LogFault;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_peer::config::read_snapshot;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::LogFault;
-use dotterelhook_platform::log::MemoryLog;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_state::config::SNAPSHOT_STREAM;
 use dotterelhook_state::config::split;
--- a/crates/peer/tests/hosts.rs
+++ b/crates/peer/tests/hosts.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::MemoryHostList;
+use dotterelhook_borders::hosts::TargetEntry;
+use dotterelhook_borders::hosts::WorkerEntry;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::hosts::HostFollower;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::hosts::accept_list;
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::MemoryHostList;
-use dotterelhook_platform::hosts::TargetEntry;
-use dotterelhook_platform::hosts::WorkerEntry;
 
 const POLL: Duration = Duration::from_secs(2);
 
--- a/crates/peer/tests/support/network.rs
+++ b/crates/peer/tests/support/network.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_borders::clock::ManualClock;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::MemberExchange;
@@ -12,7 +13,6 @@
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Outgoing;
 use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::clock::ManualClock;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::Incarnation;
 use rand::RngExt;
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -2,15 +2,15 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::http::JsonAnswer;
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_kernel::http::AnswerBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::http::JsonAnswer;
-use dotterelhook_platform::http::JsonClient;
 use dotterelhook_state::shard::RunSpec;
 use dotterelhook_state::shard::ShardId;
 use dotterelhook_types::CallError;
--- a/crates/scheduler/src/shard/append_task.rs
+++ b/crates/scheduler/src/shard/append_task.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::Log;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Offset;
 use tokio::sync::mpsc;
--- a/crates/scheduler/src/shard/interference_watch.rs
+++ b/crates/scheduler/src/shard/interference_watch.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
-use dotterelhook_platform::worker::Inventory;
-use dotterelhook_platform::worker::UsageSample;
+use dotterelhook_borders::worker::Inventory;
+use dotterelhook_borders::worker::UsageSample;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_types::ids::AttemptId;
--- a/crates/scheduler/src/shard/inventories.rs
+++ b/crates/scheduler/src/shard/inventories.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeMap;
 
-use dotterelhook_platform::worker::AttemptReport;
-use dotterelhook_platform::worker::AttemptStatus;
-use dotterelhook_platform::worker::Inventory;
-use dotterelhook_platform::worker::StopBody;
+use dotterelhook_borders::worker::AttemptReport;
+use dotterelhook_borders::worker::AttemptStatus;
+use dotterelhook_borders::worker::Inventory;
+use dotterelhook_borders::worker::StopBody;
 use dotterelhook_state::shard::AttemptEnd;
 use dotterelhook_state::shard::OpenAttempt;
 use dotterelhook_state::shard::RunStatus;
--- a/crates/scheduler/src/shard/placing.rs
+++ b/crates/scheduler/src/shard/placing.rs
@@ -2,7 +2,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use dotterelhook_platform::worker::Inventory;
+use dotterelhook_borders::worker::Inventory;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_types::ids::RunId;
--- a/crates/scheduler/src/shard/read_back.rs
+++ b/crates/scheduler/src/shard/read_back.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use dotterelhook_platform::log::LogPage;
+use dotterelhook_borders::log::LogPage;
 use dotterelhook_state::shard::AttemptEnd;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::ShardRecord;
--- a/crates/scheduler/src/shard/reader.rs
+++ b/crates/scheduler/src/shard/reader.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::LogPage;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::LogPage;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_types::ids::Offset;
 use spdlog::warn;
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -1,12 +1,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::worker::WorkerAgents;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::hosts::HostView;
 use dotterelhook_peer::membership::MembershipView;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::worker::WorkerAgents;
 use dotterelhook_state::shard::ShardId;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostSnapshot;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::ShardState;
--- a/crates/scheduler/src/shard/snapshots.rs
+++ b/crates/scheduler/src/shard/snapshots.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::Log;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_state::shard::SnapshotReader;
 use dotterelhook_types::CallError;
--- a/crates/scheduler/src/shard/starts.rs
+++ b/crates/scheduler/src/shard/starts.rs
@@ -1,9 +1,9 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::WorkerEntry;
-use dotterelhook_platform::worker::StartBody;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::WorkerEntry;
+use dotterelhook_borders::worker::StartBody;
 use dotterelhook_state::shard::TaskState;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::WorkerId;
--- a/crates/scheduler/src/worker/renewal_right.rs
+++ b/crates/scheduler/src/worker/renewal_right.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use dotterelhook_platform::clock::Clock;
+use dotterelhook_borders::clock::Clock;
 use dotterelhook_types::ids::Epoch;
 
 /// An owner's right to start and renew: it ends a fixed time after the last contact with the log.
--- a/crates/scheduler/src/worker/worker_task.rs
+++ b/crates/scheduler/src/worker/worker_task.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::worker::Inventory;
-use dotterelhook_platform::worker::RenewBody;
-use dotterelhook_platform::worker::StartBody;
-use dotterelhook_platform::worker::StopBody;
-use dotterelhook_platform::worker::WorkerAgent;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::worker::Inventory;
+use dotterelhook_borders::worker::RenewBody;
+use dotterelhook_borders::worker::StartBody;
+use dotterelhook_borders::worker::StopBody;
+use dotterelhook_borders::worker::WorkerAgent;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::WorkerId;
--- a/crates/scheduler/tests/shard/accounts.rs
+++ b/crates/scheduler/tests/shard/accounts.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::Log;
 use dotterelhook_scheduler::ShardCommand;
 use dotterelhook_scheduler::SubmitError;
 use dotterelhook_state::shard::RunStatus;
--- a/crates/scheduler/tests/shard/faults.rs
+++ b/crates/scheduler/tests/shard/faults.rs
@@ -1,6 +1,6 @@
 //! Generated faults against whole schedulers: kills, freezes, cuts, late and repeated messages.
 
-use dotterelhook_platform::log::LogFault;
+use dotterelhook_borders::log::LogFault;
 use dotterelhook_types::ids::RunId;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
--- a/crates/scheduler/tests/shard/takeovers.rs
+++ b/crates/scheduler/tests/shard/takeovers.rs
@@ -1,6 +1,6 @@
 //! Schedules at the edge of the leases, with owners that were replaced.
 
-use dotterelhook_platform::log::LogFault;
+use dotterelhook_borders::log::LogFault;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::ShardState;
 
--- a/crates/scheduler/tests/shard/world/mod.rs
+++ b/crates/scheduler/tests/shard/world/mod.rs
@@ -11,8 +11,8 @@
 
 pub(crate) use agents::Fleet;
 pub(crate) use agents::LinkFault;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_scheduler::ShardCommand;
 use dotterelhook_scheduler::SubmitError;
 use dotterelhook_scheduler::shard::ShardTimes;
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::LogPage;
-use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::LogPage;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_scheduler::ShardCommand;
 use dotterelhook_scheduler::interference::LearnedPairs;
 use dotterelhook_scheduler::interference::LearnedPairsSettings;
--- a/crates/standins/examples/bench_membership/fleet.rs
+++ b/crates/standins/examples/bench_membership/fleet.rs
@@ -7,7 +7,7 @@
 use std::process::Stdio;
 use std::time::Duration;
 
-use dotterelhook_platform::http::JsonClient;
+use dotterelhook_borders::http::JsonClient;
 use serde_json::json;
 
 const DOMAINS: usize = 3;
--- a/crates/standins/examples/bench_membership/main.rs
+++ b/crates/standins/examples/bench_membership/main.rs
@@ -15,9 +15,9 @@
 use std::time::Instant;
 
 use counted_log::CountedLog;
-use dotterelhook_platform::http::JsonClient;
-use dotterelhook_platform::log::HttpLog;
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::http::JsonClient;
+use dotterelhook_borders::log::HttpLog;
+use dotterelhook_borders::log::Log;
 use dotterelhook_standins::hosts::HostServer;
 use dotterelhook_standins::server::Arguments;
 use dotterelhook_standins::server::Fault;
--- a/crates/standins/examples/bench_urgent_start.rs
+++ b/crates/standins/examples/bench_urgent_start.rs
@@ -7,10 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::clock::SystemClock;
-use dotterelhook_platform::http::JsonClient;
-use dotterelhook_platform::log::HttpLog;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::clock::SystemClock;
+use dotterelhook_borders::http::JsonClient;
+use dotterelhook_borders::log::HttpLog;
 use dotterelhook_standins::faults::BatchLoad;
 use dotterelhook_standins::faults::Cluster;
 use dotterelhook_standins::faults::ClusterSettings;
--- a/crates/standins/examples/fault_run.rs
+++ b/crates/standins/examples/fault_run.rs
@@ -8,8 +8,8 @@
 use std::process::exit;
 use std::time::Duration;
 
-use dotterelhook_platform::http::JsonClient;
-use dotterelhook_platform::log::HttpLog;
+use dotterelhook_borders::http::JsonClient;
+use dotterelhook_borders::log::HttpLog;
 use dotterelhook_standins::faults::BatchLoad;
 use dotterelhook_standins::faults::Cluster;
 use dotterelhook_standins::faults::ClusterSettings;
--- a/crates/standins/examples/targets.rs
+++ b/crates/standins/examples/targets.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::TargetEntry;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::TargetEntry;
 use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::server::Arguments;
 use dotterelhook_standins::server::bind;
--- a/crates/standins/examples/workers.rs
+++ b/crates/standins/examples/workers.rs
@@ -6,11 +6,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::clock::SystemClock;
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::WorkerEntry;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::clock::SystemClock;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::WorkerEntry;
 use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::server::Arguments;
 use dotterelhook_standins::server::bind;
--- a/crates/standins/src/faults/batch_load.rs
+++ b/crates/standins/src/faults/batch_load.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::http::JsonClient;
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_state::shard::LedgerLine;
 use hyper::Method;
 
--- a/crates/standins/src/faults/checks.rs
+++ b/crates/standins/src/faults/checks.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::http::JsonClient;
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_state::shard::LedgerLine;
 use dotterelhook_types::ids::Offset;
--- a/crates/standins/src/faults/cluster.rs
+++ b/crates/standins/src/faults/cluster.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::hosts::TargetEntry;
-use dotterelhook_platform::hosts::WorkerEntry;
-use dotterelhook_platform::http::JsonClient;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::TargetEntry;
+use dotterelhook_borders::hosts::WorkerEntry;
+use dotterelhook_borders::http::JsonClient;
 use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
--- a/crates/standins/src/faults/operators.rs
+++ b/crates/standins/src/faults/operators.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use dotterelhook_platform::log::HttpLog;
-use dotterelhook_platform::log::Log;
+use dotterelhook_borders::log::HttpLog;
+use dotterelhook_borders::log::Log;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::ConfigPath;
--- a/crates/standins/src/faults/request_load.rs
+++ b/crates/standins/src/faults/request_load.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dotterelhook_platform::http::read_body;
+use dotterelhook_borders::http::read_body;
 use dotterelhook_types::Verdict;
 use http_body_util::Full;
 use hyper::Request;
--- a/crates/standins/src/hosts/host_server.rs
+++ b/crates/standins/src/hosts/host_server.rs
@@ -8,9 +8,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::hosts::HostState;
-use dotterelhook_platform::http::json_answer;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::http::json_answer;
 use hyper::Method;
 use hyper::StatusCode;
 use serde::Deserialize;
--- a/crates/standins/src/hosts/register.rs
+++ b/crates/standins/src/hosts/register.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use dotterelhook_platform::hosts::HostSnapshot;
-use dotterelhook_platform::http::JsonClient;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::http::JsonClient;
 use hyper::Method;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/standins/src/load/load_run.rs
+++ b/crates/standins/src/load/load_run.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use dotterelhook_platform::http::read_body;
+use dotterelhook_borders::http::read_body;
 use dotterelhook_types::Verdict;
 use hdrhistogram::Histogram;
 use http_body_util::Full;
--- a/crates/standins/src/log/log_server.rs
+++ b/crates/standins/src/log/log_server.rs
@@ -2,9 +2,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dotterelhook_platform::http::json_answer;
-use dotterelhook_platform::log::Log;
-use dotterelhook_platform::log::MemoryLog;
+use dotterelhook_borders::http::json_answer;
+use dotterelhook_borders::log::Log;
+use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_types::ids::Offset;
 use hyper::Method;
 use hyper::StatusCode;
--- a/crates/standins/src/server/http_server.rs
+++ b/crates/standins/src/server/http_server.rs
@@ -5,8 +5,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dotterelhook_platform::http::json_answer;
-use dotterelhook_platform::http::read_body;
+use dotterelhook_borders::http::json_answer;
+use dotterelhook_borders::http::read_body;
 use http_body_util::Full;
 use hyper::Method;
 use hyper::Request;
--- a/crates/standins/src/target/target_server.rs
+++ b/crates/standins/src/target/target_server.rs
@@ -3,8 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dotterelhook_platform::http::json_answer;
-use dotterelhook_platform::http::read_body;
+use dotterelhook_borders::http::json_answer;
+use dotterelhook_borders::http::read_body;
 use dotterelhook_types::Verdict;
 use http_body_util::Full;
 use hyper::Method;
--- a/crates/standins/src/worker/worker_model.rs
+++ b/crates/standins/src/worker/worker_model.rs
@@ -1,12 +1,12 @@
 use std::collections::BTreeMap;
 
-use dotterelhook_platform::worker::AttemptReport;
-use dotterelhook_platform::worker::AttemptStatus;
-use dotterelhook_platform::worker::Inventory;
-use dotterelhook_platform::worker::RenewBody;
-use dotterelhook_platform::worker::StartBody;
-use dotterelhook_platform::worker::StopBody;
-use dotterelhook_platform::worker::UsageSample;
+use dotterelhook_borders::worker::AttemptReport;
+use dotterelhook_borders::worker::AttemptStatus;
+use dotterelhook_borders::worker::Inventory;
+use dotterelhook_borders::worker::RenewBody;
+use dotterelhook_borders::worker::StartBody;
+use dotterelhook_borders::worker::StopBody;
+use dotterelhook_borders::worker::UsageSample;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
--- a/crates/standins/src/worker/worker_server.rs
+++ b/crates/standins/src/worker/worker_server.rs
@@ -4,9 +4,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use dotterelhook_platform::clock::Clock;
-use dotterelhook_platform::clock::SystemClock;
-use dotterelhook_platform::http::json_answer;
+use dotterelhook_borders::clock::Clock;
+use dotterelhook_borders::clock::SystemClock;
+use dotterelhook_borders::http::json_answer;
 use dotterelhook_types::ids::AttemptId;
 use hyper::Method;
 use hyper::StatusCode;
