Keep a job until its last record is stored

Ruled out: lost appends and reads that miss keys, as no record was unreadable and only jobs with such an end were hit.

--- a/crates/jobs/src/cell/batch.rs
+++ b/crates/jobs/src/cell/batch.rs
@@ -26,13 +26,22 @@
     },
 }
 
+/// A job as one of the records of a batch has it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ShownJob {
+    pub(super) id: JobId,
+    pub(super) state: JobState,
+    /// Whether the record is the job's last one.
+    pub(super) is_finished: bool,
+}
+
 /// Records that are stored together, and what follows from it.
 #[derive(Debug, Default)]
 pub struct Batch {
     /// The records.
     pub records: Vec<KeyedRecord>,
     /// What clients may be told afterwards.
-    pub(super) shown: Vec<(JobId, JobState)>,
+    pub(super) shown: Vec<ShownJob>,
     /// What may happen afterwards.
     pub(super) effects: Vec<Effect>,
 }
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -4,6 +4,7 @@
 use super::Batch;
 use super::CellState;
 use super::Effect;
+use super::batch::ShownJob;
 use crate::border::KeyedRecord;
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
@@ -53,9 +54,13 @@
 
     /// Lets everything follow that waited for a batch, which is stored now.
     pub fn batch_stored(&mut self, batch: Batch, now: Instant) {
-        for (id, state) in batch.shown {
+        for shown in batch.shown {
+            let ShownJob { id, state, .. } = shown;
             let was = self.ledger.shown_state(id);
-            self.ledger.show(id, state, now);
+            self.ledger.show(id, state);
+            if shown.is_finished {
+                self.ledger.close(id, state, now);
+            }
             if state.is_final() && was != Some(state) {
                 decided!(Decision::JobEnded, job: id, state: state);
             }
@@ -74,8 +79,13 @@
 
     fn progress_record(&self, id: JobId, batch: &mut Batch) -> Option<KeyedRecord> {
         let job = self.ledger.job(id)?;
-        batch.shown.push((id, job.state()));
-        let encoded = if job.is_finished() {
+        let is_finished = job.is_finished();
+        batch.shown.push(ShownJob {
+            id,
+            state: job.state(),
+            is_finished,
+        });
+        let encoded = if is_finished {
             encode(&JobProgress {
                 outcome: Some(job.state()),
                 tasks: Vec::new(),
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -106,13 +106,15 @@
         self.shown.get(&id).copied()
     }
 
-    /// Lets clients see a state whose progress is stored, and forgets the tasks of finished jobs.
-    pub fn show(&mut self, id: JobId, state: JobState, now: Instant) {
+    /// Lets clients see a state whose progress is stored.
+    pub fn show(&mut self, id: JobId, state: JobState) {
         self.shown.insert(id, state);
-        if self.active.get(&id).is_some_and(Job::is_finished) {
-            self.active.remove(&id);
-            self.finished.insert(id, FinishedJob { state, since: now });
-        }
+    }
+
+    /// Forgets the tasks of a job whose last record is stored.
+    pub fn close(&mut self, id: JobId, state: JobState, now: Instant) {
+        self.active.remove(&id);
+        self.finished.insert(id, FinishedJob { state, since: now });
     }
 
     /// Returns the number of a queue's jobs that have not begun.
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -1,7 +1,6 @@
 use super::Placement;
 use super::PlacementRequest;
 use crate::fleet::Executor;
-use crate::model::StepSpec;
 
 /// The share of its reservation that a serving task uses on average.
 const SERVING_USE: f64 = 0.45;
@@ -61,8 +60,3 @@
         - other_milli as f64
         - executor.filler_cpu_milli() as f64
 }
-
-/// Returns whether an executor of this size could ever run a task of the step.
-pub(crate) fn could_fit(step: &StepSpec, executor: &Executor) -> bool {
-    step.reserved().fits_in(&executor.entry.capacity)
-}
--- /dev/null
+++ b/crates/jobs/tests/cell/main.rs
@@ -0,0 +1,4 @@
+//! The decisions of a cell's owner, without a network.
+
+mod fixture;
+mod takeovers;
--- /dev/null
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -0,0 +1,85 @@
+use dotterelhook_jobs::border::RunEnd;
+use dotterelhook_jobs::cell::StateAnswer;
+use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::RunNumber;
+
+use crate::fixture::World;
+use crate::fixture::ended;
+use crate::fixture::job;
+use crate::fixture::running;
+use crate::fixture::step;
+use crate::fixture::submission;
+use crate::fixture::task;
+
+#[tokio::test]
+async fn an_end_that_comes_while_a_batch_is_stored_is_not_lost() {
+    let submitted = submission(vec![step(2, 1_000, &[])]);
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    world.cell.accept(job(1), submitted.clone(), world.now);
+    world.commit();
+    world.start_all("i-1");
+    let (first, second) = (task(1, 0, 0), task(1, 0, 1));
+    let first_end = ended(1, first, 1, RunEnd::Done);
+    world.report("i-1", vec![running(second, 1)], vec![first_end]);
+
+    let in_flight = world.take_batch();
+    let second_end = ended(2, second, 1, RunEnd::Done);
+    world.report("i-1", vec![], vec![second_end]);
+    world.cell.batch_stored(in_flight, world.now);
+    world.commit();
+    let next = world.take_over(&[(job(1), submitted)]);
+
+    let completed = StateAnswer::Known(JobState::Completed);
+    assert_eq!(next.cell.state_of(job(1)), completed);
+}
+
+#[tokio::test]
+async fn a_start_that_never_arrived_is_sent_again_with_the_same_run() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    world.cell.accept(job(1), submitted.clone(), world.now);
+    world.commit();
+
+    let mut next = world.take_over(&[(job(1), submitted)]);
+    next.list("i-1", 4_000);
+    next.report("i-1", vec![], vec![]);
+    next.commit();
+
+    assert_eq!(
+        next.sent("i-1"),
+        [Order::Start(task(1, 0, 0), RunNumber(1))]
+    );
+}
+
+#[tokio::test]
+async fn a_run_on_a_silent_executor_waits_until_all_former_leases_are_over() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    world.cell.accept(job(1), submitted.clone(), world.now);
+    world.commit();
+    let mut next = world.take_over(&[(job(1), submitted)]);
+    next.list("i-2", 4_000);
+
+    next.pass(crate::fixture::LEASE * 2);
+    next.cell.lapse_silent(next.now);
+    next.report("i-2", vec![], vec![]);
+    next.commit();
+    let too_early = next.sent("i-2");
+    next.pass(crate::fixture::LEASE * 2);
+    next.cell.lapse_silent(next.now);
+    next.report("i-2", vec![], vec![]);
+    next.commit();
+
+    assert_eq!(too_early, []);
+    assert_eq!(
+        next.sent("i-2"),
+        [Order::Start(task(1, 0, 0), RunNumber(2))]
+    );
+}
