Keep serving tasks within their tails by pacing and moving fillers

Samples of a trial showed two of nine images with a pressure of 9 and 17 target multiples for a whole executor, the others near 0, so pressure is learned for each image (the product's pair table, now generic).

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -28,7 +28,9 @@
 use crate::observe::Decision;
 use crate::observe::decided;
 use crate::policy::DeadlineOrder;
+use crate::policy::Interference;
 use crate::policy::LeftoverPlacement;
+use crate::policy::PacedFillers;
 use crate::policy::Placement;
 use crate::policy::QueueOrder;
 
@@ -55,6 +57,8 @@
     pub(super) effects: Vec<Effect>,
     pub(super) order: Box<dyn QueueOrder>,
     pub(super) placement: Box<dyn Placement>,
+    pub(super) interference: Box<dyn Interference>,
+    started_at: Instant,
     /// When the leases given by former owners are over for certain.
     pub(super) former_leases_end: Instant,
     /// What was placed before the takeover on executors that have not been listed since.
@@ -81,6 +85,8 @@
             effects: Vec::new(),
             order: Box::new(DeadlineOrder),
             placement: Box::new(LeftoverPlacement),
+            interference: Box::new(PacedFillers::default()),
+            started_at: now,
             former_leases_end,
             unlisted: BTreeMap::new(),
         }
@@ -210,6 +216,11 @@
         }
     }
 
+    /// Returns the time since this owner began, for policies.
+    pub(super) fn steady_ms(&self, now: Instant) -> u64 {
+        now.duration_since(self.started_at).as_millis() as u64
+    }
+
     /// Returns what the queue of a job grants now, or granted when it was dropped.
     pub(super) fn terms_of(config: &DeploymentConfig, job: &Job) -> Arc<QueueTerms> {
         let accepted = &job.submission().terms;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod order_outcomes;
 mod planning;
 mod reports;
+mod tails;
 
 pub use batch::Batch;
 pub use batch::Effect;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -137,7 +137,12 @@
         now: Instant,
     ) -> Option<ExecutorId> {
         let silence_max = self.settings.silence_max();
-        let request = PlacementRequest { step };
+        let image = step.image.as_ref().filter(|_| step.is_filler);
+        let now_ms = self.steady_ms(now);
+        let request = PlacementRequest {
+            step,
+            pressure: self.interference.predicted_excess(image, 1.0, now_ms),
+        };
         let mut best: Option<(f64, &ExecutorId)> = None;
         for executor in self.executors.values() {
             if executor.entry.service != *service || !executor.takes_runs(silence_max, now) {
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -24,6 +24,9 @@
 
 /// How long a stop may go unanswered before it is sent again.
 const STOP_REPEAT: Duration = Duration::from_millis(700);
+/// The longest time between looks at tails that fillers may disturb; figures are over half a
+/// second.
+const WATCHED_HOLD: Duration = Duration::from_millis(500);
 /// Reports in a row without a run that should be there, before it is given up.
 const MISSED_REPORTS_MAX: u32 = 2;
 /// The least growth of a run's progress that counts, in percent.
@@ -40,10 +43,12 @@
             .clock
             .filter(|_| may_renew)
             .map(|clock| clock.lease_end_ms(self.settings.lease));
-        let hold = if executor.clock.is_some() && executor.seen_end == executor.acked_end {
-            self.settings.renewal_hold
-        } else {
+        let hold = if executor.clock.is_none() || executor.seen_end != executor.acked_end {
             Duration::ZERO
+        } else if executor.serving_cpu_milli() > 0 && executor.filler_cpu_milli() > 0 {
+            self.settings.renewal_hold.min(WATCHED_HOLD)
+        } else {
+            self.settings.renewal_hold
         };
         Some(Renewal {
             token: self.epoch,
@@ -94,6 +99,7 @@
             self.take_running(id, running, now);
         }
         self.settle_unmentioned(id, &report, asked_at, now);
+        self.keep_tails(id, now);
     }
 
     /// Gives up what ran on executors whose leases are over.
@@ -202,7 +208,8 @@
             progress_percent: 0.0,
             progressed_at: now,
             recent_figure: None,
-            pace_percent: 100,
+            // The former owner may have slowed it down.
+            pace_percent: if step.is_filler { 0 } else { 100 },
             missed_reports: 0,
         };
         if let Some(executor) = self.executors.get_mut(&key.id) {
@@ -412,6 +419,7 @@
                 RunPhase::Restored => {
                     // The former owner's start never arrived, and no longer can.
                     view.phase = RunPhase::Ordered;
+                    view.pace_percent = 100;
                     executor.send(Order::Start(task, run));
                 }
                 RunPhase::Running { since } => {
--- /dev/null
+++ b/crates/jobs/src/cell/tails.rs
@@ -0,0 +1,139 @@
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::CellState;
+use crate::fleet::Executor;
+use crate::fleet::Order;
+use crate::fleet::RunPhase;
+use crate::model::ExecutorId;
+use crate::model::RunNumber;
+use crate::model::TaskId;
+use crate::observe::Decision;
+use crate::observe::decided;
+use crate::policy::FillerSample;
+use crate::policy::PlacementRequest;
+use crate::policy::TailSample;
+use crate::policy::TailStep;
+
+/// Keeping serving tasks within their tails.
+impl CellState {
+    /// Looks at the tails on an executor and slows down or moves what works beside them.
+    pub(super) fn keep_tails(&mut self, id: &ExecutorId, now: Instant) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        if executor.filler_cpu_milli() == 0 && executor.over_since.is_none() {
+            return;
+        }
+        let worst_ratio = worst_ratio(executor);
+        let is_over = worst_ratio.is_some_and(|ratio| ratio > 1.0);
+        executor.over_since = is_over.then(|| executor.over_since.unwrap_or(now));
+        let over_for = executor
+            .over_since
+            .map_or(Duration::ZERO, |since| now.duration_since(since));
+        let Some(executor) = self.executors.get(id) else {
+            return;
+        };
+        let sample = TailSample {
+            // Without tasks that serve, everything may go at full pace.
+            worst_ratio: worst_ratio.unwrap_or(0.0),
+            over_for,
+            fillers: self.filler_samples(executor),
+        };
+        let now_ms = self.steady_ms(now);
+        if worst_ratio.is_some() {
+            self.interference.learn(&sample, now_ms);
+        }
+        for step in self.interference.steps(&sample, now_ms) {
+            self.take_step(id, step, &sample, now);
+        }
+    }
+
+    /// Notes that a pace was not set for certain, so that it is set again.
+    pub fn pace_failed(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber, percent: u32) {
+        if let Some(executor) = self.executors.get_mut(id)
+            && let Some(view) = executor.run_mut(task, run)
+            && view.pace_percent == percent
+        {
+            view.pace_percent = if percent == 0 { 100 } else { 0 };
+        }
+    }
+
+    fn filler_samples(&self, executor: &Executor) -> Vec<FillerSample> {
+        let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
+        let fillers = executor.runs().iter().filter(|(_, view)| {
+            view.is_filler() && matches!(view.phase, RunPhase::Running { .. })
+        });
+        fillers
+            .filter_map(|(task, view)| {
+                let step = self.ledger.job(task.job)?.step(task.step);
+                Some(FillerSample {
+                    task: *task,
+                    run: view.run,
+                    image: step.image.clone(),
+                    cpu_share: view.filler_cpu_milli as f64 / capacity_milli,
+                    pace_percent: view.pace_percent,
+                    can_move: step.checkpoints,
+                })
+            })
+            .collect()
+    }
+
+    fn take_step(&mut self, id: &ExecutorId, step: TailStep, sample: &TailSample, now: Instant) {
+        let (task, run, percent) = match step {
+            TailStep::Pace(task, run, percent) => (task, run, percent),
+            TailStep::Move(task, run) => {
+                if self.has_quiet_place(task, now)
+                    && let Some(key) = self.executors.get(id).and_then(Executor::key)
+                {
+                    decided!(Decision::RunStopping, task: task, run: run, executor: id, cause: "disturbs what serves beside it", ratio: sample.worst_ratio);
+                    self.stop_run(&key, task, now);
+                    return;
+                }
+                (task, run, 0)
+            }
+        };
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let Some(view) = executor.run_mut(task, run) else {
+            return;
+        };
+        if view.pace_percent == percent {
+            return;
+        }
+        decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio);
+        view.pace_percent = percent;
+        executor.send(Order::Pace(task, run, percent));
+    }
+
+    /// Returns whether a task could go on at an executor without tasks that serve.
+    fn has_quiet_place(&self, task: TaskId, now: Instant) -> bool {
+        let Some(job) = self.ledger.job(task.job) else {
+            return false;
+        };
+        let step = job.step(task.step);
+        let service = &Self::terms_of(&self.config, job).service;
+        let request = PlacementRequest {
+            step,
+            pressure: 0.0,
+        };
+        let silence_max = self.settings.silence_max();
+        self.executors.values().any(|executor| {
+            executor.serving_cpu_milli() == 0
+                && executor.entry.service == *service
+                && executor.takes_runs(silence_max, now)
+                && self.placement.score(&request, executor).is_some()
+        })
+    }
+}
+
+/// Returns the worst tail on an executor as a multiple of its target.
+fn worst_ratio(executor: &Executor) -> Option<f64> {
+    let ratios = executor.runs().values().filter_map(|view| {
+        let target_ms = view.tail_target_ms?.max(1) as f64;
+        Some(view.recent_figure? / target_ms)
+    });
+    ratios.max_by(f64::total_cmp)
+}
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -35,6 +35,8 @@
     pub acked_end: u64,
     /// How far it is trusted.
     pub health: Health,
+    /// Since when some tail has been over its target.
+    pub over_since: Option<Instant>,
     /// No new run before this, since it said that it has no room.
     pub full_until: Option<Instant>,
     runs: BTreeMap<TaskId, RunView>,
@@ -55,6 +57,7 @@
             seen_end: 0,
             acked_end: 0,
             health: Health::default(),
+            over_since: None,
             full_until: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -193,6 +193,10 @@
         };
         let answer = self.link.pace(&order).await;
         self.count("pace", outcome_name(&answer));
+        if answer.is_err() {
+            self.owner
+                .with(|state| state.pace_failed(&self.id, task, run, percent));
+        }
     }
 
     fn count(&self, kind: &'static str, outcome: &'static str) {
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -6,13 +6,20 @@
 const SERVING_USE: f64 = 0.45;
 /// The least share of a filler's processor need that must be left for it.
 const FILLER_SHARE_MIN: f64 = 0.6;
+/// The excess that a filler may cause beside tasks that serve, as a multiple of their targets.
+const EXCESS_MAX: f64 = 0.15;
+/// What a filler that disturbs loses beside tasks that serve, for each unit of excess.
+const EXCESS_PENALTY: f64 = 4.0;
+/// What a task that disturbs nobody loses on an executor that is free of serving tasks.
+const SERVING_FREE_PENALTY: f64 = 0.5;
 /// What a score gains on the rack that holds the step's data.
 const RACK_BONUS: f64 = 10.0;
 
 /// Gives each kind of task the executor that disturbs it least.
 ///
-/// Fillers go where most processor time is left over; serving tasks are packed, so that other
-/// executors stay free of them; the rest goes where most is free.
+/// Fillers go where most processor time is left over, those that disturb to executors without
+/// serving tasks; serving tasks are packed, so that there are such executors; the rest goes where
+/// most is free.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeftoverPlacement;
 
@@ -41,7 +48,15 @@
             if left_milli < FILLER_SHARE_MIN * step.need.cpu_milli.0 as f64 {
                 return None;
             }
-            left_milli / capacity_milli
+            let share = step.need.cpu_milli.0 as f64 / capacity_milli;
+            let excess = request.pressure * share;
+            let is_serving_free = executor.serving_cpu_milli() == 0;
+            let penalty = match (is_serving_free, excess > EXCESS_MAX) {
+                (true, true) => 0.0,
+                (true, false) => SERVING_FREE_PENALTY,
+                (false, _) => EXCESS_PENALTY * excess,
+            };
+            left_milli / capacity_milli - penalty
         } else if step.is_long_running {
             executor.used().cpu_milli.0 as f64 / capacity_milli
         } else {
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -6,6 +6,9 @@
 pub struct PlacementRequest<'a> {
     /// The step of the task.
     pub step: &'a StepSpec,
+    /// By how much the task would raise the tails beside it with all of an executor's
+    /// processors, as a multiple of their targets.
+    pub pressure: f64,
 }
 
 /// Decides where a task goes.
--- a/crates/scheduler/src/interference/learned_pairs.rs
+++ b/crates/scheduler/src/interference/learned_pairs.rs
@@ -43,7 +43,7 @@
     settings: LearnedPairsSettings,
     log: ResidentLog,
     quiet: QuietLatency,
-    table: PairTable,
+    table: PairTable<PairKey>,
     /// The mean excess of each service when little runs beside it.
     offsets: BTreeMap<ServiceName, f64>,
     watched: BTreeMap<WorkerId, Watched>,
@@ -68,7 +68,7 @@
     }
 
     /// Returns the scores.
-    pub fn table(&self) -> &PairTable {
+    pub fn table(&self) -> &PairTable<PairKey> {
         &self.table
     }
 
--- a/crates/scheduler/src/interference/pair_table.rs
+++ b/crates/scheduler/src/interference/pair_table.rs
@@ -33,13 +33,13 @@
 /// taken by the job. It halves with each half-life without a sample. Noise may make it
 /// negative; cut off at zero, the noise of many pairs would add up to a slowdown.
 #[derive(Clone, Debug)]
-pub struct PairTable {
+pub struct PairTable<K> {
     pairs_max: usize,
     half_life_ms: u64,
-    pairs: BTreeMap<PairKey, PairScore>,
+    pairs: BTreeMap<K, PairScore>,
 }
 
-impl PairTable {
+impl<K: Ord + Clone> PairTable<K> {
     /// Creates an empty table of at most `pairs_max` pairs.
     pub fn new(pairs_max: usize, half_life_ms: u64) -> Self {
         Self {
@@ -60,19 +60,19 @@
     }
 
     /// Returns the weight of a pair; zero if it is unknown.
-    pub fn weight(&self, pair: &PairKey, now_ms: u64) -> f64 {
+    pub fn weight(&self, pair: &K, now_ms: u64) -> f64 {
         let score = self.pairs.get(pair);
         score.map_or(0.0, |score| score.weight * self.decay(score, now_ms))
     }
 
     /// Returns the number of samples of a pair.
-    pub fn samples(&self, pair: &PairKey) -> u32 {
+    pub fn samples(&self, pair: &K) -> u32 {
         self.pairs.get(pair).map_or(0, |score| score.samples)
     }
 
     /// Learns from one measured excess; `shares` are the jobs beside the service, once each,
     /// with the shares that they took, weighted by the service's load.
-    pub fn learn(&mut self, shares: &[(PairKey, f64)], excess: f64, now_ms: u64) {
+    pub fn learn(&mut self, shares: &[(K, f64)], excess: f64, now_ms: u64) {
         let weights = shares.iter().map(|(pair, _)| self.weight(pair, now_ms));
         let weights: Vec<f64> = weights.collect();
         let terms = shares.iter().zip(&weights);
@@ -97,7 +97,7 @@
         0.5_f64.powf(age_ms as f64 / self.half_life_ms as f64)
     }
 
-    fn make_room(&mut self, pair: &PairKey) {
+    fn make_room(&mut self, pair: &K) {
         if self.pairs.len() < self.pairs_max || self.pairs.contains_key(pair) {
             return;
         }
