--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -7,6 +7,7 @@
 use crate::ledger::StepRef;
 use crate::ledger::TaskStatus;
 use crate::model::ExecutorId;
+use crate::model::ImageName;
 use crate::model::JobId;
 use crate::model::ServiceId;
 use crate::model::StepSpec;
@@ -87,9 +88,10 @@
         if step.is_gang {
             return self.place_gang(step, &service, &tasks, now);
         }
+        let pressures = self.pressures_of(step, now);
         let mut placed = 0;
         for task in tasks.into_iter().take(most) {
-            let Some(executor) = self.choose(step, &service, task, now) else {
+            let Some(executor) = self.choose(step, &service, &pressures, task, now) else {
                 break;
             };
             if self.place(step, task, &executor, now) {
@@ -112,7 +114,7 @@
         }
         let mut chosen = Vec::new();
         for task in tasks {
-            let Some(executor) = self.choose(step, service, *task, now) else {
+            let Some(executor) = self.choose(step, service, &[], *task, now) else {
                 break;
             };
             if !self.place(step, *task, &executor, now) {
@@ -129,20 +131,25 @@
         0
     }
 
+    /// Returns which serving images a step's tasks are known to disturb.
+    pub(super) fn pressures_of(&self, step: &StepSpec, now: Instant) -> Vec<(ImageName, f64)> {
+        let now_ms = self.steady_ms(now);
+        match &step.image {
+            Some(image) if step.is_filler => self.interference.pressures(image, now_ms),
+            _ => Vec::new(),
+        }
+    }
+
     fn choose(
         &self,
         step: &StepSpec,
         service: &ServiceId,
+        pressures: &[(ImageName, f64)],
         task: TaskId,
         now: Instant,
     ) -> Option<ExecutorId> {
         let silence_max = self.settings.silence_max();
-        let image = step.image.as_ref().filter(|_| step.is_filler);
-        let now_ms = self.steady_ms(now);
-        let request = PlacementRequest {
-            step,
-            pressure: self.interference.predicted_excess(image, 1.0, now_ms),
-        };
+        let request = PlacementRequest { step, pressures };
         let mut best: Option<(f64, &ExecutorId)> = None;
         for executor in self.executors.values() {
             if executor.entry.service != *service || !executor.takes_runs(silence_max, now) {
@@ -196,26 +203,7 @@
             return false;
         };
         decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free());
-        executor.add_run(
-            task,
-            RunView {
-                run,
-                reserved: step.reserved(),
-                filler_cpu_milli: if step.is_filler {
-                    step.need.cpu_milli.0
-                } else {
-                    0
-                },
-                tail_target_ms: step.tail_target_ms,
-                phase: RunPhase::Proposed,
-                checkpoint: None,
-                progress_percent: 0.0,
-                progressed_at: now,
-                recent_figure: None,
-                pace_percent: 100,
-                missed_reports: 0,
-            },
-        );
+        executor.add_run(task, RunView::new(run, step, RunPhase::Proposed, now));
         self.dirty.insert(task.job);
         self.effects.push(Effect::Start {
             executor: key,
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -18,6 +18,7 @@
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
 use crate::model::RunNumber;
+use crate::model::StepSpec;
 use crate::model::TaskId;
 use crate::observe::Decision;
 use crate::observe::decided;
@@ -195,22 +196,10 @@
         }
         let step = job.step(task.step);
         let view = RunView {
-            run: progress.run,
-            reserved: step.reserved(),
-            filler_cpu_milli: if step.is_filler {
-                step.need.cpu_milli.0
-            } else {
-                0
-            },
-            tail_target_ms: step.tail_target_ms,
-            phase: RunPhase::Restored,
             checkpoint: progress.checkpoint.clone(),
-            progress_percent: 0.0,
-            progressed_at: now,
-            recent_figure: None,
             // The former owner may have slowed it down.
             pace_percent: if step.is_filler { 0 } else { 100 },
-            missed_reports: 0,
+            ..RunView::new(progress.run, step, RunPhase::Restored, now)
         };
         if let Some(executor) = self.executors.get_mut(&key.id) {
             executor.add_run(task, view);
@@ -352,27 +341,12 @@
 
     /// Stops a run that is not the task's newest one; until it has ended, it takes room.
     fn stop_stray(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber, now: Instant) {
-        let step = self.ledger.job(task.job).and_then(|job| {
-            job.task(task)?;
-            Some(job.step(task.step))
-        });
-        let view = RunView {
-            run,
-            reserved: step.map(|step| step.reserved()).unwrap_or_default(),
-            filler_cpu_milli: step
-                .filter(|step| step.is_filler)
-                .map_or(0, |step| step.need.cpu_milli.0),
-            tail_target_ms: None,
-            phase: RunPhase::Stopping {
-                sent_at: now,
-                answered_at: None,
-            },
-            checkpoint: None,
-            progress_percent: 0.0,
-            progressed_at: now,
-            recent_figure: None,
-            pace_percent: 100,
-            missed_reports: 0,
+        let job = self.ledger.job(task.job);
+        let step = job.filter(|job| job.task(task).is_some());
+        let step = step.map_or_else(StepSpec::default, |job| job.step(task.step).clone());
+        let phase = RunPhase::Stopping {
+            sent_at: now,
+            answered_at: None,
         };
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -381,7 +355,7 @@
         // A newer run of the same task on the same executor keeps its own view.
         if executor.run(task).is_none() {
             decided!(Decision::StrayRun, task: task, run: run, executor: id);
-            executor.add_run(task, view);
+            executor.add_run(task, RunView::new(run, &step, phase, now));
         }
     }
 
--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -13,9 +13,13 @@
 use crate::observe::decided;
 use crate::policy::FillerSample;
 use crate::policy::PlacementRequest;
+use crate::policy::TailRatio;
 use crate::policy::TailSample;
 use crate::policy::TailStep;
 
+/// The excess over the target of a tail, as a multiple of it, that a place may cost.
+const QUIET_EXCESS: f64 = 0.08;
+
 /// Keeping serving tasks within their tails.
 impl CellState {
     /// Looks at the tails on an executor and slows down or moves what works beside them.
@@ -23,11 +27,8 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        if executor.filler_cpu_milli() == 0 && executor.over_since.is_none() {
-            return;
-        }
-        let worst_ratio = worst_ratio(executor);
-        let is_over = worst_ratio.is_some_and(|ratio| ratio > 1.0);
+        let tails = tail_ratios(executor);
+        let is_over = tails.iter().any(|tail| tail.ratio > 1.0);
         executor.over_since = is_over.then(|| executor.over_since.unwrap_or(now));
         let over_for = executor
             .over_since
@@ -36,15 +37,12 @@
             return;
         };
         let sample = TailSample {
-            // Without tasks that serve, everything may go at full pace.
-            worst_ratio: worst_ratio.unwrap_or(0.0),
+            tails,
             over_for,
             fillers: self.filler_samples(executor),
         };
         let now_ms = self.steady_ms(now);
-        if worst_ratio.is_some() {
-            self.interference.learn(&sample, now_ms);
-        }
+        self.interference.learn(&sample, now_ms);
         for step in self.interference.steps(&sample, now_ms) {
             self.take_step(id, step, &sample, now);
         }
@@ -62,9 +60,10 @@
 
     fn filler_samples(&self, executor: &Executor) -> Vec<FillerSample> {
         let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
-        let fillers = executor.runs().iter().filter(|(_, view)| {
-            view.is_filler() && matches!(view.phase, RunPhase::Running { .. })
-        });
+        let fillers = executor
+            .runs()
+            .iter()
+            .filter(|(_, view)| view.is_filler() && matches!(view.phase, RunPhase::Running { .. }));
         fillers
             .filter_map(|(task, view)| {
                 let step = self.ledger.job(task.job)?.step(task.step);
@@ -87,7 +86,7 @@
                 if self.has_quiet_place(task, now)
                     && let Some(key) = self.executors.get(id).and_then(Executor::key)
                 {
-                    decided!(Decision::RunStopping, task: task, run: run, executor: id, cause: "disturbs what serves beside it", ratio: sample.worst_ratio);
+                    decided!(Decision::RunStopping, task: task, run: run, executor: id, cause: "disturbs what serves beside it", ratio: sample.worst_ratio());
                     self.stop_run(&key, task, now);
                     return;
                 }
@@ -103,25 +102,26 @@
         if view.pace_percent == percent {
             return;
         }
-        decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio);
+        decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
         executor.send(Order::Pace(task, run, percent));
     }
 
-    /// Returns whether a task could go on at an executor without tasks that serve.
+    /// Returns whether a task could go on at another executor without disturbing anything there.
     fn has_quiet_place(&self, task: TaskId, now: Instant) -> bool {
         let Some(job) = self.ledger.job(task.job) else {
             return false;
         };
         let step = job.step(task.step);
         let service = &Self::terms_of(&self.config, job).service;
+        let pressures = self.pressures_of(step, now);
         let request = PlacementRequest {
             step,
-            pressure: 0.0,
+            pressures: &pressures,
         };
         let silence_max = self.settings.silence_max();
         self.executors.values().any(|executor| {
-            executor.serving_cpu_milli() == 0
+            request.excess_on(executor) < QUIET_EXCESS
                 && executor.entry.service == *service
                 && executor.takes_runs(silence_max, now)
                 && self.placement.score(&request, executor).is_some()
@@ -129,11 +129,23 @@
     }
 }
 
-/// Returns the worst tail on an executor as a multiple of its target.
-fn worst_ratio(executor: &Executor) -> Option<f64> {
-    let ratios = executor.runs().values().filter_map(|view| {
-        let target_ms = view.tail_target_ms?.max(1) as f64;
-        Some(view.recent_figure? / target_ms)
-    });
-    ratios.max_by(f64::total_cmp)
+/// Returns the worst tail of each serving image on an executor, as a multiple of its target.
+fn tail_ratios(executor: &Executor) -> Vec<TailRatio> {
+    let mut tails: Vec<TailRatio> = Vec::new();
+    for view in executor.runs().values() {
+        let (Some(target_ms), Some(figure_ms), Some(image)) =
+            (view.tail_target_ms, view.recent_figure, &view.image)
+        else {
+            continue;
+        };
+        let ratio = figure_ms / target_ms.max(1) as f64;
+        match tails.iter_mut().find(|tail| tail.image == *image) {
+            Some(tail) => tail.ratio = tail.ratio.max(ratio),
+            None => tails.push(TailRatio {
+                image: image.clone(),
+                ratio,
+            }),
+        }
+    }
+    tails
 }
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -15,6 +15,7 @@
 use super::RunView;
 use crate::model::ExecutorEntry;
 use crate::model::ExecutorKey;
+use crate::model::ImageName;
 use crate::model::RunNumber;
 use crate::model::TaskId;
 
@@ -42,6 +43,8 @@
     runs: BTreeMap<TaskId, RunView>,
     used: Resources,
     serving_cpu_milli: u64,
+    /// The number of tasks of each serving image.
+    serving_images: BTreeMap<ImageName, u32>,
     filler_cpu_milli: u64,
     orders: UnboundedSender<Order>,
 }
@@ -62,6 +65,7 @@
             runs: BTreeMap::new(),
             used: Resources::default(),
             serving_cpu_milli: 0,
+            serving_images: BTreeMap::new(),
             filler_cpu_milli: 0,
             orders,
         }
@@ -96,6 +100,9 @@
         self.filler_cpu_milli += view.filler_cpu_milli;
         if view.is_serving() {
             self.serving_cpu_milli += view.reserved.cpu_milli.0;
+            if let Some(image) = &view.image {
+                *self.serving_images.entry(image.clone()).or_default() += 1;
+            }
         }
         if let Some(replaced) = self.runs.insert(task, view) {
             self.discount(&replaced);
@@ -116,6 +123,7 @@
     pub fn take_runs(&mut self) -> BTreeMap<TaskId, RunView> {
         self.used = Resources::default();
         self.serving_cpu_milli = 0;
+        self.serving_images.clear();
         self.filler_cpu_milli = 0;
         std::mem::take(&mut self.runs)
     }
@@ -125,6 +133,14 @@
         self.filler_cpu_milli -= view.filler_cpu_milli;
         if view.is_serving() {
             self.serving_cpu_milli -= view.reserved.cpu_milli.0;
+            if let Some(image) = &view.image
+                && let Some(count) = self.serving_images.get_mut(image)
+            {
+                *count -= 1;
+                if *count == 0 {
+                    self.serving_images.remove(image);
+                }
+            }
         }
     }
 
@@ -168,6 +184,16 @@
             && !is_probed
     }
 
+    /// Returns whether tasks of a serving image are here.
+    pub fn serves(&self, image: &ImageName) -> bool {
+        self.serving_images.contains_key(image)
+    }
+
+    /// Returns whether tasks of another serving image are here.
+    pub fn serves_others_than(&self, image: &ImageName) -> bool {
+        self.serving_images.keys().any(|other| other != image)
+    }
+
     /// Opens a new way for orders, which ends the former session.
     pub fn renew_orders(&mut self) -> UnboundedReceiver<Order> {
         let (orders, receiver) = unbounded_channel();
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -2,7 +2,9 @@
 use tokio::time::Instant;
 
 use crate::model::Checkpoint;
+use crate::model::ImageName;
 use crate::model::RunNumber;
+use crate::model::StepSpec;
 
 /// How far a run on an executor is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,6 +40,8 @@
     pub filler_cpu_milli: u64,
     /// The tail that it must keep if it serves, in milliseconds.
     pub tail_target_ms: Option<u64>,
+    /// What it runs.
+    pub image: Option<ImageName>,
     /// How far it is.
     pub phase: RunPhase,
     /// The newest saved state that the executor listed.
@@ -55,6 +59,27 @@
 }
 
 impl RunView {
+    /// Creates the view of a run of a step's task.
+    pub fn new(run: RunNumber, step: &StepSpec, phase: RunPhase, now: Instant) -> Self {
+        Self {
+            run,
+            reserved: step.reserved(),
+            filler_cpu_milli: match step.is_filler {
+                true => step.need.cpu_milli.0,
+                false => 0,
+            },
+            tail_target_ms: step.tail_target_ms,
+            image: step.image.clone(),
+            phase,
+            checkpoint: None,
+            progress_percent: 0.0,
+            progressed_at: now,
+            recent_figure: None,
+            pace_percent: 100,
+            missed_reports: 0,
+        }
+    }
+
     /// Returns whether the run serves users of its own.
     pub fn is_serving(&self) -> bool {
         self.tail_target_ms.is_some()
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -4,6 +4,15 @@
 use crate::model::RunNumber;
 use crate::model::TaskId;
 
+/// The tail of a serving image on an executor.
+#[derive(Clone, Debug)]
+pub struct TailRatio {
+    /// What serves.
+    pub image: ImageName,
+    /// The worst tail, as a multiple of its target.
+    pub ratio: f64,
+}
+
 /// A filler beside tasks that serve.
 #[derive(Clone, Debug)]
 pub struct FillerSample {
@@ -24,20 +33,28 @@
 /// The tails of the serving tasks of one executor, and what works beside them.
 #[derive(Clone, Debug)]
 pub struct TailSample {
-    /// The worst tail, as a multiple of its target.
-    pub worst_ratio: f64,
+    /// The tails, one for each serving image.
+    pub tails: Vec<TailRatio>,
     /// For how long some tail has been over its target.
     pub over_for: Duration,
     /// The fillers.
     pub fillers: Vec<FillerSample>,
 }
 
+impl TailSample {
+    /// Returns the worst tail as a multiple of its target; 0 if nothing serves.
+    pub fn worst_ratio(&self) -> f64 {
+        let ratios = self.tails.iter().map(|tail| tail.ratio);
+        ratios.max_by(f64::total_cmp).unwrap_or(0.0)
+    }
+}
+
 /// What is to be done about a tail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TailStep {
     /// Let a filler work at a share of its speed, in percent.
     Pace(TaskId, RunNumber, u32),
-    /// Let a filler go on elsewhere if there is room, else stop its work here.
+    /// Let a filler go on elsewhere if there is a better place, else stop its work here.
     Move(TaskId, RunNumber),
 }
 
@@ -49,6 +66,7 @@
     /// Returns what to do.
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep>;
 
-    /// Returns by how much a filler would raise the tail ratio at the given processor share.
-    fn predicted_excess(&self, image: Option<&ImageName>, cpu_share: f64, now_ms: u64) -> f64;
+    /// Returns by how much a filler with all of an executor's processors would raise the tail of
+    /// each serving image that it is known to disturb, as multiples of their targets.
+    fn pressures(&self, filler: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)>;
 }
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -12,6 +12,8 @@
 const EXCESS_PENALTY: f64 = 4.0;
 /// What a task that disturbs nobody loses on an executor that is free of serving tasks.
 const SERVING_FREE_PENALTY: f64 = 0.5;
+/// What a serving task loses beside others of other images: each keeps other fillers away.
+const OTHER_IMAGES_PENALTY: f64 = 0.4;
 /// What a score gains on the rack that holds the step's data.
 const RACK_BONUS: f64 = 10.0;
 
@@ -48,17 +50,22 @@
             if left_milli < FILLER_SHARE_MIN * step.need.cpu_milli.0 as f64 {
                 return None;
             }
-            let share = step.need.cpu_milli.0 as f64 / capacity_milli;
-            let excess = request.pressure * share;
+            let excess = request.excess_on(executor);
             let is_serving_free = executor.serving_cpu_milli() == 0;
-            let penalty = match (is_serving_free, excess > EXCESS_MAX) {
-                (true, true) => 0.0,
-                (true, false) => SERVING_FREE_PENALTY,
-                (false, _) => EXCESS_PENALTY * excess,
+            let penalty = if excess > EXCESS_MAX {
+                EXCESS_PENALTY * excess
+            } else if is_serving_free && request.pressures.is_empty() {
+                SERVING_FREE_PENALTY
+            } else {
+                0.0
             };
             left_milli / capacity_milli - penalty
         } else if step.is_long_running {
-            executor.used().cpu_milli.0 as f64 / capacity_milli
+            let others = match &step.image {
+                Some(image) if executor.serves_others_than(image) => OTHER_IMAGES_PENALTY,
+                _ => 0.0,
+            };
+            executor.used().cpu_milli.0 as f64 / capacity_milli - others
         } else {
             free.cpu_milli.0 as f64 / capacity_milli
         };
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -10,6 +10,7 @@
 pub use deadline_order::DeadlineOrder;
 pub use interference::FillerSample;
 pub use interference::Interference;
+pub use interference::TailRatio;
 pub use interference::TailSample;
 pub use interference::TailStep;
 pub use leftover_placement::LeftoverPlacement;
--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use dotterelhook_scheduler::interference::PairTable;
@@ -8,140 +9,170 @@
 use super::TailStep;
 use crate::model::ImageName;
 
-/// The images that are remembered at most.
-const IMAGES_MAX: usize = 512;
-/// How long an image's pressure is believed without a sample; it changes within seconds.
+/// The pairs of images that are remembered at most.
+const PAIRS_MAX: usize = 4_096;
+/// How long a pair's pressure is believed without a sample; it changes within seconds.
 const HALF_LIFE_MS: u64 = 30_000;
 /// The tail ratio of a serving task without fillers, before anything is learned.
 const QUIET_RATIO: f64 = 0.45;
-/// How fast the quiet ratio follows samples without fillers.
+/// How fast the quiet ratio of an image follows samples without fillers.
 const QUIET_RATE: f64 = 0.05;
+/// Ratios above this teach nothing more.
+const LEARNED_RATIO_MAX: f64 = 3.0;
 /// The tail ratio from which fillers are slowed down.
 const HIGH_RATIO: f64 = 0.95;
+/// The tail ratio that slowing down aims at.
+const AIM_RATIO: f64 = 0.8;
 /// The tail ratio below which fillers are let go faster.
 const LOW_RATIO: f64 = 0.75;
+/// The least excess of a filler that is worth a step.
+const EXCESS_MIN: f64 = 0.05;
 /// A filler that raises the tail ratio by this much is moved rather than slowed down.
 const HEAVY_EXCESS: f64 = 0.2;
+/// The time over the target after which fillers are slowed down that are not known to disturb.
+const SUSPECT_AFTER: Duration = Duration::from_millis(900);
 /// The time over the target after which all fillers stop working; a rule gives 4 s or more.
-const OVER_MAX: Duration = Duration::from_millis(1_200);
+const STOP_AFTER: Duration = Duration::from_millis(1_900);
 /// By how much a filler's pace rises at a time, in percent.
-const RAISE_PERCENT: u32 = 25;
+const RAISE_PERCENT: u32 = 34;
 
-/// Slows fillers down by what their images were seen to cause, and speeds them up again.
+/// Slows fillers down by what they were seen to cause, and speeds them up again.
+///
+/// What is learned belongs to pairs of images: a filler disturbs some serving images much and
+/// others not at all.
 #[derive(Clone, Debug)]
 pub struct PacedFillers {
-    pressures: PairTable<ImageName>,
-    quiet_ratio: f64,
+    pressures: PairTable<(ImageName, ImageName)>,
+    quiet_ratios: BTreeMap<ImageName, f64>,
 }
 
 impl Default for PacedFillers {
     fn default() -> Self {
         Self {
-            pressures: PairTable::new(IMAGES_MAX, HALF_LIFE_MS),
-            quiet_ratio: QUIET_RATIO,
+            pressures: PairTable::new(PAIRS_MAX, HALF_LIFE_MS),
+            quiet_ratios: BTreeMap::new(),
         }
     }
 }
 
 impl PacedFillers {
-    fn excess_of(&self, filler: &FillerSample, now_ms: u64) -> f64 {
-        self.predicted_excess(filler.image.as_ref(), filler.cpu_share, now_ms)
+    fn quiet_ratio(&self, serving: &ImageName) -> f64 {
+        self.quiet_ratios
+            .get(serving)
+            .copied()
+            .unwrap_or(QUIET_RATIO)
     }
 
-    fn slow_down(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
-        let working = || {
-            sample
-                .fillers
-                .iter()
-                .filter(|filler| filler.pace_percent > 0)
+    /// Returns by how much a filler at full pace raises the tails that matter here.
+    ///
+    /// Tails that are far from their targets anyway don't count.
+    fn excess_of(&self, filler: &FillerSample, sample: &TailSample, now_ms: u64) -> f64 {
+        let Some(image) = &filler.image else {
+            return 0.0;
         };
-        if sample.over_for >= OVER_MAX {
-            return working()
-                .map(|filler| TailStep::Pace(filler.task, filler.run, 0))
-                .collect();
-        }
-        let heavy = working().filter(|filler| self.excess_of(filler, now_ms) >= HEAVY_EXCESS);
-        let steps: Vec<TailStep> = heavy
-            .map(|filler| match filler.can_move {
-                true => TailStep::Move(filler.task, filler.run),
-                false => TailStep::Pace(filler.task, filler.run, 0),
-            })
-            .collect();
-        if !steps.is_empty() {
-            return steps;
-        }
-        working()
-            .map(|filler| TailStep::Pace(filler.task, filler.run, filler.pace_percent / 2))
-            .collect()
+        let tails = sample.tails.iter().filter(|tail| tail.ratio >= LOW_RATIO);
+        let excesses = tails.map(|tail| {
+            let pair = (tail.image.clone(), image.clone());
+            self.pressures.weight(&pair, now_ms) * filler.cpu_share
+        });
+        excesses.fold(0.0, f64::max)
     }
 
-    fn speed_up(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
-        let mut room = HIGH_RATIO - sample.worst_ratio;
-        let mut slowed: Vec<&FillerSample> = sample
+    /// Returns the fillers with what they cause, those that cause most first.
+    fn by_excess<'s>(&self, sample: &'s TailSample, now_ms: u64) -> Vec<(f64, &'s FillerSample)> {
+        let mut fillers: Vec<(f64, &FillerSample)> = sample
             .fillers
             .iter()
-            .filter(|filler| filler.pace_percent < 100)
+            .map(|filler| (self.excess_of(filler, sample, now_ms), filler))
             .collect();
-        slowed.sort_by(|a, b| {
-            self.excess_of(a, now_ms)
-                .total_cmp(&self.excess_of(b, now_ms))
-        });
+        fillers.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        fillers
+    }
+
+    fn slow_down(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
+        let mut to_lower = sample.worst_ratio() - AIM_RATIO;
         let mut steps = Vec::new();
-        for filler in slowed {
-            let percent = (filler.pace_percent + RAISE_PERCENT).min(100);
-            let raise = f64::from(percent - filler.pace_percent) / 100.0;
-            let excess = self.excess_of(filler, now_ms).max(0.0) * raise;
-            if excess > room {
-                break;
+        for (excess, filler) in self.by_excess(sample, now_ms) {
+            if filler.pace_percent == 0 {
+                continue;
+            }
+            let is_known = excess >= EXCESS_MIN;
+            if is_known && to_lower > 0.0 {
+                to_lower -= excess * f64::from(filler.pace_percent) / 100.0;
+                steps.push(if excess >= HEAVY_EXCESS && filler.can_move {
+                    TailStep::Move(filler.task, filler.run)
+                } else {
+                    TailStep::Pace(filler.task, filler.run, 0)
+                });
+            } else if sample.over_for >= STOP_AFTER {
+                steps.push(TailStep::Pace(filler.task, filler.run, 0));
+            } else if sample.over_for >= SUSPECT_AFTER {
+                let percent = filler.pace_percent / 2;
+                steps.push(TailStep::Pace(filler.task, filler.run, percent));
             }
-            room -= excess;
-            steps.push(TailStep::Pace(filler.task, filler.run, percent));
         }
         steps
     }
+
+    fn speed_up(&self, sample: &TailSample) -> Vec<TailStep> {
+        let slowed = sample
+            .fillers
+            .iter()
+            .filter(|filler| filler.pace_percent < 100);
+        slowed
+            .map(|filler| {
+                let percent = (filler.pace_percent + RAISE_PERCENT).min(100);
+                TailStep::Pace(filler.task, filler.run, percent)
+            })
+            .collect()
+    }
 }
 
 impl Interference for PacedFillers {
     fn learn(&mut self, sample: &TailSample, now_ms: u64) {
-        let shares: Vec<(ImageName, f64)> = sample
-            .fillers
-            .iter()
-            .filter_map(|filler| {
+        let mut shares: BTreeMap<&ImageName, f64> = BTreeMap::new();
+        for filler in &sample.fillers {
+            if let Some(image) = &filler.image {
                 let share = filler.cpu_share * f64::from(filler.pace_percent) / 100.0;
-                filler.image.clone().map(|image| (image, share))
-            })
-            .filter(|(_, share)| *share > 0.0)
-            .collect();
-        if shares.is_empty() {
-            if sample.fillers.is_empty() {
-                self.quiet_ratio += QUIET_RATE * (sample.worst_ratio - self.quiet_ratio);
+                *shares.entry(image).or_default() += share;
             }
-            return;
         }
-        let excess = sample.worst_ratio - self.quiet_ratio;
-        let mut merged: Vec<(ImageName, f64)> = Vec::new();
-        for (image, share) in shares {
-            match merged.iter_mut().find(|(known, _)| *known == image) {
-                Some((_, sum)) => *sum += share,
-                None => merged.push((image, share)),
+        shares.retain(|_, share| *share > 0.0);
+        for tail in &sample.tails {
+            let ratio = tail.ratio.min(LEARNED_RATIO_MAX);
+            let quiet_ratio = self.quiet_ratio(&tail.image);
+            if shares.is_empty() {
+                if sample.fillers.is_empty() {
+                    let followed = quiet_ratio + QUIET_RATE * (ratio - quiet_ratio);
+                    self.quiet_ratios.insert(tail.image.clone(), followed);
+                }
+                continue;
             }
+            let pairs: Vec<((ImageName, ImageName), f64)> = shares
+                .iter()
+                .map(|(filler, share)| ((tail.image.clone(), (*filler).clone()), *share))
+                .collect();
+            self.pressures.learn(&pairs, ratio - quiet_ratio, now_ms);
         }
-        self.pressures.learn(&merged, excess, now_ms);
     }
 
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
-        if sample.worst_ratio >= HIGH_RATIO {
+        let worst_ratio = sample.worst_ratio();
+        if worst_ratio >= HIGH_RATIO {
             self.slow_down(sample, now_ms)
-        } else if sample.worst_ratio < LOW_RATIO {
-            self.speed_up(sample, now_ms)
+        } else if worst_ratio < LOW_RATIO {
+            self.speed_up(sample)
         } else {
             Vec::new()
         }
     }
 
-    fn predicted_excess(&self, image: Option<&ImageName>, cpu_share: f64, now_ms: u64) -> f64 {
-        image.map_or(0.0, |image| {
-            self.pressures.weight(image, now_ms).max(0.0) * cpu_share
-        })
+    fn pressures(&self, filler: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)> {
+        let served = self.quiet_ratios.keys();
+        let weights = served.map(|serving| {
+            let pair = (serving.clone(), filler.clone());
+            (serving.clone(), self.pressures.weight(&pair, now_ms))
+        });
+        weights.filter(|(_, weight)| *weight > 0.0).collect()
     }
 }
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -1,4 +1,5 @@
 use crate::fleet::Executor;
+use crate::model::ImageName;
 use crate::model::StepSpec;
 
 /// What an executor is sought for.
@@ -6,9 +7,24 @@
 pub struct PlacementRequest<'a> {
     /// The step of the task.
     pub step: &'a StepSpec,
-    /// By how much the task would raise the tails beside it with all of an executor's
-    /// processors, as a multiple of their targets.
-    pub pressure: f64,
+    /// By how much the task would raise the tails of serving images with all of an executor's
+    /// processors, as multiples of their targets.
+    pub pressures: &'a [(ImageName, f64)],
+}
+
+impl PlacementRequest<'_> {
+    /// Returns by how much the task would raise the tails on an executor.
+    pub fn excess_on(&self, executor: &Executor) -> f64 {
+        let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
+        let share = self.step.need.cpu_milli.0 as f64 / capacity_milli;
+        let disturbed = self
+            .pressures
+            .iter()
+            .filter(|(image, _)| executor.serves(image));
+        disturbed
+            .map(|(_, weight)| weight * share)
+            .fold(0.0, f64::max)
+    }
 }
 
 /// Decides where a task goes.
