Group serving tasks by image and speed fillers up by known pressure

Cause: executors served 2.2 images on average, so nearly every filler disturbed one of them, and fillers were all sped up at once after each lull, which raised the tails again; stopped fillers kept their memory.

--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -20,6 +20,9 @@
 /// The excess over the target of a tail, as a multiple of it, that a place may cost.
 const QUIET_EXCESS: f64 = 0.08;
 
+/// The time that an executor's figures cover.
+const FIGURE_SPAN: Duration = Duration::from_millis(500);
+
 /// Keeping serving tasks within their tails.
 impl CellState {
     /// Looks at the tails on an executor and slows down or moves what works beside them.
@@ -42,7 +45,12 @@
             fillers: self.filler_samples(executor),
         };
         let now_ms = self.steady_ms(now);
-        self.interference.learn(&sample, now_ms);
+        let is_settled = executor
+            .paced_at
+            .is_none_or(|paced_at| now.duration_since(paced_at) >= FIGURE_SPAN);
+        if is_settled {
+            self.interference.learn(&sample, now_ms);
+        }
         for step in self.interference.steps(&sample, now_ms) {
             self.take_step(id, step, &sample, now);
         }
@@ -104,6 +112,7 @@
         }
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
+        executor.paced_at = Some(now);
         executor.send(Order::Pace(task, run, percent));
     }
 
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -38,6 +38,8 @@
     pub health: Health,
     /// Since when some tail has been over its target.
     pub over_since: Option<Instant>,
+    /// When a pace was last set here.
+    pub paced_at: Option<Instant>,
     /// No new run before this, since it said that it has no room.
     pub full_until: Option<Instant>,
     runs: BTreeMap<TaskId, RunView>,
@@ -61,6 +63,7 @@
             acked_end: 0,
             health: Health::default(),
             over_since: None,
+            paced_at: None,
             full_until: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -12,8 +12,9 @@
 const EXCESS_PENALTY: f64 = 4.0;
 /// What a task that disturbs nobody loses on an executor that is free of serving tasks.
 const SERVING_FREE_PENALTY: f64 = 0.5;
-/// What a serving task loses beside others of other images: each keeps other fillers away.
-const OTHER_IMAGES_PENALTY: f64 = 0.4;
+/// What a serving task loses beside others of other images, more than packing gains: each image
+/// keeps other fillers away.
+const OTHER_IMAGES_PENALTY: f64 = 1.5;
 /// What a score gains on the rack that holds the step's data.
 const RACK_BONUS: f64 = 10.0;
 
--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -67,15 +67,10 @@
     ///
     /// Tails that are far from their targets anyway don't count.
     fn excess_of(&self, filler: &FillerSample, sample: &TailSample, now_ms: u64) -> f64 {
-        let Some(image) = &filler.image else {
-            return 0.0;
-        };
-        let tails = sample.tails.iter().filter(|tail| tail.ratio >= LOW_RATIO);
-        let excesses = tails.map(|tail| {
-            let pair = (tail.image.clone(), image.clone());
-            self.pressures.weight(&pair, now_ms) * filler.cpu_share
-        });
-        excesses.fold(0.0, f64::max)
+        let excesses = self.excesses_of(filler, sample, now_ms);
+        let near = sample.tails.iter().zip(excesses);
+        let near = near.filter(|(tail, _)| tail.ratio >= LOW_RATIO);
+        near.map(|(_, excess)| excess).fold(0.0, f64::max)
     }
 
     /// Returns the fillers with what they cause, those that cause most first.
@@ -93,10 +88,13 @@
         let mut to_lower = sample.worst_ratio() - AIM_RATIO;
         let mut steps = Vec::new();
         for (excess, filler) in self.by_excess(sample, now_ms) {
+            let is_known = excess >= EXCESS_MIN;
             if filler.pace_percent == 0 {
+                if is_known && filler.can_move {
+                    steps.push(TailStep::Move(filler.task, filler.run));
+                }
                 continue;
             }
-            let is_known = excess >= EXCESS_MIN;
             if is_known && to_lower > 0.0 {
                 to_lower -= excess * f64::from(filler.pace_percent) / 100.0;
                 steps.push(if excess >= HEAVY_EXCESS && filler.can_move {
@@ -114,20 +112,58 @@
         steps
     }
 
-    fn speed_up(&self, sample: &TailSample) -> Vec<TailStep> {
+    /// Lets slowed fillers go faster as far as no tail is expected to become too high, and moves
+    /// those that must wait.
+    fn speed_up(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
+        let mut ratios: Vec<f64> = sample.tails.iter().map(|tail| tail.ratio).collect();
         let slowed = sample
             .fillers
             .iter()
             .filter(|filler| filler.pace_percent < 100);
-        slowed
-            .map(|filler| {
-                let percent = (filler.pace_percent + RAISE_PERCENT).min(100);
-                TailStep::Pace(filler.task, filler.run, percent)
-            })
+        let mut causes: Vec<(Vec<f64>, &FillerSample)> = slowed
+            .map(|filler| (self.excesses_of(filler, sample, now_ms), filler))
+            .collect();
+        causes.sort_by(|(a, _), (b, _)| largest(a).total_cmp(&largest(b)));
+        let mut steps = Vec::new();
+        for (excesses, filler) in causes {
+            let percent = (filler.pace_percent + RAISE_PERCENT).min(100);
+            let raise = f64::from(percent - filler.pace_percent) / 100.0;
+            let raised: Vec<f64> = ratios
+                .iter()
+                .zip(&excesses)
+                .map(|(ratio, excess)| ratio + excess.max(0.0) * raise)
+                .collect();
+            if largest(&raised) <= HIGH_RATIO {
+                ratios = raised;
+                steps.push(TailStep::Pace(filler.task, filler.run, percent));
+            } else if filler.pace_percent == 0 && filler.can_move {
+                steps.push(TailStep::Move(filler.task, filler.run));
+            }
+        }
+        steps
+    }
+
+    /// Returns by how much a filler at full pace raises each tail.
+    fn excesses_of(&self, filler: &FillerSample, sample: &TailSample, now_ms: u64) -> Vec<f64> {
+        let excess = |serving: &ImageName| match &filler.image {
+            Some(image) => {
+                let pair = (serving.clone(), image.clone());
+                self.pressures.weight(&pair, now_ms) * filler.cpu_share
+            }
+            None => 0.0,
+        };
+        sample
+            .tails
+            .iter()
+            .map(|tail| excess(&tail.image))
             .collect()
     }
 }
 
+fn largest(values: &[f64]) -> f64 {
+    values.iter().copied().fold(0.0, f64::max)
+}
+
 impl Interference for PacedFillers {
     fn learn(&mut self, sample: &TailSample, now_ms: u64) {
         let mut shares: BTreeMap<&ImageName, f64> = BTreeMap::new();
@@ -161,7 +197,7 @@
         if worst_ratio >= HIGH_RATIO {
             self.slow_down(sample, now_ms)
         } else if worst_ratio < LOW_RATIO {
-            self.speed_up(sample)
+            self.speed_up(sample, now_ms)
         } else {
             Vec::new()
         }
