--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -51,8 +51,9 @@
         if is_settled {
             self.interference.learn(&sample, now_ms);
         }
+        let mut may_move = true;
         for step in self.interference.steps(&sample, now_ms) {
-            self.take_step(id, step, &sample, now);
+            may_move &= !self.take_step(id, step, may_move, &sample, now);
         }
     }
 
@@ -87,33 +88,45 @@
             .collect()
     }
 
-    fn take_step(&mut self, id: &ExecutorId, step: TailStep, sample: &TailSample, now: Instant) {
+    /// Carries one step out; returns whether a filler was moved.
+    ///
+    /// A quiet place has room for one at a time, so others are stopped where they are.
+    fn take_step(
+        &mut self,
+        id: &ExecutorId,
+        step: TailStep,
+        may_move: bool,
+        sample: &TailSample,
+        now: Instant,
+    ) -> bool {
         let (task, run, percent) = match step {
             TailStep::Pace(task, run, percent) => (task, run, percent),
             TailStep::Move(task, run) => {
-                if self.has_quiet_place(task, now)
+                if may_move
+                    && self.has_quiet_place(task, now)
                     && let Some(key) = self.executors.get(id).and_then(Executor::key)
                 {
                     decided!(Decision::RunStopping, task: task, run: run, executor: id, cause: "disturbs what serves beside it", ratio: sample.worst_ratio());
                     self.stop_run(&key, task, now);
-                    return;
+                    return true;
                 }
                 (task, run, 0)
             }
         };
         let Some(executor) = self.executors.get_mut(id) else {
-            return;
+            return false;
         };
         let Some(view) = executor.run_mut(task, run) else {
-            return;
+            return false;
         };
         if view.pace_percent == percent {
-            return;
+            return false;
         }
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
         executor.paced_at = Some(now);
         executor.send(Order::Pace(task, run, percent));
+        false
     }
 
     /// Returns whether a task could go on at another executor without disturbing anything there.
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -8,7 +8,9 @@
 const FILLER_SHARE_MIN: f64 = 0.6;
 /// The excess that a filler may cause beside tasks that serve, as a multiple of their targets.
 const EXCESS_MAX: f64 = 0.15;
-/// What a filler that disturbs loses beside tasks that serve, for each unit of excess.
+/// What a filler loses on an executor where it disturbs what serves.
+const DISTURBING_PENALTY: f64 = 1.0;
+/// What it loses beyond that for each unit of excess.
 const EXCESS_PENALTY: f64 = 4.0;
 /// What a task that disturbs nobody loses on an executor that is free of serving tasks.
 const SERVING_FREE_PENALTY: f64 = 0.5;
@@ -54,8 +56,8 @@
             let excess = request.excess_on(executor);
             let is_serving_free = executor.serving_cpu_milli() == 0;
             let penalty = if excess > EXCESS_MAX {
-                EXCESS_PENALTY * excess
-            } else if is_serving_free && request.pressures.is_empty() {
+                DISTURBING_PENALTY + EXCESS_PENALTY * excess
+            } else if is_serving_free && request.excess_anywhere(executor) <= EXCESS_MAX {
                 SERVING_FREE_PENALTY
             } else {
                 0.0
--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -19,6 +19,10 @@
 const QUIET_RATE: f64 = 0.05;
 /// Ratios above this teach nothing more.
 const LEARNED_RATIO_MAX: f64 = 3.0;
+/// The excess from which a sample counts as a peak.
+const PEAK_EXCESS: f64 = 0.4;
+/// How much faster peaks are learned: disturbance comes in bursts, and a tail is lost in one.
+const PEAK_SPEED: f64 = 4.0;
 /// The tail ratio from which fillers are slowed down.
 const HIGH_RATIO: f64 = 0.95;
 /// The tail ratio that slowing down aims at.
@@ -188,7 +192,13 @@
                 .iter()
                 .map(|(filler, share)| ((tail.image.clone(), (*filler).clone()), *share))
                 .collect();
-            self.pressures.learn(&pairs, ratio - quiet_ratio, now_ms);
+            let excess = ratio - quiet_ratio;
+            let speed = if excess > PEAK_EXCESS {
+                PEAK_SPEED
+            } else {
+                1.0
+            };
+            self.pressures.learn_at(&pairs, excess, speed, now_ms);
         }
     }
 
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -15,15 +15,21 @@
 impl PlacementRequest<'_> {
     /// Returns by how much the task would raise the tails on an executor.
     pub fn excess_on(&self, executor: &Executor) -> f64 {
+        self.excess(executor, |image| executor.serves(image))
+    }
+
+    /// Returns by how much the task would raise tails on an executor of this size that served
+    /// everything.
+    pub fn excess_anywhere(&self, executor: &Executor) -> f64 {
+        self.excess(executor, |_| true)
+    }
+
+    fn excess(&self, executor: &Executor, counts: impl Fn(&ImageName) -> bool) -> f64 {
         let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
         let share = self.step.need.cpu_milli.0 as f64 / capacity_milli;
-        let disturbed = self
-            .pressures
-            .iter()
-            .filter(|(image, _)| executor.serves(image));
-        disturbed
-            .map(|(_, weight)| weight * share)
-            .fold(0.0, f64::max)
+        let disturbed = self.pressures.iter().filter(|(image, _)| counts(image));
+        let excesses = disturbed.map(|(_, weight)| weight * share);
+        excesses.fold(0.0, f64::max)
     }
 }
 
--- a/crates/scheduler/src/interference/pair_table.rs
+++ b/crates/scheduler/src/interference/pair_table.rs
@@ -73,6 +73,11 @@
     /// Learns from one measured excess; `shares` are the jobs beside the service, once each,
     /// with the shares that they took, weighted by the service's load.
     pub fn learn(&mut self, shares: &[(K, f64)], excess: f64, now_ms: u64) {
+        self.learn_at(shares, excess, 1.0, now_ms);
+    }
+
+    /// Learns as [`Self::learn`] does, at a multiple of its rate.
+    pub fn learn_at(&mut self, shares: &[(K, f64)], excess: f64, speed: f64, now_ms: u64) {
         let weights = shares.iter().map(|(pair, _)| self.weight(pair, now_ms));
         let weights: Vec<f64> = weights.collect();
         let terms = shares.iter().zip(&weights);
@@ -81,7 +86,7 @@
         let gain = (excess - predicted) / (power + STABILIZER);
         for ((pair, share), weight) in shares.iter().zip(weights) {
             let samples = self.samples(pair);
-            let change = rate(samples) * gain * share;
+            let change = (rate(samples) * speed).min(1.0) * gain * share;
             let score = PairScore {
                 weight: (weight + change).clamp(WEIGHT_MIN, WEIGHT_MAX),
                 samples: samples.saturating_add(1),
