--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -59,6 +59,8 @@
     pub(super) placement: Box<dyn Placement>,
     pub(super) interference: Box<dyn Interference>,
     started_at: Instant,
+    /// Since when jobs have had nothing running though a task could start.
+    pub(super) idle_since: BTreeMap<JobId, Instant>,
     /// When the leases given by former owners are over for certain.
     pub(super) former_leases_end: Instant,
     /// What was placed before the takeover on executors that have not been listed since.
@@ -87,6 +89,7 @@
             placement: Box::new(LeftoverPlacement),
             interference: Box::new(PacedFillers::default()),
             started_at: now,
+            idle_since: BTreeMap::new(),
             former_leases_end,
             unlisted: BTreeMap::new(),
         }
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use super::CellState;
@@ -20,6 +22,10 @@
 /// The most runs placed in one round, so that a round does not hold up answers.
 const PLACED_PER_ROUND_MAX: usize = 64;
 
+/// How long a job waits with nothing running before its tasks may go where they disturb; a rule
+/// gives 3 s.
+const IDLE_MAX: Duration = Duration::from_millis(1_500);
+
 /// A step that has tasks to start.
 struct Waiting {
     rank: Rank,
@@ -31,6 +37,7 @@
 impl CellState {
     /// Places waiting tasks; returns whether the round was cut short.
     pub fn plan(&mut self, now: Instant) -> bool {
+        self.note_idle(now);
         let mut placed = 0;
         for waiting in self.waiting_steps(now) {
             placed += self.place_step(&waiting, PLACED_PER_ROUND_MAX - placed, now);
@@ -56,6 +63,25 @@
         }
     }
 
+    /// Notes which jobs have nothing running though a task could start.
+    fn note_idle(&mut self, now: Instant) {
+        let ledger = &self.ledger;
+        self.idle_since.retain(|id, _| {
+            let job = ledger.job(*id);
+            job.is_some_and(|job| job.is_open() && !job.has_placed())
+        });
+        for job in ledger.jobs().filter(|job| job.is_open()) {
+            if !job.has_placed() && job.ready_steps().next().is_some() {
+                self.idle_since.entry(job.id()).or_insert(now);
+            }
+        }
+    }
+
+    fn has_idled(&self, id: JobId, now: Instant) -> bool {
+        let since = self.idle_since.get(&id);
+        since.is_some_and(|since| now.duration_since(*since) >= IDLE_MAX)
+    }
+
     fn waiting_steps(&self, now: Instant) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for job in self.ledger.jobs().filter(|job| job.is_open()) {
@@ -149,7 +175,11 @@
         now: Instant,
     ) -> Option<ExecutorId> {
         let silence_max = self.settings.silence_max();
-        let request = PlacementRequest { step, pressures };
+        let request = PlacementRequest {
+            step,
+            pressures,
+            may_disturb: self.has_idled(task.job, now),
+        };
         let mut best: Option<(f64, &ExecutorId)> = None;
         for executor in self.executors.values() {
             if executor.entry.service != *service || !executor.takes_runs(silence_max, now) {
--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -140,6 +140,7 @@
         let request = PlacementRequest {
             step,
             pressures: &pressures,
+            may_disturb: false,
         };
         let silence_max = self.settings.silence_max();
         self.executors.values().any(|executor| {
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -221,6 +221,11 @@
         self.counts[self.count_position(at)].placed
     }
 
+    /// Returns whether some task belongs to an executor.
+    pub fn has_placed(&self) -> bool {
+        self.counts.iter().any(|counts| counts.placed > 0)
+    }
+
     /// Returns how many tasks of a step are done.
     pub fn done_count(&self, at: StepRef) -> u32 {
         self.counts[self.count_position(at)].done
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -55,6 +55,9 @@
             }
             let excess = request.excess_on(executor);
             let is_serving_free = executor.serving_cpu_milli() == 0;
+            if excess > EXCESS_MAX && !request.may_disturb {
+                return None;
+            }
             let penalty = if excess > EXCESS_MAX {
                 DISTURBING_PENALTY + EXCESS_PENALTY * excess
             } else if is_serving_free && request.excess_anywhere(executor) <= EXCESS_MAX {
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -10,6 +10,8 @@
     /// By how much the task would raise the tails of serving images with all of an executor's
     /// processors, as multiples of their targets.
     pub pressures: &'a [(ImageName, f64)],
+    /// Whether it may go where it disturbs, since it has waited long enough for a better place.
+    pub may_disturb: bool,
 }
 
 impl PlacementRequest<'_> {
