--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -19,6 +19,7 @@
 use dotterelhook_jobs::ownership::OwnerBoard;
 use dotterelhook_jobs::ownership::OwnerContext;
 use dotterelhook_jobs::ownership::OwnerDirectory;
+use dotterelhook_jobs::ownership::add_claim_handler;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::http::HttpHandler;
@@ -107,6 +108,7 @@
         let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store)));
         let board = Arc::new(OwnerBoard::default());
         let cell_count = settings.cell.cell_count;
+        let peers = Arc::new(PeerClient::default());
         let context = Arc::new(OwnerContext {
             platform: Arc::clone(&platform),
             store: Arc::clone(&store),
@@ -117,8 +119,9 @@
             member: MemberName {
                 host: settings.host,
                 incarnation,
+                address: settings.peer_address,
             },
-            peer_address: settings.peer_address,
+            peers: Arc::clone(&peers),
             metrics: job_metrics.clone(),
         });
 
@@ -128,6 +131,7 @@
             .registry()
             .find::<PeerHandlers>(names::PEER_HANDLERS)?;
         add_owner_handlers(&handlers, &board);
+        add_claim_handler(&handlers, &context, &board, kernel.draining());
 
         let ready = Arc::new(ReadyHandler {
             config: Arc::clone(&config),
@@ -145,7 +149,6 @@
                 .await?
                 .spawn(kernel);
         }
-        let peers = Arc::new(PeerClient::default());
         let calls = OwnerCalls::new(
             Arc::clone(&board),
             Arc::clone(&directory),
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -177,7 +177,7 @@
 
     /// Long enough for a takeover at a slow store, short enough to give up a silent executor soon.
     pub(super) fn lease_ms() -> u64 {
-        5_000
+        6_500
     }
 
     pub(super) fn renewal_hold_ms() -> u64 {
@@ -197,7 +197,7 @@
     /// With the lease, longer than the outages of the store that running tasks must outlive, and
     /// shorter than the time after which a task that lasts must run again.
     pub(super) fn renewal_right_ms() -> u64 {
-        3_000
+        2_000
     }
 
     /// Bounds an owner's appends to 40 a second.
@@ -214,8 +214,9 @@
         180_000
     }
 
+    /// Five signs of life, so that some arrive while a third of the store's answers are lost.
     pub(super) fn membership_ttl_ms() -> u64 {
-        1_500
+        2_000
     }
 
     pub(super) fn retry_after_ms() -> u64 {
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -59,6 +59,8 @@
     pub(super) placement: Box<dyn Placement>,
     pub(super) interference: Box<dyn Interference>,
     started_at: Instant,
+    /// When what was learned was last stored.
+    pub(super) learned_at: Option<Instant>,
     /// Since when jobs have had nothing running though a task could start.
     pub(super) idle_since: BTreeMap<JobId, Instant>,
     /// When the leases given by former owners are over for certain.
@@ -89,6 +91,7 @@
             placement: Box::new(LeftoverPlacement),
             interference: Box::new(PacedFillers::default()),
             started_at: now,
+            learned_at: None,
             idle_since: BTreeMap::new(),
             former_leases_end,
             unlisted: BTreeMap::new(),
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 use tokio::time::Instant;
 
@@ -16,10 +18,17 @@
 use crate::model::TaskId;
 use crate::observe::Decision;
 use crate::observe::decided;
+use crate::policy::LearnedTails;
 
 /// The most jobs in one append, below the store's limit for a call.
 const JOBS_PER_BATCH_MAX: usize = 400;
 
+/// The key under which an owner stores what it has learned.
+pub(crate) const LEARNED_KEY: &str = "learned";
+/// The time between two records of what was learned; more than it takes to learn a pair again
+/// would be wasted.
+const LEARNED_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What is stored, and what follows from it.
 impl CellState {
     /// Returns whether something waits to be stored or to follow.
@@ -30,7 +39,7 @@
     /// Takes what has changed since the last batch.
     ///
     /// Effects wait for the records of all jobs, so a batch that is cut short carries none.
-    pub fn take_batch(&mut self) -> Batch {
+    pub fn take_batch(&mut self, now: Instant) -> Batch {
         let mut batch = Batch::default();
         while let Some(id) = self.dirty.pop_first() {
             if let Some(record) = self.progress_record(id, &mut batch) {
@@ -46,6 +55,7 @@
                 value: Bytes::new(),
             });
         }
+        batch.records.extend(self.learned_record(now));
         if self.dirty.is_empty() {
             batch.effects = std::mem::take(&mut self.effects);
         }
@@ -77,6 +87,27 @@
         }
     }
 
+    /// Returns what was learned, if it is time to store it again.
+    fn learned_record(&mut self, now: Instant) -> Option<KeyedRecord> {
+        if self
+            .learned_at
+            .is_some_and(|at| now.duration_since(at) < LEARNED_INTERVAL)
+        {
+            return None;
+        }
+        self.learned_at = Some(now);
+        let learned = self.interference.learned(self.steady_ms(now));
+        let value = encode(&learned).ok()?;
+        let key = LEARNED_KEY.into();
+        Some(KeyedRecord { key, value })
+    }
+
+    /// Takes over what a former owner has learned.
+    pub fn restore_learned(&mut self, learned: LearnedTails, now: Instant) {
+        let now_ms = self.steady_ms(now);
+        self.interference.restore(learned, now_ms);
+    }
+
     fn progress_record(&self, id: JobId, batch: &mut Batch) -> Option<KeyedRecord> {
         let job = self.ledger.job(id)?;
         let is_finished = job.is_finished();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -15,3 +15,4 @@
 pub use cell_settings::CellSettings;
 pub use cell_state::CellState;
 pub use cell_state::StateAnswer;
+pub(crate) use commits::LEARNED_KEY;
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -197,8 +197,6 @@
         let step = job.step(task.step);
         let view = RunView {
             checkpoint: progress.checkpoint.clone(),
-            // The former owner may have slowed it down.
-            pace_percent: if step.is_filler { 0 } else { 100 },
             ..RunView::new(progress.run, step, RunPhase::Restored, now)
         };
         if let Some(executor) = self.executors.get_mut(&key.id) {
@@ -319,6 +317,9 @@
         }
         match view.phase {
             RunPhase::Ordered | RunPhase::Restored => {
+                if view.phase == RunPhase::Restored && view.is_filler() {
+                    view.pace_percent = view.observed_pace_percent();
+                }
                 view.phase = RunPhase::Running { since: now };
                 let is_open = self
                     .ledger
@@ -393,7 +394,6 @@
                 RunPhase::Restored => {
                     // The former owner's start never arrived, and no longer can.
                     view.phase = RunPhase::Ordered;
-                    view.pace_percent = 100;
                     executor.send(Order::Start(task, run));
                 }
                 RunPhase::Running { since } => {
--- a/crates/jobs/src/entry/owner_calls.rs
+++ b/crates/jobs/src/entry/owner_calls.rs
@@ -97,7 +97,10 @@
             return Err(CallError::not_run(format!("cell {cell} has no owner yet")));
         };
         let frame = encode(question).map_err(not_run)?;
-        let answer = self.peers.call(owner.address, name, frame, timeout).await;
+        let answer = self
+            .peers
+            .call(owner.member.address, name, frame, timeout)
+            .await;
         if answer.is_err() {
             self.directory.doubt();
         }
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -80,6 +80,13 @@
         }
     }
 
+    /// Returns the pace at which a filler seems to work, from the processor time that it uses.
+    pub fn observed_pace_percent(&self) -> u32 {
+        let used_milli = self.recent_figure.unwrap_or(0.0);
+        let share = used_milli / self.filler_cpu_milli.max(1) as f64;
+        (share * 100.0).clamp(0.0, 100.0) as u32
+    }
+
     /// Returns whether the run serves users of its own.
     pub fn is_serving(&self) -> bool {
         self.tail_target_ms.is_some()
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -7,6 +7,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Sequence;
@@ -71,8 +72,8 @@
     pub settings: Arc<CellSettings>,
     /// This process.
     pub member: MemberName,
-    /// Where this process takes calls of other hosts.
-    pub peer_address: std::net::SocketAddr,
+    /// Calls to other hosts.
+    pub peers: Arc<PeerClient>,
     /// What is counted.
     pub metrics: JobMetrics,
 }
@@ -106,7 +107,6 @@
         let record = OwnerRecord {
             epoch: state.epoch(),
             member: context.member.clone(),
-            address: context.peer_address,
         };
         let jobs = state.ledger().jobs().count();
         let owner = Arc::new(Self {
--- a/crates/jobs/src/ownership/commit_loop.rs
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -61,7 +61,7 @@
             if state.plan(now) {
                 self.owner.wake.notify_one();
             }
-            state.has_batch().then(|| state.take_batch())
+            state.has_batch().then(|| state.take_batch(now))
         })
     }
 
--- a/crates/jobs/src/ownership/member_name.rs
+++ b/crates/jobs/src/ownership/member_name.rs
@@ -1,5 +1,6 @@
 use std::error::Error;
 use std::fmt;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use dotterelhook_types::ids::Incarnation;
@@ -12,7 +13,7 @@
 
 impl fmt::Display for MemberNameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a member's name has the form HOST/INCARNATION")
+        f.write_str("a member's name has the form HOST/INCARNATION@ADDRESS")
     }
 }
 
@@ -25,11 +26,18 @@
     pub host: Box<str>,
     /// Tells a restarted process from its predecessor.
     pub incarnation: Incarnation,
+    /// Where the process takes calls of other hosts.
+    pub address: SocketAddr,
 }
 
 impl fmt::Display for MemberName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.host, self.incarnation)
+        let Self {
+            host,
+            incarnation,
+            address,
+        } = self;
+        write!(f, "{host}/{incarnation}@{address}")
     }
 }
 
@@ -37,10 +45,12 @@
     type Err = MemberNameError;
 
     fn from_str(text: &str) -> Result<Self, MemberNameError> {
-        let (host, incarnation) = text.rsplit_once('/').ok_or(MemberNameError)?;
+        let (process, address) = text.rsplit_once('@').ok_or(MemberNameError)?;
+        let (host, incarnation) = process.rsplit_once('/').ok_or(MemberNameError)?;
         Ok(Self {
             host: host.into(),
             incarnation: incarnation.parse().map_err(|_| MemberNameError)?,
+            address: address.parse().map_err(|_| MemberNameError)?,
         })
     }
 }
--- a/crates/jobs/src/ownership/owner_board.rs
+++ b/crates/jobs/src/ownership/owner_board.rs
@@ -29,8 +29,15 @@
         owned.insert(owner.cell(), owner);
     }
 
-    pub(super) fn remove(&self, cell: u32) {
+    /// Forgets an owner unless a later one is in its place.
+    pub(super) fn remove(&self, owner: &CellOwner) {
         let mut owned = self.owned.write().unwrap_or_else(PoisonError::into_inner);
-        owned.remove(&cell);
+        let cell = owner.cell();
+        if owned
+            .get(&cell)
+            .is_some_and(|known| known.epoch() == owner.epoch())
+        {
+            owned.remove(&cell);
+        }
     }
 }
--- a/crates/jobs/src/ownership/owner_directory.rs
+++ b/crates/jobs/src/ownership/owner_directory.rs
@@ -1,5 +1,4 @@
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::PoisonError;
 use std::sync::RwLock;
@@ -36,8 +35,6 @@
     pub epoch: Epoch,
     /// The process.
     pub member: MemberName,
-    /// Where it takes calls of other hosts.
-    pub address: SocketAddr,
 }
 
 /// The owners of all cells, as this process has read them.
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -18,6 +18,7 @@
 use crate::border::KeyedRecord;
 use crate::border::StoreError;
 use crate::cell::CellState;
+use crate::cell::LEARNED_KEY;
 use crate::feed::FeedBatch;
 use crate::feed::KeyedFeed;
 use crate::ledger::JobProgress;
@@ -56,7 +57,14 @@
     let mut progress_feed = KeyedFeed::new(Arc::clone(&context.store), topics::progress_of(cell));
     let mut progress = HashMap::new();
     for record in records(progress_feed.next(Duration::ZERO).await?) {
-        if let Some((id, value)) = read_record::<JobProgress>(&record) {
+        if &*record.key == LEARNED_KEY {
+            match decode(&record.value) {
+                Ok(learned) => state.restore_learned(learned, now),
+                Err(error) => {
+                    decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+                }
+            }
+        } else if let Some((id, value)) = read_record::<JobProgress>(&record) {
             progress.insert(id, value);
         }
     }
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -1,5 +1,8 @@
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::model::ImageName;
 use crate::model::RunNumber;
 use crate::model::TaskId;
@@ -58,11 +61,39 @@
     Move(TaskId, RunNumber),
 }
 
+/// What a controller has learned, to be handed to the next owner.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LearnedTails {
+    /// Tails without fillers, as multiples of their targets.
+    pub quiet_ratios: Vec<(ImageName, f64)>,
+    /// The pressures of pairs.
+    pub pressures: Vec<LearnedPressure>,
+}
+
+/// By how much a filling image raises the tail of a serving one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedPressure {
+    /// What serves.
+    pub serving: ImageName,
+    /// What fills.
+    pub filler: ImageName,
+    /// The excess with all of an executor's processors, as a multiple of the target.
+    pub weight: f64,
+    /// The number of samples behind it.
+    pub samples: u32,
+}
+
 /// Keeps serving tasks within their tails.
 pub trait Interference: Send + Sync {
     /// Learns from a sample; times are milliseconds of a steady clock.
     fn learn(&mut self, sample: &TailSample, now_ms: u64);
 
+    /// Returns what was learned.
+    fn learned(&self, now_ms: u64) -> LearnedTails;
+
+    /// Takes over what another controller has learned.
+    fn restore(&mut self, learned: LearnedTails, now_ms: u64);
+
     /// Returns what to do.
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep>;
 
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -10,6 +10,8 @@
 pub use deadline_order::DeadlineOrder;
 pub use interference::FillerSample;
 pub use interference::Interference;
+pub use interference::LearnedPressure;
+pub use interference::LearnedTails;
 pub use interference::TailRatio;
 pub use interference::TailSample;
 pub use interference::TailStep;
--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -5,6 +5,8 @@
 
 use super::FillerSample;
 use super::Interference;
+use super::LearnedPressure;
+use super::LearnedTails;
 use super::TailSample;
 use super::TailStep;
 use crate::model::ImageName;
@@ -202,6 +204,33 @@
         }
     }
 
+    fn learned(&self, now_ms: u64) -> LearnedTails {
+        let quiet_ratios = self.quiet_ratios.iter();
+        let pressures = self.pressures.entries(now_ms);
+        LearnedTails {
+            quiet_ratios: quiet_ratios
+                .map(|(image, ratio)| (image.clone(), *ratio))
+                .collect(),
+            pressures: pressures
+                .map(|((serving, filler), weight, samples)| LearnedPressure {
+                    serving: serving.clone(),
+                    filler: filler.clone(),
+                    weight,
+                    samples,
+                })
+                .collect(),
+        }
+    }
+
+    fn restore(&mut self, learned: LearnedTails, now_ms: u64) {
+        self.quiet_ratios.extend(learned.quiet_ratios);
+        for pressure in learned.pressures {
+            let pair = (pressure.serving, pressure.filler);
+            self.pressures
+                .restore(pair, pressure.weight, pressure.samples, now_ms);
+        }
+    }
+
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
         let worst_ratio = sample.worst_ratio();
         if worst_ratio >= HIGH_RATIO {
--- a/crates/scheduler/src/interference/pair_table.rs
+++ b/crates/scheduler/src/interference/pair_table.rs
@@ -70,6 +70,25 @@
         self.pairs.get(pair).map_or(0, |score| score.samples)
     }
 
+    /// Returns all pairs with their weights now and the numbers of their samples.
+    pub fn entries(&self, now_ms: u64) -> impl Iterator<Item = (&K, f64, u32)> {
+        self.pairs.iter().map(move |(pair, score)| {
+            let weight = score.weight * self.decay(score, now_ms);
+            (pair, weight, score.samples)
+        })
+    }
+
+    /// Takes a pair over that another table has learned.
+    pub fn restore(&mut self, pair: K, weight: f64, samples: u32, now_ms: u64) {
+        self.make_room(&pair);
+        let score = PairScore {
+            weight: weight.clamp(WEIGHT_MIN, WEIGHT_MAX),
+            samples,
+            updated_at_ms: now_ms,
+        };
+        self.pairs.insert(pair, score);
+    }
+
     /// Learns from one measured excess; `shares` are the jobs beside the service, once each,
     /// with the shares that they took, weighted by the service's load.
     pub fn learn(&mut self, shares: &[(K, f64)], excess: f64, now_ms: u64) {
