--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -176,7 +176,12 @@
     }
 
     /// Stores a record of a job, through another host if the store can't be reached from here.
-    async fn store_record(&self, id: JobId, key: Box<str>, value: Bytes) -> Result<(), EntryAnswer> {
+    async fn store_record(
+        &self,
+        id: JobId,
+        key: Box<str>,
+        value: Bytes,
+    ) -> Result<(), EntryAnswer> {
         let cell = cell_of(id.as_str(), self.cell_count);
         let partition = submission_partition(id.as_str(), self.cell_count);
         let record = KeyedRecord { key, value };
@@ -184,6 +189,12 @@
         let Err(error) = written else {
             return Ok(());
         };
+        if !self.writer.is_cut_off() {
+            return Err(match error.is_not_done() {
+                true => self.not_done(&error.to_string()),
+                false => EntryAnswer::Unknown(error.to_string().into()),
+            });
+        }
         match self.owners.store_record(cell, partition, &record).await {
             Ok(()) => Ok(()),
             Err(elsewhere) if error.is_not_done() && elsewhere.verdict == Verdict::NotRun => {
--- a/crates/jobs/src/entry/owner_calls.rs
+++ b/crates/jobs/src/entry/owner_calls.rs
@@ -28,7 +28,7 @@
 const STORE_RECORD: &str = "store-record";
 
 /// The longest wait for another host to store a record; above the time for which it tries.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_100);
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Asks the owners of cells, in this process or another.
 pub struct OwnerCalls {
--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -15,19 +15,19 @@
 use crate::feed::StoreHealth;
 
 /// Appends under way to one partition at once; further records wait and go together.
-const APPENDS_AT_ONCE_MAX: usize = 2;
+const APPENDS_AT_ONCE_MAX: usize = 1;
 /// The records of one append at most, below the store's limit for a call.
 const RECORDS_PER_APPEND_MAX: usize = 100;
 /// An append without an answer after this many times the usual time is sent again.
 const PATIENCE: f64 = 5.0;
-/// The shortest wait for an answer; above a way between failure domains with a lost packet.
-const WAIT_MIN: Duration = Duration::from_millis(150);
+/// The shortest wait for an answer; a repeat to a store that is slow, not silent, makes it slower.
+const WAIT_MIN: Duration = Duration::from_millis(400);
 /// The longest wait for an answer.
 const WAIT_MAX: Duration = Duration::from_millis(1_000);
 /// How fast the usual time follows the last one.
 const SMOOTHING: f64 = 0.2;
 /// How long a record whose outcome is unknown is tried for.
-const UNKNOWN_MAX: Duration = Duration::from_millis(900);
+const UNKNOWN_MAX: Duration = Duration::from_millis(1_300);
 
 /// Stores records that may be written twice without harm, many in one append.
 ///
@@ -62,6 +62,11 @@
         }
     }
 
+    /// Returns whether the store can't be reached from here.
+    pub fn is_cut_off(&self) -> bool {
+        self.health.is_lost()
+    }
+
     /// Stores a record.
     ///
     /// # Errors
@@ -152,18 +157,12 @@
     }
 
     fn usual_wait(&self) -> Duration {
-        let usual_ms = *self
-            .usual_ms
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let usual_ms = *self.usual_ms.lock().unwrap_or_else(PoisonError::into_inner);
         Duration::from_secs_f64(usual_ms * PATIENCE / 1_000.0).clamp(WAIT_MIN, WAIT_MAX)
     }
 
     fn note_time(&self, took: Duration) {
-        let mut usual_ms = self
-            .usual_ms
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut usual_ms = self.usual_ms.lock().unwrap_or_else(PoisonError::into_inner);
         *usual_ms += SMOOTHING * (took.as_secs_f64() * 1_000.0 - *usual_ms);
     }
 
