Move work off executors that leave or stand still

Cause: nothing was moved off draining executors, so their tasks died with them, and runs on executors that hang waited for their lease to be useless: no progress is seen there, but renewals are answered.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -7,6 +7,7 @@
 mod commits;
 mod order_outcomes;
 mod planning;
+mod relocation;
 mod reports;
 mod tails;
 
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -1,6 +1,7 @@
 use dotterelhook_types::sizes::Resources;
 use tokio::time::Instant;
 
+use super::ExecutorClock;
 use crate::model::Checkpoint;
 use crate::model::ImageName;
 use crate::model::RunNumber;
@@ -80,6 +81,11 @@
         }
     }
 
+    /// Returns whether the executor has answered after the given time.
+    pub fn is_heard_since(&self, time: Instant, clock: Option<ExecutorClock>) -> bool {
+        clock.is_some_and(|clock| clock.heard_at() > time)
+    }
+
     /// Returns the pace at which a filler seems to work, from the processor time that it uses.
     pub fn observed_pace_percent(&self) -> u32 {
         let used_milli = self.recent_figure.unwrap_or(0.0);
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -349,6 +349,7 @@
                 }
                 state.open_due_occurrences(now_unix.as_millis() as u64);
                 state.lapse_silent(Instant::now());
+                state.relocate(Instant::now());
             });
             self.wake.notify_one();
         }
