--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -117,6 +117,24 @@
         Ok(answer)
     }
 
+    /// Makes one call over a connection that is open already.
+    ///
+    /// The process at the other end is then the one that answered the last call over it.
+    ///
+    /// # Errors
+    /// As for [`Self::call`]; without an open connection the call did not run.
+    pub async fn call_over_kept(&self, call: HttpCall) -> Result<HttpAnswer, CallError> {
+        let timeout = call.timeout;
+        let none = || CallError::not_run("no connection is open");
+        let mut connection = self.take_idle().ok_or_else(none)?;
+        let request = self.request(call)?;
+        let answer = tokio::time::timeout(timeout, exchange(&mut connection, request)).await;
+        let late = || format!("{} gave no answer within {timeout:?}", self.address);
+        let answer = answer.map_err(|_| CallError::may_have_run(late()))??;
+        self.keep(connection);
+        Ok(answer)
+    }
+
     fn request(&self, call: HttpCall) -> Result<Request<Full<Bytes>>, CallError> {
         let mut request = Request::builder()
             .method(call.method)
--- a/crates/jobs/src/border/executor_link.rs
+++ b/crates/jobs/src/border/executor_link.rs
@@ -73,6 +73,24 @@
     pub ended: Vec<EndedRun>,
 }
 
+impl ExecutorReport {
+    /// Returns whether a run is listed, as running or as ended.
+    pub fn lists(&self, task: TaskId, run: RunNumber) -> bool {
+        self.runs(task, run)
+            || self
+                .ended
+                .iter()
+                .any(|ended| ended.task == task && ended.run == run)
+    }
+
+    /// Returns whether a run is listed as running.
+    pub fn runs(&self, task: TaskId, run: RunNumber) -> bool {
+        self.running
+            .iter()
+            .any(|running| running.task == task && running.run == run)
+    }
+}
+
 /// Keeps what runs on an executor alive, and asks what it does.
 #[derive(Clone, Debug)]
 pub struct Renewal {
@@ -181,6 +199,9 @@
 pub trait ExecutorLink: Send + Sync {
     /// Renews the leases and returns what runs and what ended.
     ///
+    /// Ends are acknowledged only to the life of the executor that gave the last report; any
+    /// other one is told of none.
+    ///
     /// # Errors
     /// Says whether the renewal may have been carried out.
     async fn renew(&self, renewal: &Renewal) -> Result<ExecutorReport, OrderError>;
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -185,30 +185,21 @@
         now: Instant,
     ) -> Option<UnboundedReceiver<Order>> {
         if let Some(executor) = self.executors.get_mut(&entry.id) {
-            let has_restarted = match (entry.incarnation, executor.incarnation) {
-                (Some(listed), Some(known)) => listed > known,
-                _ => false,
-            };
             if executor.entry.phase != entry.phase {
                 decided!(Decision::ExecutorPhase, executor: entry.id, phase: entry.phase);
             }
             executor.is_listed = true;
-            let id = entry.id.clone();
-            let incarnation = entry.incarnation;
+            // A new life makes itself known by its own report, which tells what it runs.
             let has_moved = executor.entry.address != entry.address;
             executor.entry = entry;
-            let receiver = has_moved.then(|| executor.renew_orders());
-            if let (true, Some(incarnation)) = (has_restarted, incarnation) {
-                self.begin_incarnation(&id, incarnation, now);
-            }
-            return receiver;
+            return has_moved.then(|| executor.renew_orders());
         }
         let (orders, receiver) = unbounded_channel();
         decided!(Decision::ExecutorListed, executor: entry.id, domain: entry.domain);
         let id = entry.id.clone();
         let executor = Executor::new(entry, orders);
         self.executors.insert(id.clone(), executor);
-        self.claim_unlisted(&id, now);
+        self.claim_unlisted(&id, None, now);
         Some(receiver)
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -1,6 +1,5 @@
 use std::time::Duration;
 
-use dotterelhook_types::ids::Incarnation;
 use tokio::time::Instant;
 
 use super::CellState;
@@ -10,6 +9,7 @@
 use crate::border::Renewal;
 use crate::border::RunEnd;
 use crate::border::RunningRun;
+use crate::fleet::Executor;
 use crate::fleet::ExecutorClock;
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
@@ -80,14 +80,14 @@
         match known {
             Some(known) if report.incarnation < known => return,
             Some(known) if report.incarnation == known => {}
-            Some(_) => self.begin_incarnation(id, report.incarnation, now),
+            Some(_) => self.begin_incarnation(id, &report, asked_at, now),
             None => {
                 if let Some(executor) = self.executors.get_mut(id) {
                     executor.incarnation = Some(report.incarnation);
                 }
             }
         }
-        self.claim_unlisted(id, now);
+        self.claim_unlisted(id, Some(&report), now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -118,7 +118,7 @@
             .collect();
         for id in lapsed {
             decided!(Decision::ExecutorLapsed, executor: id);
-            self.lose_runs(&id, now);
+            self.lose_runs(&id);
             if let Some(executor) = self.executors.get_mut(&id) {
                 executor.clock = None;
             }
@@ -145,45 +145,113 @@
     }
 
     /// Moves what was placed on an executor before the takeover to its view.
-    pub(super) fn claim_unlisted(&mut self, id: &ExecutorId, now: Instant) {
-        let Some(incarnation) = self.executors.get(id).and_then(|found| found.incarnation) else {
+    ///
+    /// Without a report, only what was placed on the life that is listed; a start for an earlier
+    /// life may have been taken by a later one.
+    pub(super) fn claim_unlisted(
+        &mut self,
+        id: &ExecutorId,
+        report: Option<&ExecutorReport>,
+        now: Instant,
+    ) {
+        let Some(current) = self.executors.get(id).and_then(Executor::key) else {
             return;
         };
         let keys: Vec<ExecutorKey> = self
             .unlisted
             .keys()
             .filter(|key| key.id == *id)
+            .filter(|key| match report {
+                // A later life than the known one will be known from its own reports.
+                Some(_) => key.incarnation <= current.incarnation,
+                None => key.incarnation == current.incarnation,
+            })
             .cloned()
             .collect();
         for key in keys {
-            let tasks = self.unlisted.remove(&key).unwrap_or_default();
-            for task in tasks {
-                if key.incarnation == incarnation {
+            for task in self.unlisted.remove(&key).unwrap_or_default() {
+                let run = self.placed_run(&key, task);
+                let is_taken =
+                    run.is_some_and(|run| report.is_some_and(|report| report.lists(task, run)));
+                if key == current {
                     self.restore_run(&key, task, now);
-                } else if key.incarnation < incarnation {
+                } else if let (true, Some(run)) = (is_taken, run) {
+                    self.adopt_run(&current, task, run);
+                    self.restore_run(&current, task, now);
+                } else {
                     self.release_restored(&key, task);
                 }
             }
         }
     }
 
-    /// Notes that an executor runs a new life, in which nothing of the former one runs.
-    pub(super) fn begin_incarnation(
+    /// Notes that an executor runs a new life.
+    ///
+    /// What it lists was started on it although it was meant for the former life. What may still
+    /// be on its way is refused there first. Everything else is gone.
+    fn begin_incarnation(
         &mut self,
         id: &ExecutorId,
-        incarnation: Incarnation,
+        report: &ExecutorReport,
+        asked_at: Instant,
         now: Instant,
     ) {
+        let incarnation = report.incarnation;
         decided!(Decision::ExecutorRestarted, executor: id, incarnation: incarnation);
-        self.lose_runs(id, now);
-        if let Some(executor) = self.executors.get_mut(id) {
-            executor.incarnation = Some(incarnation);
-            executor.clock = None;
-            executor.seen_end = 0;
-            executor.acked_end = 0;
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let former = executor.key();
+        let views = executor.take_runs();
+        executor.incarnation = Some(incarnation);
+        executor.clock = None;
+        executor.seen_end = 0;
+        executor.acked_end = 0;
+        let (Some(former), Some(current)) = (former, executor.key()) else {
+            return;
+        };
+        for (task, mut view) in views {
+            let may_arrive = match view.phase {
+                RunPhase::Ordered | RunPhase::Stopping { .. } => true,
+                RunPhase::Running { since } => since > asked_at,
+                RunPhase::Proposed | RunPhase::Restored => false,
+            };
+            let is_listed = report.lists(task, view.run);
+            if !is_listed && !may_arrive {
+                self.lose_run(&former, task, view);
+                continue;
+            }
+            if !is_listed {
+                view.phase = RunPhase::Stopping {
+                    sent_at: now,
+                    answered_at: None,
+                };
+            }
+            self.adopt_run(&current, task, view.run);
+            if let Some(executor) = self.executors.get_mut(id) {
+                if !is_listed {
+                    executor.send(Order::Stop(task, view.run));
+                }
+                executor.add_run(task, view);
+            }
+        }
+    }
+
+    /// Notes that a run was taken by another life than the one that it was placed on.
+    fn adopt_run(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber) {
+        if let Some(job) = self.ledger.job_mut(task.job) {
+            job.move_run(task, run, key.clone());
+            self.dirty.insert(task.job);
         }
     }
 
+    /// Returns the run of a task if its newest one is on this executor.
+    fn placed_run(&self, key: &ExecutorKey, task: TaskId) -> Option<RunNumber> {
+        let job = self.ledger.job(task.job)?;
+        let run = job.task(task)?.run;
+        job.is_placed(task, run, key).then_some(run)
+    }
+
     fn restore_run(&mut self, key: &ExecutorKey, task: TaskId, now: Instant) {
         let Some(job) = self.ledger.job(task.job) else {
             return;
@@ -216,7 +284,7 @@
         }
     }
 
-    fn lose_runs(&mut self, id: &ExecutorId, now: Instant) {
+    fn lose_runs(&mut self, id: &ExecutorId) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -224,18 +292,18 @@
             return;
         };
         for (task, view) in executor.take_runs() {
-            if matches!(view.phase, RunPhase::Ordered | RunPhase::Stopping { .. }) {
-                // A start that is still on its way could reach the executor's next life.
-                executor.send(Order::Stop(task, view.run));
-            }
-            let Some(job) = self.ledger.job_mut(task.job) else {
-                continue;
-            };
-            if job.is_placed(task, view.run, &key) {
-                decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted", quiet_ms: now.duration_since(view.progressed_at).as_millis());
-                job.release(task, view.checkpoint, false);
-                self.dirty.insert(task.job);
-            }
+            self.lose_run(&key, task, view);
+        }
+    }
+
+    /// Gives a run up that is over for certain.
+    fn lose_run(&mut self, key: &ExecutorKey, task: TaskId, view: RunView) {
+        if let Some(job) = self.ledger.job_mut(task.job)
+            && job.is_placed(task, view.run, key)
+        {
+            decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted");
+            job.release(task, view.checkpoint, false);
+            self.dirty.insert(task.job);
         }
     }
 
@@ -371,16 +439,10 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let is_listed = |task: TaskId, run: RunNumber| {
-            report
-                .running
-                .iter()
-                .any(|running| running.task == task && running.run == run)
-        };
         let unmentioned: Vec<(TaskId, RunNumber)> = executor
             .runs()
             .iter()
-            .filter(|(task, view)| !is_listed(**task, view.run))
+            .filter(|(task, view)| !report.runs(**task, view.run))
             .map(|(task, view)| (*task, view.run))
             .collect();
         let settle_after = self.settings.stop_max;
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -256,6 +256,17 @@
         Some(run)
     }
 
+    /// Moves a run to another life of its executor, which was found to have taken it.
+    pub fn move_run(&mut self, task: TaskId, run: RunNumber, executor: ExecutorKey) {
+        let Some(position) = self.position(task) else {
+            return;
+        };
+        let progress = &mut self.progress.tasks[position];
+        if progress.run == run && matches!(progress.status, TaskStatus::Placed(_)) {
+            progress.status = TaskStatus::Placed(executor);
+        }
+    }
+
     /// Takes a run back that never started or that ended without being done.
     pub fn release(&mut self, task: TaskId, checkpoint: Option<Checkpoint>, has_failed: bool) {
         let Some(position) = self.position(task) else {
--- /dev/null
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -0,0 +1,482 @@
+//! Owners, executors and messages under generated faults.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_jobs::border::OrderError;
+use dotterelhook_jobs::border::StartOrder;
+use dotterelhook_jobs::cell::Batch;
+use dotterelhook_jobs::cell::CellState;
+use dotterelhook_jobs::cell::StateAnswer;
+use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::ledger::JobProgress;
+use dotterelhook_jobs::ledger::decode;
+use dotterelhook_jobs::model::ExecutorEntry;
+use dotterelhook_jobs::model::ExecutorId;
+use dotterelhook_jobs::model::ExecutorPhase;
+use dotterelhook_jobs::model::JobId;
+use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::Submission;
+use dotterelhook_jobs::model::TaskId;
+use dotterelhook_types::ids::Epoch;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::sizes::Resources;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
+
+use crate::fixture::SERVICE;
+use crate::fixture::config;
+use crate::fixture::job;
+use crate::fixture::settings;
+use crate::fixture::step;
+use crate::fixture::submission;
+use crate::model::History;
+use crate::model::PlayedExecutor;
+use crate::model::checkpoint;
+
+const EXECUTORS: [&str; 3] = ["i-1", "i-2", "i-3"];
+const CAPACITY_MILLI: u64 = 4_000;
+const ATTEMPTS_MAX: u32 = 3;
+/// Cases of a run, unless the variable `DOTTERELHOOK_CASES` says otherwise.
+const CASES: u32 = 200;
+/// The seed of a run, unless the variable `DOTTERELHOOK_SEED` says otherwise.
+const SEED: u8 = 7;
+/// Simulated time after the faults in which everything must be done.
+const SETTLE: Duration = Duration::from_secs(60);
+const SETTLE_STEP: Duration = Duration::from_millis(100);
+
+/// What becomes of a message.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Answered,
+    AnswerLost,
+    CarriedOutLate,
+    NotSent,
+}
+
+/// One step of a generated day.
+#[derive(Clone, Debug)]
+enum Event {
+    Submit { steps: u32, width: u32 },
+    Cancel { index: usize },
+    Pass { ms: u64 },
+    Commit { answer_lost: bool },
+    Renew { executor: usize, fate: Fate },
+    Carry { executor: usize, fate: Fate },
+    Crash { executor: usize },
+    Restart { executor: usize },
+    TakeOver { leaves_zombie: bool },
+}
+
+fn fates() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        8 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::CarriedOutLate),
+        1 => Just(Fate::NotSent),
+    ]
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let executor = 0..EXECUTORS.len();
+    let event = prop_oneof![
+        2 => (1..3_u32, 1..4_u32).prop_map(|(steps, width)| Event::Submit { steps, width }),
+        1 => any::<usize>().prop_map(|index| Event::Cancel { index }),
+        6 => (1..900_u64).prop_map(|ms| Event::Pass { ms }),
+        8 => any::<u8>().prop_map(|dice| Event::Commit { answer_lost: dice < 25 }),
+        8 => (executor.clone(), fates()).prop_map(|(executor, fate)| Event::Renew { executor, fate }),
+        8 => (executor.clone(), fates()).prop_map(|(executor, fate)| Event::Carry { executor, fate }),
+        1 => executor.clone().prop_map(|executor| Event::Crash { executor }),
+        2 => executor.prop_map(|executor| Event::Restart { executor }),
+        1 => any::<bool>().prop_map(|leaves_zombie| Event::TakeOver { leaves_zombie }),
+    ];
+    proptest::collection::vec(event, 20..160)
+}
+
+/// An owner with the orders that it has handed over.
+struct Owner {
+    cell: CellState,
+    orders: BTreeMap<ExecutorId, UnboundedReceiver<Order>>,
+    in_flight: Option<Batch>,
+    /// The life of each executor that gave the last report.
+    reported_lives: BTreeMap<ExecutorId, u64>,
+}
+
+/// All owners, executors, and what is stored.
+struct Day {
+    now: Instant,
+    epoch: Epoch,
+    owner: Owner,
+    zombie: Option<Owner>,
+    executors: Vec<PlayedExecutor>,
+    submissions: Vec<(JobId, Arc<Submission>)>,
+    cancelled: Vec<JobId>,
+    stored: HashMap<JobId, JobProgress>,
+    late_starts: Vec<(usize, StartOrder)>,
+    history: History,
+}
+
+impl Day {
+    fn new() -> Self {
+        let now = Instant::now();
+        let mut day = Self {
+            now,
+            epoch: Epoch(1),
+            owner: Owner::new(Epoch(1), now),
+            zombie: None,
+            executors: EXECUTORS
+                .iter()
+                .map(|id| PlayedExecutor::new(id, Resources::new(CAPACITY_MILLI, 100_000)))
+                .collect(),
+            submissions: Vec::new(),
+            cancelled: Vec::new(),
+            stored: HashMap::new(),
+            late_starts: Vec::new(),
+            history: History::default(),
+        };
+        day.owner.list_all(now);
+        day
+    }
+
+    fn play(&mut self, event: &Event) {
+        match event {
+            Event::Submit { steps, width } => self.submit(*steps, *width),
+            Event::Cancel { index } => self.cancel(*index),
+            Event::Pass { ms } => self.pass(*ms),
+            Event::Commit { answer_lost } => self.commit(*answer_lost),
+            Event::Renew { executor, fate } => self.renew(*executor, *fate),
+            Event::Carry { executor, fate } => self.carry(*executor, *fate),
+            Event::Crash { executor } => self.executors[*executor].crash(),
+            Event::Restart { executor } => {
+                if !self.executors[*executor].is_up {
+                    self.executors[*executor].restart();
+                }
+            }
+            Event::TakeOver { leaves_zombie } => self.take_over(*leaves_zombie),
+        }
+    }
+
+    fn submit(&mut self, steps: u32, width: u32) {
+        let id = job(self.submissions.len() as u64 + 1);
+        let steps = (0..steps)
+            .map(|number| {
+                let after: Vec<u32> = (0..number).collect();
+                step(width, 1_500, &after)
+            })
+            .collect();
+        let submission = submission(steps);
+        self.submissions.push((id, Arc::clone(&submission)));
+        self.owner.cell.accept(id, submission, self.now);
+    }
+
+    fn cancel(&mut self, index: usize) {
+        if self.submissions.is_empty() {
+            return;
+        }
+        let (id, _) = self.submissions[index % self.submissions.len()];
+        self.cancelled.push(id);
+        self.owner.cell.cancel(id, self.now);
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        for executor in &mut self.executors {
+            executor.pass(ms);
+        }
+        self.owner.cell.lapse_silent(self.now);
+        self.owner.cell.relocate(self.now);
+    }
+
+    /// Stores what the owner has decided; its effects follow with the next commit.
+    fn commit(&mut self, answer_lost: bool) {
+        if let Some(batch) = self.owner.in_flight.take() {
+            self.owner.cell.batch_stored(batch, self.now);
+        }
+        self.owner.cell.plan(self.now);
+        if self.owner.cell.has_batch() {
+            let batch = self.owner.cell.take_batch(self.now);
+            for record in &batch.records {
+                if let (Ok(id), Ok(progress)) = (record.key.parse(), decode(&record.value)) {
+                    self.stored.insert(id, progress);
+                }
+            }
+            self.owner.in_flight = Some(batch);
+        }
+        // A lost answer is asked for again; until then nothing follows.
+        if !answer_lost && let Some(batch) = self.owner.in_flight.take() {
+            self.owner.cell.batch_stored(batch, self.now);
+        }
+    }
+
+    fn renew(&mut self, index: usize, fate: Fate) {
+        let id = ExecutorId::from(EXECUTORS[index]);
+        let Some(mut renewal) = self.owner.cell.renewal(&id, true) else {
+            return;
+        };
+        let life = self.executors[index].incarnation;
+        if self.owner.reported_lives.get(&id) != Some(&life) {
+            renewal.acked_end = 0;
+        }
+        if matches!(fate, Fate::NotSent) {
+            return;
+        }
+        let asked_at = self.now;
+        let report = self.executors[index].renew(&renewal, &mut self.history);
+        if let (Ok(report), Fate::Answered) = (report, fate) {
+            self.pass(2);
+            self.owner.reported_lives.insert(id.clone(), life);
+            let cell = &mut self.owner.cell;
+            cell.take_report(&id, report, asked_at, self.now);
+        }
+    }
+
+    fn carry(&mut self, index: usize, fate: Fate) {
+        if let Some(mut zombie) = self.zombie.take() {
+            self.carry_of(&mut zombie, index, fate);
+            self.zombie = Some(zombie);
+        }
+        let mut owner = std::mem::replace(&mut self.owner, Owner::new(Epoch(0), self.now));
+        self.carry_of(&mut owner, index, fate);
+        self.owner = owner;
+        for (index, order) in std::mem::take(&mut self.late_starts) {
+            let _ = self.start(index, &order);
+        }
+    }
+
+    fn carry_of(&mut self, owner: &mut Owner, index: usize, fate: Fate) {
+        let id = ExecutorId::from(EXECUTORS[index]);
+        let Some(order) = owner
+            .orders
+            .get_mut(&id)
+            .and_then(|orders| orders.try_recv().ok())
+        else {
+            return;
+        };
+        match order {
+            Order::Start(task, run) => {
+                let Some(order) = owner.cell.start_order(&id, task, run) else {
+                    return;
+                };
+                let unknown = Err(OrderError::Unknown("no answer".into()));
+                let answer = match fate {
+                    Fate::Answered => self.start(index, &order),
+                    Fate::AnswerLost => {
+                        let _ = self.start(index, &order);
+                        unknown
+                    }
+                    Fate::CarriedOutLate => {
+                        self.late_starts.push((index, order));
+                        unknown
+                    }
+                    Fate::NotSent => Err(OrderError::NotSent("refused".into())),
+                };
+                owner.cell.start_answered(&id, task, run, answer, self.now);
+            }
+            Order::Stop(task, run) => {
+                if matches!(fate, Fate::NotSent) {
+                    return;
+                }
+                let order = owner.cell.stop_order(task, run);
+                let answer = self.executors[index].stop(&order);
+                if matches!(fate, Fate::Answered) {
+                    owner.cell.stop_answered(&id, task, run, answer, self.now);
+                }
+            }
+            Order::Pace(..) => {}
+        }
+    }
+
+    /// Lets an executor start a run, and checks that it may.
+    fn start(&mut self, index: usize, order: &StartOrder) -> Result<(), OrderError> {
+        let task = order.task;
+        let found = self.submissions.iter().find(|(id, _)| *id == task.job);
+        let (_, submission) = found.expect("a submitted job");
+        let step = &submission.spec.steps[task.step as usize];
+        let number = u64::from(task.step) * 7 + u64::from(task.index);
+        let work_ms = 300 + 200 * (number % 4);
+        let fails = number % 5 == 4 && order.run.0 == 1;
+        let begins = self.executors[index].start(order, step.need, work_ms, fails)?;
+        if !begins {
+            return Ok(());
+        }
+        let others = self.executors.iter().enumerate();
+        let twice = others
+            .filter(|(other, executor)| *other != index && executor.runs(task))
+            .count();
+        assert_eq!(twice, 0, "{task} runs twice");
+        assert!(!self.history.done.contains(&task), "{task} was done before");
+        let failures = self.history.failures.get(&task).copied().unwrap_or(0);
+        assert!(failures < ATTEMPTS_MAX, "{task} had no attempts left");
+        for before in &step.after {
+            let count = submission.spec.steps[*before as usize].count;
+            for index in 0..count {
+                let earlier = TaskId {
+                    step: *before,
+                    index,
+                    ..task
+                };
+                let is_done = self.history.done.contains(&earlier) || self.is_stored_done(earlier);
+                assert!(is_done, "{task} started before {earlier} was done");
+            }
+        }
+        let executor = &self.executors[index];
+        assert!(executor.used().fits_in(&executor.capacity()));
+        if let Some(resumed) = &order.checkpoint {
+            assert_eq!(*resumed, checkpoint(task));
+        }
+        self.history.starts.entry(task).or_default().push(order.run);
+        Ok(())
+    }
+
+    fn is_stored_done(&self, task: TaskId) -> bool {
+        use dotterelhook_jobs::ledger::TaskStatus;
+        let found = self.submissions.iter().find(|(id, _)| *id == task.job);
+        let (_, submission) = found.expect("a submitted job");
+        let steps = &submission.spec.steps[..task.step as usize];
+        let start: u32 = steps.iter().map(|step| step.count).sum();
+        let progress = self.stored.get(&task.job);
+        progress.is_some_and(|progress| {
+            let position = (start + task.index) as usize;
+            progress
+                .tasks
+                .get(position)
+                .is_some_and(|task| task.status == TaskStatus::Done)
+        })
+    }
+
+    fn take_over(&mut self, leaves_zombie: bool) {
+        self.epoch = self.epoch.next();
+        let mut next = Owner::new(self.epoch, self.now);
+        for (id, submission) in &self.submissions {
+            let progress = self.stored.get(id).cloned().unwrap_or_default();
+            next.cell
+                .restore(*id, Arc::clone(submission), progress, self.now);
+        }
+        for id in &self.cancelled {
+            next.cell.cancel(*id, self.now);
+        }
+        next.list_all(self.now);
+        let former = std::mem::replace(&mut self.owner, next);
+        self.zombie = leaves_zombie.then_some(former);
+    }
+
+    /// Ends the faults and lets everything be done.
+    fn settle(&mut self) {
+        self.zombie = None;
+        for executor in &mut self.executors {
+            if !executor.is_up {
+                executor.restart();
+            }
+        }
+        let rounds = SETTLE.as_millis() / SETTLE_STEP.as_millis();
+        for _ in 0..rounds {
+            self.pass(SETTLE_STEP.as_millis() as u64);
+            for index in 0..EXECUTORS.len() {
+                self.renew(index, Fate::Answered);
+            }
+            self.commit(false);
+            for index in 0..EXECUTORS.len() {
+                for _ in 0..8 {
+                    self.carry(index, Fate::Answered);
+                }
+            }
+        }
+    }
+
+    fn check_outcomes(&self) {
+        for (id, _) in &self.submissions {
+            let state = self.owner.cell.state_of(*id);
+            let StateAnswer::Known(state) = state else {
+                panic!("job {id} is not known");
+            };
+            if self.cancelled.contains(id) {
+                assert!(state.is_final(), "cancelled job {id} is {state}");
+            } else {
+                assert_eq!(state, JobState::Completed, "job {id}");
+            }
+        }
+        for executor in &self.executors {
+            assert_eq!(
+                executor.used(),
+                Resources::default(),
+                "{} works",
+                executor.id
+            );
+        }
+        for (task, runs) in &self.history.starts {
+            let rises = runs.windows(2).all(|pair| pair[0] < pair[1]);
+            assert!(rises, "the runs of {task} don't rise: {runs:?}");
+        }
+    }
+}
+
+impl Owner {
+    fn new(epoch: Epoch, now: Instant) -> Self {
+        Self {
+            cell: CellState::new(Arc::new(settings()), epoch, config(ATTEMPTS_MAX), now),
+            orders: BTreeMap::new(),
+            in_flight: None,
+            reported_lives: BTreeMap::new(),
+        }
+    }
+
+    fn list_all(&mut self, now: Instant) {
+        for id in EXECUTORS {
+            let entry = ExecutorEntry {
+                id: id.into(),
+                incarnation: Some(Incarnation(1)),
+                service: SERVICE.into(),
+                address: ([127, 0, 0, 1], 9_000).into(),
+                domain: "laguna".into(),
+                labels: Vec::new(),
+                capacity: Resources::new(CAPACITY_MILLI, 100_000),
+                phase: ExecutorPhase::Ready,
+            };
+            if let Some(orders) = self.cell.list_executor(entry, now) {
+                self.orders.insert(id.into(), orders);
+            }
+        }
+    }
+}
+
+fn number_from<T: FromStr>(variable: &str, default: T) -> T {
+    let text = std::env::var(variable).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+#[test]
+fn no_task_runs_twice_and_every_job_ends() {
+    let config = Config {
+        cases: number_from("DOTTERELHOOK_CASES", CASES),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let seed = [number_from("DOTTERELHOOK_SEED", SEED); 32];
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+
+    let result = runner.run(&events(), |events| {
+        let mut day = Day::new();
+        for event in &events {
+            day.play(event);
+        }
+        day.settle();
+        day.check_outcomes();
+        Ok(())
+    });
+
+    if let Err(failure) = result {
+        panic!("{failure}");
+    }
+}
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,4 +1,6 @@
 //! The decisions of a cell's owner, without a network.
 
 mod fixture;
+mod generated_faults;
+mod model;
 mod takeovers;
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -83,3 +83,23 @@
         [Order::Start(task(1, 0, 0), RunNumber(2))]
     );
 }
+
+#[tokio::test]
+async fn a_start_on_a_life_that_the_platform_does_not_list_yet_is_sent_again() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report_of("i-1", 2, vec![], vec![]);
+    world.cell.accept(job(1), submitted.clone(), world.now);
+    world.commit();
+
+    let mut next = world.take_over(&[(job(1), submitted)]);
+    next.list("i-1", 4_000);
+    next.report_of("i-1", 2, vec![], vec![]);
+    next.commit();
+
+    assert_eq!(
+        next.sent("i-1"),
+        [Order::Start(task(1, 0, 0), RunNumber(1))]
+    );
+}
