Send starts only to the life that they are meant for

(1) A start that reached an executor's next life under the same id began a lease of its own, longer than the owner's bound, or ran for a replaced owner whose token the new life did not know. (2) The wait for lapsed leases counts from the last start as well. (3) Runs of cancelled jobs that never started took room for good after a takeover.

--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -135,6 +135,14 @@
         Ok(answer)
     }
 
+    /// Closes the connections without a call in flight.
+    pub fn close(&self) {
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+    }
+
     fn request(&self, call: HttpCall) -> Result<Request<Full<Bytes>>, CallError> {
         let mut request = Request::builder()
             .method(call.method)
--- a/crates/jobs/src/border/executor_link.rs
+++ b/crates/jobs/src/border/executor_link.rs
@@ -107,6 +107,8 @@
 /// Tells an executor to start a run.
 #[derive(Clone, Debug)]
 pub struct StartOrder {
+    /// The life of the executor that the run is meant for; any other one must not get the order.
+    pub incarnation: Incarnation,
     /// The sender's generation.
     pub token: Epoch,
     /// The task.
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -139,7 +139,7 @@
 
     /// Hands a stored start to its executor, unless the job was ended meanwhile.
     fn release_start(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber) {
-        let is_open = self.ledger.job(task.job).is_some_and(|job| job.is_open());
+        let is_open = self.ledger.is_open(task.job);
         let executor = self.executors.get_mut(&key.id);
         let same_life =
             |executor: &&mut crate::fleet::Executor| executor.incarnation == Some(key.incarnation);
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -22,24 +22,43 @@
 /// What the answers to orders change.
 impl CellState {
     /// Returns the order for a start, unless it is no longer wanted.
-    pub fn start_order(&self, id: &ExecutorId, task: TaskId, run: RunNumber) -> Option<StartOrder> {
-        let executor = self.executors.get(id)?;
+    pub fn start_order(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        now: Instant,
+    ) -> Option<StartOrder> {
+        let executor = self.executors.get_mut(id)?;
         let view = executor.run(task).filter(|view| view.run == run)?;
         if view.phase != RunPhase::Ordered {
             return None;
         }
         let job = self.ledger.job(task.job).filter(|job| job.is_open())?;
+        let incarnation = executor.incarnation?;
+        let lease_end_ms = executor.clock?.lease_end_ms(self.settings.lease);
+        executor.started_at = Some(now);
         Some(StartOrder {
+            incarnation,
             token: self.epoch,
             task,
             run,
             payload: job.submission().spec.payload.clone(),
-            lease_end_ms: executor.clock?.lease_end_ms(self.settings.lease),
+            lease_end_ms,
             checkpoint: job.task(task)?.checkpoint.clone(),
             ticket: None,
         })
     }
 
+    /// Takes a run back whose start was not sent, since it was no longer wanted.
+    pub fn start_dropped(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) {
+        let executor = self.executors.get(id);
+        let view = executor.and_then(|executor| executor.run(task));
+        if view.is_some_and(|view| view.run == run && view.phase == RunPhase::Ordered) {
+            self.take_back(id, task, run);
+        }
+    }
+
     /// Returns the order for a stop.
     pub fn stop_order(&self, task: TaskId, run: RunNumber) -> StopOrder {
         StopOrder {
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -389,10 +389,7 @@
                     view.pace_percent = view.observed_pace_percent();
                 }
                 view.phase = RunPhase::Running { since: now };
-                let is_open = self
-                    .ledger
-                    .job(running.task.job)
-                    .is_some_and(|job| job.is_open());
+                let is_open = self.ledger.is_open(running.task.job);
                 if !is_open && let Some(key) = executor.key() {
                     self.stop_run(&key, running.task, now);
                 }
@@ -453,11 +450,8 @@
             };
             match view.phase {
                 RunPhase::Proposed | RunPhase::Ordered => {}
-                RunPhase::Restored => {
-                    // The former owner's start never arrived, and no longer can.
-                    view.phase = RunPhase::Ordered;
-                    executor.send(Order::Start(task, run));
-                }
+                // The former owner's start never arrived, and the executor obeys this one now.
+                RunPhase::Restored => gone.push((task, run, None)),
                 RunPhase::Running { since } => {
                     if asked_at <= since {
                         continue;
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -30,6 +30,8 @@
     pub incarnation: Option<Incarnation>,
     /// Its clock, once it has answered in this life.
     pub clock: Option<ExecutorClock>,
+    /// When a start was last sent; it begins a lease of its own in a life not known yet.
+    pub started_at: Option<Instant>,
     /// Ends up to this number were taken over.
     pub seen_end: u64,
     /// Ends up to this number are stored.
@@ -59,6 +61,7 @@
             entry,
             is_listed: true,
             clock: None,
+            started_at: None,
             seen_end: 0,
             acked_end: 0,
             health: Health::default(),
@@ -212,7 +215,11 @@
 
     /// Returns whether all leases are over for certain.
     pub fn is_lapsed(&self, lease: Duration, now: Instant) -> bool {
-        self.clock
-            .is_some_and(|clock| clock.lapsed_at(lease) <= now)
+        let after = ExecutorClock::lapse_after(lease);
+        let start_is_over = self.started_at.is_none_or(|at| at + after <= now);
+        let is_silent = self
+            .clock
+            .is_some_and(|clock| clock.lapsed_at(lease) <= now);
+        is_silent && start_is_over
     }
 }
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -81,6 +81,11 @@
         self.active.get(&id)
     }
 
+    /// Returns whether tasks of a job may start.
+    pub fn is_open(&self, id: JobId) -> bool {
+        self.active.get(&id).is_some_and(Job::is_open)
+    }
+
     /// Returns a job that is not finished, to change it.
     pub fn job_mut(&mut self, id: JobId) -> Option<&mut Job> {
         self.active.get_mut(&id)
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -129,10 +129,11 @@
             }
             let order = self
                 .owner
-                .with(|state| state.start_order(&self.id, task, run));
+                .with(|state| state.start_order(&self.id, task, run, Instant::now()));
             let Some(order) = order else {
-                if may_have_run {
-                    break;
+                if !may_have_run {
+                    self.owner
+                        .with(|state| state.start_dropped(&self.id, task, run));
                 }
                 return;
             };
