--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -40,7 +40,7 @@
 /// The time over the target after which all fillers stop working; a rule gives 4 s or more.
 const STOP_AFTER: Duration = Duration::from_millis(1_900);
 /// By how much a filler's pace rises at a time, in percent.
-const RAISE_PERCENT: u32 = 34;
+const RAISE_PERCENT: u32 = 100;
 
 /// Slows fillers down by what they were seen to cause, and speeds them up again.
 ///
--- /dev/null
+++ b/crates/jobs/tests/entry/feeds.rs
@@ -0,0 +1,76 @@
+use std::time::Duration;
+
+use dotterelhook_jobs::feed::StoreHealth;
+use dotterelhook_jobs::feed::boot_now;
+use dotterelhook_jobs::ledger::JobProgress;
+use dotterelhook_jobs::ledger::TaskProgress;
+use dotterelhook_jobs::ledger::TaskStatus;
+use dotterelhook_jobs::ledger::decode;
+use dotterelhook_jobs::ledger::encode;
+use dotterelhook_jobs::model::ExecutorKey;
+use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_types::ids::Incarnation;
+use proptest::prelude::any;
+use proptest::proptest;
+
+#[test]
+fn the_store_is_lost_after_three_failures_and_regained_by_one_answer() {
+    let health = StoreHealth::default();
+
+    health.note_failure(&"silent");
+    health.note_failure(&"silent");
+    let before = health.is_lost();
+    health.note_failure(&"silent");
+    let after = health.is_lost();
+    health.note_answer(boot_now());
+
+    assert!(!before && after && !health.is_lost());
+    assert!(health.silence() < Duration::from_secs(1));
+}
+
+fn progress() -> JobProgress {
+    let executor = ExecutorKey {
+        id: "i-1".into(),
+        incarnation: Incarnation(1_700_000_000_123),
+    };
+    JobProgress {
+        outcome: Some(JobState::Cancelled),
+        tasks: vec![
+            TaskProgress::default(),
+            TaskProgress {
+                status: TaskStatus::Placed(executor),
+                run: RunNumber(3),
+                failures: 2,
+                checkpoint: Some("saved".into()),
+            },
+        ],
+    }
+}
+
+#[test]
+fn progress_is_read_as_it_was_written() {
+    let written = encode(&progress()).expect("encoded");
+
+    assert_eq!(decode::<JobProgress>(&written), Ok(progress()));
+}
+
+#[test]
+fn a_cut_record_is_refused() {
+    let written = encode(&progress()).expect("encoded");
+
+    for length in 0..written.len() {
+        assert!(
+            decode::<JobProgress>(&written[..length]).is_err(),
+            "{length} bytes"
+        );
+    }
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = decode::<JobProgress>(&bytes);
+        let _ = decode::<dotterelhook_jobs::model::Submission>(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! Taking records from clients while the store misbehaves.
+
+mod fake_store;
+mod feeds;
+mod writer;
--- /dev/null
+++ b/crates/jobs/tests/entry/writer.rs
@@ -0,0 +1,139 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_jobs::border::KeyedRecord;
+use dotterelhook_jobs::border::StoreError;
+use dotterelhook_jobs::entry::RecordWriter;
+use dotterelhook_jobs::feed::StoreHealth;
+use dotterelhook_jobs::ownership::submission_partition;
+use dotterelhook_jobs::ownership::submissions_of;
+use tokio::time::Instant;
+
+use crate::fake_store::FakeStore;
+use crate::fake_store::Fate;
+
+fn writer(store: &Arc<FakeStore>) -> (Arc<RecordWriter>, Arc<StoreHealth>) {
+    let health = Arc::new(StoreHealth::default());
+    let store = Arc::clone(store) as Arc<dyn dotterelhook_jobs::border::Store>;
+    let writer = Arc::new(RecordWriter::new(store, Arc::clone(&health)));
+    (writer, health)
+}
+
+fn record(key: &str) -> KeyedRecord {
+    KeyedRecord {
+        key: key.into(),
+        value: "1".into(),
+    }
+}
+
+async fn write(writer: &Arc<RecordWriter>, key: &str) -> Result<(), StoreError> {
+    writer.write(submissions_of(0), record(key)).await
+}
+
+#[tokio::test(start_paused = true)]
+async fn burst_at_a_slow_store_goes_in_few_appends() {
+    let store = FakeStore::with(&[Fate::After(Duration::from_millis(170)); 2]);
+    let (writer, _) = writer(&store);
+
+    let first = tokio::spawn({
+        let writer = Arc::clone(&writer);
+        async move { write(&writer, "first").await }
+    });
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    let rest: Vec<_> = (0..20)
+        .map(|number| {
+            let writer = Arc::clone(&writer);
+            tokio::spawn(async move { write(&writer, &format!("rest-{number}")).await })
+        })
+        .collect();
+    first.await.expect("no panic").expect("stored");
+    for written in rest {
+        written.await.expect("no panic").expect("stored");
+    }
+
+    let sizes: Vec<usize> = store.appends().iter().map(Vec::len).collect();
+    assert_eq!(sizes, [1, 20]);
+    assert_eq!(store.most_at_once(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_slow_a_record_is_not_sent_twice_before_its_answer_can_be_there() {
+    let store = FakeStore::with(&[Fate::After(Duration::from_millis(390))]);
+    let (writer, _) = writer(&store);
+
+    write(&writer, "a").await.expect("stored");
+
+    assert_eq!(store.appends().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_lost_answers_are_asked_for_again() {
+    let store = FakeStore::with(&[Fate::AnswerLost, Fate::AnswerLost]);
+    let (writer, _) = writer(&store);
+
+    let result = write(&writer, "a").await;
+
+    assert_eq!(result, Ok(()));
+    assert_eq!(store.appends().len(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_away_a_record_that_may_be_stored_is_never_called_not_done() {
+    let store = FakeStore::with(&[
+        Fate::AnswerLost,
+        Fate::Refused,
+        Fate::Refused,
+        Fate::Refused,
+    ]);
+    let (writer, _) = writer(&store);
+    let started = Instant::now();
+
+    let result = write(&writer, "a").await;
+
+    assert!(
+        result.is_ok() || matches!(result, Err(StoreError::Unknown(_))),
+        "{result:?}"
+    );
+    assert!(started.elapsed() < Duration::from_secs(2));
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_busy_a_refusal_is_told_at_once() {
+    let store = FakeStore::with(&[Fate::Refused]);
+    let (writer, _) = writer(&store);
+    let started = Instant::now();
+
+    let result = write(&writer, "a").await;
+
+    assert!(matches!(result, Err(StoreError::NotDone(_))), "{result:?}");
+    assert!(started.elapsed() < Duration::from_millis(10));
+}
+
+#[tokio::test(start_paused = true)]
+async fn store_away_nothing_is_tried_while_it_is_known_to_be_lost() {
+    let store = FakeStore::with(&[]);
+    let (writer, health) = writer(&store);
+    for _ in 0..3 {
+        health.note_failure(&"silent");
+    }
+
+    let result = write(&writer, "a").await;
+
+    assert!(matches!(result, Err(StoreError::NotDone(_))), "{result:?}");
+    assert!(writer.is_cut_off());
+    assert!(store.appends().is_empty());
+}
+
+#[test]
+fn a_job_and_its_cancellation_share_a_partition_of_their_cell() {
+    for cells in [1, 2, 3] {
+        for number in 0..200_u32 {
+            let id = format!("{number:016x}");
+            let cell = dotterelhook_jobs::ownership::cell_of(&id, cells);
+            let partition = submission_partition(&id, cells);
+
+            assert_eq!(partition.number % cells, cell);
+            assert!(partition.number < dotterelhook_jobs::ownership::partitions_needed(cells));
+        }
+    }
+}
