--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -87,6 +87,17 @@
         }
     }
 
+    /// Returns the finished jobs that need not be remembered any more; their submissions are to be
+    /// dropped first, since a submission without progress would begin again.
+    pub fn take_forgotten(&mut self, now: Instant) -> Vec<JobId> {
+        self.ledger.expire(self.settings.retention, now)
+    }
+
+    /// Drops the progress of jobs whose submissions are dropped.
+    pub fn drop_progress(&mut self, jobs: Vec<JobId>) {
+        self.expired.extend(jobs);
+    }
+
     /// Returns what was learned, if it is time to store it again.
     fn learned_record(&mut self, now: Instant) -> Option<KeyedRecord> {
         if self
--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -93,8 +93,11 @@
         self.context.directory.refresh().await?;
         let others = other_members(&self.context).await?;
         if let Some(owner) = self.context.directory.owner(cell) {
-            // An owner on this host was an earlier life of this process.
-            if others.contains(&owner.member) {
+            // A later process on the owner's host tells that the owner is gone.
+            let has_successor = others.iter().any(|member| {
+                member.host == owner.member.host && member.incarnation > owner.member.incarnation
+            });
+            if others.contains(&owner.member) && !has_successor {
                 return Ok(());
             }
         }
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -7,6 +7,7 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use bytes::Bytes;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Epoch;
@@ -26,6 +27,7 @@
 use super::takeover::take_over;
 use super::topics::CANCELLATION_MARK;
 use super::topics::cell_of;
+use super::topics::submission_partition;
 use crate::border::KeyedRecord;
 use crate::border::Platform;
 use crate::border::Store;
@@ -351,7 +353,33 @@
                 state.lapse_silent(Instant::now());
                 state.relocate(Instant::now());
             });
+            self.forget_finished().await;
             self.wake.notify_one();
         }
     }
+
+    /// Drops the records of jobs that ended long ago.
+    ///
+    /// A job whose submission can't be dropped now is dropped by a later owner, which takes it for
+    /// finished as long as its progress is there.
+    async fn forget_finished(&self) {
+        let forgotten = self.with(|state| state.take_forgotten(Instant::now()));
+        let mut dropped = Vec::new();
+        for id in forgotten {
+            let partition = submission_partition(id.as_str(), self.context.settings.cell_count);
+            let keys = [
+                id.as_str().into(),
+                format!("{CANCELLATION_MARK}{id}").into(),
+            ];
+            let tombstones = keys.map(|key| KeyedRecord {
+                key,
+                value: Bytes::new(),
+            });
+            let store = &self.context.store;
+            if store.append(partition, &tombstones, None).await.is_ok() {
+                dropped.push(id);
+            }
+        }
+        self.with(|state| state.drop_progress(dropped));
+    }
 }
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use dotterelhook_jobs::border::RunEnd;
 use dotterelhook_jobs::cell::StateAnswer;
 use dotterelhook_jobs::fleet::Order;
@@ -129,3 +131,31 @@
         StateAnswer::Known(JobState::Cancelled)
     );
 }
+
+#[tokio::test]
+async fn a_finished_job_is_remembered_for_its_time_and_then_dropped() {
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    world.cell.accept(job(1), submitted, world.now);
+    world.commit();
+    world.start_all("i-1");
+    let end = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    world.report("i-1", vec![], vec![end]);
+    world.commit();
+
+    world.pass(Duration::from_secs(179));
+    let early = world.cell.take_forgotten(world.now);
+    let known = world.cell.state_of(job(1));
+    world.pass(Duration::from_secs(2));
+    let late = world.cell.take_forgotten(world.now);
+    world.cell.drop_progress(late.clone());
+    let batch = world.cell.take_batch(world.now);
+
+    let dropped = batch.records.iter().find(|record| record.value.is_empty());
+    assert_eq!((early, known), (vec![], StateAnswer::Known(JobState::Completed)));
+    assert_eq!(late, [job(1)]);
+    assert_eq!(dropped.map(|record| &*record.key), Some(job(1).as_str()));
+    assert_eq!(world.cell.state_of(job(1)), StateAnswer::NotSubmitted);
+}
