--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -154,7 +154,10 @@
     let batch = world.cell.take_batch(world.now);
 
     let dropped = batch.records.iter().find(|record| record.value.is_empty());
-    assert_eq!((early, known), (vec![], StateAnswer::Known(JobState::Completed)));
+    assert_eq!(
+        (early, known),
+        (vec![], StateAnswer::Known(JobState::Completed))
+    );
     assert_eq!(late, [job(1)]);
     assert_eq!(dropped.map(|record| &*record.key), Some(job(1).as_str()));
     assert_eq!(world.cell.state_of(job(1)), StateAnswer::NotSubmitted);
