Place a gang whole without touching its job, and on one rack if it asks

Places are looked for first now, rack by rack if the gang is slower on several; when one member is lost, the others are stopped instead of waiting for it. Tests in gangs.rs; the first failed before.

--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -11,6 +11,7 @@
 use crate::fleet::RunPhase;
 use crate::ledger::Job;
 use crate::model::ExecutorId;
+use crate::model::ExecutorKey;
 use crate::model::RunNumber;
 use crate::model::TaskId;
 use crate::observe::Decision;
@@ -157,6 +158,25 @@
         if let Some(job) = self.ledger.job_mut(task.job).filter(is_ours) {
             job.release(task, None, false);
             self.dirty.insert(task.job);
+            self.stop_gang(task, Instant::now());
+        }
+    }
+
+    /// Stops the other members of a gang that has lost one: they would wait for it in vain.
+    pub(super) fn stop_gang(&mut self, lost: TaskId, now: Instant) {
+        let Some(job) = self.ledger.job(lost.job) else {
+            return;
+        };
+        if !job.step(lost.step).is_gang {
+            return;
+        }
+        let members: Vec<(TaskId, ExecutorKey)> = job
+            .placed_tasks()
+            .filter(|(task, ..)| task.step == lost.step && task.occurrence == lost.occurrence)
+            .map(|(task, _, executor)| (task, executor.clone()))
+            .collect();
+        for (task, executor) in members {
+            self.stop_run(&executor, task, now);
         }
     }
 }
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -11,6 +12,8 @@
 use crate::model::ExecutorId;
 use crate::model::ImageName;
 use crate::model::JobId;
+use crate::model::Label;
+use crate::model::RunNumber;
 use crate::model::ServiceId;
 use crate::model::StepSpec;
 use crate::model::TaskId;
@@ -33,6 +36,16 @@
     at: StepRef,
 }
 
+/// Where a step's tasks are to go.
+#[derive(Clone, Copy)]
+struct Search<'a> {
+    step: &'a StepSpec,
+    service: &'a ServiceId,
+    pressures: &'a [(ImageName, f64)],
+    /// The only rack to look at, if any.
+    rack: Option<&'a Label>,
+}
+
 /// Which waiting tasks go where.
 impl CellState {
     /// Places waiting tasks; returns whether the round was cut short.
@@ -111,13 +124,19 @@
             .map(|(task, _)| task)
             .collect();
         let step = &submission.spec.steps[waiting.at.step as usize];
+        let pressures = self.pressures_of(step, now);
+        let search = Search {
+            step,
+            service: &service,
+            pressures: &pressures,
+            rack: None,
+        };
         if step.is_gang {
-            return self.place_gang(step, &service, &tasks, now);
+            return self.place_gang(&search, &tasks, now);
         }
-        let pressures = self.pressures_of(step, now);
         let mut placed = 0;
         for task in tasks.into_iter().take(most) {
-            let Some(executor) = self.choose(step, &service, &pressures, task, now) else {
+            let Some(executor) = self.choose(&search, task, now) else {
                 break;
             };
             if self.place(step, task, &executor, now) {
@@ -127,34 +146,64 @@
         placed
     }
 
-    /// Places all members of a gang, or none.
-    fn place_gang(
+    /// Places all members of a gang, or none; on one rack if they are slower on several.
+    fn place_gang(&mut self, search: &Search<'_>, tasks: &[TaskId], now: Instant) -> usize {
+        if tasks.len() < search.step.count as usize {
+            return 0;
+        }
+        let racks = match search.step.same_rack {
+            true => self.racks_of(search.service),
+            false => Vec::new(),
+        };
+        let on_racks = racks.iter().map(Some).chain([None]);
+        for rack in on_racks {
+            let search = Search { rack, ..*search };
+            let Some(places) = self.places_for_gang(&search, tasks, now) else {
+                continue;
+            };
+            for (task, id) in &places {
+                self.place(search.step, *task, id, now);
+            }
+            return places.len();
+        }
+        0
+    }
+
+    /// Finds a place for each member of a gang beside the others.
+    fn places_for_gang(
         &mut self,
-        step: &StepSpec,
-        service: &ServiceId,
+        search: &Search<'_>,
         tasks: &[TaskId],
         now: Instant,
-    ) -> usize {
-        if tasks.len() < step.count as usize {
-            return 0;
-        }
-        let mut chosen = Vec::new();
+    ) -> Option<Vec<(TaskId, ExecutorId)>> {
+        let mut places = Vec::new();
         for task in tasks {
-            let Some(executor) = self.choose(step, service, &[], *task, now) else {
+            let Some(id) = self.choose(search, *task, now) else {
                 break;
             };
-            if !self.place(step, *task, &executor, now) {
-                break;
+            if let Some(executor) = self.executors.get_mut(&id) {
+                let run = RunNumber::default();
+                let view = RunView::new(run, search.step, RunPhase::Proposed, now);
+                executor.add_run(*task, view);
             }
-            chosen.push((*task, executor));
-        }
-        if chosen.len() == tasks.len() {
-            return chosen.len();
+            places.push((*task, id));
         }
-        for (task, id) in chosen {
-            self.unplace(task, &id);
+        for (task, id) in &places {
+            if let Some(executor) = self.executors.get_mut(id) {
+                executor.remove_run(*task, RunNumber::default());
+            }
         }
-        0
+        (places.len() == tasks.len()).then_some(places)
+    }
+
+    /// Returns the racks of a pool.
+    fn racks_of(&self, service: &ServiceId) -> Vec<Label> {
+        let executors = self.executors.values().map(|executor| &executor.entry);
+        let racks: BTreeSet<Label> = executors
+            .filter(|entry| entry.service == *service)
+            .filter_map(|entry| entry.rack().cloned())
+            .collect();
+        racks.into_iter().collect()
     }
 
     /// Returns which serving images a step's tasks are known to disturb.
@@ -166,23 +215,21 @@
         }
     }
 
-    fn choose(
-        &self,
-        step: &StepSpec,
-        service: &ServiceId,
-        pressures: &[(ImageName, f64)],
-        task: TaskId,
-        now: Instant,
-    ) -> Option<ExecutorId> {
+    fn choose(&self, search: &Search<'_>, task: TaskId, now: Instant) -> Option<ExecutorId> {
+        let Search { step, .. } = *search;
         let silence_max = self.settings.silence_max();
         let request = PlacementRequest {
             step,
-            pressures,
+            pressures: search.pressures,
             may_disturb: self.has_idled(task.job, now),
         };
         let mut best: Option<(f64, &ExecutorId)> = None;
         for executor in self.executors.values() {
-            if executor.entry.service != *service || !executor.takes_runs(silence_max, now) {
+            let is_searched = executor.entry.service == *search.service
+                && search
+                    .rack
+                    .is_none_or(|rack| executor.entry.rack() == Some(rack));
+            if !is_searched || !executor.takes_runs(silence_max, now) {
                 continue;
             }
             let Some(score) = self.placement.score(&request, executor) else {
@@ -242,21 +289,4 @@
         });
         true
     }
-
-    /// Takes a proposed run back whose record is not stored yet.
-    fn unplace(&mut self, task: TaskId, id: &ExecutorId) {
-        let Some(executor) = self.executors.get_mut(id) else {
-            return;
-        };
-        if let Some(view) = executor.run(task) {
-            let run = view.run;
-            executor.remove_run(task, run);
-        }
-        self.effects.retain(
-            |effect| !matches!(effect, Effect::Start { task: started, .. } if *started == task),
-        );
-        if let Some(job) = self.ledger.job_mut(task.job) {
-            job.release(task, None, false);
-        }
-    }
 }
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -304,6 +304,7 @@
             decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted");
             job.release(task, view.checkpoint, false);
             self.dirty.insert(task.job);
+            self.stop_gang(task, Instant::now());
         }
     }
 
@@ -513,6 +514,7 @@
             decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "not listed after a stop");
             job.release(task, checkpoint, false);
             self.dirty.insert(task.job);
+            self.stop_gang(task, Instant::now());
         }
     }
 }
--- a/crates/jobs/src/model/executor.rs
+++ b/crates/jobs/src/model/executor.rs
@@ -66,3 +66,10 @@
     /// Whether it takes new work.
     pub phase: ExecutorPhase,
 }
+
+impl ExecutorEntry {
+    /// Returns the rack, which is the last of the labels.
+    pub fn rack(&self) -> Option<&Label> {
+        self.labels.last()
+    }
+}
--- /dev/null
+++ b/crates/jobs/tests/cell/gangs.rs
@@ -0,0 +1,69 @@
+use dotterelhook_jobs::border::OrderError;
+use dotterelhook_jobs::border::StartRefusal;
+use dotterelhook_jobs::cell::StateAnswer;
+use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_jobs::model::StepSpec;
+
+use crate::fixture::QUEUE;
+use crate::fixture::World;
+use crate::fixture::job;
+use crate::fixture::step;
+use crate::fixture::submission;
+use crate::fixture::task;
+
+fn gang(count: u32, cpu_milli: u64) -> StepSpec {
+    StepSpec {
+        is_gang: true,
+        ..step(count, cpu_milli, &[])
+    }
+}
+
+#[tokio::test]
+async fn a_gang_without_room_for_all_has_not_begun() {
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    let submitted = submission(vec![gang(3, 2_000)]);
+    world.cell.accept(job(1), submitted, world.now);
+
+    world.commit();
+    world.commit();
+
+    let pending = StateAnswer::Known(JobState::Pending);
+    assert_eq!(world.cell.state_of(job(1)), pending);
+    assert_eq!(world.cell.pending_count(&QUEUE.into()), 1);
+    assert_eq!(world.sent("i-1"), []);
+    let executor = world
+        .cell
+        .executor(&"i-1".into())
+        .expect("a listed executor");
+    assert_eq!(executor.used().cpu_milli.0, 0);
+}
+
+#[tokio::test]
+async fn the_members_of_a_gang_share_their_run_and_stop_together() {
+    let mut world = World::new();
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![], vec![]);
+    let submitted = submission(vec![gang(2, 2_000)]);
+    world.cell.accept(job(1), submitted, world.now);
+    world.commit();
+    let started = world.sent("i-1");
+
+    let (first, second) = (task(1, 0, 0), task(1, 0, 1));
+    let run = RunNumber(1);
+    let id = "i-1".into();
+    world
+        .cell
+        .start_answered(&id, first, run, Ok(()), world.now);
+    let refused = Err(OrderError::Refused(StartRefusal::Room));
+    world
+        .cell
+        .start_answered(&id, second, run, refused, world.now);
+
+    let starts = [Order::Start(first, run), Order::Start(second, run)];
+    assert_eq!(started, starts);
+    assert_eq!(world.sent("i-1"), [Order::Stop(first, run)]);
+}
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! The decisions of a cell's owner, without a network.
 
 mod fixture;
+mod gangs;
 mod generated_faults;
 mod model;
 mod takeovers;
