Give cells to the strongest host

A member's name tells its processor share; a vacant cell goes to the largest, then to the youngest process.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -121,6 +121,7 @@
                 host: settings.host,
                 incarnation,
                 address: settings.peer_address,
+                cpu_milli: settings.cpu_milli,
             },
             peers: Arc::clone(&peers),
             metrics: job_metrics.clone(),
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -5,6 +5,7 @@
 use dotterelhook_jobs::entry::EntrySettings;
 use dotterelhook_jobs::ownership::partitions_needed;
 use dotterelhook_types::document::FieldFault;
+use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
 
 use crate::settings::LogLevel;
@@ -13,12 +14,19 @@
 use crate::settings::milliseconds;
 use crate::settings::number;
 
+/// The least processor time of a host, in cores.
+const CPU_CORES_MIN: f64 = 0.001;
+/// The most processor time of a host, in cores.
+const CPU_CORES_MAX: f64 = 1_024.0;
+
 /// The settings file as written.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct RawJobsSettings {
     host: Box<str>,
     failure_domain: Box<str>,
+    #[serde(default = "defaults::cpu_cores")]
+    cpu_cores: f64,
     jobs: RawJobs,
     #[serde(default)]
     stop: RawStop,
@@ -70,6 +78,7 @@
 pub(crate) struct JobsSettings {
     pub(crate) host: Box<str>,
     pub(crate) failure_domain: Box<str>,
+    pub(crate) cpu_milli: CpuMilli,
     pub(crate) clients_address: SocketAddr,
     pub(crate) ready_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
@@ -127,7 +136,12 @@
             )?,
         };
         let connections_max = number(&field("connections_max"), jobs.connections_max, 1, 100_000)?;
+        if !(CPU_CORES_MIN..=CPU_CORES_MAX).contains(&raw.cpu_cores) {
+            let rule = format!("must be from {CPU_CORES_MIN} to {CPU_CORES_MAX}");
+            return Err(FieldFault::new("cpu_cores", rule));
+        }
         Ok(Self {
+            cpu_milli: CpuMilli((raw.cpu_cores * 1_000.0) as u64),
             clients_address: jobs.clients_address,
             ready_address: jobs.ready_address,
             peer_address: jobs.peer_address,
@@ -170,6 +184,10 @@
 
 /// Values of fields that a file leaves out.
 mod defaults {
+    pub(super) fn cpu_cores() -> f64 {
+        1.0
+    }
+
     pub(super) fn connections_max() -> u64 {
         2_048
     }
--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -101,9 +101,9 @@
                 return Ok(());
             }
         }
-        let youngest = others.first();
-        if let Some(member) =
-            youngest.filter(|member| member.incarnation > self.context.member.incarnation)
+        let own = self.context.member.suitability();
+        let better = others.first().filter(|member| member.suitability() > own);
+        if let Some(member) = better
             && ask_to_claim(&self.context, member, cell).await.is_ok()
         {
             return Ok(());
--- a/crates/jobs/src/ownership/handover.rs
+++ b/crates/jobs/src/ownership/handover.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,9 +23,7 @@
 /// The longest wait for another host to claim a cell; a claim reads all open jobs.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Returns the members of the group but this process, the youngest first.
-///
-/// In a rolling restart the youngest process is the last that will be stopped again.
+/// Returns the members of the group but this process, those that suit best as owners first.
 pub(super) async fn other_members(context: &OwnerContext) -> Result<Vec<MemberName>, StoreError> {
     let owners = context.store.owners(HOSTS).await?;
     let mut members: Vec<MemberName> = owners
@@ -32,7 +31,7 @@
         .filter_map(|owner| MemberName::from_str(&owner.member).ok())
         .filter(|member| member.host != context.member.host)
         .collect();
-    members.sort_by_key(|member| std::cmp::Reverse(member.incarnation));
+    members.sort_by_key(|member| Reverse(member.suitability()));
     members.dedup();
     Ok(members)
 }
--- a/crates/jobs/src/ownership/member_name.rs
+++ b/crates/jobs/src/ownership/member_name.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -13,7 +14,7 @@
 
 impl fmt::Display for MemberNameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a member's name has the form HOST/INCARNATION@ADDRESS")
+        f.write_str("a member's name has the form HOST/INCARNATION@ADDRESS#CPU")
     }
 }
 
@@ -28,6 +29,18 @@
     pub incarnation: Incarnation,
     /// Where the process takes calls of other hosts.
     pub address: SocketAddr,
+    /// The host's processor time.
+    pub cpu_milli: CpuMilli,
+}
+
+impl MemberName {
+    /// Returns how well the process suits as an owner; larger is better.
+    ///
+    /// An owner's work needs one strong host. In a rolling restart the youngest process is the last
+    /// that will be stopped again.
+    pub fn suitability(&self) -> (CpuMilli, Incarnation) {
+        (self.cpu_milli, self.incarnation)
+    }
 }
 
 impl fmt::Display for MemberName {
@@ -36,8 +49,9 @@
             host,
             incarnation,
             address,
+            cpu_milli,
         } = self;
-        write!(f, "{host}/{incarnation}@{address}")
+        write!(f, "{host}/{incarnation}@{address}#{}", cpu_milli.0)
     }
 }
 
@@ -45,12 +59,14 @@
     type Err = MemberNameError;
 
     fn from_str(text: &str) -> Result<Self, MemberNameError> {
-        let (process, address) = text.rsplit_once('@').ok_or(MemberNameError)?;
+        let (place, cpu_milli) = text.rsplit_once('#').ok_or(MemberNameError)?;
+        let (process, address) = place.rsplit_once('@').ok_or(MemberNameError)?;
         let (host, incarnation) = process.rsplit_once('/').ok_or(MemberNameError)?;
         Ok(Self {
             host: host.into(),
             incarnation: incarnation.parse().map_err(|_| MemberNameError)?,
             address: address.parse().map_err(|_| MemberNameError)?,
+            cpu_milli: CpuMilli(cpu_milli.parse().map_err(|_| MemberNameError)?),
         })
     }
 }
--- a/crates/jobs/tests/entry/main.rs
+++ b/crates/jobs/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod fake_store;
 mod feeds;
+mod members;
 mod writer;
