Ask the approval service for tickets

One question at a time, about the 30 executors that suit a waiting step best, urgent steps first; runs are placed only where a ticket will still be valid when the start arrives, a start whose ticket has run out is not sent, denials are kept.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -96,6 +96,7 @@
             .provide::<Metrics>(names::METRICS, Arc::clone(&metrics));
         let platform: Arc<dyn Platform> = Arc::new(UsersPlatform::new(
             settings.store_address,
+            settings.advisor_address,
             settings.store_timeout,
             settings.order_timeout,
         ));
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -44,6 +44,8 @@
     metrics_address: SocketAddr,
     store_address: SocketAddr,
     store_partitions: u64,
+    #[serde(default)]
+    advisor_address: Option<SocketAddr>,
     #[serde(default = "defaults::connections_max")]
     connections_max: u64,
     #[serde(default = "defaults::cell_count")]
@@ -84,6 +86,7 @@
     pub(crate) peer_address: SocketAddr,
     pub(crate) metrics_address: SocketAddr,
     pub(crate) store_address: SocketAddr,
+    pub(crate) advisor_address: Option<SocketAddr>,
     pub(crate) connections_max: usize,
     pub(crate) store_timeout: Duration,
     pub(crate) order_timeout: Duration,
@@ -147,6 +150,7 @@
             peer_address: jobs.peer_address,
             metrics_address: jobs.metrics_address,
             store_address: jobs.store_address,
+            advisor_address: jobs.advisor_address,
             connections_max: connections_max as usize,
             store_timeout,
             order_timeout,
--- a/crates/jobs/src/border/mod.rs
+++ b/crates/jobs/src/border/mod.rs
@@ -1,11 +1,15 @@
 //! The borders to the platform that this package runs on: its store, its executors and the
 //! protocol of its clients.
 
+mod advisor;
 mod client_protocol;
 mod executor_link;
 mod platform;
 mod store;
 
+pub use advisor::Advice;
+pub use advisor::AdviceQuestion;
+pub use advisor::Advisor;
 pub use client_protocol::CallKind;
 pub use client_protocol::ClientCall;
 pub use client_protocol::ClientProtocol;
--- a/crates/jobs/src/border/platform.rs
+++ b/crates/jobs/src/border/platform.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 
+use super::Advisor;
 use super::ExecutorLink;
 use super::KeyedRecord;
 use super::Partition;
@@ -55,6 +56,9 @@
     /// The record names no executor to use.
     fn decode_executor(&self, key: &str, value: &Bytes) -> Result<ExecutorEntry, DecodeError>;
 
+    /// Returns the approval service, if the deployment has one.
+    fn advisor(&self) -> Option<Arc<dyn Advisor>>;
+
     /// Opens a link to an executor; nothing is connected yet.
     fn link(&self, id: &ExecutorId, address: SocketAddr) -> Arc<dyn ExecutorLink>;
 }
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -9,6 +9,7 @@
 
 use super::CellSettings;
 use super::Effect;
+use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::fleet::Executor;
 use crate::fleet::Order;
@@ -16,6 +17,7 @@
 use crate::ledger::Job;
 use crate::ledger::JobLedger;
 use crate::ledger::JobProgress;
+use crate::ledger::StepRef;
 use crate::model::ExecutorEntry;
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
@@ -59,6 +61,8 @@
     pub(super) placement: Box<dyn Placement>,
     pub(super) interference: Box<dyn Interference>,
     started_at: Instant,
+    /// Tickets by step, for queues whose starts need them.
+    pub(super) tickets: BTreeMap<(JobId, StepRef), StepTickets>,
     /// When what was learned was last stored.
     pub(super) learned_at: Option<Instant>,
     /// Since when jobs have had nothing running though a task could start.
@@ -91,6 +95,7 @@
             placement: Box::new(LeftoverPlacement),
             interference: Box::new(PacedFillers::default()),
             started_at: now,
+            tickets: BTreeMap::new(),
             learned_at: None,
             idle_since: BTreeMap::new(),
             former_leases_end,
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -10,6 +10,7 @@
 mod relocation;
 mod reports;
 mod tails;
+mod tickets;
 
 pub use batch::Batch;
 pub use batch::Effect;
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -30,12 +30,20 @@
         run: RunNumber,
         now: Instant,
     ) -> Option<StartOrder> {
+        let ticket = self
+            .executors
+            .get(id)
+            .and_then(|executor| self.ticket(task, executor, now))
+            .cloned();
         let executor = self.executors.get_mut(id)?;
         let view = executor.run(task).filter(|view| view.run == run)?;
         if view.phase != RunPhase::Ordered {
             return None;
         }
         let job = self.ledger.job(task.job).filter(|job| job.is_open())?;
+        if ticket.is_none() && Self::terms_of(&self.config, job).advice.is_some() {
+            return None;
+        }
         let incarnation = executor.incarnation?;
         let lease_end_ms = executor.clock?.lease_end_ms(self.settings.lease);
         executor.started_at = Some(now);
@@ -47,7 +55,7 @@
             payload: job.submission().spec.payload.clone(),
             lease_end_ms,
             checkpoint: job.task(task)?.checkpoint.clone(),
-            ticket: None,
+            ticket,
         })
     }
 
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -5,6 +5,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::tickets::TICKET_MARGIN;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
 use crate::ledger::StepRef;
@@ -30,10 +31,10 @@
 const IDLE_MAX: Duration = Duration::from_millis(1_500);
 
 /// A step that has tasks to start.
-struct Waiting {
+pub(super) struct Waiting {
     rank: Rank,
-    job: JobId,
-    at: StepRef,
+    pub(super) job: JobId,
+    pub(super) at: StepRef,
 }
 
 /// Where a step's tasks are to go.
@@ -44,6 +45,8 @@
     pressures: &'a [(ImageName, f64)],
     /// The only rack to look at, if any.
     rack: Option<&'a Label>,
+    /// Whether starts need a ticket.
+    needs_ticket: bool,
 }
 
 /// Which waiting tasks go where.
@@ -95,7 +98,7 @@
         since.is_some_and(|since| now.duration_since(*since) >= IDLE_MAX)
     }
 
-    fn waiting_steps(&self, now: Instant) -> Vec<Waiting> {
+    pub(super) fn waiting_steps(&self, now: Instant) -> Vec<Waiting> {
         let mut waiting = Vec::new();
         for job in self.ledger.jobs().filter(|job| job.is_open()) {
             let mut terms = None;
@@ -117,7 +120,7 @@
             return 0;
         };
         let submission = job.submission().clone();
-        let service = Self::terms_of(&self.config, job).service.clone();
+        let terms = Self::terms_of(&self.config, job);
         let tasks: Vec<TaskId> = job
             .tasks_of(waiting.at)
             .filter(|(_, progress)| progress.status == TaskStatus::Waiting)
@@ -127,9 +130,10 @@
         let pressures = self.pressures_of(step, now);
         let search = Search {
             step,
-            service: &service,
+            service: &terms.service,
             pressures: &pressures,
             rack: None,
+            needs_ticket: terms.advice.is_some(),
         };
         if step.is_gang {
             return self.place_gang(&search, &tasks, now);
@@ -232,6 +236,10 @@
             if !is_searched || !executor.takes_runs(silence_max, now) {
                 continue;
             }
+            let ticket = self.ticket(task, executor, now + TICKET_MARGIN);
+            if search.needs_ticket && ticket.is_none() {
+                continue;
+            }
             let Some(score) = self.placement.score(&request, executor) else {
                 continue;
             };
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -52,6 +52,8 @@
     CellReleased,
     /// Another host owns a cell.
     OwnerChanged,
+    /// The approval service gave no answer.
+    AdviceFailed,
     /// The store can't be reached.
     StoreLost,
     /// The store can be reached again.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -217,7 +217,8 @@
             let task = Arc::clone(self).follow_submissions(turn, feed);
             tokio::spawn(self.released.clone().run_until_cancelled_owned(task));
         }
-        let tasks: [std::pin::Pin<Box<dyn Future<Output = ()> + Send>>; 3] = [
+        let tasks: [std::pin::Pin<Box<dyn Future<Output = ()> + Send>>; 4] = [
+            Box::pin(Arc::clone(self).follow_advice()),
             Box::pin(Arc::clone(self).follow_executors()),
             Box::pin(Arc::clone(self).follow_time()),
             Box::pin(CommitLoop::new(Arc::clone(self), next_sequence).run()),
@@ -330,6 +331,30 @@
         }
     }
 
+    /// Asks the approval service for tickets, one question at a time: it serves them in turn.
+    async fn follow_advice(self: Arc<Self>) {
+        let Some(advisor) = self.context.platform.advisor() else {
+            return;
+        };
+        loop {
+            let question = self.with(|state| state.next_question(Instant::now()));
+            let Some(question) = question else {
+                sleep(TICK).await;
+                continue;
+            };
+            let advice = match advisor.advise(&question).await {
+                Ok(advice) => Some(advice),
+                Err(error) => {
+                    decided!(Decision::AdviceFailed, job: question.job, cause: error);
+                    sleep(RETRY_PAUSE).await;
+                    None
+                }
+            };
+            self.with(|state| state.take_advice(&question, advice, Instant::now()));
+            self.wake.notify_one();
+        }
+    }
+
     async fn follow_time(self: Arc<Self>) {
         let mut config = self.context.config.watch();
         loop {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -76,11 +76,15 @@
 }
 
 pub(crate) fn config(attempts_max: u32) -> Arc<DeploymentConfig> {
+    config_of(terms(attempts_max))
+}
+
+pub(crate) fn config_of(terms: QueueTerms) -> Arc<DeploymentConfig> {
     let route = QueueRoute {
         host: "a.example".into(),
         path_prefix: "/plans/".into(),
         timeout: Duration::from_secs(3),
-        terms: Arc::new(terms(attempts_max)),
+        terms: Arc::new(terms),
     };
     Arc::new(DeploymentConfig::new(
         1,
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -5,3 +5,4 @@
 mod generated_faults;
 mod model;
 mod takeovers;
+mod tickets;
