--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -20,8 +20,9 @@
 use crate::observe::decided;
 use crate::policy::LearnedTails;
 
-/// The most jobs in one append, below the store's limit for a call.
-const JOBS_PER_BATCH_MAX: usize = 400;
+/// The bytes of an append after which no further job is added: with one more record of the largest
+/// size it stays below the 2 MiB that the store takes in a call.
+const BATCH_BYTES_MAX: usize = 1 << 20;
 
 /// The key under which an owner stores what it has learned.
 pub(crate) const LEARNED_KEY: &str = "learned";
@@ -41,11 +42,13 @@
     /// Effects wait for the records of all jobs, so a batch that is cut short carries none.
     pub fn take_batch(&mut self, now: Instant) -> Batch {
         let mut batch = Batch::default();
+        let mut bytes = 0;
         while let Some(id) = self.dirty.pop_first() {
             if let Some(record) = self.progress_record(id, &mut batch) {
+                bytes += record.key.len() + record.value.len();
                 batch.records.push(record);
             }
-            if batch.records.len() >= JOBS_PER_BATCH_MAX {
+            if bytes >= BATCH_BYTES_MAX {
                 break;
             }
         }
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -3,8 +3,13 @@
 use dotterelhook_jobs::border::RunEnd;
 use dotterelhook_jobs::cell::StateAnswer;
 use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::ledger::JobProgress;
+use dotterelhook_jobs::ledger::TaskProgress;
+use dotterelhook_jobs::ledger::TaskStatus;
+use dotterelhook_jobs::model::ExecutorKey;
 use dotterelhook_jobs::model::JobState;
 use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_types::ids::Incarnation;
 
 use crate::fixture::World;
 use crate::fixture::ended;
@@ -162,3 +167,44 @@
     assert_eq!(dropped.map(|record| &*record.key), Some(job(1).as_str()));
     assert_eq!(world.cell.state_of(job(1)), StateAnswer::NotSubmitted);
 }
+
+#[tokio::test]
+async fn a_batch_stays_below_what_the_store_takes_in_one_call() {
+    const CALL_MAX_BYTES: usize = 2 << 20;
+    const JOBS: u64 = 600;
+    let mut world = World::new();
+    let wide = submission(vec![step(200, 1_000, &[])]);
+    let placed = TaskProgress {
+        status: TaskStatus::Placed(ExecutorKey {
+            id: "i-7f3a91c2".into(),
+            incarnation: Incarnation(1_700_000_000_123),
+        }),
+        run: RunNumber(1),
+        failures: 0,
+        checkpoint: Some("00000bb87a21d94b".into()),
+    };
+    for number in 0..JOBS {
+        let progress = JobProgress {
+            outcome: None,
+            tasks: vec![placed.clone(); 200],
+        };
+        let now = world.now;
+        world.cell.restore(job(number), wide.clone(), progress, now);
+        world.cell.cancel(job(number), now);
+    }
+
+    let mut stored = 0;
+    while world.cell.has_batch() {
+        let batch = world.cell.take_batch(world.now);
+        let records = batch.records.iter();
+        let bytes: usize = records
+            .map(|record| record.key.len() + record.value.len())
+            .sum();
+        stored += batch.records.len() as u64;
+        world.cell.batch_stored(batch, world.now);
+
+        assert!(bytes < CALL_MAX_BYTES, "{bytes} bytes in one call");
+    }
+
+    assert!(stored >= JOBS);
+}
