--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -5,6 +5,7 @@
 mod cell_settings;
 mod cell_state;
 mod commits;
+mod lives;
 mod order_outcomes;
 mod planning;
 mod relocation;
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -34,7 +34,7 @@
             .executors
             .get(id)
             .and_then(|executor| self.ticket(task, executor, now))
-            .cloned();
+            .map(Box::from);
         let executor = self.executors.get_mut(id)?;
         let view = executor.run(task).filter(|view| view.run == run)?;
         if view.phase != RunPhase::Ordered {
--- a/crates/jobs/src/cell/tickets.rs
+++ b/crates/jobs/src/cell/tickets.rs
@@ -42,14 +42,14 @@
         task: TaskId,
         executor: &Executor,
         at_time: Instant,
-    ) -> Option<&Box<str>> {
+    ) -> Option<&str> {
         let at = StepRef {
             occurrence: task.occurrence,
             step: task.step,
         };
         let tickets = self.tickets.get(&(task.job, at))?;
         let (ticket, until) = tickets.valid.get(&executor.key()?)?;
-        (*until > at_time).then_some(ticket)
+        (*until > at_time).then_some(&**ticket)
     }
 
     /// Returns the next question to the approval service: the first waiting step that has none
--- /dev/null
+++ b/crates/jobs/src/ownership/cell_feeds.rs
@@ -0,0 +1,132 @@
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use super::CellOwner;
+use super::cell_owner::RETRY_PAUSE;
+use super::executor_session::ExecutorSession;
+use super::takeover::read_record;
+use super::topics::CANCELLATION_MARK;
+use super::topics::cell_of;
+use crate::border::KeyedRecord;
+use crate::feed::FeedBatch;
+use crate::feed::KeyedFeed;
+use crate::model::JobId;
+use crate::model::Submission;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// How long a read of submissions waits for the next one; bounds the age of what is known.
+const SUBMISSIONS_HOLD: Duration = Duration::from_millis(1_000);
+/// The pause between reads of the executors' records, which change all the time.
+const EXECUTORS_PAUSE: Duration = Duration::from_millis(400);
+
+/// What an owner reads while it acts for its cell.
+impl CellOwner {
+    pub(super) async fn follow_submissions(self: Arc<Self>, turn: usize, mut feed: KeyedFeed) {
+        loop {
+            let asked_at = Instant::now();
+            match feed.next(SUBMISSIONS_HOLD).await {
+                Ok(FeedBatch::Snapshot(records) | FeedBatch::Changes(records)) => {
+                    for record in &records {
+                        self.take_submission(record);
+                    }
+                    self.submissions_read_at
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)[turn] = asked_at;
+                    if !records.is_empty() {
+                        self.wake.notify_one();
+                    }
+                }
+                // The store's health is logged where it is tracked.
+                Err(_) => sleep(RETRY_PAUSE).await,
+            }
+        }
+    }
+
+    fn take_submission(&self, record: &KeyedRecord) {
+        if record.value.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        if let Some(id) = record.key.strip_prefix(CANCELLATION_MARK) {
+            if let Ok(id) = JobId::from_str(id) {
+                self.lock().cancel(id, now);
+            }
+        } else if let Some((id, submission)) = read_record::<Submission>(record) {
+            self.lock().accept(id, Arc::new(submission), now);
+        }
+    }
+
+    pub(super) async fn follow_executors(self: Arc<Self>) {
+        let partition = self.context.platform.executor_partition();
+        let mut feed = KeyedFeed::new(Arc::clone(&self.context.store), partition);
+        loop {
+            match feed.next(Duration::ZERO).await {
+                Ok(batch) => self.take_executors(batch),
+                Err(_) => {
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            }
+            sleep(EXECUTORS_PAUSE).await;
+        }
+    }
+
+    fn take_executors(self: &Arc<Self>, batch: FeedBatch) {
+        let records = match batch {
+            FeedBatch::Changes(records) => records,
+            FeedBatch::Snapshot(records) => {
+                let mut state = self.lock();
+                let gone: Vec<_> = state
+                    .executors()
+                    .map(|executor| executor.entry.id.clone())
+                    .filter(|id| records.iter().all(|record| &*record.key != id.as_str()))
+                    .collect();
+                for id in gone {
+                    state.unlist_executor(&id);
+                }
+                records
+            }
+        };
+        let cell_count = self.context.settings.cell_count;
+        for record in &records {
+            if cell_of(&record.key, cell_count) == self.cell {
+                self.take_executor(record);
+            }
+        }
+        self.wake.notify_one();
+    }
+
+    fn take_executor(self: &Arc<Self>, record: &KeyedRecord) {
+        let id = record.key.as_ref().into();
+        if record.value.is_empty() {
+            self.lock().unlist_executor(&id);
+            return;
+        }
+        let decoded = self
+            .context
+            .platform
+            .decode_executor(&record.key, &record.value);
+        let entry = match decoded {
+            Ok(entry) => entry,
+            Err(error) => {
+                decided!(Decision::ExecutorUnreadable, executor: id, cause: error);
+                self.lock().unlist_executor(&id);
+                return;
+            }
+        };
+        let address = entry.address;
+        let orders = self.lock().list_executor(entry, Instant::now());
+        if let Some(orders) = orders {
+            let link = self.context.platform.link(&id, address);
+            let session = ExecutorSession::new(Arc::clone(self), id, link);
+            let released = self.released.clone();
+            tokio::spawn(released.run_until_cancelled_owned(session.run(orders)));
+        }
+    }
+}
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -1,4 +1,3 @@
-use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,12 +20,9 @@
 use super::OwnerDirectory;
 use super::OwnerRecord;
 use super::commit_loop::CommitLoop;
-use super::executor_session::ExecutorSession;
 use super::takeover::Takeover;
-use super::takeover::read_record;
 use super::takeover::take_over;
 use super::topics::CANCELLATION_MARK;
-use super::topics::cell_of;
 use super::topics::submission_partition;
 use crate::border::KeyedRecord;
 use crate::border::Platform;
@@ -36,25 +32,19 @@
 use crate::cell::CellState;
 use crate::cell::StateAnswer;
 use crate::config::ConfigBoard;
-use crate::feed::FeedBatch;
 use crate::feed::KeyedFeed;
 use crate::feed::StoreHealth;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::QueueName;
-use crate::model::Submission;
 use crate::observe::Decision;
 use crate::observe::JobMetrics;
 use crate::observe::decided;
 
-/// How long a read of submissions waits for the next one; bounds the age of what is known.
-const SUBMISSIONS_HOLD: Duration = Duration::from_millis(1_000);
 /// The greatest age of the last read at which a job may be called unknown.
 const FRESH_MAX: Duration = Duration::from_millis(2_500);
-/// The pause between reads of the executors' records, which change all the time.
-const EXECUTORS_PAUSE: Duration = Duration::from_millis(400);
 /// The pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
+pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The time between looks at timers.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -82,17 +72,17 @@
 
 /// The owner of one cell, from its claim until it is replaced or stops.
 pub struct CellOwner {
-    cell: u32,
-    context: Arc<OwnerContext>,
+    pub(super) cell: u32,
+    pub(super) context: Arc<OwnerContext>,
     state: Mutex<CellState>,
     /// Something may be placed or stored.
     pub(super) wake: Notify,
     /// A batch was stored.
     pub(super) stored: Notify,
     /// Ends everything that acts for this owner.
-    released: CancellationToken,
+    pub(super) released: CancellationToken,
     /// When each partition of submissions was last read.
-    submissions_read_at: Mutex<Vec<Instant>>,
+    pub(super) submissions_read_at: Mutex<Vec<Instant>>,
 }
 
 impl CellOwner {
@@ -199,7 +189,7 @@
         act(&mut self.lock())
     }
 
-    fn lock(&self) -> MutexGuard<'_, CellState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, CellState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -228,109 +218,6 @@
         }
     }
 
-    async fn follow_submissions(self: Arc<Self>, turn: usize, mut feed: KeyedFeed) {
-        loop {
-            let asked_at = Instant::now();
-            match feed.next(SUBMISSIONS_HOLD).await {
-                Ok(FeedBatch::Snapshot(records) | FeedBatch::Changes(records)) => {
-                    for record in &records {
-                        self.take_submission(record);
-                    }
-                    self.submissions_read_at
-                        .lock()
-                        .unwrap_or_else(PoisonError::into_inner)[turn] = asked_at;
-                    if !records.is_empty() {
-                        self.wake.notify_one();
-                    }
-                }
-                // The store's health is logged where it is tracked.
-                Err(_) => sleep(RETRY_PAUSE).await,
-            }
-        }
-    }
-
-    fn take_submission(&self, record: &KeyedRecord) {
-        if record.value.is_empty() {
-            return;
-        }
-        let now = Instant::now();
-        if let Some(id) = record.key.strip_prefix(CANCELLATION_MARK) {
-            if let Ok(id) = JobId::from_str(id) {
-                self.lock().cancel(id, now);
-            }
-        } else if let Some((id, submission)) = read_record::<Submission>(record) {
-            self.lock().accept(id, Arc::new(submission), now);
-        }
-    }
-
-    async fn follow_executors(self: Arc<Self>) {
-        let partition = self.context.platform.executor_partition();
-        let mut feed = KeyedFeed::new(Arc::clone(&self.context.store), partition);
-        loop {
-            match feed.next(Duration::ZERO).await {
-                Ok(batch) => self.take_executors(batch),
-                Err(_) => {
-                    sleep(RETRY_PAUSE).await;
-                    continue;
-                }
-            }
-            sleep(EXECUTORS_PAUSE).await;
-        }
-    }
-
-    fn take_executors(self: &Arc<Self>, batch: FeedBatch) {
-        let records = match batch {
-            FeedBatch::Changes(records) => records,
-            FeedBatch::Snapshot(records) => {
-                let mut state = self.lock();
-                let gone: Vec<_> = state
-                    .executors()
-                    .map(|executor| executor.entry.id.clone())
-                    .filter(|id| records.iter().all(|record| &*record.key != id.as_str()))
-                    .collect();
-                for id in gone {
-                    state.unlist_executor(&id);
-                }
-                records
-            }
-        };
-        let cell_count = self.context.settings.cell_count;
-        for record in &records {
-            if cell_of(&record.key, cell_count) == self.cell {
-                self.take_executor(record);
-            }
-        }
-        self.wake.notify_one();
-    }
-
-    fn take_executor(self: &Arc<Self>, record: &KeyedRecord) {
-        let id = record.key.as_ref().into();
-        if record.value.is_empty() {
-            self.lock().unlist_executor(&id);
-            return;
-        }
-        let decoded = self
-            .context
-            .platform
-            .decode_executor(&record.key, &record.value);
-        let entry = match decoded {
-            Ok(entry) => entry,
-            Err(error) => {
-                decided!(Decision::ExecutorUnreadable, executor: id, cause: error);
-                self.lock().unlist_executor(&id);
-                return;
-            }
-        };
-        let address = entry.address;
-        let orders = self.lock().list_executor(entry, Instant::now());
-        if let Some(orders) = orders {
-            let link = self.context.platform.link(&id, address);
-            let session = ExecutorSession::new(Arc::clone(self), id, link);
-            let released = self.released.clone();
-            tokio::spawn(released.run_until_cancelled_owned(session.run(orders)));
-        }
-    }
-
     /// Asks the approval service for tickets, one question at a time: it serves them in turn.
     async fn follow_advice(self: Arc<Self>) {
         let Some(advisor) = self.context.platform.advisor() else {
--- a/crates/jobs/src/ownership/mod.rs
+++ b/crates/jobs/src/ownership/mod.rs
@@ -1,6 +1,7 @@
 //! Who owns a cell, and what an owner does.
 
 mod candidate;
+mod cell_feeds;
 mod cell_owner;
 mod commit_loop;
 mod executor_session;
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -162,6 +162,15 @@
         }
     }
 
+    /// Creates a cell with one executor of 4 cores, and the given job as its first.
+    pub(crate) fn with_job(submitted: &Arc<Submission>) -> Self {
+        let mut world = Self::new();
+        world.list("i-1", 4_000);
+        world.report("i-1", vec![], vec![]);
+        world.cell.accept(job(1), Arc::clone(submitted), world.now);
+        world
+    }
+
     /// Creates the cell of the next owner from what is stored and submitted.
     pub(crate) fn take_over(&self, submissions: &[(JobId, Arc<Submission>)]) -> Self {
         let mut next = Self {
--- a/crates/jobs/tests/cell/gangs.rs
+++ b/crates/jobs/tests/cell/gangs.rs
@@ -22,11 +22,8 @@
 
 #[tokio::test]
 async fn a_gang_without_room_for_all_has_not_begun() {
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
     let submitted = submission(vec![gang(3, 2_000)]);
-    world.cell.accept(job(1), submitted, world.now);
+    let mut world = World::with_job(&submitted);
 
     world.commit();
     world.commit();
@@ -44,11 +41,8 @@
 
 #[tokio::test]
 async fn the_members_of_a_gang_share_their_run_and_stop_together() {
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
     let submitted = submission(vec![gang(2, 2_000)]);
-    world.cell.accept(job(1), submitted, world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
     let started = world.sent("i-1");
 
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -22,10 +22,7 @@
 #[tokio::test]
 async fn an_end_that_comes_while_a_batch_is_stored_is_not_lost() {
     let submitted = submission(vec![step(2, 1_000, &[])]);
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
-    world.cell.accept(job(1), submitted.clone(), world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
     world.start_all("i-1");
     let (first, second) = (task(1, 0, 0), task(1, 0, 1));
@@ -46,10 +43,7 @@
 #[tokio::test]
 async fn a_task_whose_start_never_arrived_is_placed_again_with_the_next_run() {
     let submitted = submission(vec![step(1, 1_000, &[])]);
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
-    world.cell.accept(job(1), submitted.clone(), world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
 
     let mut next = world.take_over(&[(job(1), submitted)]);
@@ -66,10 +60,7 @@
 #[tokio::test]
 async fn a_run_on_a_silent_executor_waits_until_all_former_leases_are_over() {
     let submitted = submission(vec![step(1, 1_000, &[])]);
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
-    world.cell.accept(job(1), submitted.clone(), world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
     let mut next = world.take_over(&[(job(1), submitted)]);
     next.list("i-2", 4_000);
@@ -114,10 +105,7 @@
 #[tokio::test]
 async fn a_cancelled_run_that_never_started_takes_no_room_after_a_takeover() {
     let submitted = submission(vec![step(1, 1_000, &[])]);
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
-    world.cell.accept(job(1), submitted.clone(), world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
 
     let mut next = world.take_over(&[(job(1), submitted)]);
@@ -139,11 +127,8 @@
 
 #[tokio::test]
 async fn a_finished_job_is_remembered_for_its_time_and_then_dropped() {
-    let mut world = World::new();
-    world.list("i-1", 4_000);
-    world.report("i-1", vec![], vec![]);
     let submitted = submission(vec![step(1, 1_000, &[])]);
-    world.cell.accept(job(1), submitted, world.now);
+    let mut world = World::with_job(&submitted);
     world.commit();
     world.start_all("i-1");
     let end = ended(1, task(1, 0, 0), 1, RunEnd::Done);
