Stop runs and take them back in one place each

Found on rereading the change: the phase and the order of a stop were set together in six places, three of them copies; taking a run back with the rest of its gang stood three times; a getter had no caller; and the owner ranked every waiting step ten times a second for the approval service where no queue asks for tickets. Executor::stop and CellState::release_run serve all of them now, and the ranking comes after a look for such queues.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -259,12 +259,6 @@
         if matches!(view.phase, RunPhase::Proposed | RunPhase::Stopping { .. }) {
             return;
         }
-        if let Some(view) = executor.run_mut(task, run) {
-            view.phase = RunPhase::Stopping {
-                sent_at: now,
-                answered_at: None,
-            };
-        }
-        executor.send(Order::Stop(task, run));
+        executor.stop(task, run, now);
     }
 }
--- a/crates/jobs/src/cell/lives.rs
+++ b/crates/jobs/src/cell/lives.rs
@@ -3,9 +3,9 @@
 use super::CellState;
 use crate::border::ExecutorReport;
 use crate::fleet::Executor;
-use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
+use crate::model::Checkpoint;
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
 use crate::model::RunNumber;
@@ -81,7 +81,7 @@
         let (Some(former), Some(current)) = (former, executor.key()) else {
             return;
         };
-        for (task, mut view) in views {
+        for (task, view) in views {
             let may_arrive = match view.phase {
                 RunPhase::Ordered | RunPhase::Stopping { .. } => true,
                 RunPhase::Running { since } => since > asked_at,
@@ -92,18 +92,13 @@
                 self.lose_run(&former, task, view);
                 continue;
             }
-            if !is_listed {
-                view.phase = RunPhase::Stopping {
-                    sent_at: now,
-                    answered_at: None,
-                };
-            }
-            self.adopt_run(&current, task, view.run);
+            let run = view.run;
+            self.adopt_run(&current, task, run);
             if let Some(executor) = self.executors.get_mut(id) {
+                executor.add_run(task, view);
                 if !is_listed {
-                    executor.send(Order::Stop(task, view.run));
+                    executor.stop(task, run, now);
                 }
-                executor.add_run(task, view);
             }
         }
     }
@@ -168,14 +163,30 @@
     }
 
     /// Gives a run up that is over for certain.
-    pub(super) fn lose_run(&mut self, key: &ExecutorKey, task: TaskId, view: RunView) {
-        if let Some(job) = self.ledger.job_mut(task.job)
-            && job.is_placed(task, view.run, key)
-        {
+    fn lose_run(&mut self, key: &ExecutorKey, task: TaskId, view: RunView) {
+        if self.release_run(key, task, view.run, view.checkpoint) {
             decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted");
-            job.release(task, view.checkpoint, false);
-            self.dirty.insert(task.job);
-            self.stop_gang(task, Instant::now());
         }
     }
+
+    /// Takes a run back that has ended without being done, and stops the rest of its gang; returns
+    /// whether it was the task's newest run.
+    pub(super) fn release_run(
+        &mut self,
+        key: &ExecutorKey,
+        task: TaskId,
+        run: RunNumber,
+        checkpoint: Option<Checkpoint>,
+    ) -> bool {
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return false;
+        };
+        if !job.is_placed(task, run, key) {
+            return false;
+        }
+        job.release(task, checkpoint, false);
+        self.dirty.insert(task.job);
+        self.stop_gang(task, Instant::now());
+        true
+    }
 }
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -7,9 +7,7 @@
 use crate::border::StartOrder;
 use crate::border::StartRefusal;
 use crate::border::StopOrder;
-use crate::fleet::Order;
 use crate::fleet::RunPhase;
-use crate::ledger::Job;
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
 use crate::model::RunNumber;
@@ -125,11 +123,7 @@
             }
             OrderError::Unknown(_) => {
                 // A refusal that comes before the start makes the executor reject it.
-                view.phase = RunPhase::Stopping {
-                    sent_at: now,
-                    answered_at: None,
-                };
-                executor.send(Order::Stop(task, run));
+                executor.stop(task, run, now);
             }
             OrderError::Fenced => {}
         }
@@ -160,13 +154,9 @@
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
-        let key = executor.key();
         executor.remove_run(task, run);
-        let is_ours = |job: &&mut Job| key.is_some_and(|key| job.is_placed(task, run, &key));
-        if let Some(job) = self.ledger.job_mut(task.job).filter(is_ours) {
-            job.release(task, None, false);
-            self.dirty.insert(task.job);
-            self.stop_gang(task, Instant::now());
+        if let Some(key) = executor.key() {
+            self.release_run(&key, task, run, None);
         }
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -231,11 +231,7 @@
                 }
             }
             RunPhase::Stopping { sent_at, .. } if now.duration_since(sent_at) > STOP_REPEAT => {
-                view.phase = RunPhase::Stopping {
-                    sent_at: now,
-                    answered_at: None,
-                };
-                executor.send(Order::Stop(running.task, running.run));
+                executor.stop(running.task, running.run, now);
             }
             _ => {}
         }
@@ -294,11 +290,7 @@
                     }
                     view.missed_reports += 1;
                     if view.missed_reports >= MISSED_REPORTS_MAX {
-                        view.phase = RunPhase::Stopping {
-                            sent_at: now,
-                            answered_at: None,
-                        };
-                        executor.send(Order::Stop(task, run));
+                        executor.stop(task, run, now);
                     }
                 }
                 RunPhase::Stopping {
@@ -314,11 +306,7 @@
                     answered_at: None,
                 } => {
                     if now.duration_since(sent_at) > STOP_REPEAT {
-                        view.phase = RunPhase::Stopping {
-                            sent_at: now,
-                            answered_at: None,
-                        };
-                        executor.send(Order::Stop(task, run));
+                        executor.stop(task, run, now);
                     }
                 }
             }
@@ -343,13 +331,8 @@
         let Some(key) = executor.key() else {
             return;
         };
-        if let Some(job) = self.ledger.job_mut(task.job)
-            && job.is_placed(task, run, &key)
-        {
+        if self.release_run(&key, task, run, checkpoint) {
             decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "not listed after a stop");
-            job.release(task, checkpoint, false);
-            self.dirty.insert(task.job);
-            self.stop_gang(task, Instant::now());
         }
     }
 }
--- a/crates/jobs/src/cell/tickets.rs
+++ b/crates/jobs/src/cell/tickets.rs
@@ -106,6 +106,10 @@
     }
 
     fn steps_with_advice(&self, now: Instant) -> Vec<(JobId, StepRef, AdviceTerms)> {
+        let asks = |job| Self::terms_of(&self.config, job).advice.is_some();
+        if !self.ledger.jobs().any(asks) {
+            return Vec::new();
+        }
         let waiting = self.waiting_steps(now).into_iter();
         let with_terms = waiting.filter_map(|waiting| {
             let job = self.ledger.job(waiting.job)?;
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -207,6 +207,17 @@
         receiver
     }
 
+    /// Tells the executor to stop a run, or to refuse it if it comes later.
+    pub fn stop(&mut self, task: TaskId, run: RunNumber, now: Instant) {
+        if let Some(view) = self.run_mut(task, run) {
+            view.phase = RunPhase::Stopping {
+                sent_at: now,
+                answered_at: None,
+            };
+        }
+        self.send(Order::Stop(task, run));
+    }
+
     /// Hands an order to the executor's session; without a session nothing is sent.
     pub fn send(&self, order: Order) {
         // The session ends with the ownership of the cell, and its orders with it.
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -216,11 +216,6 @@
         })
     }
 
-    /// Returns how many tasks of a step belong to an executor.
-    pub fn placed_count(&self, at: StepRef) -> u32 {
-        self.counts[self.count_position(at)].placed
-    }
-
     /// Returns whether some task belongs to an executor.
     pub fn has_placed(&self) -> bool {
         self.counts.iter().any(|counts| counts.placed > 0)
