Stop a gang whose member is lost before its start

Cause: a member that was released while its record was being stored (release_start) or restored on a life that is gone (release_restored) was taken back without release_run, and stop_run left proposed members alone. The rest of the gang started and waited for it in vain. Ruled out: generated faults did not show it, since their jobs hold no gangs. Change: a proposed run that is given up is Withdrawn and taken back when its record is stored; both places go through release_run. Two tests failed first. It moves to the kernel crate, where it can be tested.

--- a/crates/daemon/src/cli/logging.rs
+++ b/crates/daemon/src/cli/logging.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use dotterelhook_kernel::LineBuffer;
 use spdlog::Logger;
 use spdlog::formatter::JsonFormatter;
 use spdlog::formatter::PatternFormatter;
@@ -7,7 +8,6 @@
 use spdlog::sink::StdStreamSink;
 use spdlog::sink::WriteSink;
 
-use crate::jobs::LineBuffer;
 use crate::settings::LogFormat;
 use crate::settings::LogLevel;
 
--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -8,13 +8,13 @@
 use std::process::exit;
 
 use arguments::Arguments;
+use dotterelhook_kernel::LineBuffer;
 use dotterelhook_types::document::Document;
 use dotterelhook_types::document::Fault;
 
 use crate::daemon::Daemon;
 use crate::jobs::JobsDaemon;
 use crate::jobs::JobsSettings;
-use crate::jobs::LineBuffer;
 use crate::jobs::RawJobsSettings;
 use crate::settings::DaemonSettings;
 
--- a/crates/daemon/src/jobs/mod.rs
+++ b/crates/daemon/src/jobs/mod.rs
@@ -2,9 +2,7 @@
 
 mod jobs_daemon;
 mod jobs_settings;
-mod line_buffer;
 
 pub(crate) use jobs_daemon::JobsDaemon;
 pub(crate) use jobs_settings::JobsSettings;
 pub(crate) use jobs_settings::RawJobsSettings;
-pub(crate) use line_buffer::LineBuffer;
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -255,10 +255,14 @@
             return;
         };
         let run = view.run;
-        // A proposed run is taken back when its record is stored.
-        if matches!(view.phase, RunPhase::Proposed | RunPhase::Stopping { .. }) {
-            return;
+        match view.phase {
+            RunPhase::Proposed => {
+                if let Some(view) = executor.run_mut(task, run) {
+                    view.phase = RunPhase::Withdrawn;
+                }
+            }
+            RunPhase::Withdrawn | RunPhase::Stopping { .. } => {}
+            _ => executor.stop(task, run, now),
         }
-        executor.stop(task, run, now);
     }
 }
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -8,6 +8,7 @@
 use super::Effect;
 use super::batch::ShownJob;
 use crate::border::KeyedRecord;
+use crate::fleet::Executor;
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::ledger::JobProgress;
@@ -151,28 +152,22 @@
         }
     }
 
-    /// Hands a stored start to its executor, unless the job was ended meanwhile.
+    /// Hands a stored start to its executor, unless the run was withdrawn meanwhile.
     fn release_start(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber) {
         let is_open = self.ledger.is_open(task.job);
         let executor = self.executors.get_mut(&key.id);
-        let same_life =
-            |executor: &&mut crate::fleet::Executor| executor.incarnation == Some(key.incarnation);
+        let same_life = |executor: &&mut Executor| executor.incarnation == Some(key.incarnation);
         if let Some(executor) = executor.filter(same_life)
             && let Some(view) = executor.run_mut(task, run)
         {
-            if is_open {
+            if is_open && view.phase == RunPhase::Proposed {
                 view.phase = RunPhase::Ordered;
                 executor.send(Order::Start(task, run));
                 return;
             }
             executor.remove_run(task, run);
         }
-        if let Some(job) = self.ledger.job_mut(task.job)
-            && job.is_placed(task, run, key)
-        {
-            job.release(task, None, false);
-            self.dirty.insert(task.job);
-        }
+        self.release_run(key, task, run, None);
     }
 
     fn ack_ends(&mut self, key: &ExecutorKey, end: u64) {
--- a/crates/jobs/src/cell/lives.rs
+++ b/crates/jobs/src/cell/lives.rs
@@ -85,7 +85,7 @@
             let may_arrive = match view.phase {
                 RunPhase::Ordered | RunPhase::Stopping { .. } => true,
                 RunPhase::Running { since } => since > asked_at,
-                RunPhase::Proposed | RunPhase::Restored => false,
+                RunPhase::Proposed | RunPhase::Withdrawn | RunPhase::Restored => false,
             };
             let is_listed = report.lists(task, view.run);
             if !is_listed && !may_arrive {
@@ -139,14 +139,9 @@
     }
 
     pub(super) fn release_restored(&mut self, key: &ExecutorKey, task: TaskId) {
-        let Some(job) = self.ledger.job_mut(task.job) else {
-            return;
-        };
-        let run = job.task(task).map(|progress| progress.run);
-        if run.is_some_and(|run| job.is_placed(task, run, key)) {
-            decided!(Decision::RunLost, task: task, executor: key, cause: "the executor is gone");
-            job.release(task, None, false);
-            self.dirty.insert(task.job);
+        if let Some(run) = self.placed_run(key, task) {
+            decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "the executor is gone");
+            self.release_run(key, task, run, None);
         }
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -281,7 +281,7 @@
                 continue;
             };
             match view.phase {
-                RunPhase::Proposed | RunPhase::Ordered => {}
+                RunPhase::Proposed | RunPhase::Withdrawn | RunPhase::Ordered => {}
                 // The former owner's start never arrived, and the executor obeys this one now.
                 RunPhase::Restored => gone.push((task, run, None)),
                 RunPhase::Running { since } => {
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -12,6 +12,8 @@
 pub enum RunPhase {
     /// Chosen; its record is not stored yet.
     Proposed,
+    /// Given up before its record was stored; taken back when it is.
+    Withdrawn,
     /// Known from the store only, after a takeover.
     Restored,
     /// The start was handed over; no answer yet.
--- a/crates/jobs/tests/cell/gangs.rs
+++ b/crates/jobs/tests/cell/gangs.rs
@@ -9,6 +9,8 @@
 use crate::fixture::QUEUE;
 use crate::fixture::World;
 use crate::fixture::job;
+use crate::fixture::running;
+use crate::fixture::settings;
 use crate::fixture::step;
 use crate::fixture::submission;
 use crate::fixture::task;
@@ -61,3 +63,41 @@
     assert_eq!(started, starts);
     assert_eq!(world.sent("i-1"), [Order::Stop(first, run)]);
 }
+
+/// A gang of two whose members need an executor each.
+fn spread_gang() -> World {
+    let submitted = submission(vec![gang(2, 3_000)]);
+    let mut world = World::with_job(&submitted);
+    world.list("i-2", 4_000);
+    world.report("i-2", vec![], vec![]);
+    world
+}
+
+#[tokio::test]
+async fn a_gang_that_loses_a_member_before_its_record_is_stored_starts_nowhere() {
+    let mut world = spread_gang();
+    let batch = world.take_batch();
+
+    world.report_of("i-2", 2, vec![], vec![]);
+    world.cell.batch_stored(batch, world.now);
+
+    assert_eq!(world.sent("i-1"), []);
+    assert_eq!(world.sent("i-2"), []);
+}
+
+#[tokio::test]
+async fn a_gang_that_lost_a_member_with_the_former_owner_is_stopped() {
+    let submitted = submission(vec![gang(2, 3_000)]);
+    let mut former = spread_gang();
+    former.commit();
+    let mut world = former.take_over(&[(job(1), submitted)]);
+    world.list("i-1", 4_000);
+    world.report("i-1", vec![running(task(1, 0, 0), 1)], vec![]);
+
+    world.pass(settings().former_leases_max());
+    world.report("i-1", vec![running(task(1, 0, 0), 1)], vec![]);
+    world.cell.lapse_silent(world.now);
+
+    let stop = Order::Stop(task(1, 0, 0), RunNumber(1));
+    assert_eq!(world.sent("i-1"), [stop]);
+}
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -2,11 +2,13 @@
 
 pub mod http;
 mod kernel;
+mod line_buffer;
 mod metrics;
 mod registry;
 mod service;
 
 pub use kernel::Kernel;
+pub use line_buffer::LineBuffer;
 pub use metrics::Metrics;
 pub use registry::Registry;
 pub use service::Service;
