Remember which images disturb each other for minutes

Cause: with a half-life of 30 s a pair that was kept apart was soon tried again, and each trial costs a second over the target. Ruled out: pressures that change by themselves (the pair 8b129f/116ae9 disturbs at 6 s and at 52 s alike). Change: the half-life is 300 s.

--- a/crates/jobs/src/policy/paced_fillers.rs
+++ b/crates/jobs/src/policy/paced_fillers.rs
@@ -13,8 +13,9 @@
 
 /// The pairs of images that are remembered at most.
 const PAIRS_MAX: usize = 4_096;
-/// How long a pair's pressure is believed without a sample; it changes within seconds.
-const HALF_LIFE_MS: u64 = 30_000;
+/// How long a pair's pressure is believed without a sample; what changes within seconds is the
+/// load of what serves.
+const HALF_LIFE_MS: u64 = 300_000;
 /// The tail ratio of a serving task without fillers, before anything is learned.
 const QUIET_RATIO: f64 = 0.45;
 /// How fast the quiet ratio of an image follows samples without fillers.
--- a/crates/jobs/tests/ownership/memory_store.rs
+++ b/crates/jobs/tests/ownership/memory_store.rs
@@ -75,12 +75,13 @@
 }
 
 impl State {
-    fn holders(&self) -> Vec<&Box<str>> {
-        let is_holder = |member: &&Box<str>| match &self.holder {
+    fn holders(&self) -> Vec<&str> {
+        let members = self.members.iter().map(|member| &**member);
+        let holds = |member: &&str| match &self.holder {
             Some(host) => member.starts_with(&**host),
             None => true,
         };
-        self.members.iter().filter(is_holder).collect()
+        members.filter(holds).collect()
     }
 
     fn page_from(&self, partition: Partition, from: Offset) -> ReadPage {
@@ -95,7 +96,7 @@
         let holders = self.holders();
         let held = (0..PARTITIONS).filter(|number| {
             let turn = *number as usize % holders.len().max(1);
-            holders.get(turn).is_some_and(|holder| ***holder == *member)
+            holders.get(turn).is_some_and(|holder| *holder == member)
         });
         held.collect()
     }
