Pace fillers by the load of what serves beside them

The former control learned from tails, in which peaks count most, and let fillers go on or wait as if the load did not swing. Change: tails are read as those of a queue, so samples tell a load; what is learned of a pair is its extra load; the load of each serving task is followed with its trend. Fillers are paced so that the expected load stays below a bound, and placed by the headroom that the last report left. Shares of fillers are averaged over the time of a figure. Tests: the model of a serving task now swings; four new ones, two over a cell. The tests of policies are split by subject; the former control went with them.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -32,7 +32,7 @@
 use crate::policy::DeadlineOrder;
 use crate::policy::Interference;
 use crate::policy::LeftoverPlacement;
-use crate::policy::PacedFillers;
+use crate::policy::LoadPacedFillers;
 use crate::policy::Placement;
 use crate::policy::QueueOrder;
 
@@ -93,7 +93,7 @@
             effects: Vec::new(),
             order: Box::new(DeadlineOrder),
             placement: Box::new(LeftoverPlacement),
-            interference: Box::new(PacedFillers::default()),
+            interference: Box::new(LoadPacedFillers::default()),
             started_at: now,
             tickets: BTreeMap::new(),
             learned_at: None,
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -26,7 +26,7 @@
 const BATCH_BYTES_MAX: usize = 1 << 20;
 
 /// The key under which an owner stores what it has learned.
-pub(crate) const LEARNED_KEY: &str = "learned";
+pub(crate) const LEARNED_KEY: &str = "learned-loads";
 /// The time between two records of what was learned; more than it takes to learn a pair again
 /// would be wasted.
 const LEARNED_INTERVAL: Duration = Duration::from_secs(2);
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -95,6 +95,7 @@
                 if view.phase == RunPhase::Ordered {
                     view.phase = RunPhase::Running { since: now };
                     view.progressed_at = now;
+                    executor.note_fillers(now);
                     decided!(Decision::RunStarted, task: task, run: run, executor: id);
                 }
                 return;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -144,6 +144,9 @@
                 break;
             };
             if self.place(step, task, &executor, now) {
+                if let Some(executor) = self.executors.get_mut(&executor) {
+                    executor.use_headroom(&pressures, step.need.cpu_milli.0);
+                }
                 placed += 1;
             }
         }
@@ -233,7 +236,8 @@
                 && search
                     .rack
                     .is_none_or(|rack| executor.entry.rack() == Some(rack));
-            if !is_searched || !executor.takes_runs(silence_max, now) {
+            let is_disturbed = step.is_filler && executor.over_since.is_some();
+            if !is_searched || is_disturbed || !executor.takes_runs(silence_max, now) {
                 continue;
             }
             let ticket = self.ticket(task, executor, now + TICKET_MARGIN);
--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -12,13 +12,14 @@
 use crate::observe::Decision;
 use crate::observe::decided;
 use crate::policy::FillerSample;
+use crate::policy::Fit;
 use crate::policy::PlacementRequest;
 use crate::policy::TailRatio;
 use crate::policy::TailSample;
 use crate::policy::TailStep;
 
-/// The excess over the target of a tail, as a multiple of it, that a place may cost.
-const QUIET_EXCESS: f64 = 0.08;
+/// The tail ratio below which a tail that was over its target is within it again.
+const OVER_END_RATIO: f64 = 0.9;
 
 /// The time that an executor's figures cover.
 const FIGURE_SPAN: Duration = Duration::from_millis(500);
@@ -31,30 +32,36 @@
             return;
         };
         let tails = tail_ratios(executor);
-        let is_over = tails.iter().any(|tail| tail.ratio > 1.0);
-        executor.over_since = is_over.then(|| executor.over_since.unwrap_or(now));
+        // Figures are rough: a tail that has been over its target counts until it is well below.
+        let bound = executor.over_since.map_or(1.0, |_| OVER_END_RATIO);
+        let is_over = tails.iter().any(|tail| tail.ratio > bound);
+        let measured_from = now.checked_sub(FIGURE_SPAN).unwrap_or(now);
+        executor.over_since = is_over.then(|| executor.over_since.unwrap_or(measured_from));
         let over_for = executor
             .over_since
             .map_or(Duration::ZERO, |since| now.duration_since(since));
+        executor.note_fillers(now);
+        let shares = executor.filler_history.mean(measured_from, now);
         let Some(executor) = self.executors.get(id) else {
             return;
         };
         let sample = TailSample {
             tails,
+            shares,
             over_for,
             fillers: self.filler_samples(executor),
         };
         let now_ms = self.steady_ms(now);
-        let is_settled = executor
-            .paced_at
-            .is_none_or(|paced_at| now.duration_since(paced_at) >= FIGURE_SPAN);
-        if is_settled {
-            self.interference.learn(&sample, now_ms);
-        }
+        self.interference.learn(&sample, now_ms);
+        let headroom = self.interference.headroom(&sample, now_ms);
         let mut may_move = true;
         for step in self.interference.steps(&sample, now_ms) {
             may_move &= !self.take_step(id, step, may_move, &sample, now);
         }
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.headroom = headroom;
+            executor.note_fillers(now);
+        }
     }
 
     /// Notes that a pace was not set for certain, so that it is set again.
@@ -125,7 +132,6 @@
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
         view.progressed_at = now;
-        executor.paced_at = Some(now);
         executor.send(Order::Pace(task, run, percent));
         false
     }
@@ -145,31 +151,25 @@
         };
         let silence_max = self.settings.silence_max();
         self.executors.values().any(|executor| {
-            request.excess_on(executor) < QUIET_EXCESS
-                && executor.entry.service == *service
+            executor.entry.service == *service
+                && request.fit_on(executor) == Fit::Lasting
                 && executor.takes_runs(silence_max, now)
                 && self.placement.score(&request, executor).is_some()
         })
     }
 }
 
-/// Returns the worst tail of each serving image on an executor, as a multiple of its target.
+/// Returns the tail of each serving task on an executor, as a multiple of its target.
 fn tail_ratios(executor: &Executor) -> Vec<TailRatio> {
-    let mut tails: Vec<TailRatio> = Vec::new();
-    for view in executor.runs().values() {
-        let (Some(target_ms), Some(figure_ms), Some(image)) =
-            (view.tail_target_ms, view.recent_figure, &view.image)
-        else {
-            continue;
-        };
-        let ratio = figure_ms / target_ms.max(1) as f64;
-        match tails.iter_mut().find(|tail| tail.image == *image) {
-            Some(tail) => tail.ratio = tail.ratio.max(ratio),
-            None => tails.push(TailRatio {
-                image: image.clone(),
-                ratio,
-            }),
-        }
-    }
-    tails
+    let runs = executor.runs().iter();
+    let tails = runs.filter_map(|(task, view)| {
+        let ratio = view.recent_figure? / view.tail_target_ms?.max(1) as f64;
+        // A task that has not served yet has no tail.
+        (ratio > 0.0).then_some(TailRatio {
+            task: *task,
+            image: view.image.clone()?,
+            ratio,
+        })
+    });
+    tails.collect()
 }
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::ExecutorClock;
+use super::FillerHistory;
 use super::Health;
 use super::Order;
 use super::RunPhase;
@@ -18,6 +19,10 @@
 use crate::model::ImageName;
 use crate::model::RunNumber;
 use crate::model::TaskId;
+use crate::policy::Headroom;
+
+/// The extra load that a serving image bears before its first report, as a multiple of its own.
+const HEADROOM: f64 = 0.15;
 
 /// One executor as its owner sees it.
 #[derive(Debug)]
@@ -40,8 +45,10 @@
     pub health: Health,
     /// Since when some tail has been over its target.
     pub over_since: Option<Instant>,
-    /// When a pace was last set here.
-    pub paced_at: Option<Instant>,
+    /// What fillers worked with of late.
+    pub filler_history: FillerHistory,
+    /// What the serving tasks bear further, by the last report.
+    pub headroom: Vec<Headroom>,
     /// No new run before this, since it said that it has no room.
     pub full_until: Option<Instant>,
     runs: BTreeMap<TaskId, RunView>,
@@ -66,7 +73,8 @@
             acked_end: 0,
             health: Health::default(),
             over_since: None,
-            paced_at: None,
+            filler_history: FillerHistory::default(),
+            headroom: Vec::new(),
             full_until: None,
             runs: BTreeMap::new(),
             used: Resources::default(),
@@ -150,6 +158,41 @@
         }
     }
 
+    /// Returns the extra load that a serving image bears now and at any load, as multiples of its
+    /// own.
+    pub fn headroom_of(&self, image: &ImageName) -> (f64, f64) {
+        let known = self.headroom.iter().find(|known| known.image == *image);
+        known.map_or((HEADROOM, HEADROOM), |known| (known.now, known.lasting))
+    }
+
+    /// Counts the extra load of a new filler until the next report.
+    pub fn use_headroom(&mut self, pressures: &[(ImageName, f64)], cpu_milli: u64) {
+        let share = cpu_milli as f64 / self.entry.capacity.cpu_milli.0.max(1) as f64;
+        for headroom in &mut self.headroom {
+            let pressure = pressures.iter().find(|(image, _)| *image == headroom.image);
+            let extra = pressure.map_or(0.0, |(_, weight)| weight * share);
+            headroom.now -= extra;
+            headroom.lasting -= extra;
+        }
+    }
+
+    /// Notes what fillers work with from now on.
+    pub fn note_fillers(&mut self, now: Instant) {
+        let capacity_milli = self.entry.capacity.cpu_milli.0.max(1) as f64;
+        let mut shares: BTreeMap<ImageName, f64> = BTreeMap::new();
+        for view in self.runs.values() {
+            if let (RunPhase::Running { .. }, Some(image)) = (view.phase, &view.image)
+                && view.is_filler()
+                && view.pace_percent > 0
+            {
+                let full = view.filler_cpu_milli as f64 / capacity_milli;
+                let share = full * f64::from(view.pace_percent) / 100.0;
+                *shares.entry(image.clone()).or_default() += share;
+            }
+        }
+        self.filler_history.note(shares, now);
+    }
+
     /// Returns what is not reserved.
     pub fn free(&self) -> Resources {
         self.entry.capacity.saturating_sub(&self.used)
@@ -214,6 +257,7 @@
                 sent_at: now,
                 answered_at: None,
             };
+            self.note_fillers(now);
         }
         self.send(Order::Stop(task, run));
     }
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 
 mod executor;
 mod executor_clock;
+mod filler_history;
 mod health;
 mod order;
 mod run_view;
 
 pub use executor::Executor;
 pub use executor_clock::ExecutorClock;
+pub use filler_history::FillerHistory;
 pub use health::Health;
 pub use order::Order;
 pub use run_view::RunPhase;
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -7,12 +7,14 @@
 use crate::model::RunNumber;
 use crate::model::TaskId;
 
-/// The tail of a serving image on an executor.
+/// The tail of a serving task.
 #[derive(Clone, Debug)]
 pub struct TailRatio {
-    /// What serves.
+    /// The task.
+    pub task: TaskId,
+    /// What it runs.
     pub image: ImageName,
-    /// The worst tail, as a multiple of its target.
+    /// The tail, as a multiple of its target.
     pub ratio: f64,
 }
 
@@ -36,8 +38,11 @@
 /// The tails of the serving tasks of one executor, and what works beside them.
 #[derive(Clone, Debug)]
 pub struct TailSample {
-    /// The tails, one for each serving image.
+    /// The tails, one for each serving task.
     pub tails: Vec<TailRatio>,
+    /// The part of the executor's processors that fillers of each image worked with while the
+    /// tails were measured, 0 to 1.
+    pub shares: Vec<(ImageName, f64)>,
     /// For how long some tail has been over its target.
     pub over_for: Duration,
     /// The fillers.
@@ -64,25 +69,47 @@
 /// What a controller has learned, to be handed to the next owner.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LearnedTails {
-    /// Tails without fillers, as multiples of their targets.
-    pub quiet_ratios: Vec<(ImageName, f64)>,
+    /// What is known of serving images.
+    pub images: Vec<(ImageName, ImageLoad)>,
     /// The pressures of pairs.
     pub pressures: Vec<LearnedPressure>,
 }
 
-/// By how much a filling image raises the tail of a serving one.
+/// How heavily the tasks of a serving image are loaded by their own users, 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ImageLoad {
+    /// The mean.
+    pub usual: f64,
+    /// The most of late.
+    pub peak: f64,
+    /// The tail without any load, as a multiple of the target.
+    pub idle_ratio: f64,
+}
+
+/// By how much a filling image raises the load of a serving one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LearnedPressure {
     /// What serves.
     pub serving: ImageName,
     /// What fills.
     pub filler: ImageName,
-    /// The excess with all of an executor's processors, as a multiple of the target.
+    /// The extra load with all of an executor's processors, as a multiple of the task's own.
     pub weight: f64,
     /// The number of samples behind it.
     pub samples: u32,
 }
 
+/// What the tasks of a serving image bear beside what they have, as multiples of their own load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Headroom {
+    /// What serves.
+    pub image: ImageName,
+    /// At the present load, with the fillers at their present pace.
+    pub now: f64,
+    /// At the highest load, with the fillers at full pace.
+    pub lasting: f64,
+}
+
 /// Keeps serving tasks within their tails.
 pub trait Interference: Send + Sync {
     /// Learns from a sample; times are milliseconds of a steady clock.
@@ -97,7 +124,10 @@
     /// Returns what to do.
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep>;
 
-    /// Returns by how much a filler with all of an executor's processors would raise the tail of
-    /// each serving image that it is known to disturb, as multiples of their targets.
+    /// Returns what each serving image of the sample bears further.
+    fn headroom(&self, sample: &TailSample, now_ms: u64) -> Vec<Headroom>;
+
+    /// Returns by how much a filler with all of an executor's processors would raise the load of
+    /// each serving image that it is known to disturb, as multiples of their own loads.
     fn pressures(&self, filler: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)>;
 }
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -1,3 +1,4 @@
+use super::Fit;
 use super::Placement;
 use super::PlacementRequest;
 use crate::fleet::Executor;
@@ -8,8 +9,10 @@
 const FILLER_SHARE_MIN: f64 = 0.6;
 /// The excess that a filler may cause beside tasks that serve, as a multiple of their targets.
 const EXCESS_MAX: f64 = 0.15;
+/// What a filler loses on an executor where it must stop when the load rises.
+const SWINGING_PENALTY: f64 = 1.0;
 /// What a filler loses on an executor where it disturbs what serves.
-const DISTURBING_PENALTY: f64 = 1.0;
+const DISTURBING_PENALTY: f64 = 2.0;
 /// What it loses beyond that for each unit of excess.
 const EXCESS_PENALTY: f64 = 4.0;
 /// What a task that disturbs nobody loses on an executor that is free of serving tasks.
@@ -53,17 +56,17 @@
             if left_milli < FILLER_SHARE_MIN * step.need.cpu_milli.0 as f64 {
                 return None;
             }
-            let excess = request.excess_on(executor);
             let is_serving_free = executor.serving_cpu_milli() == 0;
-            if excess > EXCESS_MAX && !request.may_disturb {
-                return None;
-            }
-            let penalty = if excess > EXCESS_MAX {
-                DISTURBING_PENALTY + EXCESS_PENALTY * excess
-            } else if is_serving_free && request.excess_anywhere(executor) <= EXCESS_MAX {
-                SERVING_FREE_PENALTY
-            } else {
-                0.0
+            let penalty = match request.fit_on(executor) {
+                Fit::Never if !request.may_disturb => return None,
+                Fit::Never => DISTURBING_PENALTY + EXCESS_PENALTY * request.excess_on(executor),
+                Fit::Now => SWINGING_PENALTY,
+                Fit::Lasting
+                    if is_serving_free && request.excess_anywhere(executor) <= EXCESS_MAX =>
+                {
+                    SERVING_FREE_PENALTY
+                }
+                Fit::Lasting => 0.0,
             };
             left_milli / capacity_milli - penalty
         } else if step.is_long_running {
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -14,7 +14,44 @@
     pub may_disturb: bool,
 }
 
+/// How long a filler may work beside what serves on an executor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fit {
+    /// It would disturb now.
+    Never,
+    /// At the present load.
+    Now,
+    /// At any load.
+    Lasting,
+}
+
 impl PlacementRequest<'_> {
+    /// Returns how long the task may work beside what serves on an executor.
+    pub fn fit_on(&self, executor: &Executor) -> Fit {
+        let share = self.share_of(executor);
+        let served = self
+            .pressures
+            .iter()
+            .filter(|(image, _)| executor.serves(image));
+        let fits = served.map(|(image, weight)| {
+            let (now, lasting) = executor.headroom_of(image);
+            let extra = weight * share;
+            if extra <= lasting {
+                Fit::Lasting
+            } else if extra <= now {
+                Fit::Now
+            } else {
+                Fit::Never
+            }
+        });
+        fits.min().unwrap_or(Fit::Lasting)
+    }
+
+    fn share_of(&self, executor: &Executor) -> f64 {
+        let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
+        self.step.need.cpu_milli.0 as f64 / capacity_milli
+    }
+
     /// Returns by how much the task would raise the tails on an executor.
     pub fn excess_on(&self, executor: &Executor) -> f64 {
         self.excess(executor, |image| executor.serves(image))
@@ -27,8 +64,7 @@
     }
 
     fn excess(&self, executor: &Executor, counts: impl Fn(&ImageName) -> bool) -> f64 {
-        let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
-        let share = self.step.need.cpu_milli.0 as f64 / capacity_milli;
+        let share = self.share_of(executor);
         let disturbed = self.pressures.iter().filter(|(image, _)| counts(image));
         let excesses = disturbed.map(|(_, weight)| weight * share);
         excesses.fold(0.0, f64::max)
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -4,5 +4,6 @@
 mod gangs;
 mod generated_faults;
 mod model;
+mod tails;
 mod takeovers;
 mod tickets;
--- /dev/null
+++ b/crates/jobs/tests/policies/configuration.rs
@@ -0,0 +1,28 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_jobs::config::DeploymentConfig;
+use dotterelhook_jobs::config::QueueRoute;
+
+use crate::fixture::terms;
+
+#[test]
+fn the_longest_prefix_of_a_queue_wins_and_versions_never_go_back() {
+    let route = |prefix: &str, priority| QueueRoute {
+        host: "a.example".into(),
+        path_prefix: prefix.into(),
+        timeout: Duration::from_secs(3),
+        terms: Arc::new(terms(priority)),
+    };
+    let routes = vec![route("/a/", 0), route("/a/b/", 1)];
+    let config = |version| DeploymentConfig::new(version, 1_000, routes.clone(), HashMap::new());
+    let board = dotterelhook_jobs::config::ConfigBoard::default();
+
+    let taken = [3, 2, 3, 4].map(|version| board.offer(config(version)));
+
+    let current = board.current().expect("a configuration");
+    let (found, rest) = current.route("a.example", "/a/b/c").expect("a route");
+    assert_eq!(taken, [true, false, false, true]);
+    assert_eq!((found.terms.priority, rest), (1, "c"));
+}
--- /dev/null
+++ b/crates/jobs/tests/policies/interference.rs
@@ -0,0 +1,274 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use dotterelhook_jobs::fleet::FillerHistory;
+use dotterelhook_jobs::model::ImageName;
+use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_jobs::policy::FillerSample;
+use dotterelhook_jobs::policy::Headroom;
+use dotterelhook_jobs::policy::Interference;
+use dotterelhook_jobs::policy::LearnedTails;
+use dotterelhook_jobs::policy::LoadPacedFillers;
+use dotterelhook_jobs::policy::TailRatio;
+use dotterelhook_jobs::policy::TailSample;
+use dotterelhook_jobs::policy::TailStep;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::fixture::task;
+
+/// The longest time over a target beside working fillers that the platform bears.
+const HARM_MAX_MS: u64 = 4_000;
+
+/// An executor with one serving task whose own load swings, and four fillers beside it.
+///
+/// The tail is that of a single server's queue, measured over half a second and with noise.
+struct TailModel {
+    random: SmallRng,
+    hidden: HashMap<&'static str, f64>,
+    paces: Vec<(&'static str, u32)>,
+    swing_from: f64,
+}
+
+impl TailModel {
+    fn new(seed: u64) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let swing_from = random.random_range(0.0..std::f64::consts::TAU);
+        Self {
+            random,
+            hidden: HashMap::from([("heavy", 4.0), ("light", 0.1)]),
+            paces: vec![
+                ("heavy", 100),
+                ("light", 100),
+                ("light", 100),
+                ("heavy", 100),
+            ],
+            swing_from,
+        }
+    }
+
+    /// Returns the tail over half a second, as a multiple of its target.
+    fn ratio(&mut self, now_ms: u64) -> f64 {
+        let turn = self.swing_from + std::f64::consts::TAU * now_ms as f64 / 10_000.0;
+        let load = 0.42 * (1.0 + 0.5 * turn.sin());
+        let shares = self.shares().into_iter();
+        let extra: f64 = shares
+            .map(|(image, share)| self.hidden[image.as_str()] * share)
+            .sum();
+        let left = (1.0 - load * (1.0 + extra)).max(0.015);
+        let noise: f64 = self.random.random_range(0.85..1.15);
+        0.222 / left * noise
+    }
+
+    fn shares(&self) -> Vec<(ImageName, f64)> {
+        let shares = self.paces.iter().map(|(image, pace)| {
+            let share = 0.1 * f64::from(*pace) / 100.0;
+            (ImageName::from(*image), share)
+        });
+        let mut summed: Vec<(ImageName, f64)> = Vec::new();
+        for (image, share) in shares.filter(|(_, share)| *share > 0.0) {
+            match summed.iter_mut().find(|(known, _)| *known == image) {
+                Some((_, sum)) => *sum += share,
+                None => summed.push((image, share)),
+            }
+        }
+        summed
+    }
+
+    fn sample(&self, ratio: f64, over_for: Duration) -> TailSample {
+        let fillers = self
+            .paces
+            .iter()
+            .zip(0..)
+            .map(|((image, pace), index)| FillerSample {
+                task: task(index),
+                run: RunNumber(1),
+                image: Some((*image).into()),
+                cpu_share: 0.1,
+                pace_percent: *pace,
+                can_move: false,
+            });
+        TailSample {
+            tails: vec![TailRatio {
+                task: task(9),
+                image: "web".into(),
+                ratio,
+            }],
+            shares: self.shares(),
+            over_for,
+            fillers: fillers.collect(),
+        }
+    }
+
+    fn take(&mut self, step: TailStep) {
+        match step {
+            TailStep::Pace(task, _, percent) => self.paces[task.index as usize].1 = percent,
+            TailStep::Move(task, _) => self.paces[task.index as usize].1 = 0,
+        }
+    }
+}
+
+/// Stops every filler while a tail is over its target, and lets all go on below it.
+struct StopAll;
+
+impl Interference for StopAll {
+    fn learn(&mut self, _: &TailSample, _: u64) {}
+
+    fn learned(&self, _: u64) -> LearnedTails {
+        LearnedTails::default()
+    }
+
+    fn restore(&mut self, _: LearnedTails, _: u64) {}
+
+    fn steps(&self, sample: &TailSample, _: u64) -> Vec<TailStep> {
+        let percent = if sample.worst_ratio() > 1.0 { 0 } else { 100 };
+        let fillers = sample.fillers.iter();
+        fillers
+            .map(|filler| TailStep::Pace(filler.task, filler.run, percent))
+            .collect()
+    }
+
+    fn headroom(&self, _: &TailSample, _: u64) -> Vec<Headroom> {
+        Vec::new()
+    }
+
+    fn pressures(&self, _: &ImageName, _: u64) -> Vec<(ImageName, f64)> {
+        Vec::new()
+    }
+}
+
+/// What a control let happen in a minute.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    /// The longest time over the target beside working fillers.
+    longest_harm_ms: u64,
+    /// The time over the target in all.
+    over_ms: u64,
+    /// The pace of a filler that disturbs little, summed over samples.
+    light_work: u32,
+    /// The pace of a filler that disturbs much, summed over samples.
+    heavy_work: u32,
+}
+
+fn play(control: &mut dyn Interference, seed: u64) -> Outcome {
+    let mut model = TailModel::new(seed);
+    let mut over_since_ms = None;
+    let mut outcome = Outcome::default();
+    for now_ms in (0..60_000_u64).step_by(500) {
+        let ratio = model.ratio(now_ms);
+        if ratio > 1.0 {
+            over_since_ms.get_or_insert(now_ms);
+            outcome.over_ms += 500;
+        } else {
+            over_since_ms = None;
+        }
+        let over_ms = over_since_ms.map_or(0, |since| now_ms - since);
+        if model.paces.iter().any(|(_, pace)| *pace > 0) {
+            outcome.longest_harm_ms = outcome.longest_harm_ms.max(over_ms);
+        }
+        let sample = model.sample(ratio, Duration::from_millis(over_ms));
+        control.learn(&sample, now_ms);
+        for step in control.steps(&sample, now_ms) {
+            model.take(step);
+        }
+        outcome.heavy_work += model.paces[0].1;
+        outcome.light_work += model.paces[1].1;
+    }
+    outcome
+}
+
+#[test]
+fn interference_swing_is_ended_within_the_time_that_the_platform_bears() {
+    for seed in 0..50 {
+        let outcome = play(&mut LoadPacedFillers::default(), seed);
+
+        assert!(
+            outcome.longest_harm_ms < HARM_MAX_MS,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn interference_swing_costs_less_than_stopping_every_filler() {
+    let outcomes: Vec<(Outcome, Outcome)> = (0..50)
+        .map(|seed| {
+            (
+                play(&mut LoadPacedFillers::default(), seed),
+                play(&mut StopAll, seed),
+            )
+        })
+        .collect();
+
+    let light_work = outcomes.iter().fold((0, 0), |sum, (paced, stopped)| {
+        (sum.0 + paced.light_work, sum.1 + stopped.light_work)
+    });
+    let over_ms = outcomes.iter().fold((0, 0), |sum, (paced, stopped)| {
+        (sum.0 + paced.over_ms, sum.1 + stopped.over_ms)
+    });
+    assert!(over_ms.0 < over_ms.1, "time over the target {over_ms:?} ms");
+    assert!(
+        light_work.0 > light_work.1,
+        "work that disturbs nothing {light_work:?}"
+    );
+}
+
+#[test]
+fn interference_swing_lets_fillers_that_disturb_go_on_in_troughs() {
+    for seed in 0..50 {
+        let outcome = play(&mut LoadPacedFillers::default(), seed);
+
+        let whole_minute = 120 * 100;
+        assert!(
+            outcome.heavy_work > whole_minute / 10,
+            "seed {seed}: {outcome:?}"
+        );
+        assert!(
+            outcome.light_work > whole_minute * 8 / 10,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn past_shares_of_fillers_are_told_as_a_mean_over_the_time_of_a_figure() {
+    let start = Instant::now();
+    let after = |ms| start + Duration::from_millis(ms);
+    let share = |share: f64| [(ImageName::from("nesting"), share)].into();
+    let mut history = FillerHistory::default();
+
+    history.note(share(0.2), after(0));
+    history.note(share(0.4), after(750));
+    history.note(BTreeMap::new(), after(900));
+
+    let mean = history.mean(after(500), after(1_000));
+    let [(image, mean)] = &mean[..] else {
+        panic!("one image, not {mean:?}");
+    };
+    assert_eq!(image, &ImageName::from("nesting"));
+    assert!((mean - (0.2 * 0.5 + 0.4 * 0.3)).abs() < 1e-9, "{mean}");
+}
+
+#[test]
+fn what_was_learned_survives_a_takeover() {
+    let mut former = LoadPacedFillers::default();
+    let model = TailModel::new(1);
+    for now_ms in (0..20_000_u64).step_by(500) {
+        former.learn(&model.sample(2.0, Duration::ZERO), now_ms);
+    }
+    let quiet = TailSample {
+        fillers: Vec::new(),
+        ..model.sample(0.45, Duration::ZERO)
+    };
+    former.learn(&quiet, 20_000);
+    let mut next = LoadPacedFillers::default();
+
+    next.restore(former.learned(20_000), 0);
+
+    let heavy = ImageName::from("heavy");
+    assert_eq!(next.pressures(&heavy, 0), former.pressures(&heavy, 20_000));
+    assert!(!next.pressures(&heavy, 0).is_empty());
+}
--- /dev/null
+++ b/crates/jobs/tests/policies/main.rs
@@ -0,0 +1,7 @@
+//! Policies, each against the load pattern that it answers.
+
+mod configuration;
+mod fixture;
+mod interference;
+mod order;
+mod placement;
--- /dev/null
+++ b/crates/jobs/tests/policies/order.rs
@@ -0,0 +1,87 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_jobs::ledger::Job;
+use dotterelhook_jobs::ledger::JobProgress;
+use dotterelhook_jobs::ledger::StepRef;
+use dotterelhook_jobs::model::JobSpec;
+use dotterelhook_jobs::model::StepSpec;
+use dotterelhook_jobs::model::Submission;
+use dotterelhook_jobs::policy::DeadlineOrder;
+use dotterelhook_jobs::policy::QueueOrder;
+use dotterelhook_jobs::policy::Rank;
+use tokio::time::Instant;
+
+use crate::fixture::serving;
+use crate::fixture::step;
+use crate::fixture::terms;
+
+fn rank(steps: Vec<StepSpec>, age: Duration, priority: u32) -> Rank {
+    let now = Instant::now() + Duration::from_secs(1_000);
+    let spec = JobSpec {
+        payload: "work".into(),
+        steps,
+        schedule: None,
+    };
+    let submission = Submission {
+        terms: terms(priority),
+        spec,
+        accepted_unix_ms: 0,
+    };
+    let id = "0123456789abcdef".parse().expect("an id");
+    let job = Job::new(id, Arc::new(submission), JobProgress::default(), now - age);
+    let at = StepRef {
+        occurrence: 0,
+        step: 0,
+    };
+    DeadlineOrder.rank(&job, at, &terms(priority), now)
+}
+
+#[test]
+fn burst_of_serving_jobs_waits_behind_quick_ones_until_its_target_is_near() {
+    let quick = rank(vec![step(100)], Duration::from_millis(300), 0);
+    let fresh = rank(vec![serving("s")], Duration::ZERO, 0);
+    let waiting = rank(vec![serving("s")], Duration::from_millis(900), 0);
+
+    assert!(quick < fresh);
+    assert!(waiting < quick);
+}
+
+#[test]
+fn burst_serves_what_can_be_in_time_before_what_cannot() {
+    let fresh = rank(vec![step(1_000)], Duration::from_millis(100), 2);
+    let urgent = rank(vec![step(1_000)], Duration::from_millis(1_900), 2);
+    let late = rank(vec![step(1_000)], Duration::from_millis(4_000), 2);
+    let hopeless = rank(vec![step(1_000)], Duration::from_secs(60), 0);
+
+    assert!(urgent < fresh, "less slack goes first");
+    assert!(fresh < late, "late work waits for what can be in time");
+    assert!(
+        late < hopeless,
+        "priority does not revive what is past saving"
+    );
+}
+
+#[test]
+fn burst_keeps_the_order_of_priorities_among_what_can_be_in_time() {
+    let first = rank(vec![step(1_000)], Duration::from_millis(100), 0);
+    let second = rank(vec![step(1_000)], Duration::from_millis(1_900), 2);
+
+    assert!(first < second);
+}
+
+#[test]
+fn wide_step_counts_its_remaining_chain() {
+    let chain = vec![
+        step(1_000),
+        StepSpec {
+            after: vec![0],
+            ..step(3_000)
+        },
+    ];
+    let short = rank(vec![step(1_000)], Duration::from_millis(500), 2);
+    let long = rank(chain, Duration::from_millis(500), 2);
+
+    assert_eq!(short.slack_ms, 2_000 + 1_000 - 500 - 1_000);
+    assert_eq!(long.slack_ms, 8_000 + 1_000 - 500 - 4_000);
+}
--- /dev/null
+++ b/crates/jobs/tests/policies/placement.rs
@@ -0,0 +1,148 @@
+use dotterelhook_jobs::model::ImageName;
+use dotterelhook_jobs::model::StepSpec;
+use dotterelhook_jobs::policy::Headroom;
+use dotterelhook_jobs::policy::LeftoverPlacement;
+use dotterelhook_jobs::policy::Placement;
+use dotterelhook_jobs::policy::PlacementRequest;
+use dotterelhook_types::sizes::Resources;
+
+use crate::fixture::add;
+use crate::fixture::executor;
+use crate::fixture::filler;
+use crate::fixture::score;
+use crate::fixture::serving;
+use crate::fixture::step;
+
+#[test]
+fn interference_fillers_keep_away_from_images_that_they_disturb() {
+    let mut disturbed = executor("i-1");
+    add(&mut disturbed, 0, &serving("web"));
+    let mut other = executor("i-2");
+    add(&mut other, 0, &serving("mail"));
+    let pressures = [(ImageName::from("web"), 9.0)];
+
+    let filler = filler("nesting");
+
+    assert_eq!(score(&filler, &pressures, &disturbed), None);
+    assert!(score(&filler, &pressures, &other).is_some());
+}
+
+#[test]
+fn interference_a_filler_that_waited_may_disturb_in_the_last_place() {
+    let mut disturbed = executor("i-1");
+    add(&mut disturbed, 0, &serving("web"));
+    let free = executor("i-2");
+    let pressures = [(ImageName::from("web"), 9.0)];
+    let filler = filler("nesting");
+    let request = PlacementRequest {
+        step: &filler,
+        pressures: &pressures,
+        may_disturb: true,
+    };
+
+    let beside = LeftoverPlacement.score(&request, &disturbed);
+    let alone = LeftoverPlacement.score(&request, &free);
+
+    assert!(beside.is_some() && beside < alone);
+}
+
+#[test]
+fn interference_serving_tasks_of_one_image_are_packed_together() {
+    let mut same = executor("i-1");
+    add(&mut same, 0, &serving("web"));
+    let mut other = executor("i-2");
+    add(&mut other, 0, &serving("mail"));
+    add(&mut other, 1, &serving("mail"));
+    let empty = executor("i-3");
+    let wanted = serving("web");
+
+    let scores = [&same, &empty, &other].map(|executor| score(&wanted, &[], executor));
+
+    assert!(scores[0] > scores[1], "packing goes before spreading");
+    assert!(
+        scores[1] > scores[2],
+        "an empty executor goes before a mixed one"
+    );
+}
+
+#[test]
+fn leftover_a_filler_needs_most_of_its_processors_to_be_left() {
+    let mut full = executor("i-1");
+    for index in 0..9 {
+        add(&mut full, index, &filler("nesting"));
+    }
+
+    let score = score(&filler("nesting"), &[], &full);
+
+    assert!(score.is_some(), "3.2 of 32 cores are left");
+    add(&mut full, 9, &filler("nesting"));
+    assert_eq!(self::score(&filler("nesting"), &[], &full), None);
+}
+
+#[test]
+fn requirements_of_a_step_bind() {
+    let on_label = |label: &str| StepSpec {
+        required_label: Some(label.into()),
+        ..step(1_000)
+    };
+    let near = StepSpec {
+        preferred_rack: Some("r1-3".into()),
+        ..step(1_000)
+    };
+    let too_large = StepSpec {
+        need: Resources::new(33_000, 1_000),
+        ..step(1_000)
+    };
+    let executor = executor("i-1");
+
+    assert!(score(&on_label("a"), &[], &executor).is_some());
+    assert_eq!(score(&on_label("gpu"), &[], &executor), None);
+    assert_eq!(score(&too_large, &[], &executor), None);
+    assert!(score(&near, &[], &executor) > score(&step(1_000), &[], &executor));
+}
+
+#[test]
+fn interference_a_filler_goes_where_there_is_headroom_for_it() {
+    let at = |now: f64, lasting: f64| {
+        let mut executor = executor("i-1");
+        add(&mut executor, 0, &serving("web"));
+        let image = "web".into();
+        executor.headroom = vec![Headroom {
+            image,
+            now,
+            lasting,
+        }];
+        executor
+    };
+    let filler = filler("nesting");
+    let pressures = [(ImageName::from("web"), 4.0)];
+
+    let lasting = score(&filler, &pressures, &at(0.5, 0.5));
+    let swinging = score(&filler, &pressures, &at(0.5, 0.1));
+    let never = score(&filler, &pressures, &at(0.1, 0.1));
+
+    assert!(lasting > swinging && swinging.is_some());
+    assert_eq!(never, None);
+}
+
+#[test]
+fn interference_burst_of_placements_uses_up_the_headroom() {
+    let mut executor = executor("i-1");
+    add(&mut executor, 0, &serving("web"));
+    let filler = filler("nesting");
+    let pressures = [(ImageName::from("web"), 1.0)];
+    let image = "web".into();
+    executor.headroom = vec![Headroom {
+        image,
+        now: 0.25,
+        lasting: 0.25,
+    }];
+
+    let first = score(&filler, &pressures, &executor);
+    executor.use_headroom(&pressures, filler.need.cpu_milli.0);
+    executor.use_headroom(&pressures, filler.need.cpu_milli.0);
+    let third = score(&filler, &pressures, &executor);
+
+    assert!(first.is_some());
+    assert_eq!(third, None);
+}
