Let quick jobs through when a cell is full

Ruled out: fillers (they reserve no processors) and memory. Change: a serving task past its target ranks with what is late, behind quick jobs that can still be in time; quick tasks go where least is free, which leaves large holes to large tasks; once a second an owner logs how full its cell is. Tests for each failed first.

--- /dev/null
+++ b/crates/jobs/src/cell/cell_load.rs
@@ -0,0 +1,81 @@
+use dotterelhook_types::sizes::CpuMilli;
+use tokio::time::Instant;
+
+use super::CellState;
+use crate::ledger::TaskStatus;
+use crate::observe::Decision;
+use crate::observe::decided;
+
+/// How full a cell is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CellLoad {
+    /// Jobs that have not ended.
+    pub open_jobs: u64,
+    /// Tasks whose turn has come and that have no place, by what they are.
+    pub waiting_serving: u64,
+    /// Fillers without a place.
+    pub waiting_fillers: u64,
+    /// Other tasks without a place.
+    pub waiting_others: u64,
+    /// Fillers that have a place and may not work now.
+    pub paused_fillers: u64,
+    /// Executors that take new runs.
+    pub open_executors: u64,
+    /// What is reserved on all executors.
+    pub reserved_cpu: CpuMilli,
+    /// What is free on executors that take new runs.
+    pub free_cpu: CpuMilli,
+}
+
+impl CellState {
+    /// Returns how full the cell is.
+    pub fn load(&self, now: Instant) -> CellLoad {
+        let mut load = CellLoad::default();
+        for job in self.ledger.jobs().filter(|job| job.is_open()) {
+            load.open_jobs += 1;
+            for at in job.ready_steps() {
+                let tasks = job.tasks_of(at);
+                let waiting = tasks.filter(|(_, task)| task.status == TaskStatus::Waiting);
+                let count = waiting.count() as u64;
+                let step = job.step(at.step);
+                if step.is_filler {
+                    load.waiting_fillers += count;
+                } else if step.is_long_running {
+                    load.waiting_serving += count;
+                } else {
+                    load.waiting_others += count;
+                }
+            }
+        }
+        let silence_max = self.settings.silence_max();
+        for executor in self.executors.values() {
+            load.reserved_cpu.0 += executor.used().cpu_milli.0;
+            let paused = executor
+                .runs()
+                .values()
+                .filter(|view| view.pace_percent == 0);
+            load.paused_fillers += paused.count() as u64;
+            if executor.takes_runs(silence_max, now) {
+                load.open_executors += 1;
+                load.free_cpu.0 += executor.free().cpu_milli.0;
+            }
+        }
+        load
+    }
+
+    /// Logs how full the cell is.
+    pub fn log_load(&self, now: Instant) {
+        let load = self.load(now);
+        decided!(
+            Decision::CellLoad,
+            open_jobs: load.open_jobs,
+            waiting_serving: load.waiting_serving,
+            waiting_fillers: load.waiting_fillers,
+            waiting_others: load.waiting_others,
+            paused_fillers: load.paused_fillers,
+            open_executors: load.open_executors,
+            reserved_cpu: load.reserved_cpu,
+            free_cpu: load.free_cpu,
+        );
+    }
+}
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -2,6 +2,7 @@
 //! owner at a time.
 
 mod batch;
+mod cell_load;
 mod cell_settings;
 mod cell_state;
 mod commits;
@@ -15,6 +16,7 @@
 
 pub use batch::Batch;
 pub use batch::Effect;
+pub use cell_load::CellLoad;
 pub use cell_settings::CellSettings;
 pub use cell_state::CellState;
 pub use cell_state::StateAnswer;
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -46,6 +46,8 @@
     ConfigUnreadable,
     /// A record of our own can't be understood.
     RecordUnreadable,
+    /// How full a cell is; once a second.
+    CellLoad,
     /// This host took a cell over.
     CellClaimed,
     /// This host owns a cell no more.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -45,6 +45,8 @@
 const FRESH_MAX: Duration = Duration::from_millis(2_500);
 /// The pause after a failed read.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// The time between two lines about how full a cell is.
+const LOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between looks at timers.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -244,6 +246,7 @@
 
     async fn follow_time(self: Arc<Self>) {
         let mut config = self.context.config.watch();
+        let mut load_logged_at = Instant::now();
         loop {
             tokio::select! {
                 () = sleep(TICK) => {}
@@ -265,6 +268,10 @@
                 state.lapse_silent(Instant::now());
                 state.relocate(Instant::now());
             });
+            if load_logged_at.elapsed() >= LOAD_INTERVAL {
+                load_logged_at = Instant::now();
+                self.with(|state| state.log_load(load_logged_at));
+            }
             self.forget_finished().await;
             self.wake.notify_one();
         }
--- a/crates/jobs/src/policy/deadline_order.rs
+++ b/crates/jobs/src/policy/deadline_order.rs
@@ -17,11 +17,12 @@
     fn rank(&self, job: &Job, at: StepRef, terms: &QueueTerms, now: Instant) -> Rank {
         let spec = &job.submission().spec;
         if job.step(at.step).is_long_running {
+            let age_ms = now.duration_since(job.accepted_at()).as_millis() as i64;
+            let slack_ms = terms.target_latency_ms as i64 - age_ms;
             return Rank {
-                class: 0,
+                class: u32::from(slack_ms < 0),
                 priority: terms.priority,
-                slack_ms: terms.target_latency_ms as i64
-                    - now.duration_since(job.accepted_at()).as_millis() as i64,
+                slack_ms,
             };
         }
         let chain_ms = chain_ms(job, |_| true);
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -27,7 +27,7 @@
 ///
 /// Fillers go where most processor time is left over, those that disturb to executors without
 /// serving tasks; serving tasks are packed, so that there are such executors; the rest goes where
-/// most is free.
+/// least is free, which leaves room for large tasks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeftoverPlacement;
 
@@ -76,7 +76,7 @@
             };
             executor.used().cpu_milli.0 as f64 / capacity_milli - others
         } else {
-            free.cpu_milli.0 as f64 / capacity_milli
+            -(free.cpu_milli.0 as f64) / capacity_milli
         };
         Some(score + bonus)
     }
--- /dev/null
+++ b/crates/jobs/tests/cell/load.rs
@@ -0,0 +1,39 @@
+use dotterelhook_jobs::cell::CellLoad;
+use dotterelhook_jobs::model::StepSpec;
+use dotterelhook_types::sizes::CpuMilli;
+
+use crate::fixture::World;
+use crate::fixture::job;
+use crate::fixture::step;
+use crate::fixture::submission;
+
+#[tokio::test]
+async fn the_load_of_a_cell_tells_what_waits_and_what_is_free() {
+    let serving = StepSpec {
+        is_long_running: true,
+        ..step(3, 1_500, &[])
+    };
+    let filler = StepSpec {
+        is_filler: true,
+        ..step(1, 9_000, &[])
+    };
+    let mut world = World::with_job(&submission(vec![serving]));
+    world
+        .cell
+        .accept(job(2), submission(vec![filler]), world.now);
+    world.commit();
+
+    let load = world.cell.load(world.now);
+
+    let expected = CellLoad {
+        open_jobs: 2,
+        waiting_serving: 1,
+        waiting_fillers: 1,
+        waiting_others: 0,
+        paused_fillers: 0,
+        open_executors: 1,
+        reserved_cpu: CpuMilli(3_000),
+        free_cpu: CpuMilli(1_000),
+    };
+    assert_eq!(load, expected);
+}
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -3,6 +3,7 @@
 mod fixture;
 mod gangs;
 mod generated_faults;
+mod load;
 mod model;
 mod tails;
 mod takeovers;
--- a/crates/jobs/tests/policies/order.rs
+++ b/crates/jobs/tests/policies/order.rs
@@ -47,6 +47,16 @@
     assert!(waiting < quick);
 }
 
+#[test]
+fn full_cell_late_serving_jobs_wait_for_quick_ones_in_time_and_go_before_late_ones() {
+    let quick = rank(vec![step(100)], Duration::from_millis(300), 0);
+    let late_quick = rank(vec![step(100)], Duration::from_millis(1_500), 0);
+    let late_serving = rank(vec![serving("s")], Duration::from_secs(5), 0);
+
+    assert!(quick < late_serving);
+    assert!(late_serving < late_quick);
+}
+
 #[test]
 fn burst_serves_what_can_be_in_time_before_what_cannot() {
     let fresh = rank(vec![step(1_000)], Duration::from_millis(100), 2);
--- a/crates/jobs/tests/policies/placement.rs
+++ b/crates/jobs/tests/policies/placement.rs
@@ -146,3 +146,17 @@
     assert!(first.is_some());
     assert_eq!(third, None);
 }
+
+#[test]
+fn full_cell_quick_tasks_leave_the_large_holes_to_large_tasks() {
+    let mut fuller = executor("i-1");
+    for index in 0..4 {
+        add(&mut fuller, index, &serving("web"));
+    }
+    let empty = executor("i-2");
+    let quick = step(1_000);
+
+    let scores = [&fuller, &empty].map(|executor| score(&quick, &[], executor));
+
+    assert!(scores[0].is_some() && scores[0] > scores[1]);
+}
