Replace an owner that acts no more though it stays a member

Claims raised the epoch and made themselves known only after reading all jobs (1.1 s), and whoever was fenced claimed again at once. Ruled out: the store (all calls answered) and a crash (no exits). Change: an owner that made itself known is asked whether it acts, and replaced if it says no; a claim is made known before the reading; a claimant that is fenced waits for the other to make itself known and gives way; a process claims a cell once at a time, and goes on when its caller hangs up; signs of life go on during claims and handovers. Test first: a released owner that stays a member.

--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -6,9 +6,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::CellOwner;
+use super::MemberName;
 use super::OwnerBoard;
 use super::OwnerContext;
 use super::handover::ask_to_claim;
+use super::handover::claim_here;
 use super::handover::other_members;
 use super::handover::owns_cell;
 use super::membership::Membership;
@@ -30,7 +32,7 @@
     board: Arc<OwnerBoard>,
     draining: CancellationToken,
     handover_max: Duration,
-    membership: Membership,
+    membership: Arc<Membership>,
 }
 
 impl Candidate {
@@ -43,7 +45,7 @@
         handover_max: Duration,
     ) -> Self {
         Self {
-            membership: Membership::new(Arc::clone(&context)),
+            membership: Arc::new(Membership::new(Arc::clone(&context))),
             context,
             board,
             draining,
@@ -54,8 +56,9 @@
     /// Stands until the process drains, then hands its cells over.
     pub async fn run(self) {
         let draining = self.draining.clone();
+        // A claim may take longer than the time to live.
+        tokio::spawn(Arc::clone(&self.membership).keep());
         while !draining.is_cancelled() {
-            self.membership.show();
             tokio::select! {
                 () = sleep(self.membership.interval()) => {}
                 () = draining.cancelled() => break,
@@ -110,17 +113,10 @@
     async fn fill(&self, cell: u32) -> Result<(), StoreError> {
         self.context.directory.refresh().await?;
         let others = other_members(&self.context).await?;
-        if let Some(owner) = self.context.directory.owner(cell) {
-            // A later process on the owner's host tells that the owner is gone.
-            let has_successor = others.iter().any(|member| {
-                member.host == owner.member.host && member.incarnation > owner.member.incarnation
-            });
-            // The group names a member only while it holds partitions.
-            let is_listed = others.contains(&owner.member);
-            let is_gone = has_successor || self.succeeds_owner(cell);
-            if !is_gone && (is_listed || owns_cell(&self.context, &owner.member, cell).await) {
-                return Ok(());
-            }
+        if let Some(owner) = self.context.directory.owner(cell)
+            && !self.is_vacated(cell, &owner.member, &others).await
+        {
+            return Ok(());
         }
         let own = self.context.member.suitability();
         let better = others.first().filter(|member| member.suitability() > own);
@@ -129,9 +125,24 @@
         {
             return Ok(());
         }
-        let owner = CellOwner::claim(Arc::clone(&self.context), cell).await?;
-        self.board.add(owner);
-        Ok(())
+        claim_here(&self.context, &self.board, cell).await
+    }
+
+    /// Returns whether the owner that made itself known last acts no more.
+    ///
+    /// An owner that can't be asked is left to the group, which names a member only while it holds
+    /// partitions and has shown that it lives.
+    async fn is_vacated(&self, cell: u32, owner: &MemberName, others: &[MemberName]) -> bool {
+        let has_successor = others
+            .iter()
+            .any(|other| other.host == owner.host && other.incarnation > owner.incarnation);
+        if has_successor || self.succeeds_owner(cell) {
+            return true;
+        }
+        match owns_cell(&self.context, owner, cell).await {
+            Some(owns) => !owns,
+            None => !others.contains(owner),
+        }
     }
 
     /// Lets another host take a cell over before this process lets go of it.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -18,7 +18,6 @@
 
 use super::MemberName;
 use super::OwnerDirectory;
-use super::OwnerRecord;
 use super::commit_loop::CommitLoop;
 use super::takeover::Takeover;
 use super::takeover::take_over;
@@ -99,10 +98,7 @@
             submissions,
             next_sequence,
         } = take_over(&context, cell).await?;
-        let record = OwnerRecord {
-            epoch: state.epoch(),
-            member: context.member.clone(),
-        };
+        let epoch = state.epoch();
         let jobs = state.ledger().jobs().count();
         let owner = Arc::new(Self {
             cell,
@@ -113,13 +109,12 @@
             submissions_read_at: Mutex::new(vec![started; submissions.len()]),
             context: Arc::clone(&context),
         });
-        context.directory.publish(cell, &record).await?;
         context.metrics.takeovers.inc();
         context
             .metrics
             .takeover_seconds
             .observe(started.elapsed().as_secs_f64());
-        decided!(Decision::CellClaimed, cell: cell, epoch: record.epoch, open_jobs: jobs, took_ms: started.elapsed().as_millis());
+        decided!(Decision::CellClaimed, cell: cell, epoch: epoch, open_jobs: jobs, took_ms: started.elapsed().as_millis());
         owner.start(submissions, next_sequence);
         Ok(owner)
     }
--- a/crates/jobs/src/ownership/handover.rs
+++ b/crates/jobs/src/ownership/handover.rs
@@ -8,6 +8,7 @@
 use dotterelhook_peer::rpc::PeerHandler;
 use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_types::CallError;
+use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
 use super::CellOwner;
@@ -22,7 +23,9 @@
 const CLAIM_CELL: &str = "claim-cell";
 const OWNS_CELL: &str = "owns-cell";
 /// The longest wait for another host to claim a cell; a claim reads all open jobs.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// The time between looks at a claim that is under way in this process.
+const CLAIM_LOOK: Duration = Duration::from_millis(20);
 
 /// The longest wait for a host to say whether it owns a cell; many round trips between failure
 /// domains.
@@ -57,15 +60,39 @@
     called.await.map(|_| ())
 }
 
-/// Returns whether a host says that it acts for a cell.
-pub(super) async fn owns_cell(context: &OwnerContext, member: &MemberName, cell: u32) -> bool {
-    let Ok(frame) = encode(&cell) else {
-        return false;
-    };
+/// Returns whether a host owns a cell or is about to; `None` if it can't be asked.
+pub(super) async fn owns_cell(
+    context: &OwnerContext,
+    member: &MemberName,
+    cell: u32,
+) -> Option<bool> {
+    let frame = encode(&cell).ok()?;
     let called = context
         .peers
         .call(member.address, OWNS_CELL, frame, OWNS_TIMEOUT);
-    called.await.is_ok()
+    decode(&called.await.ok()?).ok()
+}
+
+/// Claims a cell for this process unless it owns it; waits for a claim that is under way.
+///
+/// # Errors
+/// The store can't be reached, or another host claims the cell as well.
+pub(super) async fn claim_here(
+    context: &Arc<OwnerContext>,
+    board: &Arc<OwnerBoard>,
+    cell: u32,
+) -> Result<(), StoreError> {
+    loop {
+        if board.find(cell).is_some() {
+            return Ok(());
+        }
+        let Some(_mark) = board.begin_claim(cell) else {
+            sleep(CLAIM_LOOK).await;
+            continue;
+        };
+        let owner = CellOwner::claim(Arc::clone(context), cell).await?;
+        board.add(owner);
+    }
 }
 
 /// Lets other hosts ask this process whether it owns a cell, and ask it to claim one.
@@ -91,10 +118,9 @@
     async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
         let cell = decode(&frame).map_err(|error| CallError::not_run(error.to_string()))?;
         // An owner that can't reach the store must be replaced by one that can.
-        match self.0.find(cell) {
-            Some(owner) if owner.may_renew() => Ok(Bytes::new()),
-            _ => Err(CallError::not_run("this host does not own the cell")),
-        }
+        let acts = self.0.find(cell).is_some_and(|owner| owner.may_renew());
+        let owns = acts || self.0.is_claiming(cell);
+        encode(&owns).map_err(|error| CallError::not_run(error.to_string()))
     }
 }
 
@@ -111,11 +137,14 @@
         if self.draining.is_cancelled() || self.context.config.current().is_none() {
             return Err(CallError::not_run("this host takes no cell now"));
         }
-        if self.board.find(cell).is_none() {
-            let claimed = CellOwner::claim(Arc::clone(&self.context), cell).await;
-            let owner = claimed.map_err(|error| CallError::not_run(error.to_string()))?;
-            self.board.add(owner);
-        }
+        let context = Arc::clone(&self.context);
+        let board = Arc::clone(&self.board);
+        // A caller that waits no longer must not leave a claim half done.
+        let claimed = tokio::spawn(async move { claim_here(&context, &board, cell).await });
+        let claimed = claimed
+            .await
+            .map_err(|error| CallError::may_have_run(error.to_string()))?;
+        claimed.map_err(|error| CallError::not_run(error.to_string()))?;
         Ok(Bytes::new())
     }
 }
--- a/crates/jobs/src/ownership/membership.rs
+++ b/crates/jobs/src/ownership/membership.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use tokio::sync::Semaphore;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
 
 use super::OwnerContext;
 use super::topics::HOSTS;
@@ -21,6 +23,7 @@
     context: Arc<OwnerContext>,
     share: Arc<Mutex<GroupShare>>,
     under_way: Arc<Semaphore>,
+    has_left: CancellationToken,
 }
 
 impl Membership {
@@ -29,6 +32,7 @@
             context,
             share: Arc::default(),
             under_way: Arc::new(Semaphore::new(SIGNS_AT_ONCE_MAX)),
+            has_left: CancellationToken::new(),
         }
     }
 
@@ -43,8 +47,19 @@
         share.clone()
     }
 
+    /// Shows that this process lives until it leaves.
+    pub(super) async fn keep(self: Arc<Self>) {
+        while !self.has_left.is_cancelled() {
+            self.show();
+            tokio::select! {
+                () = sleep(self.interval()) => {}
+                () = self.has_left.cancelled() => {}
+            }
+        }
+    }
+
     /// Sends a sign of life without waiting for its answer.
-    pub(super) fn show(&self) {
+    fn show(&self) {
         let Ok(permit) = Arc::clone(&self.under_way).try_acquire_owned() else {
             return;
         };
@@ -67,6 +82,7 @@
 
     /// Leaves the group.
     pub(super) async fn leave(&self) {
+        self.has_left.cancel();
         let member = self.context.member.to_string();
         // Without it the others notice when the time to live is over.
         let _ = self.context.store.leave(HOSTS, &member).await;
--- a/crates/jobs/src/ownership/owner_board.rs
+++ b/crates/jobs/src/ownership/owner_board.rs
@@ -1,5 +1,8 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
@@ -9,6 +12,20 @@
 #[derive(Default)]
 pub struct OwnerBoard {
     owned: RwLock<BTreeMap<u32, Arc<CellOwner>>>,
+    /// Cells that this process is about to own.
+    claimed: Mutex<BTreeSet<u32>>,
+}
+
+/// Marks a cell as being claimed until it is dropped.
+pub(super) struct ClaimMark {
+    board: Arc<OwnerBoard>,
+    cell: u32,
+}
+
+impl Drop for ClaimMark {
+    fn drop(&mut self) {
+        self.board.claimed().remove(&self.cell);
+    }
 }
 
 impl OwnerBoard {
@@ -24,6 +41,23 @@
         owned.values().cloned().collect()
     }
 
+    /// Marks a cell as being claimed, unless it is already.
+    pub(super) fn begin_claim(self: &Arc<Self>, cell: u32) -> Option<ClaimMark> {
+        self.claimed().insert(cell).then(|| ClaimMark {
+            board: Arc::clone(self),
+            cell,
+        })
+    }
+
+    /// Returns whether this process is about to own a cell.
+    pub(super) fn is_claiming(&self, cell: u32) -> bool {
+        self.claimed().contains(&cell)
+    }
+
+    fn claimed(&self) -> MutexGuard<'_, BTreeSet<u32>> {
+        self.claimed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(super) fn add(&self, owner: Arc<CellOwner>) {
         let mut owned = self.owned.write().unwrap_or_else(PoisonError::into_inner);
         owned.insert(owner.cell(), owner);
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use super::OwnerContext;
+use super::OwnerRecord;
 use super::topics;
 use super::topics::CANCELLATION_MARK;
 use crate::border::Fence;
@@ -32,8 +33,8 @@
 const EPOCH_SALT_BITS: u32 = 16;
 /// How often a claim is tried again before the next look at the group.
 const CLAIMS_MAX: u32 = 4;
-/// The pause before another claim.
-const CLAIM_PAUSE: Duration = Duration::from_millis(100);
+/// The pause before another claim, in which the other claimant makes itself known.
+const CLAIM_PAUSE: Duration = Duration::from_millis(400);
 /// The greatest age that a restored job is given; the clocks of hosts may differ.
 const AGE_MAX: Duration = Duration::from_secs(600);
 
@@ -48,9 +49,15 @@
 /// Claims a cell and rebuilds its state from the store.
 ///
 /// From the claim on, the store refuses what the former owner appends; what is read afterwards is
-/// therefore complete.
+/// therefore complete. The claim is made known before the reading, which may take seconds, so that
+/// others leave the cell alone.
 pub(super) async fn take_over(context: &OwnerContext, cell: u32) -> Result<Takeover, StoreError> {
     let epoch = claim(context, cell).await?;
+    let record = OwnerRecord {
+        epoch,
+        member: context.member.clone(),
+    };
+    context.directory.publish(cell, &record).await?;
     let now = Instant::now();
     let settings = Arc::clone(&context.settings);
     let config = context.config.current().unwrap_or_default();
@@ -92,12 +99,19 @@
 }
 
 /// Raises the cell's epoch at the store and returns it.
+///
+/// If another host claims at the same time, this one gives way unless the other one does not make
+/// itself known.
 async fn claim(context: &OwnerContext, cell: u32) -> Result<Epoch, StoreError> {
     let mut generation = 0;
+    let mut known_at_first = None;
     for _ in 0..CLAIMS_MAX {
         context.directory.refresh().await?;
-        let known = context.directory.owner(cell);
-        let known = known.map_or(0, |owner| owner.epoch.0 >> EPOCH_SALT_BITS);
+        let known = context.directory.owner(cell).map(|owner| owner.epoch);
+        if *known_at_first.get_or_insert(known) != known {
+            return Err(StoreError::Fenced);
+        }
+        let known = known.map_or(0, |epoch| epoch.0 >> EPOCH_SALT_BITS);
         generation = (generation + 1).max(known + 1);
         let salt: u64 = rand::rng().random_range(0..1 << EPOCH_SALT_BITS);
         let epoch = Epoch(generation << EPOCH_SALT_BITS | salt);
--- a/crates/jobs/src/policy/load_paced_fillers.rs
+++ b/crates/jobs/src/policy/load_paced_fillers.rs
@@ -285,52 +285,6 @@
 
     fn steps(&self, sample: &TailSample, now_ms: u64) -> Vec<TailStep> {
         let highest = self.paces(sample, HIGH_RATIO, now_ms);
-        for tail in &sample.tails {
-            if tail.ratio > 1.0 {
-                let image = self.image(&tail.image);
-                let window = self.extra(&tail.image, &sample.shares, now_ms);
-                let now_extra: f64 = sample
-                    .fillers
-                    .iter()
-                    .map(|f| {
-                        self.extra_of(&tail.image, f, now_ms) * f64::from(f.pace_percent) / 100.0
-                    })
-                    .sum();
-                let load = self.expected_load(tail.task, &image, now_ms);
-                let samples: u32 = sample
-                    .shares
-                    .iter()
-                    .map(|(f, _)| self.pressures.samples(&(tail.image.clone(), f.clone())))
-                    .min()
-                    .unwrap_or(99);
-                let why = if window < 0.15 {
-                    if samples < 8 {
-                        "unknown pair"
-                    } else {
-                        "model says harmless"
-                    }
-                } else if now_extra < 0.15 {
-                    "lag: already slowed"
-                } else {
-                    "known and working"
-                };
-                let active: Vec<String> = sample
-                    .shares
-                    .iter()
-                    .map(|(f, s)| {
-                        format!(
-                            "{}:{:.2}:{:.1}:{}",
-                            f,
-                            s,
-                            self.pressures
-                                .weight(&(tail.image.clone(), f.clone()), now_ms),
-                            self.pressures.samples(&(tail.image.clone(), f.clone()))
-                        )
-                    })
-                    .collect();
-                spdlog::info!("dbg-over", kv: { n: = 1, why: = why, s: = tail.image, r: = format!("{:.1}", tail.ratio), load: = format!("{:.2}", load), w: = format!("{window:.2}"), e: = format!("{now_extra:.2}"), a: = active.join(",") });
-            }
-        }
         let raised = self.paces(sample, RAISED_RATIO, now_ms);
         let is_over = sample.worst_ratio() > 1.0;
         let mut steps = Vec::new();
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -15,6 +15,7 @@
 use dotterelhook_jobs::config::DeploymentConfig;
 use dotterelhook_jobs::feed::StoreHealth;
 use dotterelhook_jobs::feed::TrackedStore;
+use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::ExecutorId;
 use dotterelhook_jobs::observe::JobMetrics;
@@ -85,6 +86,7 @@
 
 /// One process on a host.
 pub(crate) struct Process {
+    pub(crate) address: SocketAddr,
     pub(crate) board: Arc<OwnerBoard>,
     draining: CancellationToken,
     candidate: JoinHandle<()>,
@@ -134,6 +136,7 @@
         tokio::spawn(async move { directory.run().await });
         let candidate = Candidate::new(context, Arc::clone(&board), draining.clone(), HANDOVER_MAX);
         Self {
+            address,
             board,
             draining,
             candidate: tokio::spawn(candidate.run()),
@@ -177,6 +180,13 @@
     assert!(waited.await.is_ok(), "not within {PATIENCE:?}: {what}");
 }
 
+/// Asks a process to claim the cell, as a stopping owner does; it may refuse.
+pub(crate) async fn ask_to_claim(address: SocketAddr) {
+    let cell = encode(&0_u32).expect("a number");
+    let peers = PeerClient::default();
+    let _ = peers.call(address, "claim-cell", cell, PATIENCE).await;
+}
+
 fn settings() -> CellSettings {
     CellSettings {
         cell_count: 1,
--- a/crates/jobs/tests/ownership/memory_store.rs
+++ b/crates/jobs/tests/ownership/memory_store.rs
@@ -37,11 +37,14 @@
 #[derive(Default)]
 struct State {
     is_away: bool,
+    answer: Option<Duration>,
     logs: HashMap<Partition, Vec<KeyedRecord>>,
     epochs: HashMap<Partition, Epoch>,
     members: Vec<Box<str>>,
     /// The only member with partitions, if the group is told so.
     holder: Option<Box<str>>,
+    /// The host whose member gets the first partition, if the group is told so.
+    first: Option<Box<str>>,
     owners_calls: u32,
 }
 
@@ -55,17 +58,34 @@
         self.lock().holder = Some(host.into());
     }
 
+    /// Gives the first partition to a host.
+    pub(crate) fn give_first_to(&self, host: &str) {
+        self.lock().first = Some(host.into());
+    }
+
+    /// Sets the time of an answer.
+    pub(crate) fn set_answer(&self, answer: Duration) {
+        self.lock().answer = Some(answer);
+    }
+
     /// Returns how often the members were asked for.
     pub(crate) fn owners_calls(&self) -> u32 {
         self.lock().owners_calls
     }
 
+    /// Returns the highest epoch that any partition has seen.
+    pub(crate) fn newest_epoch(&self) -> Epoch {
+        let state = self.lock();
+        state.epochs.values().copied().max().unwrap_or_default()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no panic")
     }
 
     async fn answered(&self) -> Result<MutexGuard<'_, State>, StoreError> {
-        sleep(ANSWER).await;
+        let answer = self.lock().answer.unwrap_or(ANSWER);
+        sleep(answer).await;
         let state = self.lock();
         match state.is_away {
             true => Err(StoreError::NotDone("away".into())),
@@ -81,7 +101,11 @@
             Some(host) => member.starts_with(&**host),
             None => true,
         };
-        members.filter(holds).collect()
+        let mut holders: Vec<&str> = members.filter(holds).collect();
+        if let Some(first) = &self.first {
+            holders.sort_by_key(|member| !member.starts_with(&**first));
+        }
+        holders
     }
 
     fn page_from(&self, partition: Partition, from: Offset) -> ReadPage {
--- a/crates/jobs/tests/ownership/vacancies.rs
+++ b/crates/jobs/tests/ownership/vacancies.rs
@@ -1,12 +1,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::hosts::Process;
+use crate::hosts::ask_to_claim;
 use crate::hosts::eventually;
 use crate::memory_store::MemoryStore;
 
+/// Waits until hosts have looked for vacancies often enough to know who holds what.
+async fn looked(store: &MemoryStore) {
+    let calls = store.owners_calls();
+    eventually("hosts look for vacancies", || {
+        store.owners_calls() >= calls + 10
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn whole_restart_the_owners_successor_claims_though_the_group_still_lists_the_dead() {
     let store = Arc::new(MemoryStore::default());
@@ -47,12 +58,54 @@
     let second = Process::start(&store, "b", 1).await;
 
     store.give_all_to("b");
-    let calls = store.owners_calls();
-    eventually("the other host has looked three times", || {
-        store.owners_calls() >= calls + 3 || second.owns()
-    })
-    .await;
+    looked(&store).await;
 
     assert!(first.owns());
     assert!(!second.owns());
 }
+
+#[tokio::test]
+async fn an_owner_that_acts_no_more_is_replaced_though_it_stays_a_member() {
+    let store = Arc::new(MemoryStore::default());
+    let first = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || first.owns()).await;
+    let second = Process::start(&store, "b", 1).await;
+    store.give_first_to("b");
+    looked(&store).await;
+
+    let owner = first.board.find(0).expect("an owner");
+    owner.release("the store refused an append");
+
+    eventually("the other host owns the cell", || second.owns()).await;
+}
+
+#[tokio::test]
+async fn whole_restart_hosts_that_claim_at_once_end_with_one_owner() {
+    let store = Arc::new(MemoryStore::default());
+    let mut processes = Vec::new();
+    for host in ["a", "b", "c", "d"] {
+        processes.push(Process::start(&store, host, 1).await);
+    }
+    eventually("a cell gets an owner", || {
+        processes.iter().any(Process::owns)
+    })
+    .await;
+
+    store.set_answer(Duration::from_millis(60));
+    let mut claims = JoinSet::new();
+    for process in &processes {
+        claims.spawn(ask_to_claim(process.address));
+    }
+    claims.join_all().await;
+
+    let owners = || processes.iter().filter(|process| process.owns()).count();
+    eventually("one host owns the cell", || owners() == 1).await;
+    let epoch = store.newest_epoch();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(owners(), 1);
+    assert_eq!(
+        store.newest_epoch(),
+        epoch,
+        "nobody claims from a living owner"
+    );
+}
