Give cells to strong hosts that hold no partitions

The group names only members that hold one of its eight partitions, so most of the 33 hosts were never asked. Ruled out: room (550 cores were free) and the order alone (the backlog is what made late tasks starve). Test first: a strong host without partitions gets the cell.

--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -11,9 +11,12 @@
 use super::OwnerContext;
 use super::handover::ask_to_claim;
 use super::handover::claim_here;
-use super::handover::other_members;
+use super::handover::listed_members;
 use super::handover::owns_cell;
 use super::membership::Membership;
+use super::roster::other_hosts;
+use super::roster::ready_hosts;
+use super::roster::register;
 use crate::border::StoreError;
 
 /// The longest wait of a stopping owner for its last records.
@@ -58,6 +61,7 @@
         let draining = self.draining.clone();
         // A claim may take longer than the time to live.
         tokio::spawn(Arc::clone(&self.membership).keep());
+        tokio::spawn(register(Arc::clone(&self.context)));
         while !draining.is_cancelled() {
             tokio::select! {
                 () = sleep(self.membership.interval()) => {}
@@ -109,21 +113,24 @@
         })
     }
 
-    /// Finds an owner for a cell if the last one is no member any more.
+    /// Finds an owner for a cell if the last one acts no more.
     async fn fill(&self, cell: u32) -> Result<(), StoreError> {
         self.context.directory.refresh().await?;
-        let others = other_members(&self.context).await?;
+        let hosts = other_hosts(&self.context).await?;
         if let Some(owner) = self.context.directory.owner(cell)
-            && !self.is_vacated(cell, &owner.member, &others).await
+            && !self.is_vacated(cell, &owner.member, &hosts).await?
         {
             return Ok(());
         }
         let own = self.context.member.suitability();
-        let better = others.first().filter(|member| member.suitability() > own);
-        if let Some(member) = better
-            && ask_to_claim(&self.context, member, cell).await.is_ok()
-        {
-            return Ok(());
+        let stronger: Vec<MemberName> = hosts
+            .into_iter()
+            .filter(|host| host.suitability() > own)
+            .collect();
+        for host in ready_hosts(&self.context, &stronger).await {
+            if ask_to_claim(&self.context, &host, cell).await.is_ok() {
+                return Ok(());
+            }
         }
         claim_here(&self.context, &self.board, cell).await
     }
@@ -132,16 +139,21 @@
     ///
     /// An owner that can't be asked is left to the group, which names a member only while it holds
     /// partitions and has shown that it lives.
-    async fn is_vacated(&self, cell: u32, owner: &MemberName, others: &[MemberName]) -> bool {
-        let has_successor = others
+    async fn is_vacated(
+        &self,
+        cell: u32,
+        owner: &MemberName,
+        hosts: &[MemberName],
+    ) -> Result<bool, StoreError> {
+        let has_successor = hosts
             .iter()
-            .any(|other| other.host == owner.host && other.incarnation > owner.incarnation);
+            .any(|host| host.host == owner.host && host.incarnation > owner.incarnation);
         if has_successor || self.succeeds_owner(cell) {
-            return true;
+            return Ok(true);
         }
         match owns_cell(&self.context, owner, cell).await {
-            Some(owns) => !owns,
-            None => !others.contains(owner),
+            Some(owns) => Ok(!owns),
+            None => Ok(!listed_members(&self.context).await?.contains(owner)),
         }
     }
 
@@ -159,9 +171,10 @@
 
     /// Offers a cell to other hosts; returns whether one has claimed it.
     async fn offer(&self, cell: u32) -> bool {
-        let others = other_members(&self.context).await.unwrap_or_default();
-        for member in others.iter().take(SUCCESSORS_MAX) {
-            if ask_to_claim(&self.context, member, cell).await.is_ok() {
+        let hosts = other_hosts(&self.context).await.unwrap_or_default();
+        let ready = ready_hosts(&self.context, &hosts).await;
+        for host in ready.iter().take(SUCCESSORS_MAX) {
+            if ask_to_claim(&self.context, host, cell).await.is_ok() {
                 return true;
             }
         }
--- a/crates/jobs/src/ownership/handover.rs
+++ b/crates/jobs/src/ownership/handover.rs
@@ -1,4 +1,3 @@
-use std::cmp::Reverse;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,26 +21,31 @@
 
 const CLAIM_CELL: &str = "claim-cell";
 const OWNS_CELL: &str = "owns-cell";
+const MAY_CLAIM: &str = "may-claim";
 /// The longest wait for another host to claim a cell; a claim reads all open jobs.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// The time between looks at a claim that is under way in this process.
 const CLAIM_LOOK: Duration = Duration::from_millis(20);
 
-/// The longest wait for a host to say whether it owns a cell; many round trips between failure
-/// domains.
-const OWNS_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest wait for a host to say whether it owns a cell or may; many round trips between
+/// failure domains.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Returns the members of the group but this process, those that suit best as owners first.
-pub(super) async fn other_members(context: &OwnerContext) -> Result<Vec<MemberName>, StoreError> {
+/// Returns the members that hold partitions of the group, as they named themselves.
+pub(super) async fn listed_members(context: &OwnerContext) -> Result<Vec<MemberName>, StoreError> {
     let owners = context.store.owners(HOSTS).await?;
-    let mut members: Vec<MemberName> = owners
+    let members = owners
         .iter()
-        .filter_map(|owner| MemberName::from_str(&owner.member).ok())
-        .filter(|member| member.host != context.member.host)
-        .collect();
-    members.sort_by_key(|member| Reverse(member.suitability()));
-    members.dedup();
-    Ok(members)
+        .map(|owner| MemberName::from_str(&owner.member));
+    Ok(members.filter_map(Result::ok).collect())
+}
+
+/// Returns whether a host says that it may claim a cell.
+pub(super) async fn may_claim(context: &OwnerContext, member: &MemberName) -> bool {
+    let called = context
+        .peers
+        .call(member.address, MAY_CLAIM, Bytes::new(), ASK_TIMEOUT);
+    called.await.is_ok()
 }
 
 /// Asks another host to claim a cell now.
@@ -69,7 +73,7 @@
     let frame = encode(&cell).ok()?;
     let called = context
         .peers
-        .call(member.address, OWNS_CELL, frame, OWNS_TIMEOUT);
+        .call(member.address, OWNS_CELL, frame, ASK_TIMEOUT);
     decode(&called.await.ok()?).ok()
 }
 
@@ -107,6 +111,7 @@
         board: Arc::clone(board),
         draining,
     };
+    handlers.add(MAY_CLAIM, Arc::new(MayClaimHandler(handler.clone())));
     handlers.add(CLAIM_CELL, Arc::new(handler));
     handlers.add(OWNS_CELL, Arc::new(OwnsHandler(Arc::clone(board))));
 }
@@ -124,19 +129,40 @@
     }
 }
 
+#[derive(Clone)]
 struct ClaimHandler {
     context: Arc<OwnerContext>,
     board: Arc<OwnerBoard>,
     draining: CancellationToken,
 }
 
+impl ClaimHandler {
+    fn check(&self) -> Result<(), CallError> {
+        let context = &self.context;
+        let is_fit = !self.draining.is_cancelled()
+            && context.config.current().is_some()
+            && context.health.silence() <= context.settings.renewal_right;
+        match is_fit {
+            true => Ok(()),
+            false => Err(CallError::not_run("this host takes no cell now")),
+        }
+    }
+}
+
+struct MayClaimHandler(ClaimHandler);
+
+#[async_trait]
+impl PeerHandler for MayClaimHandler {
+    async fn call(&self, _frame: Bytes) -> Result<Bytes, CallError> {
+        self.0.check().map(|()| Bytes::new())
+    }
+}
+
 #[async_trait]
 impl PeerHandler for ClaimHandler {
     async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
         let cell = decode(&frame).map_err(|error| CallError::not_run(error.to_string()))?;
-        if self.draining.is_cancelled() || self.context.config.current().is_none() {
-            return Err(CallError::not_run("this host takes no cell now"));
-        }
+        self.check()?;
         let context = Arc::clone(&self.context);
         let board = Arc::clone(&self.board);
         // A caller that waits no longer must not leave a claim half done.
--- a/crates/jobs/src/ownership/mod.rs
+++ b/crates/jobs/src/ownership/mod.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod owner_board;
 mod owner_directory;
+mod roster;
 mod takeover;
 mod topics;
 
--- a/crates/jobs/src/ownership/topics.rs
+++ b/crates/jobs/src/ownership/topics.rs
@@ -10,6 +10,9 @@
 /// Who owns which cell.
 const OWNERS: &str = "keyed.owners";
 
+/// The process that runs on each host.
+const ROSTER: &str = "keyed.hosts";
+
 /// The hosts that may own cells; the numbers of the shared partitions are those of the cells.
 pub(super) const HOSTS: Group = Group {
     name: "hosts",
@@ -63,6 +66,14 @@
     }
 }
 
+/// Returns where processes note themselves by host.
+pub(super) fn roster() -> Partition {
+    Partition {
+        topic: ROSTER,
+        number: 0,
+    }
+}
+
 /// Returns where owners make themselves known.
 pub(super) fn owners() -> Partition {
     Partition {
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -95,6 +95,15 @@
 
 impl Process {
     pub(crate) async fn start(store: &Arc<MemoryStore>, host: &str, incarnation: u64) -> Self {
+        Self::start_on(store, host, incarnation, CpuMilli(100)).await
+    }
+
+    pub(crate) async fn start_on(
+        store: &Arc<MemoryStore>,
+        host: &str,
+        incarnation: u64,
+        cpu_milli: CpuMilli,
+    ) -> Self {
         let address = free_address();
         let store = Arc::clone(store) as Arc<dyn Store>;
         let health = Arc::new(StoreHealth::default());
@@ -114,7 +123,7 @@
                 host: host.into(),
                 incarnation: Incarnation(incarnation),
                 address,
-                cpu_milli: CpuMilli(100),
+                cpu_milli,
             },
             peers: Arc::new(PeerClient::default()),
             metrics: JobMetrics::default(),
--- a/crates/jobs/tests/ownership/memory_store.rs
+++ b/crates/jobs/tests/ownership/memory_store.rs
@@ -45,7 +45,7 @@
     holder: Option<Box<str>>,
     /// The host whose member gets the first partition, if the group is told so.
     first: Option<Box<str>>,
-    owners_calls: u32,
+    reads: HashMap<&'static str, u32>,
 }
 
 impl MemoryStore {
@@ -68,9 +68,17 @@
         self.lock().answer = Some(answer);
     }
 
-    /// Returns how often the members were asked for.
-    pub(crate) fn owners_calls(&self) -> u32 {
-        self.lock().owners_calls
+    /// Returns how many records a topic holds.
+    pub(crate) fn len_of(&self, topic: &str) -> usize {
+        let state = self.lock();
+        let logs = state.logs.iter();
+        let of_topic = logs.filter(|(partition, _)| partition.topic == topic);
+        of_topic.map(|(_, log)| log.len()).sum()
+    }
+
+    /// Returns how often a topic was read in full.
+    pub(crate) fn reads_of(&self, topic: &str) -> u32 {
+        self.lock().reads.get(topic).copied().unwrap_or_default()
     }
 
     /// Returns the highest epoch that any partition has seen.
@@ -172,7 +180,8 @@
         partition: Partition,
         _after: Option<&str>,
     ) -> Result<NewestPage, StoreError> {
-        let state = self.answered().await?;
+        let mut state = self.answered().await?;
+        *state.reads.entry(partition.topic).or_default() += 1;
         let log = state.logs.get(&partition).map_or(&[][..], Vec::as_slice);
         let newest: BTreeMap<&str, &KeyedRecord> =
             log.iter().map(|record| (&*record.key, record)).collect();
@@ -208,8 +217,7 @@
     }
 
     async fn owners(&self, _group: Group) -> Result<Vec<PartitionOwner>, StoreError> {
-        let mut state = self.answered().await?;
-        state.owners_calls += 1;
+        let state = self.answered().await?;
         let members = state.members.clone();
         let held = members.iter().flat_map(|member| {
             let numbers = state.partitions_of(member).into_iter();
--- a/crates/jobs/tests/ownership/vacancies.rs
+++ b/crates/jobs/tests/ownership/vacancies.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_types::sizes::CpuMilli;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -11,9 +12,9 @@
 
 /// Waits until hosts have looked for vacancies often enough to know who holds what.
 async fn looked(store: &MemoryStore) {
-    let calls = store.owners_calls();
+    let reads = store.reads_of("keyed.hosts");
     eventually("hosts look for vacancies", || {
-        store.owners_calls() >= calls + 10
+        store.reads_of("keyed.hosts") >= reads + 10
     })
     .await;
 }
@@ -109,3 +110,22 @@
         "nobody claims from a living owner"
     );
 }
+
+#[tokio::test]
+async fn mixed_hosts_a_cell_goes_to_a_strong_host_that_holds_no_partitions() {
+    let store = Arc::new(MemoryStore::default());
+    let first = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || first.owns()).await;
+    let strong = Process::start_on(&store, "b", 1, CpuMilli(500)).await;
+    let weak = Process::start(&store, "c", 1).await;
+    store.give_all_to("c");
+    eventually("all hosts are known", || store.len_of("keyed.hosts") == 3).await;
+
+    first.drain();
+
+    eventually("another host owns the cell", || {
+        strong.owns() || weak.owns()
+    })
+    .await;
+    assert!(strong.owns());
+}
