Gather records through the owner while the store is slow

Ruled out: the rates of the store (no 429) and the owner's own appends. Change: signs of life tell how long a small call takes; while that is 60 ms or more a host hands records to the owner of the cell, whose writer puts those of all hosts into one append a partition. If that fails the record is written from here; it counts as not stored only if neither try may have stored it. Tests: the speed of the store, the way through the owner, the way without one, and a refusal that says 'not stored'.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -10,6 +10,7 @@
 use dotterelhook_jobs::entry::EntryHandler;
 use dotterelhook_jobs::entry::OwnerCalls;
 use dotterelhook_jobs::entry::ReadyHandler;
+use dotterelhook_jobs::entry::RecordGate;
 use dotterelhook_jobs::entry::RecordWriter;
 use dotterelhook_jobs::entry::add_owner_handlers;
 use dotterelhook_jobs::feed::StoreHealth;
@@ -169,8 +170,7 @@
         let entry = Arc::new(EntryHandler {
             protocol: Arc::new(JobApi),
             config: Arc::clone(&config),
-            writer,
-            owners: calls,
+            records: RecordGate::new(writer, calls),
             settings: settings.entry,
             cell_count,
             metrics: job_metrics,
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -11,7 +11,6 @@
 use dotterelhook_kernel::http::AnswerBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
-use dotterelhook_types::Verdict;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
@@ -22,8 +21,7 @@
 use tokio::time::timeout_at;
 
 use super::EntrySettings;
-use super::OwnerCalls;
-use super::RecordWriter;
+use super::RecordGate;
 use super::recent_jobs::RecentJobs;
 use crate::border::CallKind;
 use crate::border::ClientCall;
@@ -53,10 +51,8 @@
     pub protocol: Arc<dyn ClientProtocol>,
     /// The configuration in force.
     pub config: Arc<ConfigBoard>,
-    /// Stores submissions and cancellations.
-    pub writer: Arc<RecordWriter>,
-    /// The owners of jobs.
-    pub owners: OwnerCalls,
+    /// Stores submissions and cancellations, and asks the owners of jobs.
+    pub records: RecordGate,
     /// How calls are answered.
     pub settings: EntrySettings,
     /// How many cells the deployment has.
@@ -175,7 +171,6 @@
         }
     }
 
-    /// Stores a record of a job, through another host if the store can't be reached from here.
     async fn store_record(
         &self,
         id: JobId,
@@ -185,30 +180,19 @@
         let cell = cell_of(id.as_str(), self.cell_count);
         let partition = submission_partition(id.as_str(), self.cell_count);
         let record = KeyedRecord { key, value };
-        let written = self.writer.write(partition, record.clone()).await;
-        let Err(error) = written else {
-            return Ok(());
-        };
-        if !self.writer.is_cut_off() {
-            return Err(match error.is_not_done() {
-                true => self.not_done(&error.to_string()),
-                false => EntryAnswer::Unknown(error.to_string().into()),
-            });
-        }
-        match self.owners.store_record(cell, partition, &record).await {
-            Ok(()) => Ok(()),
-            Err(elsewhere) if error.is_not_done() && elsewhere.verdict == Verdict::NotRun => {
-                Err(self.not_done(&format!("{error}; elsewhere: {elsewhere}")))
-            }
-            Err(elsewhere) => Err(EntryAnswer::Unknown(
-                format!("{error}; elsewhere: {elsewhere}").into(),
-            )),
-        }
+        let stored = self.records.store(cell, partition, record).await;
+        stored.map_err(|error| match error.is_not_done() {
+            true => self.not_done(&error.to_string()),
+            false => EntryAnswer::Unknown(error.to_string().into()),
+        })
     }
 
     async fn read(&self, id: JobId, deadline: Instant) -> EntryAnswer {
         loop {
-            let asked = self.owners.job_state(id, self.settings.question_timeout);
+            let asked = self
+                .records
+                .owners()
+                .job_state(id, self.settings.question_timeout);
             let error = match asked.await {
                 Ok(Some(state)) => return EntryAnswer::State(state),
                 Ok(None) if self.is_recent(id) => {
@@ -227,7 +211,12 @@
     async fn count(&self, route: &QueueRoute, deadline: Instant) -> EntryAnswer {
         loop {
             let timeout = self.settings.question_timeout;
-            let error = match self.owners.pending_count(&route.terms.name, timeout).await {
+            let error = match self
+                .records
+                .owners()
+                .pending_count(&route.terms.name, timeout)
+                .await
+            {
                 Ok(count) => return EntryAnswer::PendingCount(count),
                 Err(error) => error,
             };
--- /dev/null
+++ b/crates/jobs/src/entry/record_gate.rs
@@ -0,0 +1,80 @@
+use std::sync::Arc;
+
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
+
+use super::OwnerCalls;
+use super::RecordWriter;
+use crate::border::KeyedRecord;
+use crate::border::Partition;
+use crate::border::StoreError;
+
+/// Stores clients' records, from here or through the owner of their cell.
+///
+/// A slow store carries out a handful of appends a second in a partition, whoever sends them. The
+/// owner gathers the records of all hosts into these.
+pub struct RecordGate {
+    writer: Arc<RecordWriter>,
+    owners: OwnerCalls,
+}
+
+impl RecordGate {
+    /// Creates a gate.
+    pub fn new(writer: Arc<RecordWriter>, owners: OwnerCalls) -> Self {
+        Self { writer, owners }
+    }
+
+    /// Returns the calls to owners.
+    pub fn owners(&self) -> &OwnerCalls {
+        &self.owners
+    }
+
+    /// Stores a record that may be written twice without harm.
+    ///
+    /// # Errors
+    /// Says whether the record may be stored all the same.
+    pub async fn store(
+        &self,
+        cell: u32,
+        partition: Partition,
+        record: KeyedRecord,
+    ) -> Result<(), StoreError> {
+        let mut failed = None;
+        if self.writer.is_slow() {
+            match self.owners.store_record(cell, partition, &record).await {
+                Ok(()) => return Ok(()),
+                Err(elsewhere) => failed = Some(as_store_error(&elsewhere)),
+            }
+        }
+        let here = match self.writer.write(partition, record.clone()).await {
+            Ok(()) => return Ok(()),
+            Err(here) => here,
+        };
+        if failed.is_none() && self.writer.is_cut_off() {
+            match self.owners.store_record(cell, partition, &record).await {
+                Ok(()) => return Ok(()),
+                Err(elsewhere) => failed = Some(as_store_error(&elsewhere)),
+            }
+        }
+        match failed {
+            Some(elsewhere) => Err(joined(&here, &elsewhere)),
+            None => Err(here),
+        }
+    }
+}
+
+fn as_store_error(error: &CallError) -> StoreError {
+    match error.verdict {
+        Verdict::NotRun => StoreError::NotDone(error.cause.clone()),
+        Verdict::MayHaveRun | Verdict::Ran => StoreError::Unknown(error.cause.clone()),
+    }
+}
+
+/// Returns the outcome of two tries: the record is not stored only if neither may have stored it.
+fn joined(here: &StoreError, elsewhere: &StoreError) -> StoreError {
+    let cause = format!("{here}; elsewhere: {elsewhere}").into();
+    match here.is_not_done() && elsewhere.is_not_done() {
+        true => StoreError::NotDone(cause),
+        false => StoreError::Unknown(cause),
+    }
+}
--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -67,6 +67,11 @@
         self.health.is_lost()
     }
 
+    /// Returns whether the store is so slow that records should be gathered.
+    pub fn is_slow(&self) -> bool {
+        self.health.is_slow()
+    }
+
     /// Stores a record.
     ///
     /// # Errors
--- a/crates/jobs/src/feed/store_health.rs
+++ b/crates/jobs/src/feed/store_health.rs
@@ -8,6 +8,11 @@
 
 /// Failed calls in a row after which the store counts as lost.
 const FAILURES_MAX: u32 = 3;
+/// The usual time of a small call from which the store counts as slow, in milliseconds; a store
+/// answers in about 4 ms, and the way there takes some more.
+const SLOW_MS: f64 = 60.0;
+/// How far the usual time follows the last one.
+const SMOOTHING: f64 = 0.5;
 
 /// Whether the store can be reached from this process.
 #[derive(Debug)]
@@ -19,6 +24,8 @@
 struct State {
     answered_at: Duration,
     failures: u32,
+    /// The usual time of a small call, in milliseconds.
+    usual_ms: f64,
 }
 
 impl Default for StoreHealth {
@@ -27,6 +34,7 @@
             state: Mutex::new(State {
                 answered_at: boot_now(),
                 failures: 0,
+                usual_ms: 0.0,
             }),
         }
     }
@@ -54,6 +62,23 @@
         }
     }
 
+    /// Notes the time of a small call that the store answers without waiting.
+    pub fn note_time(&self, took: Duration) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let was_slow = state.usual_ms >= SLOW_MS;
+        state.usual_ms += SMOOTHING * (took.as_secs_f64() * 1_000.0 - state.usual_ms);
+        let is_slow = state.usual_ms >= SLOW_MS;
+        if is_slow != was_slow {
+            decided!(Decision::StoreSpeed, is_slow: is_slow, usual_ms: state.usual_ms as u64);
+        }
+    }
+
+    /// Returns whether the store takes many times as long as it should.
+    pub fn is_slow(&self) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.usual_ms >= SLOW_MS
+    }
+
     /// Returns whether the last calls failed.
     pub fn is_lost(&self) -> bool {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/jobs/src/feed/tracked_store.rs
+++ b/crates/jobs/src/feed/tracked_store.rs
@@ -103,8 +103,13 @@
         ttl: Duration,
         generation: u64,
     ) -> Result<GroupShare, StoreError> {
+        let started = Instant::now();
         let call = self.store.join(group, member, ttl, generation);
-        self.track("join", call).await
+        let joined = self.track("join", call).await;
+        if joined.is_ok() {
+            self.health.note_time(started.elapsed());
+        }
+        joined
     }
 
     async fn leave(&self, group: Group, member: &str) -> Result<(), StoreError> {
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -60,6 +60,8 @@
     StoreLost,
     /// The store can be reached again.
     StoreRegained,
+    /// The store became slow, or fast again.
+    StoreSpeed,
     /// The process starts.
     Started,
     /// The process stops.
--- a/crates/jobs/tests/entry/feeds.rs
+++ b/crates/jobs/tests/entry/feeds.rs
@@ -14,6 +14,27 @@
 use proptest::prelude::any;
 use proptest::proptest;
 
+#[test]
+fn the_store_is_slow_while_its_small_calls_take_many_times_as_long() {
+    let health = StoreHealth::default();
+    let note = |ms: u64, times: usize| {
+        for _ in 0..times {
+            health.note_time(Duration::from_millis(ms));
+        }
+        health.is_slow()
+    };
+
+    let seen = [
+        note(8, 5),
+        note(170, 1),
+        note(170, 1),
+        note(8, 1),
+        note(8, 3),
+    ];
+
+    assert_eq!(seen, [false, true, true, true, false]);
+}
+
 #[test]
 fn the_store_is_lost_after_three_failures_and_regained_by_one_answer() {
     let health = StoreHealth::default();
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -13,12 +13,17 @@
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::config::ConfigBoard;
 use dotterelhook_jobs::config::DeploymentConfig;
+use dotterelhook_jobs::entry::OwnerCalls;
+use dotterelhook_jobs::entry::RecordGate;
+use dotterelhook_jobs::entry::RecordWriter;
+use dotterelhook_jobs::entry::add_owner_handlers;
 use dotterelhook_jobs::feed::StoreHealth;
 use dotterelhook_jobs::feed::TrackedStore;
 use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::ExecutorId;
 use dotterelhook_jobs::observe::JobMetrics;
+use dotterelhook_jobs::observe::Outcome;
 use dotterelhook_jobs::ownership::Candidate;
 use dotterelhook_jobs::ownership::MemberName;
 use dotterelhook_jobs::ownership::OwnerBoard;
@@ -88,6 +93,9 @@
 pub(crate) struct Process {
     pub(crate) address: SocketAddr,
     pub(crate) board: Arc<OwnerBoard>,
+    pub(crate) records: RecordGate,
+    metrics: JobMetrics,
+    health: Arc<StoreHealth>,
     draining: CancellationToken,
     candidate: JoinHandle<()>,
     kernel: Kernel,
@@ -107,15 +115,17 @@
         let address = free_address();
         let store = Arc::clone(store) as Arc<dyn Store>;
         let health = Arc::new(StoreHealth::default());
-        let tracked = TrackedStore::new(store, Arc::clone(&health), JobMetrics::default());
+        let job_metrics = JobMetrics::default();
+        let tracked = TrackedStore::new(store, Arc::clone(&health), job_metrics.clone());
         let store: Arc<dyn Store> = Arc::new(tracked);
         let config = Arc::new(ConfigBoard::default());
         config.offer(DeploymentConfig::default());
         let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store)));
+        let peers = Arc::new(PeerClient::default());
         let context = Arc::new(OwnerContext {
             platform: Arc::new(BarePlatform(Arc::clone(&store))),
-            store,
-            health,
+            store: Arc::clone(&store),
+            health: Arc::clone(&health),
             config,
             directory: Arc::clone(&directory),
             settings: Arc::new(settings()),
@@ -125,8 +135,8 @@
                 address,
                 cpu_milli,
             },
-            peers: Arc::new(PeerClient::default()),
-            metrics: JobMetrics::default(),
+            peers: Arc::clone(&peers),
+            metrics: job_metrics.clone(),
         });
         let board = Arc::new(OwnerBoard::default());
         let kernel = Kernel::default();
@@ -142,11 +152,17 @@
             .expect("a running peer server");
         let draining = CancellationToken::new();
         add_claim_handler(&handlers, &context, &board, draining.clone());
+        let writer = Arc::new(RecordWriter::new(store, Arc::clone(&health)));
+        add_owner_handlers(&handlers, &board, &writer);
+        let calls = OwnerCalls::new(Arc::clone(&board), Arc::clone(&directory), peers, 1);
         tokio::spawn(async move { directory.run().await });
         let candidate = Candidate::new(context, Arc::clone(&board), draining.clone(), HANDOVER_MAX);
         Self {
             address,
             board,
+            records: RecordGate::new(writer, calls),
+            metrics: job_metrics,
+            health,
             draining,
             candidate: tokio::spawn(candidate.run()),
             kernel,
@@ -158,6 +174,18 @@
         self.board.find(0).is_some()
     }
 
+    /// Returns whether the store seems slow from here.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.health.is_slow()
+    }
+
+    /// Returns how many appends this process has made.
+    pub(crate) fn appends(&self) -> u64 {
+        let (kind, outcome) = ("append", "ok");
+        let counted = &self.metrics.store_calls;
+        counted.get_or_create(&Outcome { kind, outcome }).get()
+    }
+
     /// Tells the process to stop.
     pub(crate) fn drain(&self) {
         self.draining.cancel();
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -2,4 +2,5 @@
 
 mod hosts;
 mod memory_store;
+mod slow_store;
 mod vacancies;
--- /dev/null
+++ b/crates/jobs/tests/ownership/slow_store.rs
@@ -0,0 +1,72 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use dotterelhook_jobs::border::KeyedRecord;
+use dotterelhook_jobs::border::StoreError;
+use dotterelhook_jobs::ownership::submissions_of;
+
+use crate::hosts::Process;
+use crate::hosts::eventually;
+use crate::memory_store::MemoryStore;
+
+/// The time of an answer of a slow store.
+const SLOW: Duration = Duration::from_millis(100);
+
+async fn store_records(process: &Process, count: u32) -> Vec<Result<(), StoreError>> {
+    let mut stored = Vec::new();
+    for number in 0..count {
+        let record = KeyedRecord {
+            key: number.to_string().into(),
+            value: "1".into(),
+        };
+        stored.push(process.records.store(0, submissions_of(0), record).await);
+    }
+    stored
+}
+
+#[tokio::test]
+async fn slow_store_records_go_through_the_owner_that_gathers_them() {
+    let store = Arc::new(MemoryStore::default());
+    let owner = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || owner.owns()).await;
+    let other = Process::start(&store, "b", 1).await;
+    store_records(&other, 1).await;
+    store.set_answer(SLOW);
+    eventually("the store seems slow", || other.is_slow()).await;
+    let before = other.appends();
+
+    let stored = store_records(&other, 3).await;
+
+    assert_eq!(stored, [Ok(()), Ok(()), Ok(())]);
+    assert_eq!(other.appends(), before);
+}
+
+#[tokio::test]
+async fn slow_store_without_an_owner_records_are_stored_from_here() {
+    let store = Arc::new(MemoryStore::default());
+    let owner = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || owner.owns()).await;
+    let other = Process::start(&store, "b", 1).await;
+    store_records(&other, 1).await;
+    store.set_answer(SLOW);
+    eventually("the store seems slow", || other.is_slow()).await;
+    owner.kill().await;
+
+    let stored = store_records(&other, 1).await;
+
+    assert_eq!(stored, [Ok(())]);
+}
+
+#[tokio::test]
+async fn slow_store_that_refuses_makes_no_record_seem_stored() {
+    let store = Arc::new(MemoryStore::default());
+    let process = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || process.owns()).await;
+    store.set_answer(SLOW);
+    eventually("the store seems slow", || process.is_slow()).await;
+    store.set_away(true);
+
+    let stored = store_records(&process, 1).await;
+
+    assert!(matches!(stored[..], [Err(StoreError::NotDone(_))]));
+}
