Tell the story of one job from the logs of several hosts

Cause: on-call engineers had to grep each host's log and sort by clocks that differ; nothing said what was missing. Ruled out: a collector of our own. Change: `dotterelhook explain ID [FILE]...` gathers the lines about a job, its owners and its executors, puts each after what caused it, and names gaps (times without an owner, runs whose fate no line tells, long waits, dropped lines, a submission nobody read). Lines of decisions gain the age of the executor's last answer and the version of the configuration; a run that was stored and never sent has its own cause.

--- a/crates/cli/src/cli/arguments.rs
+++ b/crates/cli/src/cli/arguments.rs
@@ -19,6 +19,8 @@
     Call(CallError),
     /// The change was refused, or is not in force everywhere.
     Refused(String),
+    /// What was asked for is not there.
+    NotFound(String),
 }
 
 impl Failure {
@@ -31,7 +33,7 @@
     pub(crate) fn exit_code(&self) -> i32 {
         match self {
             Self::Call(error) if error.verdict == Verdict::MayHaveRun => 3,
-            Self::Call(_) => 1,
+            Self::Call(_) | Self::NotFound(_) => 1,
             Self::Usage(_) => 2,
             Self::Refused(_) => 4,
         }
@@ -41,7 +43,7 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Usage(text) | Self::Refused(text) => f.write_str(text),
+            Self::Usage(text) | Self::Refused(text) | Self::NotFound(text) => f.write_str(text),
             Self::Call(error) => error.fmt(f),
         }
     }
--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,6 +11,7 @@
     history   print what became of the newest publications
     status    print the daemons and what they have in force
     jobs      print the runs and how far they have come
+    explain   tell the story of one job from log files
     report    print error budgets, or what failed, is overdue or waits
 
 Each command has --help and --json.
@@ -88,6 +89,19 @@
     dotterelhook jobs --daemon 127.0.0.1:7101
 ";
 
+const EXPLAIN: &str = "\
+USAGE:
+    dotterelhook explain ID [FILE]...
+
+Reads the logs of any number of hosts, from files or from the standard input,
+and prints what they tell of the job, each line after what caused it, with the
+owners of its cell and the executors that it used. What no line tells is named
+at the end. Exits with 1 if no line is about the job.
+
+EXAMPLE:
+    dotterelhook explain 5c0e7a21d94b36f8 host-*.log
+";
+
 const REPORT: &str = "\
 USAGE:
     dotterelhook report burn --daemon ADDRESS
@@ -116,6 +130,7 @@
         Some("history") => HISTORY,
         Some("status") => STATUS,
         Some("jobs") => JOBS,
+        Some("explain") => EXPLAIN,
         Some("report") => REPORT,
         _ => OVERVIEW,
     }
--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -38,6 +38,7 @@
         Some("status") => command::status(arguments).await,
         Some("get") => command::get(arguments).await,
         Some("history") => command::history(arguments).await,
+        Some("explain") => command::explain(arguments).await,
         Some(other) => Err(Failure::usage(format!("there is no command {other:?}"))),
         None => Ok(()),
     }
--- /dev/null
+++ b/crates/cli/src/command/explain.rs
@@ -0,0 +1,86 @@
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+
+use crate::cli::CommonArguments;
+use crate::cli::Failure;
+use crate::explain::LogLine;
+use crate::explain::Story;
+
+/// Prints what log lines of several processes tell of one job.
+pub(crate) async fn explain(arguments: pico_args::Arguments) -> Result<(), Failure> {
+    let mut arguments = CommonArguments::parse(arguments)?;
+    let is_json = arguments.is_json;
+    let missing = || Failure::usage("which job? try: dotterelhook explain ID host-*.log");
+    let job = arguments.positional()?.ok_or_else(missing)?;
+    let mut files = Vec::new();
+    while let Some(file) = arguments.positional()? {
+        files.push(file);
+    }
+    arguments.finish()?;
+    let mut logs = Logs::default();
+    if files.is_empty() {
+        logs.read("standard input", io::stdin().lock())?;
+    }
+    for file in &files {
+        let opened =
+            File::open(file).map_err(|error| Failure::usage(format!("{file}: {error}")))?;
+        logs.read(file, BufReader::new(opened))?;
+    }
+    if logs.unreadable > 0 {
+        eprintln!("dotterelhook: {} lines are not log lines", logs.unreadable);
+    }
+    let Some(story) = Story::gather(&job, &logs.lines) else {
+        let text = format!("no line is about job {job}, of {} read", logs.lines.len());
+        return Err(Failure::NotFound(text));
+    };
+    if is_json {
+        let text = serde_json::to_string_pretty(&story).map_err(Failure::usage)?;
+        println!("{text}");
+    } else {
+        print_story(&story);
+    }
+    Ok(())
+}
+
+/// The lines of all inputs.
+#[derive(Default)]
+struct Logs {
+    lines: Vec<LogLine>,
+    unreadable: usize,
+}
+
+impl Logs {
+    fn read(&mut self, name: &str, input: impl BufRead) -> Result<(), Failure> {
+        for line in input.split(b'\n') {
+            let line = line.map_err(|error| Failure::usage(format!("{name}: {error}")))?;
+            match LogLine::parse(&String::from_utf8_lossy(&line)) {
+                Some(line) => self.lines.push(line),
+                None => self.unreadable += usize::from(!line.trim_ascii().is_empty()),
+            }
+        }
+        Ok(())
+    }
+}
+
+fn print_story(story: &Story) {
+    let start_ms = story.lines.first().map_or(0, |line| line.timestamp_ms);
+    println!("job {}, milliseconds from its first line", story.job);
+    for line in &story.lines {
+        let after_ms = line.timestamp_ms as i64 - start_ms as i64;
+        let fields = line.fields.iter().filter(|(key, _)| &***key != "job");
+        let fields: Vec<String> = fields
+            .map(|(key, value)| format!("{key}={value}"))
+            .collect();
+        let host = &line.host;
+        let event = &line.event;
+        println!("{after_ms:>8}  {host:<18} {event:<18} {}", fields.join(" "));
+    }
+    if !story.gaps.is_empty() {
+        println!("gaps:");
+        for gap in &story.gaps {
+            println!("  {gap}");
+        }
+    }
+}
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod config_tree;
+mod explain;
 mod get;
 mod history;
 mod jobs;
@@ -17,6 +18,7 @@
 mod worker_fit;
 
 pub(crate) use check::check;
+pub(crate) use explain::explain;
 pub(crate) use get::get;
 pub(crate) use history::history;
 pub(crate) use jobs::jobs;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod command;
+mod explain;
 
 fn main() -> eyre::Result<()> {
     cli::run()
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -6,8 +6,8 @@
 use std::process::Command;
 use std::process::Output;
 
-const COMMANDS: [&str; 7] = [
-    "check", "publish", "get", "history", "status", "jobs", "report",
+const COMMANDS: [&str; 8] = [
+    "explain", "check", "publish", "get", "history", "status", "jobs", "report",
 ];
 const TABLE_WIDTH_MAX: usize = 80;
 
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -384,7 +384,10 @@
         let Some(run) = job.place_as(task, key.clone(), gang_run) else {
             return false;
         };
-        decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free());
+        let heard_ms = executor
+            .clock
+            .map_or(0, |clock| now.duration_since(clock.heard_at()).as_millis());
+        decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free(), heard_ms: heard_ms, config: self.config.version());
         executor.add_run(task, RunView::new(run, step, RunPhase::Proposed, now));
         self.dirty.insert(task.job);
         self.effects.push(Effect::Start {
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -116,7 +116,9 @@
             .map(|executor| executor.entry.id.clone())
             .collect();
         for id in lapsed {
-            decided!(Decision::ExecutorLapsed, executor: id);
+            let clock = self.executors.get(&id).and_then(|executor| executor.clock);
+            let silent_ms = clock.map(|clock| now.duration_since(clock.heard_at()).as_millis());
+            decided!(Decision::ExecutorLapsed, executor: id, silent_ms: silent_ms.unwrap_or_default());
             self.lose_runs(&id);
             if let Some(executor) = self.executors.get_mut(&id) {
                 executor.clock = None;
@@ -283,7 +285,7 @@
             match view.phase {
                 RunPhase::Proposed | RunPhase::Withdrawn | RunPhase::Ordered => {}
                 // The former owner's start never arrived, and the executor obeys this one now.
-                RunPhase::Restored => gone.push((task, run, None)),
+                RunPhase::Restored => gone.push((task, run, None, "its start never arrived")),
                 RunPhase::Running { since } => {
                     if asked_at <= since {
                         continue;
@@ -298,7 +300,8 @@
                     ..
                 } => {
                     if asked_at > answered_at + settle_after {
-                        gone.push((task, run, view.checkpoint.clone()));
+                        let checkpoint = view.checkpoint.clone();
+                        gone.push((task, run, checkpoint, "not listed after a stop"));
                     }
                 }
                 RunPhase::Stopping {
@@ -311,8 +314,8 @@
                 }
             }
         }
-        for (task, run, checkpoint) in gone {
-            self.forget_run(id, task, run, checkpoint);
+        for (task, run, checkpoint, cause) in gone {
+            self.forget_run(id, task, run, checkpoint, cause);
         }
     }
 
@@ -323,6 +326,7 @@
         task: TaskId,
         run: RunNumber,
         checkpoint: Option<Checkpoint>,
+        cause: &str,
     ) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -332,7 +336,7 @@
             return;
         };
         if self.release_run(&key, task, run, checkpoint) {
-            decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "not listed after a stop");
+            decided!(Decision::RunLost, task: task, run: run, executor: key, cause: cause);
         }
     }
 }
