Give the place of a task its own file and mend comments after a reread

Cause: read as a newcomer, comments of placement still spoke of tails where loads are meant, one doc line named a mean that is not taken, the planner held a type of its own beside its main subject, and two tests set up the same. Ruled out: any change of behaviour; the tests are as strict as before. Change: comments, a move, a fixture.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod commits;
 mod lives;
 mod order_outcomes;
+mod place;
 mod planning;
 mod relocation;
 mod reports;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,4 +1,3 @@
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
@@ -8,6 +7,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::place::Place;
 use super::tickets::TICKET_MARGIN;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
@@ -59,35 +59,6 @@
     leaves_room: bool,
 }
 
-/// An executor that a task may go to; larger ones suit better.
-#[derive(Clone, Debug)]
-struct Place {
-    score: f64,
-    executor: ExecutorId,
-}
-
-impl Ord for Place {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_score = self.score.total_cmp(&other.score);
-        // Among equals the first id, so that a round can be repeated.
-        by_score.then_with(|| other.executor.cmp(&self.executor))
-    }
-}
-
-impl PartialOrd for Place {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl PartialEq for Place {
-    fn eq(&self, other: &Self) -> bool {
-        self.cmp(other).is_eq()
-    }
-}
-
-impl Eq for Place {}
-
 /// Which waiting tasks go where.
 impl CellState {
     /// Places waiting tasks; returns whether the round was cut short.
--- a/crates/jobs/src/policy/leftover_placement.rs
+++ b/crates/jobs/src/policy/leftover_placement.rs
@@ -7,7 +7,8 @@
 const SERVING_USE: f64 = 0.45;
 /// The least share of a filler's processor need that must be left for it.
 const FILLER_SHARE_MIN: f64 = 0.6;
-/// The excess that a filler may cause beside tasks that serve, as a multiple of their targets.
+/// The extra load that a filler may cause anywhere and still counts as harmless, as a multiple of
+/// the serving tasks' own.
 const EXCESS_MAX: f64 = 0.15;
 /// What a filler loses on an executor where it must stop when the load rises.
 const SWINGING_PENALTY: f64 = 1.0;
--- a/crates/jobs/src/policy/load_paced_fillers.rs
+++ b/crates/jobs/src/policy/load_paced_fillers.rs
@@ -198,7 +198,7 @@
     (image.used_at(ratio) / load.max(QUIET_EXTRA) - 1.0).max(0.0)
 }
 
-/// Returns the mean ratio of the tails of each serving image.
+/// Returns the tails of each serving image.
 fn by_image(sample: &TailSample) -> BTreeMap<&ImageName, Vec<(TaskId, f64)>> {
     let mut tails: BTreeMap<&ImageName, Vec<(TaskId, f64)>> = BTreeMap::new();
     for tail in &sample.tails {
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -7,8 +7,8 @@
 pub struct PlacementRequest<'a> {
     /// The step of the task.
     pub step: &'a StepSpec,
-    /// By how much the task would raise the tails of serving images with all of an executor's
-    /// processors, as multiples of their targets.
+    /// By how much the task would raise the loads of serving images with all of an executor's
+    /// processors, as multiples of their own loads.
     pub pressures: &'a [(ImageName, f64)],
     /// Whether it may go where it disturbs, since it has waited long enough for a better place.
     pub may_disturb: bool,
@@ -52,12 +52,12 @@
         self.step.need.cpu_milli.0 as f64 / capacity_milli
     }
 
-    /// Returns by how much the task would raise the tails on an executor.
+    /// Returns by how much the task would raise the loads on an executor.
     pub fn excess_on(&self, executor: &Executor) -> f64 {
         self.excess(executor, |image| executor.serves(image))
     }
 
-    /// Returns by how much the task would raise tails on an executor of this size that served
+    /// Returns by how much the task would raise loads on an executor of this size that served
     /// everything.
     pub fn excess_anywhere(&self, executor: &Executor) -> f64 {
         self.excess(executor, |_| true)
--- a/crates/jobs/tests/ownership/slow_store.rs
+++ b/crates/jobs/tests/ownership/slow_store.rs
@@ -24,8 +24,7 @@
     stored
 }
 
-#[tokio::test]
-async fn slow_store_records_go_through_the_owner_that_gathers_them() {
+async fn owner_and_other_at_a_slow_store() -> (Process, Process) {
     let store = Arc::new(MemoryStore::default());
     let owner = Process::start(&store, "a", 1).await;
     eventually("a cell gets an owner", || owner.owns()).await;
@@ -33,6 +32,12 @@
     store_records(&other, 1).await;
     store.set_answer(SLOW);
     eventually("the store seems slow", || other.is_slow()).await;
+    (owner, other)
+}
+
+#[tokio::test]
+async fn slow_store_records_go_through_the_owner_that_gathers_them() {
+    let (_owner, other) = owner_and_other_at_a_slow_store().await;
     let before = other.appends();
 
     let stored = store_records(&other, 3).await;
@@ -43,13 +48,7 @@
 
 #[tokio::test]
 async fn slow_store_without_an_owner_records_are_stored_from_here() {
-    let store = Arc::new(MemoryStore::default());
-    let owner = Process::start(&store, "a", 1).await;
-    eventually("a cell gets an owner", || owner.owns()).await;
-    let other = Process::start(&store, "b", 1).await;
-    store_records(&other, 1).await;
-    store.set_answer(SLOW);
-    eventually("the store seems slow", || other.is_slow()).await;
+    let (owner, other) = owner_and_other_at_a_slow_store().await;
     owner.kill().await;
 
     let stored = store_records(&other, 1).await;
