Search for places once, and ask an owner before hosts are read

Cause, from a reread of the whole change: the search for a task's executor stood in the planner twice and, in part, in the moves off disturbed executors and in the questions about tickets; each executor was looked up again and the job's wait asked for each of them; what fillers cause was computed three times for one decision; a look for vacancies read all hosts though the living owner had answered; the mapping of verdicts to the store's errors and the meaning of a successor stood twice; fleet and policy used each other. Change: one search over the open executors of a pool; extra loads computed once for each turn; owners are asked first, hosts read only if they don't act; `StoreError: From<CallError>`, `MemberName::succeeds`, `StepRef: From<TaskId>`; Headroom belongs to the fleet.

--- a/crates/jobs/src/border/store.rs
+++ b/crates/jobs/src/border/store.rs
@@ -4,6 +4,8 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dotterelhook_types::CallError;
+use dotterelhook_types::Verdict;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::Sequence;
@@ -119,6 +121,15 @@
     }
 }
 
+impl From<CallError> for StoreError {
+    fn from(error: CallError) -> Self {
+        match error.verdict {
+            Verdict::NotRun => Self::NotDone(error.cause),
+            Verdict::MayHaveRun | Verdict::Ran => Self::Unknown(error.cause),
+        }
+    }
+}
+
 impl fmt::Display for StoreError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -8,6 +8,7 @@
 use crate::border::StartRefusal;
 use crate::border::StopOrder;
 use crate::fleet::RunPhase;
+use crate::ledger::StepRef;
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
 use crate::model::RunNumber;
@@ -31,7 +32,7 @@
         let ticket = self
             .executors
             .get(id)
-            .and_then(|executor| self.ticket(task, executor, now))
+            .and_then(|executor| self.ticket(task.job, task.into(), executor, now))
             .map(Box::from);
         let executor = self.executors.get_mut(id)?;
         let view = executor.run(task).filter(|view| view.run == run)?;
@@ -171,7 +172,7 @@
         }
         let members: Vec<(TaskId, ExecutorKey)> = job
             .placed_tasks()
-            .filter(|(task, ..)| task.step == lost.step && task.occurrence == lost.occurrence)
+            .filter(|(task, ..)| StepRef::from(*task) == StepRef::from(lost))
             .map(|(task, _, executor)| (task, executor.clone()))
             .collect();
         for (task, executor) in members {
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -9,6 +9,7 @@
 use super::Effect;
 use super::place::Place;
 use super::tickets::TICKET_MARGIN;
+use crate::fleet::Executor;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
 use crate::ledger::StepRef;
@@ -48,6 +49,8 @@
 /// Where a step's tasks are to go.
 #[derive(Clone, Copy)]
 struct Search<'a> {
+    job: JobId,
+    at: StepRef,
     step: &'a StepSpec,
     service: &'a ServiceId,
     pressures: &'a [(ImageName, f64)],
@@ -57,6 +60,15 @@
     needs_ticket: bool,
     /// Whether as much as the task takes must be left for others.
     leaves_room: bool,
+    /// Whether the tasks may go where they disturb.
+    may_disturb: bool,
+}
+
+impl Search<'_> {
+    /// Returns whether a task belongs to the step that is sought for.
+    fn is_sibling(&self, task: &TaskId) -> bool {
+        task.job == self.job && StepRef::from(*task) == self.at
+    }
 }
 
 /// Which waiting tasks go where.
@@ -166,17 +178,20 @@
         let step = &submission.spec.steps[waiting.at.step as usize];
         let pressures = self.pressures_of(step, now);
         let search = Search {
+            job: waiting.job,
+            at: waiting.at,
             step,
             service: &terms.service,
             pressures: &pressures,
             rack: None,
             needs_ticket: terms.advice.is_some(),
             leaves_room,
+            may_disturb: self.has_idled(waiting.job, now),
         };
         if step.is_gang {
             return self.place_gang(&search, &tasks, now);
         }
-        let mut places = self.places_for(&search, waiting, now);
+        let mut places = self.places_for(&search, now);
         let mut placed = 0;
         for task in tasks.into_iter().take(most) {
             let Some(place) = places.pop() else {
@@ -189,26 +204,18 @@
             if let Some(executor) = self.executors.get_mut(&place.executor) {
                 executor.use_headroom(&pressures, step.need.cpu_milli.0);
             }
-            places.extend(self.place_at(&search, task, &place.executor, now));
+            if let Some(executor) = self.executors.get(&place.executor) {
+                places.extend(self.place_on(&search, executor, now));
+            }
         }
         placed
     }
 
     /// Returns the executors that a step's tasks may go to, with how well they suit.
-    fn places_for(
-        &self,
-        search: &Search<'_>,
-        waiting: &Waiting,
-        now: Instant,
-    ) -> BinaryHeap<Place> {
-        let any_task = TaskId {
-            job: waiting.job,
-            occurrence: waiting.at.occurrence,
-            step: waiting.at.step,
-            index: 0,
-        };
-        let ids = self.executors.keys();
-        ids.filter_map(|id| self.place_at(search, any_task, id, now))
+    fn places_for(&self, search: &Search<'_>, now: Instant) -> BinaryHeap<Place> {
+        let executors = self.open_executors(search.service, now);
+        executors
+            .filter_map(|executor| self.place_on(search, executor, now))
             .collect()
     }
 
@@ -244,7 +251,7 @@
     ) -> Option<Vec<(TaskId, ExecutorId)>> {
         let mut places = Vec::new();
         for task in tasks {
-            let Some(id) = self.choose(search, *task, now) else {
+            let Some(Place { executor: id, .. }) = self.places_for(search, now).pop() else {
                 break;
             };
             if let Some(executor) = self.executors.get_mut(&id) {
@@ -281,52 +288,50 @@
         }
     }
 
-    fn choose(&self, search: &Search<'_>, task: TaskId, now: Instant) -> Option<ExecutorId> {
-        let ids = self.executors.keys();
-        let places = ids.filter_map(|id| self.place_at(search, task, id, now));
-        places.max().map(|place| place.executor)
+    /// Returns the executors of a pool that take new runs.
+    pub(super) fn open_executors<'s>(
+        &'s self,
+        service: &'s ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = &'s Executor> {
+        let silence_max = self.settings.silence_max();
+        self.executors.values().filter(move |executor| {
+            executor.entry.service == *service && executor.takes_runs(silence_max, now)
+        })
     }
 
-    /// Returns how well an executor suits a task of a step, or `None` if the task must not go there.
-    fn place_at(
-        &self,
-        search: &Search<'_>,
-        task: TaskId,
-        id: &ExecutorId,
-        now: Instant,
-    ) -> Option<Place> {
+    /// Returns how well an executor suits a step's tasks, or `None` if they must not go there.
+    fn place_on(&self, search: &Search<'_>, executor: &Executor, now: Instant) -> Option<Place> {
         let Search { step, .. } = *search;
-        let executor = self.executors.get(id)?;
         let rack = executor.entry.rack();
-        let is_searched = executor.entry.service == *search.service
-            && search.rack.is_none_or(|searched| rack == Some(searched));
+        let is_searched = search.rack.is_none_or(|searched| rack == Some(searched));
         let is_disturbed = step.is_filler && executor.over_since.is_some();
         if !is_searched || is_disturbed || !executor.takes_runs(self.settings.silence_max(), now) {
             return None;
         }
         if search.needs_ticket {
-            self.ticket(task, executor, now + TICKET_MARGIN)?;
+            self.ticket(search.job, search.at, executor, now + TICKET_MARGIN)?;
         }
         let request = PlacementRequest {
             step,
             pressures: search.pressures,
-            may_disturb: self.has_idled(task.job, now),
+            may_disturb: search.may_disturb,
         };
         let score = self.placement.score(&request, executor)?;
         let taken = step.reserved();
         if search.leaves_room && !taken.saturating_add(&taken).fits_in(&executor.free()) {
             return None;
         }
-        let is_sibling = |other: &&TaskId| {
-            other.job == task.job && other.occurrence == task.occurrence && other.step == task.step
+        let siblings = || {
+            let tasks = executor.runs().keys();
+            tasks.filter(|task| search.is_sibling(task)).count() as u32
         };
-        let siblings = || executor.runs().keys().filter(is_sibling).count() as u32;
         if step.per_executor_max.is_some_and(|most| siblings() >= most) {
             return None;
         }
         Some(Place {
             score,
-            executor: id.clone(),
+            executor: executor.entry.id.clone(),
         })
     }
 
@@ -342,14 +347,12 @@
         };
         // The members of a gang share a run number, which is above all that they had.
         let gang_run = step.is_gang.then(|| {
-            let at = StepRef {
-                occurrence: task.occurrence,
-                step: task.step,
-            };
-            let members = job.tasks_of(at).map(|(_, member)| match member.status {
-                TaskStatus::Waiting => member.run.next(),
-                _ => member.run,
-            });
+            let members = job
+                .tasks_of(task.into())
+                .map(|(_, member)| match member.status {
+                    TaskStatus::Waiting => member.run.next(),
+                    _ => member.run,
+                });
             members.max().unwrap_or_default()
         });
         let Some(run) = job.place_as(task, key.clone(), gang_run) else {
--- a/crates/jobs/src/cell/tails.rs
+++ b/crates/jobs/src/cell/tails.rs
@@ -149,11 +149,8 @@
             pressures: &pressures,
             may_disturb: false,
         };
-        let silence_max = self.settings.silence_max();
-        self.executors.values().any(|executor| {
-            executor.entry.service == *service
-                && request.fit_on(executor) == Fit::Lasting
-                && executor.takes_runs(silence_max, now)
+        self.open_executors(service, now).any(|executor| {
+            request.fit_on(executor) == Fit::Lasting
                 && self.placement.score(&request, executor).is_some()
         })
     }
--- a/crates/jobs/src/cell/tickets.rs
+++ b/crates/jobs/src/cell/tickets.rs
@@ -15,7 +15,6 @@
 use crate::model::JobId;
 use crate::model::ServiceId;
 use crate::model::StepSpec;
-use crate::model::TaskId;
 use crate::policy::PlacementRequest;
 
 /// The executors in one question; each adds to the time of the answer.
@@ -36,18 +35,15 @@
 
 /// Tickets for queues whose starts need them.
 impl CellState {
-    /// Returns the ticket for a task on an executor, if one is valid at the given time.
+    /// Returns the ticket for a step on an executor, if one is valid at the given time.
     pub(super) fn ticket(
         &self,
-        task: TaskId,
+        job: JobId,
+        at: StepRef,
         executor: &Executor,
         at_time: Instant,
     ) -> Option<&str> {
-        let at = StepRef {
-            occurrence: task.occurrence,
-            step: task.step,
-        };
-        let tickets = self.tickets.get(&(task.job, at))?;
+        let tickets = self.tickets.get(&(job, at))?;
         let (ticket, until) = tickets.valid.get(&executor.key()?)?;
         (*until > at_time).then_some(&**ticket)
     }
@@ -141,12 +137,9 @@
                 is_denied || valid.is_some_and(|(_, until)| *until > now + TICKET_MARGIN)
             })
         };
-        let silence_max = self.settings.silence_max();
         let mut scored: Vec<(f64, &ExecutorId)> = self
-            .executors
-            .values()
-            .filter(|executor| executor.entry.service == *service)
-            .filter(|executor| executor.takes_runs(silence_max, now) && !is_known(executor))
+            .open_executors(service, now)
+            .filter(|executor| !is_known(executor))
             .filter_map(|executor| {
                 let score = self.placement.score(&request, executor)?;
                 Some((score, &executor.entry.id))
--- a/crates/jobs/src/entry/record_gate.rs
+++ b/crates/jobs/src/entry/record_gate.rs
@@ -1,8 +1,5 @@
 use std::sync::Arc;
 
-use dotterelhook_types::CallError;
-use dotterelhook_types::Verdict;
-
 use super::OwnerCalls;
 use super::RecordWriter;
 use crate::border::KeyedRecord;
@@ -39,11 +36,11 @@
         partition: Partition,
         record: KeyedRecord,
     ) -> Result<(), StoreError> {
-        let mut failed = None;
+        let mut failed: Option<StoreError> = None;
         if self.writer.is_slow() {
             match self.owners.store_record(cell, partition, &record).await {
                 Ok(()) => return Ok(()),
-                Err(elsewhere) => failed = Some(as_store_error(&elsewhere)),
+                Err(elsewhere) => failed = Some(elsewhere.into()),
             }
         }
         let here = match self.writer.write(partition, record.clone()).await {
@@ -53,7 +50,7 @@
         if failed.is_none() && self.writer.is_cut_off() {
             match self.owners.store_record(cell, partition, &record).await {
                 Ok(()) => return Ok(()),
-                Err(elsewhere) => failed = Some(as_store_error(&elsewhere)),
+                Err(elsewhere) => failed = Some(elsewhere.into()),
             }
         }
         match failed {
@@ -63,13 +60,6 @@
     }
 }
 
-fn as_store_error(error: &CallError) -> StoreError {
-    match error.verdict {
-        Verdict::NotRun => StoreError::NotDone(error.cause.clone()),
-        Verdict::MayHaveRun | Verdict::Ran => StoreError::Unknown(error.cause.clone()),
-    }
-}
-
 /// Returns the outcome of two tries: the record is not stored only if neither may have stored it.
 fn joined(here: &StoreError, elsewhere: &StoreError) -> StoreError {
     let cause = format!("{here}; elsewhere: {elsewhere}").into();
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -10,6 +10,7 @@
 
 use super::ExecutorClock;
 use super::FillerHistory;
+use super::Headroom;
 use super::Health;
 use super::Order;
 use super::RunPhase;
@@ -19,10 +20,6 @@
 use crate::model::ImageName;
 use crate::model::RunNumber;
 use crate::model::TaskId;
-use crate::policy::Headroom;
-
-/// The extra load that a serving image bears before its first report, as a multiple of its own.
-const HEADROOM: f64 = 0.15;
 
 /// One executor as its owner sees it.
 #[derive(Debug)]
@@ -158,11 +155,9 @@
         }
     }
 
-    /// Returns the extra load that a serving image bears now and at any load, as multiples of its
-    /// own.
-    pub fn headroom_of(&self, image: &ImageName) -> (f64, f64) {
-        let known = self.headroom.iter().find(|known| known.image == *image);
-        known.map_or((HEADROOM, HEADROOM), |known| (known.now, known.lasting))
+    /// Returns what a serving image bears further, once it has been reported.
+    pub fn headroom_of(&self, image: &ImageName) -> Option<&Headroom> {
+        self.headroom.iter().find(|known| known.image == *image)
     }
 
     /// Counts the extra load of a new filler until the next report.
--- /dev/null
+++ b/crates/jobs/src/fleet/headroom.rs
@@ -0,0 +1,12 @@
+use crate::model::ImageName;
+
+/// What the tasks of a serving image bear beside what they have, as multiples of their own load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Headroom {
+    /// What serves.
+    pub image: ImageName,
+    /// At the present load, with the fillers at their present pace.
+    pub now: f64,
+    /// At the highest load, with the fillers at full pace.
+    pub lasting: f64,
+}
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod executor;
 mod executor_clock;
 mod filler_history;
+mod headroom;
 mod health;
 mod order;
 mod run_view;
@@ -10,6 +11,7 @@
 pub use executor::Executor;
 pub use executor_clock::ExecutorClock;
 pub use filler_history::FillerHistory;
+pub use headroom::Headroom;
 pub use health::Health;
 pub use order::Order;
 pub use run_view::RunPhase;
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -23,6 +23,15 @@
     pub step: u32,
 }
 
+impl From<TaskId> for StepRef {
+    fn from(task: TaskId) -> Self {
+        Self {
+            occurrence: task.occurrence,
+            step: task.step,
+        }
+    }
+}
+
 /// How many tasks of a step are where.
 #[derive(Clone, Copy, Debug, Default)]
 struct StepCounts {
@@ -281,10 +290,7 @@
 
     /// Notes that a task's work is done; in a gang it stands for all members.
     pub fn finish(&mut self, task: TaskId) {
-        let at = StepRef {
-            occurrence: task.occurrence,
-            step: task.step,
-        };
+        let at = StepRef::from(task);
         if self.step(task.step).is_gang {
             let members: Vec<TaskId> = self.tasks_of(at).map(|(member, _)| member).collect();
             for member in members {
@@ -304,10 +310,7 @@
         if step.is_long_running || !self.is_open() {
             return;
         }
-        let at = StepRef {
-            occurrence: task.occurrence,
-            step: task.step,
-        };
+        let at = StepRef::from(task);
         let failures = if step.is_gang {
             self.tasks_of(at).map(|(_, member)| member.failures).sum()
         } else {
@@ -379,10 +382,7 @@
     }
 
     fn counts_of(&mut self, task: TaskId) -> &mut StepCounts {
-        let position = self.count_position(StepRef {
-            occurrence: task.occurrence,
-            step: task.step,
-        });
+        let position = self.count_position(task.into());
         &mut self.counts[position]
     }
 
--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -104,24 +104,35 @@
         Ok(())
     }
 
-    /// Returns whether a cell's owner was an earlier process on this host, which is gone.
+    /// Returns whether a cell's owner was an earlier process on this host.
     fn succeeds_owner(&self, cell: u32) -> bool {
         let owner = self.context.directory.owner(cell);
-        owner.is_some_and(|owner| {
-            let own = &self.context.member;
-            owner.member.host == own.host && owner.member.incarnation < own.incarnation
-        })
+        owner.is_some_and(|owner| self.context.member.succeeds(&owner.member))
     }
 
     /// Finds an owner for a cell if the last one acts no more.
+    ///
+    /// An owner that can't be asked is left to the group, which names a member only while it holds
+    /// partitions and has shown that it lives.
     async fn fill(&self, cell: u32) -> Result<(), StoreError> {
         self.context.directory.refresh().await?;
-        let hosts = other_hosts(&self.context).await?;
-        if let Some(owner) = self.context.directory.owner(cell)
-            && !self.is_vacated(cell, &owner.member, &hosts).await?
-        {
+        let owner = self.context.directory.owner(cell).map(|owner| owner.member);
+        let acts = match &owner {
+            Some(owner) if !self.context.member.succeeds(owner) => {
+                owns_cell(&self.context, owner, cell).await
+            }
+            _ => Some(false),
+        };
+        if acts == Some(true) {
             return Ok(());
         }
+        let hosts = other_hosts(&self.context).await?;
+        if let (None, Some(owner)) = (acts, &owner) {
+            let has_successor = hosts.iter().any(|host| host.succeeds(owner));
+            if !has_successor && listed_members(&self.context).await?.contains(owner) {
+                return Ok(());
+            }
+        }
         let own = self.context.member.suitability();
         let stronger: Vec<MemberName> = hosts
             .into_iter()
@@ -135,28 +146,6 @@
         claim_here(&self.context, &self.board, cell).await
     }
 
-    /// Returns whether the owner that made itself known last acts no more.
-    ///
-    /// An owner that can't be asked is left to the group, which names a member only while it holds
-    /// partitions and has shown that it lives.
-    async fn is_vacated(
-        &self,
-        cell: u32,
-        owner: &MemberName,
-        hosts: &[MemberName],
-    ) -> Result<bool, StoreError> {
-        let has_successor = hosts
-            .iter()
-            .any(|host| host.host == owner.host && host.incarnation > owner.incarnation);
-        if has_successor || self.succeeds_owner(cell) {
-            return Ok(true);
-        }
-        match owns_cell(&self.context, owner, cell).await {
-            Some(owns) => Ok(!owns),
-            None => Ok(!listed_members(&self.context).await?.contains(owner)),
-        }
-    }
-
     /// Lets another host take a cell over before this process lets go of it.
     ///
     /// Until one has, this process acts on: nobody could take over while the store is away.
--- a/crates/jobs/src/ownership/member_name.rs
+++ b/crates/jobs/src/ownership/member_name.rs
@@ -34,6 +34,11 @@
 }
 
 impl MemberName {
+    /// Returns whether this process runs on the host of an earlier one, which is gone then.
+    pub fn succeeds(&self, other: &Self) -> bool {
+        self.host == other.host && self.incarnation > other.incarnation
+    }
+
     /// Returns how well the process suits as an owner; larger is better.
     ///
     /// An owner's work needs one strong host. In a rolling restart the youngest process is the last
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::Headroom;
 use crate::model::ImageName;
 use crate::model::RunNumber;
 use crate::model::TaskId;
@@ -99,17 +100,6 @@
     pub samples: u32,
 }
 
-/// What the tasks of a serving image bear beside what they have, as multiples of their own load.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Headroom {
-    /// What serves.
-    pub image: ImageName,
-    /// At the present load, with the fillers at their present pace.
-    pub now: f64,
-    /// At the highest load, with the fillers at full pace.
-    pub lasting: f64,
-}
-
 /// Keeps serving tasks within their tails.
 pub trait Interference: Send + Sync {
     /// Learns from a sample; times are milliseconds of a steady clock.
--- a/crates/jobs/src/policy/load_paced_fillers.rs
+++ b/crates/jobs/src/policy/load_paced_fillers.rs
@@ -4,7 +4,6 @@
 use dotterelhook_scheduler::interference::PairTable;
 
 use super::FillerSample;
-use super::Headroom;
 use super::ImageLoad;
 use super::Interference;
 use super::LearnedPressure;
@@ -12,6 +11,7 @@
 use super::TailSample;
 use super::TailStep;
 use super::serving_load::ServingLoad;
+use crate::fleet::Headroom;
 use crate::model::ImageName;
 use crate::model::TaskId;
 
@@ -86,6 +86,18 @@
     left: f64,
 }
 
+/// The place of a filler among those that share what serving tasks bear.
+struct Turn {
+    /// Its place in the sample.
+    index: usize,
+    /// How much it disturbs for its processors.
+    cost: f64,
+    /// By how much it is slowed down now, in percent.
+    slowed: u32,
+    /// The extra load that it causes at full pace for each limit.
+    extras: Vec<f64>,
+}
+
 impl LoadPacedFillers {
     fn image(&self, image: &ImageName) -> ImageLoad {
         self.images.get(image).copied().unwrap_or_default()
@@ -154,25 +166,17 @@
     /// Those that disturb least for their processors go first, among equals those that work now.
     fn paces(&self, sample: &TailSample, ratio: f64, now_ms: u64) -> Vec<u32> {
         let mut limits = self.limits(sample, ratio, now_ms);
-        let cost = |filler: &FillerSample| {
-            let costs = limits.iter().map(|limit| {
-                self.extra_of(limit.image, filler, now_ms) / limit.left.max(QUIET_EXTRA)
-            });
-            costs.fold(0.0, f64::max) / filler.cpu_share.max(f64::EPSILON)
-        };
-        let mut order: Vec<(f64, u32, usize)> = sample
+        let mut order: Vec<Turn> = sample
             .fillers
             .iter()
             .enumerate()
-            .map(|(index, filler)| (cost(filler), 100 - filler.pace_percent, index))
+            .map(|(index, filler)| self.turn(index, filler, &limits, now_ms))
             .collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        order.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.slowed.cmp(&b.slowed)));
         let mut paces = vec![0; sample.fillers.len()];
-        for (_, _, index) in order {
-            let filler = &sample.fillers[index];
-            let fractions = limits.iter().map(|limit| {
-                let extra = self.extra_of(limit.image, filler, now_ms);
-                if extra <= 0.0 {
+        for Turn { index, extras, .. } in order {
+            let fractions = extras.iter().zip(&limits).map(|(extra, limit)| {
+                if *extra <= 0.0 {
                     1.0
                 } else {
                     limit.left / extra
@@ -184,13 +188,27 @@
                 continue;
             }
             paces[index] = percent;
-            for limit in &mut limits {
-                let extra = self.extra_of(limit.image, filler, now_ms);
+            for (extra, limit) in extras.iter().zip(&mut limits) {
                 limit.left -= extra * f64::from(percent) / 100.0;
             }
         }
         paces
     }
+
+    fn turn(&self, index: usize, filler: &FillerSample, limits: &[Limit<'_>], now_ms: u64) -> Turn {
+        let extras = limits.iter();
+        let extras: Vec<f64> = extras
+            .map(|limit| self.extra_of(limit.image, filler, now_ms))
+            .collect();
+        let costs = extras.iter().zip(limits);
+        let costs = costs.map(|(extra, limit)| extra / limit.left.max(QUIET_EXTRA));
+        Turn {
+            index,
+            cost: costs.fold(0.0, f64::max) / filler.cpu_share.max(f64::EPSILON),
+            slowed: 100 - filler.pace_percent,
+            extras,
+        }
+    }
 }
 
 /// Returns the extra load that a task bears below a tail ratio, as a multiple of its own.
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -10,7 +10,6 @@
 
 pub use deadline_order::DeadlineOrder;
 pub use interference::FillerSample;
-pub use interference::Headroom;
 pub use interference::ImageLoad;
 pub use interference::Interference;
 pub use interference::LearnedPressure;
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -2,6 +2,9 @@
 use crate::model::ImageName;
 use crate::model::StepSpec;
 
+/// The extra load that a serving image bears before its first report, as a multiple of its own.
+const UNREPORTED: f64 = 0.15;
+
 /// What an executor is sought for.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -34,7 +37,10 @@
             .iter()
             .filter(|(image, _)| executor.serves(image));
         let fits = served.map(|(image, weight)| {
-            let (now, lasting) = executor.headroom_of(image);
+            let headroom = executor.headroom_of(image);
+            let (now, lasting) = headroom.map_or((UNREPORTED, UNREPORTED), |headroom| {
+                (headroom.now, headroom.lasting)
+            });
             let extra = weight * share;
             if extra <= lasting {
                 Fit::Lasting
--- a/crates/jobs/tests/ownership/vacancies.rs
+++ b/crates/jobs/tests/ownership/vacancies.rs
@@ -12,9 +12,9 @@
 
 /// Waits until hosts have looked for vacancies often enough to know who holds what.
 async fn looked(store: &MemoryStore) {
-    let reads = store.reads_of("keyed.hosts");
+    let reads = store.reads_of("keyed.owners");
     eventually("hosts look for vacancies", || {
-        store.reads_of("keyed.hosts") >= reads + 10
+        store.reads_of("keyed.owners") >= reads + 10
     })
     .await;
 }
--- a/crates/jobs/tests/policies/interference.rs
+++ b/crates/jobs/tests/policies/interference.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use dotterelhook_jobs::fleet::FillerHistory;
+use dotterelhook_jobs::fleet::Headroom;
 use dotterelhook_jobs::model::ImageName;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::policy::FillerSample;
-use dotterelhook_jobs::policy::Headroom;
 use dotterelhook_jobs::policy::Interference;
 use dotterelhook_jobs::policy::LearnedTails;
 use dotterelhook_jobs::policy::LoadPacedFillers;
--- a/crates/jobs/tests/policies/placement.rs
+++ b/crates/jobs/tests/policies/placement.rs
@@ -1,6 +1,6 @@
+use dotterelhook_jobs::fleet::Headroom;
 use dotterelhook_jobs::model::ImageName;
 use dotterelhook_jobs::model::StepSpec;
-use dotterelhook_jobs::policy::Headroom;
 use dotterelhook_jobs::policy::LeftoverPlacement;
 use dotterelhook_jobs::policy::Placement;
 use dotterelhook_jobs::policy::PlacementRequest;
