--- a/crates/standins/src/faults/daemon_process.rs
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -42,11 +42,13 @@
             .create(true)
             .append(true)
             .open(self.settings.with_extension("log"))?;
+        let errors = log.try_clone()?;
         let child = Command::new(&self.binary)
             .arg("--settings")
             .arg(&self.settings)
-            .stdout(Stdio::null())
-            .stderr(log)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
             .spawn()
             .wrap_err_with(|| format!("can't start {}", self.binary.display()))?;
         self.child = Some(child);
@@ -80,7 +82,20 @@
         self.signal("-CONT");
     }
 
-    fn signal(&self, signal: &str) {
+    /// Forgets the process if it has ended; returns whether none runs.
+    pub fn has_ended(&mut self) -> bool {
+        let runs = self
+            .child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)));
+        if !runs {
+            self.child = None;
+        }
+        !runs
+    }
+
+    /// Sends a signal, such as `-TERM`, to the process if it runs.
+    pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
             let _ = Command::new("kill")
                 .args([signal, &child.id().to_string()])
--- a/crates/standins/src/faults/mod.rs
+++ b/crates/standins/src/faults/mod.rs
@@ -16,6 +16,7 @@
 pub use checks::check_requests;
 pub use cluster::Cluster;
 pub use cluster::ClusterSettings;
+pub use daemon_process::DaemonProcess;
 pub use operators::Operators;
 pub use request_load::RequestLoad;
 pub use request_load::Told;
