Count the retention of a finished job from the takeover, not from its acceptance

Cause: a takeover restored a finished job with the time of its acceptance as the start of its retention. The record of a finished job does not say when the job ended, so a job that had run for longer than the retention was dropped at once by the next owner, and its client got 410. Change: the retention counts from the takeover. It can only grow, by the age of the end. Ruled out: storing the end time in the record, which changes the layout for no further use.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -120,16 +120,21 @@
     }
 
     /// Restores a job from its records after a takeover.
+    ///
+    /// The retention of a finished job counts from `now`, because its record does not tell when the
+    /// job ended.
     pub fn restore(
         &mut self,
         id: JobId,
         submission: Arc<Submission>,
         progress: JobProgress,
         accepted_at: Instant,
+        now: Instant,
     ) {
         match progress.outcome {
             Some(state) if progress.tasks.is_empty() => {
-                self.ledger.restore_finished(id, state, accepted_at);
+                self.ledger.finalize(id, state, now);
+                self.ledger.publish_state(id, state);
             }
             _ => {
                 self.ledger.restore(id, submission, progress, accepted_at);
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -18,8 +18,7 @@
 pub struct FinishedJob {
     /// The final state.
     pub state: JobState,
-    /// The time from which the retention counts: when this process observed the end, or the
-    /// acceptance for a job that ended before a takeover.
+    /// The time from which the retention counts: when this process learned of the end.
     pub retained_since: Instant,
 }
 
@@ -64,19 +63,6 @@
         true
     }
 
-    /// Adds a job that had ended before this process took the cell over. Its retention counts from
-    /// `accepted_at`.
-    pub fn restore_finished(&mut self, id: JobId, state: JobState, accepted_at: Instant) {
-        self.published.insert(id, state);
-        self.finished.insert(
-            id,
-            FinishedJob {
-                state,
-                retained_since: accepted_at,
-            },
-        );
-    }
-
     /// Cancels a job and returns whether the job was open.
     ///
     /// A cancellation of an unknown job applies once its submission is read.
@@ -130,7 +116,7 @@
         self.published.insert(id, state);
     }
 
-    /// Moves a job to the finished ones and drops its tasks, once its last record is stored.
+    /// Adds a job to the finished ones and drops its tasks, once its last record is stored.
     pub fn finalize(&mut self, id: JobId, state: JobState, now: Instant) {
         self.active.remove(&id);
         self.finished.insert(
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -87,7 +87,7 @@
             let age = age_of(&submission);
             let accepted_at = now.checked_sub(age).unwrap_or(now);
             let progress = progress.remove(&id).unwrap_or_default();
-            state.restore(id, Arc::new(submission), progress, accepted_at);
+            state.restore(id, Arc::new(submission), progress, accepted_at, now);
         }
     }
     for id in cancelled {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -185,7 +185,7 @@
         for (id, submission) in submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
             next.cell
-                .restore(*id, Arc::clone(submission), progress, self.now);
+                .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
         next
     }
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -377,7 +377,7 @@
         for (id, submission) in &self.submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
             next.cell
-                .restore(*id, Arc::clone(submission), progress, self.now);
+                .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
         for id in &self.cancelled {
             next.cell.cancel(*id, self.now);
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -179,7 +179,7 @@
         let now = harness.now;
         harness
             .cell
-            .restore(job(number), wide.clone(), progress, now);
+            .restore(job(number), wide.clone(), progress, now, now);
         harness.cell.cancel(job(number), now);
     }
 
@@ -198,3 +198,31 @@
 
     assert!(stored >= JOBS);
 }
+
+#[tokio::test]
+async fn a_job_that_finished_before_a_takeover_is_retained_for_its_whole_time() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let finished = JobProgress {
+        outcome: Some(JobState::Completed),
+        tasks: Vec::new(),
+    };
+    let mut harness = CellHarness::new();
+    let accepted_at = harness.now;
+    harness.advance(Duration::from_secs(400));
+    let now = harness.now;
+
+    harness
+        .cell
+        .restore(job(1), submitted, finished, accepted_at, now);
+    harness.advance(Duration::from_secs(179));
+    let early = harness.cell.take_expired_jobs(harness.now);
+    let known = harness.cell.lookup_job_state(job(1));
+    harness.advance(Duration::from_secs(2));
+    let late = harness.cell.take_expired_jobs(harness.now);
+
+    assert_eq!(
+        (early, known),
+        (vec![], JobLookup::Known(JobState::Completed))
+    );
+    assert_eq!(late, [job(1)]);
+}
