Time the stops of a broken gang by the clock of the inputs

Cause: `requeue_run` read the clock of the process. A replay of the same inputs at another time decided otherwise: the stop of a gang's other members looked old and was repeated at once. Change: `requeue_run` and its callers pass on the time of the input that they handle. Measured: the new test handles a refused start 5 s after the process's clock; before the change the next report repeated the stop, now it does not. Ruled out: other reads of the clock in `crates/jobs/src/cell`; a search finds none.

--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -86,7 +86,7 @@
                     executor,
                     task,
                     run,
-                } => self.dispatch_start(&executor, task, run),
+                } => self.dispatch_start(&executor, task, run, now),
                 Effect::AckEnds { executor, end } => self.ack_ends(&executor, end),
             }
         }
@@ -156,7 +156,7 @@
     }
 
     /// Sends a stored start to its executor, unless the run was withdrawn in the meantime.
-    fn dispatch_start(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber) {
+    fn dispatch_start(&mut self, key: &ExecutorKey, task: TaskId, run: RunNumber, now: Instant) {
         let is_open = self.ledger.is_open(task.job);
         let executor = self.executors.get_mut(&key.id);
         let is_same_incarnation =
@@ -171,7 +171,7 @@
             }
             executor.remove_run(task, run);
         }
-        self.requeue_run(key, task, run, None);
+        self.requeue_run(key, task, run, None, now);
     }
 
     fn ack_ends(&mut self, key: &ExecutorKey, end: u64) {
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -50,7 +50,7 @@
                     self.adopt_run(&current, task, run);
                     self.restore_run(&current, task, now);
                 } else {
-                    self.declare_placement_lost(&key, task);
+                    self.declare_placement_lost(&key, task, now);
                 }
             }
         }
@@ -90,7 +90,7 @@
             };
             let is_listed = report.lists(task, view.run);
             if !is_listed && !may_arrive {
-                self.declare_run_lost(&previous, task, view);
+                self.declare_run_lost(&previous, task, view, now);
                 continue;
             }
             let run = view.run;
@@ -139,14 +139,14 @@
         }
     }
 
-    pub(super) fn declare_placement_lost(&mut self, key: &ExecutorKey, task: TaskId) {
+    pub(super) fn declare_placement_lost(&mut self, key: &ExecutorKey, task: TaskId, now: Instant) {
         if let Some(run) = self.placed_run(key, task) {
             decided!(Decision::RunLost, task: task, run: run, executor: key, cause: "the executor incarnation is gone");
-            self.requeue_run(key, task, run, None);
+            self.requeue_run(key, task, run, None, now);
         }
     }
 
-    pub(super) fn declare_runs_lost(&mut self, id: &ExecutorId) {
+    pub(super) fn declare_runs_lost(&mut self, id: &ExecutorId, now: Instant) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -154,13 +154,13 @@
             return;
         };
         for (task, view) in executor.remove_all_runs() {
-            self.declare_run_lost(&key, task, view);
+            self.declare_run_lost(&key, task, view, now);
         }
     }
 
     /// Requeues the task of a run that has certainly ended, with the last known checkpoint.
-    fn declare_run_lost(&mut self, key: &ExecutorKey, task: TaskId, view: RunView) {
-        if self.requeue_run(key, task, view.run, view.checkpoint) {
+    fn declare_run_lost(&mut self, key: &ExecutorKey, task: TaskId, view: RunView, now: Instant) {
+        if self.requeue_run(key, task, view.run, view.checkpoint, now) {
             decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted");
         }
     }
@@ -174,6 +174,7 @@
         task: TaskId,
         run: RunNumber,
         checkpoint: Option<Checkpoint>,
+        now: Instant,
     ) -> bool {
         let Some(job) = self.ledger.job_mut(task.job) else {
             return false;
@@ -183,7 +184,7 @@
         }
         job.requeue(task, checkpoint, false);
         self.dirty.insert(task.job);
-        self.stop_gang_members(task, Instant::now());
+        self.stop_gang_members(task, now);
         true
     }
 }
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -59,12 +59,29 @@
         })
     }
 
-    /// Requeues the task of a run for which `start_order` returned `None`.
-    pub fn abandon_start(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) {
-        let executor = self.executors.get(id);
-        let view = executor.and_then(|executor| executor.run(task));
-        if view.is_some_and(|view| view.run == run && view.phase == RunPhase::Ordered) {
-            self.requeue_unstarted(id, task, run);
+    /// Gives up a start for which `start_order` returned `None`.
+    ///
+    /// Requeues the task, unless an earlier send may have started the run: then stops the run, and
+    /// the task waits until the executor has answered the stop.
+    pub fn abandon_start(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        run: RunNumber,
+        may_have_run: bool,
+        now: Instant,
+    ) {
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
+        let view = executor.run(task);
+        if view.is_none_or(|view| view.run != run || view.phase != RunPhase::Ordered) {
+            return;
+        }
+        if may_have_run {
+            executor.stop(task, run, now);
+        } else {
+            self.requeue_unstarted(id, task, run, now);
         }
     }
 
@@ -159,7 +176,7 @@
         };
         executor.remove_run(task, run);
         if let Some(key) = executor.key() {
-            self.requeue_run(&key, task, run, None);
+            self.requeue_run(&key, task, run, None, now);
         }
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -120,7 +120,7 @@
             let clock = self.executors.get(&id).and_then(|executor| executor.clock);
             let silent_ms = clock.map(|clock| now.duration_since(clock.seen_at()).as_millis());
             decided!(Decision::ExecutorLapsed, executor: id, silent_ms: silent_ms.unwrap_or_default());
-            self.declare_runs_lost(&id);
+            self.declare_runs_lost(&id, now);
             if let Some(executor) = self.executors.get_mut(&id) {
                 executor.clock = None;
             }
@@ -129,7 +129,7 @@
             let unlisted_placements = std::mem::take(&mut self.unlisted_placements);
             for (key, tasks) in unlisted_placements {
                 for task in tasks {
-                    self.declare_placement_lost(&key, task);
+                    self.declare_placement_lost(&key, task, now);
                 }
             }
         }
@@ -322,7 +322,7 @@
             }
         }
         for (task, run, checkpoint, cause) in lost {
-            self.remove_missing_run(id, task, run, checkpoint, cause);
+            self.remove_missing_run(id, task, run, checkpoint, cause, now);
         }
     }
 
@@ -339,10 +339,11 @@
             return;
         };
         executor.remove_run(task, run);
+        now: Instant,
         let Some(key) = executor.key() else {
             return;
         };
-        if self.requeue_run(&key, task, run, checkpoint) {
+        if self.requeue_run(&key, task, run, checkpoint, now) {
             decided!(Decision::RunLost, task: task, run: run, executor: key, cause: cause);
         }
     }
--- a/crates/jobs/tests/cell/gangs.rs
+++ b/crates/jobs/tests/cell/gangs.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::Order;
 use dotterelhook_jobs::model::JobState;
@@ -101,3 +103,27 @@
     let stop = Order::Stop(task(1, 0, 0), RunNumber(1));
     assert_eq!(harness.take_orders("i-1"), [stop]);
 }
+
+#[tokio::test]
+async fn the_stop_of_a_gang_that_lost_a_member_is_timed_by_the_clock_of_its_inputs() {
+    let submitted = submission(vec![gang(2, 2_000)]);
+    let mut harness = CellHarness::with_job(&submitted);
+    harness.commit();
+    harness.take_orders("i-1");
+    harness.advance(Duration::from_secs(5));
+    let (first, second) = (task(1, 0, 0), task(1, 0, 1));
+    let (id, run) = ("i-1".into(), RunNumber(1));
+    let started = Ok(());
+    let refused = Err(OrderError::Refused(StartRefusal::Room));
+    for (task, answer) in [(first, started), (second, refused)] {
+        harness
+            .cell
+            .handle_start_result(&id, task, run, answer, harness.now);
+    }
+    let stops = harness.take_orders("i-1");
+
+    harness.report("i-1", vec![running(first, 1)], vec![]);
+
+    assert_eq!(stops, [Order::Stop(first, run)]);
+    assert_eq!(harness.take_orders("i-1"), []);
+}
