Stop what a former owner may have started where executors check no fences

Cause: after a takeover a run that its executor does not list was given up at once, since the executor refuses orders of the former owner from then on. Where executors don't check fencing tokens, a start that the former owner sent can still arrive, and the task runs twice. Without fences such a run is stopped first; an executor refuses a run that it was told to stop. The directed test expects the stop, then run 2. Ruled out: to wait for the end of all former leases, 9 s; to stop first with fences too, which costs a round trip for nothing.

--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -64,6 +64,8 @@
     #[serde(default = "defaults::commit_interval_ms")]
     commit_interval_ms: u64,
     stop_max_ms: u64,
+    #[serde(default)]
+    executors_enforce_fences: bool,
     #[serde(default = "defaults::early_max_ms")]
     early_max_ms: u64,
     #[serde(default = "defaults::retention_ms")]
@@ -129,6 +131,7 @@
             renewal_right: ms("renewal_right_ms", jobs.renewal_right_ms, 100, 600_000)?,
             commit_interval: ms("commit_interval_ms", jobs.commit_interval_ms, 1, 2_000)?,
             stop_max: ms("stop_max_ms", jobs.stop_max_ms, 0, 60_000)?,
+            executors_enforce_fences: jobs.executors_enforce_fences,
             retention: ms("retention_ms", jobs.retention_ms, 1_000, 86_400_000)?,
             early_max: ms("early_max_ms", jobs.early_max_ms, 0, 60_000)?,
             membership_ttl: ms(
--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -19,6 +19,8 @@
     pub commit_interval: Duration,
     /// The longest time from an executor's answer to a stop until the run has ended.
     pub stop_max: Duration,
+    /// Whether executors refuse orders whose fencing token is lower than one that they have seen.
+    pub executors_enforce_fences: bool,
     /// How long a finished job is retained.
     pub retention: Duration,
     /// How long before its due time an occurrence may start.
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -283,6 +283,7 @@
             .map(|(task, view)| (*task, view.run))
             .collect();
         let stop_max = self.settings.stop_max;
+        let enforces_fences = self.settings.executors_enforce_fences;
         let mut lost = Vec::new();
         for (task, run) in missing {
             let Some(view) = executor.run_mut(task, run) else {
@@ -292,7 +293,11 @@
                 RunPhase::Proposed | RunPhase::Withdrawn | RunPhase::Ordered => {}
                 // The former owner's start never arrived. The executor rejects it from now on,
                 // since it has seen this owner's epoch.
-                RunPhase::Restored => lost.push((task, run, None, "its start never arrived")),
+                RunPhase::Restored if enforces_fences => {
+                    lost.push((task, run, None, "its start never arrived"));
+                }
+                // Without fences, only a stop makes the executor reject a start that arrives later.
+                RunPhase::Restored => executor.stop(task, run, now),
                 RunPhase::Running { since } => {
                     if requested_at <= since {
                         continue;
@@ -334,12 +339,12 @@
         run: RunNumber,
         checkpoint: Option<Checkpoint>,
         cause: &str,
+        now: Instant,
     ) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
         executor.remove_run(task, run);
-        now: Instant,
         let Some(key) = executor.key() else {
             return;
         };
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -57,6 +57,7 @@
         renewal_right: Duration::from_secs(12),
         commit_interval: Duration::from_millis(25),
         stop_max: Duration::from_millis(200),
+        executors_enforce_fences: true,
         retention: Duration::from_secs(180),
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(1_500),
@@ -175,8 +176,17 @@
 
     /// Creates the cell of the next owner from the stored progress and the given submissions.
     pub(crate) fn take_over(&self, submissions: &[(JobId, Arc<Submission>)]) -> Self {
+        self.take_over_with(settings(), submissions)
+    }
+
+    /// Creates the cell of the next owner, with settings of its own.
+    pub(crate) fn take_over_with(
+        &self,
+        settings: CellSettings,
+        submissions: &[(JobId, Arc<Submission>)],
+    ) -> Self {
         let mut next = Self {
-            cell: CellState::new(Arc::new(settings()), Epoch(8), config(3), self.now),
+            cell: CellState::new(Arc::new(settings), Epoch(8), config(3), self.now),
             now: self.now,
             orders: BTreeMap::new(),
             clock_ms: self.clock_ms,
--- a/crates/jobs/tests/cell/takeovers.rs
+++ b/crates/jobs/tests/cell/takeovers.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::Order;
 use dotterelhook_jobs::ledger::JobProgress;
@@ -15,6 +16,7 @@
 use crate::fixture::ended;
 use crate::fixture::job;
 use crate::fixture::running;
+use crate::fixture::settings;
 use crate::fixture::step;
 use crate::fixture::submission;
 use crate::fixture::task;
@@ -226,3 +228,31 @@
     );
     assert_eq!(late, [job(1)]);
 }
+
+#[tokio::test]
+async fn without_fences_a_run_that_is_not_listed_is_stopped_before_its_task_is_placed_again() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut harness = CellHarness::with_job(&submitted);
+    harness.commit();
+    let settings = CellSettings {
+        executors_enforce_fences: false,
+        ..settings()
+    };
+    let mut next = harness.take_over_with(settings, &[(job(1), submitted)]);
+    next.list_executor("i-1", 4_000);
+
+    next.report("i-1", vec![], vec![]);
+    next.commit();
+    let first = next.take_orders("i-1");
+    next.cell
+        .handle_stop_result(&"i-1".into(), task(1, 0, 0), RunNumber(1), Ok(()), next.now);
+    next.advance(Duration::from_millis(300));
+    next.report("i-1", vec![], vec![]);
+    next.commit();
+
+    assert_eq!(first, [Order::Stop(task(1, 0, 0), RunNumber(1))]);
+    assert_eq!(
+        next.take_orders("i-1"),
+        [Order::Start(task(1, 0, 0), RunNumber(2))]
+    );
+}
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -239,6 +239,7 @@
         renewal_right: Duration::from_secs(60),
         commit_interval: Duration::from_millis(25),
         stop_max: Duration::from_millis(200),
+        executors_enforce_fences: true,
         retention: Duration::from_secs(180),
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(100),
