Leave a start unknown after any send that got no answer

Cause: a start is sent up to three times. After a send without an answer, a refusal of a later send was taken as certain and the task was placed again, although an executor may carry out the first send seconds later: a task could run twice, and "has not run" was untrue. A start that was given up between two sends after a lost answer stayed in the phase Ordered for good. Change: `StartAttempts` holds the rule: after a send without an answer only an acceptance, a fence or "I know this run" settles the outcome; all else stays unknown, so the run is stopped first. A start that is given up then is stopped, too. Measured: a table of answers for the rule. Ruled out: to trust a refusal for want of room: room may be free when the late start arrives.

--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -135,11 +135,11 @@
                     StartRefusal::Unhealthy => executor.health.back_off(now),
                     _ => {}
                 }
-                self.requeue_unstarted(id, task, run);
+                self.requeue_unstarted(id, task, run, now);
             }
             OrderError::NotSent(_) | OrderError::OtherExecutor => {
                 executor.full_until = Some(now + REFUSAL_PAUSE);
-                self.requeue_unstarted(id, task, run);
+                self.requeue_unstarted(id, task, run, now);
             }
             OrderError::Unknown(_) => {
                 // If the stop overtakes the start, the executor refuses the start.
@@ -170,7 +170,7 @@
     }
 
     /// Requeues the task of a run that certainly never started.
-    fn requeue_unstarted(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber) {
+    fn requeue_unstarted(&mut self, id: &ExecutorId, task: TaskId, run: RunNumber, now: Instant) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -8,6 +8,8 @@
 use tokio::time::timeout;
 
 use super::CellOwner;
+use super::StartAttempts;
+use super::StartStep;
 use crate::fleet::Order;
 use crate::model::ExecutorId;
 use crate::model::RunNumber;
@@ -18,8 +20,8 @@
 
 /// Concurrent orders to one executor.
 const ORDERS_IN_FLIGHT_MAX: usize = 4;
-/// Sends of an order before its outcome counts as unknown.
-const SENDS_MAX: u32 = 3;
+/// Sends of a stop without an answer. The next report repeats a stop that had no effect.
+const STOP_SENDS_MAX: u32 = 3;
 /// The pause between two sends of an order.
 const RESEND_PAUSE: Duration = Duration::from_millis(30);
 /// The longest wait for run ends to be stored before the next renewal is sent regardless.
@@ -128,37 +130,34 @@
     }
 
     async fn start(&self, task: TaskId, run: RunNumber) {
-        let mut may_have_run = false;
-        for send in 1..=SENDS_MAX {
+        let mut attempts = StartAttempts::default();
+        loop {
             if !self.owner.is_active() {
                 return;
             }
+            let now = Instant::now();
             let order = self
                 .owner
-                .with_state(|state| state.start_order(&self.id, task, run, Instant::now()));
+                .with_state(|state| state.start_order(&self.id, task, run, now));
             let Some(order) = order else {
-                if !may_have_run {
-                    self.owner
-                        .with_state(|state| state.abandon_start(&self.id, task, run));
-                }
-                return;
+                let may_have_run = attempts.may_have_run();
+                return self.owner.with_state(|state| {
+                    state.abandon_start(&self.id, task, run, may_have_run, now)
+                });
             };
             let answer = self.link.start(&order).await;
             self.count("start", outcome_label(&answer));
-            match answer {
-                Err(OrderError::Fenced) => {
-                    self.owner
+            match attempts.record(answer) {
+                StartStep::Resend => sleep(RESEND_PAUSE).await,
+                StartStep::Finish(Err(OrderError::Fenced)) => {
+                    return self
+                        .owner
                         .release("an executor has accepted a later fencing token");
-                    return;
                 }
-                Err(OrderError::Unknown(_)) if send < SENDS_MAX => may_have_run = true,
-                Err(OrderError::NotSent(_)) if send < SENDS_MAX => {}
-                Err(OrderError::NotSent(cause)) if may_have_run => {
-                    return self.deliver_start_result(task, run, Err(OrderError::Unknown(cause)));
+                StartStep::Finish(outcome) => {
+                    return self.deliver_start_result(task, run, outcome);
                 }
-                answer => return self.deliver_start_result(task, run, answer),
             }
-            sleep(RESEND_PAUSE).await;
         }
     }
 
@@ -170,7 +169,7 @@
     }
 
     async fn stop(&self, task: TaskId, run: RunNumber) {
-        for _ in 0..SENDS_MAX {
+        for _ in 0..STOP_SENDS_MAX {
             if !self.owner.is_active() {
                 return;
             }
--- a/crates/jobs/src/ownership/mod.rs
+++ b/crates/jobs/src/ownership/mod.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod owned_cells;
 mod owner_directory;
+mod start_attempts;
 mod takeover;
 mod topics;
 
@@ -23,6 +24,8 @@
 pub use owned_cells::OwnedCells;
 pub use owner_directory::OwnerDirectory;
 pub use owner_directory::OwnerRecord;
+pub use start_attempts::StartAttempts;
+pub use start_attempts::StartStep;
 pub(crate) use topics::CANCELLATION_KEY_PREFIX;
 pub use topics::cell_of;
 pub use topics::job_submission_partition;
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::cell::CellState;
 use dotterelhook_jobs::cell::CommitBatch;
 use dotterelhook_jobs::cell::JobLookup;
@@ -20,10 +21,15 @@
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::JobId;
 use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::Submission;
 use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::ownership::StartAttempts;
+use dotterelhook_jobs::ownership::StartStep;
 use dotterelhook_jobs::platform::OrderError;
 use dotterelhook_jobs::platform::StartOrder;
+use dotterelhook_jobs::platform::StartRefusal;
+use dotterelhook_jobs::platform::StopOrder;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
@@ -59,35 +65,72 @@
 const SETTLE: Duration = Duration::from_secs(60);
 const SETTLE_STEP: Duration = Duration::from_millis(100);
 
+/// The longest delay of an order that an executor carries out late.
+const LATE_MAX_MS: u64 = 4_000;
+
 /// The outcome of a message and its answer.
 #[derive(Clone, Copy, Debug)]
 enum Delivery {
     Answered,
     AnswerLost,
-    DeliveredLate,
+    /// Carried out without an answer, after calls that were sent later.
+    DeliveredLate {
+        after_ms: u64,
+    },
     NotSent,
+    /// Refused by an unhealthy executor, without an effect.
+    Refused,
+}
+
+/// An order that an executor carries out late.
+#[derive(Clone, Debug)]
+enum LateOrder {
+    Start(StartOrder),
+    Stop(StopOrder),
 }
 
 /// One event of a generated simulation.
 #[derive(Clone, Debug)]
 enum Event {
-    Submit { steps: u32, width: u32 },
-    Cancel { index: usize },
-    Advance { ms: u64 },
-    Commit { answer_lost: bool },
-    Renew { executor: usize, delivery: Delivery },
-    DeliverOrder { executor: usize, delivery: Delivery },
-    Crash { executor: usize },
-    Restart { executor: usize },
-    TakeOver { keeps_stale_owner: bool },
+    Submit {
+        steps: u32,
+        width: u32,
+    },
+    Cancel {
+        index: usize,
+    },
+    Advance {
+        ms: u64,
+    },
+    Commit {
+        answer_lost: bool,
+    },
+    Renew {
+        executor: usize,
+        delivery: Delivery,
+    },
+    DeliverOrder {
+        executor: usize,
+        deliveries: Vec<Delivery>,
+    },
+    Crash {
+        executor: usize,
+    },
+    Restart {
+        executor: usize,
+    },
+    TakeOver {
+        keeps_stale_owner: bool,
+    },
 }
 
 fn deliveries() -> impl Strategy<Value = Delivery> {
     prop_oneof![
         8 => Just(Delivery::Answered),
         1 => Just(Delivery::AnswerLost),
-        1 => Just(Delivery::DeliveredLate),
+        1 => (0..LATE_MAX_MS).prop_map(|after_ms| Delivery::DeliveredLate { after_ms }),
         1 => Just(Delivery::NotSent),
+        1 => Just(Delivery::Refused),
     ]
 }
 
@@ -100,8 +143,8 @@
         8 => any::<u8>().prop_map(|dice| Event::Commit { answer_lost: dice < 25 }),
         8 => (executor.clone(), deliveries())
             .prop_map(|(executor, delivery)| Event::Renew { executor, delivery }),
-        8 => (executor.clone(), deliveries())
-            .prop_map(|(executor, delivery)| Event::DeliverOrder { executor, delivery }),
+        8 => (executor.clone(), proptest::collection::vec(deliveries(), 3))
+            .prop_map(|(executor, deliveries)| Event::DeliverOrder { executor, deliveries }),
         1 => executor.clone().prop_map(|executor| Event::Crash { executor }),
         2 => executor.prop_map(|executor| Event::Restart { executor }),
         1 => any::<bool>().prop_map(|keeps_stale_owner| Event::TakeOver { keeps_stale_owner }),
@@ -128,26 +171,34 @@
     submissions: Vec<(JobId, Arc<Submission>)>,
     cancelled: Vec<JobId>,
     stored: HashMap<JobId, JobProgress>,
-    late_starts: Vec<(usize, StartOrder)>,
+    /// Orders that executors carry out late, each with its time and executor.
+    late_orders: Vec<(Instant, usize, LateOrder)>,
+    settings: Arc<CellSettings>,
     history: History,
 }
 
 impl Simulation {
-    fn new() -> Self {
+    fn new(enforces_fences: bool) -> Self {
         let now = Instant::now();
+        let settings = Arc::new(CellSettings {
+            executors_enforce_fences: enforces_fences,
+            ..settings()
+        });
+        let resources = Resources::new(CAPACITY_MILLI, 100_000);
         let mut simulation = Self {
             now,
             epoch: Epoch(1),
-            owner: Owner::new(Epoch(1), now),
+            owner: Owner::new(&settings, Epoch(1), now),
             stale_owner: None,
             executors: EXECUTORS
                 .iter()
-                .map(|id| SimulatedExecutor::new(id, Resources::new(CAPACITY_MILLI, 100_000)))
+                .map(|id| SimulatedExecutor::new(id, resources, enforces_fences))
                 .collect(),
             submissions: Vec::new(),
             cancelled: Vec::new(),
             stored: HashMap::new(),
-            late_starts: Vec::new(),
+            late_orders: Vec::new(),
+            settings,
             history: History::default(),
         };
         simulation.owner.list_all(now);
@@ -161,7 +212,10 @@
             Event::Advance { ms } => self.advance(*ms),
             Event::Commit { answer_lost } => self.commit(*answer_lost),
             Event::Renew { executor, delivery } => self.renew(*executor, *delivery),
-            Event::DeliverOrder { executor, delivery } => self.deliver_order(*executor, *delivery),
+            Event::DeliverOrder {
+                executor,
+                deliveries,
+            } => self.deliver_order(*executor, deliveries),
             Event::Crash { executor } => self.executors[*executor].crash(),
             Event::Restart { executor } => {
                 if !self.executors[*executor].is_up {
@@ -199,6 +253,7 @@
         for executor in &mut self.executors {
             executor.advance(ms);
         }
+        self.carry_out_late_orders();
         self.owner.cell.expire_leases(self.now);
         self.owner.cell.relocate_runs(self.now);
     }
@@ -234,7 +289,7 @@
         if self.owner.reported_incarnations.get(&id) != Some(&incarnation) {
             renewal.acked_end = 0;
         }
-        if matches!(delivery, Delivery::NotSent) {
+        if matches!(delivery, Delivery::NotSent | Delivery::Refused) {
             return;
         }
         let requested_at = self.now;
@@ -249,20 +304,33 @@
         }
     }
 
-    fn deliver_order(&mut self, index: usize, delivery: Delivery) {
+    fn carry_out_late_orders(&mut self) {
+        let now = self.now;
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.late_orders)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now);
+        self.late_orders = waiting;
+        for (_, index, order) in due {
+            // Nobody waits for these answers any more.
+            let _ = match order {
+                LateOrder::Start(order) => self.start(index, &order),
+                LateOrder::Stop(order) => self.executors[index].stop(&order),
+            };
+        }
+    }
+
+    fn deliver_order(&mut self, index: usize, deliveries: &[Delivery]) {
         if let Some(mut stale_owner) = self.stale_owner.take() {
-            self.deliver_order_from(&mut stale_owner, index, delivery);
+            self.deliver_order_from(&mut stale_owner, index, deliveries);
             self.stale_owner = Some(stale_owner);
         }
-        let mut owner = std::mem::replace(&mut self.owner, Owner::new(Epoch(0), self.now));
-        self.deliver_order_from(&mut owner, index, delivery);
+        let placeholder = Owner::new(&self.settings, Epoch(0), self.now);
+        let mut owner = std::mem::replace(&mut self.owner, placeholder);
+        self.deliver_order_from(&mut owner, index, deliveries);
         self.owner = owner;
-        for (index, order) in std::mem::take(&mut self.late_starts) {
-            let _ = self.start(index, &order);
-        }
     }
 
-    fn deliver_order_from(&mut self, owner: &mut Owner, index: usize, delivery: Delivery) {
+    fn deliver_order_from(&mut self, owner: &mut Owner, index: usize, deliveries: &[Delivery]) {
         let id = ExecutorId::from(EXECUTORS[index]);
         let Some(order) = owner
             .orders
@@ -272,44 +340,73 @@
             return;
         };
         match order {
-            Order::Start(task, run) => {
-                let Some(order) = owner.cell.start_order(&id, task, run, self.now) else {
-                    owner.cell.abandon_start(&id, task, run);
-                    return;
-                };
-                let unknown = Err(OrderError::Unknown("no answer".into()));
-                let answer = match delivery {
-                    Delivery::Answered => self.start(index, &order),
+            Order::Start(task, run) => self.deliver_start(owner, index, (task, run), deliveries),
+            Order::Stop(task, run) => {
+                let order = owner.cell.stop_order(task, run);
+                let answer = match deliveries[0] {
+                    Delivery::Answered => self.executors[index].stop(&order),
                     Delivery::AnswerLost => {
-                        let _ = self.start(index, &order);
-                        unknown
+                        let _ = self.executors[index].stop(&order);
+                        return;
                     }
-                    Delivery::DeliveredLate => {
-                        self.late_starts.push((index, order));
-                        unknown
+                    Delivery::DeliveredLate { after_ms } => {
+                        self.delay(after_ms, index, LateOrder::Stop(order));
+                        return;
                     }
-                    Delivery::NotSent => Err(OrderError::NotSent("refused".into())),
+                    Delivery::NotSent | Delivery::Refused => return,
                 };
                 owner
                     .cell
-                    .handle_start_result(&id, task, run, answer, self.now);
+                    .handle_stop_result(&id, task, run, answer, self.now);
             }
-            Order::Stop(task, run) => {
-                if matches!(delivery, Delivery::NotSent) {
-                    return;
+            Order::Pace(..) => {}
+        }
+    }
+
+    /// Sends a start as a session does, once for each delivery at most.
+    fn deliver_start(
+        &mut self,
+        owner: &mut Owner,
+        index: usize,
+        (task, run): (TaskId, RunNumber),
+        deliveries: &[Delivery],
+    ) {
+        let id = ExecutorId::from(EXECUTORS[index]);
+        let mut attempts = StartAttempts::default();
+        for delivery in deliveries {
+            let Some(order) = owner.cell.start_order(&id, task, run, self.now) else {
+                let may_have_run = attempts.may_have_run();
+                return owner
+                    .cell
+                    .abandon_start(&id, task, run, may_have_run, self.now);
+            };
+            let unknown = Err(OrderError::Unknown("no answer".into()));
+            let answer = match *delivery {
+                Delivery::Answered => self.start(index, &order),
+                Delivery::AnswerLost => {
+                    let _ = self.start(index, &order);
+                    unknown
                 }
-                let order = owner.cell.stop_order(task, run);
-                let answer = self.executors[index].stop(&order);
-                if matches!(delivery, Delivery::Answered) {
-                    owner
-                        .cell
-                        .handle_stop_result(&id, task, run, answer, self.now);
+                Delivery::DeliveredLate { after_ms } => {
+                    self.delay(after_ms, index, LateOrder::Start(order));
+                    unknown
                 }
+                Delivery::NotSent => Err(OrderError::NotSent("no listener".into())),
+                Delivery::Refused => Err(OrderError::Refused(StartRefusal::Unhealthy)),
+            };
+            if let StartStep::Finish(outcome) = attempts.record(answer) {
+                return owner
+                    .cell
+                    .handle_start_result(&id, task, run, outcome, self.now);
             }
-            Order::Pace(..) => {}
         }
     }
 
+    fn delay(&mut self, after_ms: u64, index: usize, order: LateOrder) {
+        let due = self.now + Duration::from_millis(after_ms);
+        self.late_orders.push((due, index, order));
+    }
+
     /// Starts a run on an executor and checks that the start is legitimate.
     fn start(&mut self, index: usize, order: &StartOrder) -> Result<(), OrderError> {
         let task = order.task;
@@ -373,7 +470,7 @@
 
     fn take_over(&mut self, keeps_stale_owner: bool) {
         self.epoch = self.epoch.next();
-        let mut next = Owner::new(self.epoch, self.now);
+        let mut next = Owner::new(&self.settings, self.epoch, self.now);
         for (id, submission) in &self.submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
             next.cell
@@ -404,7 +501,7 @@
             self.commit(false);
             for index in 0..EXECUTORS.len() {
                 for _ in 0..8 {
-                    self.deliver_order(index, Delivery::Answered);
+                    self.deliver_order(index, &[Delivery::Answered; 3]);
                 }
             }
         }
@@ -438,9 +535,9 @@
 }
 
 impl Owner {
-    fn new(epoch: Epoch, now: Instant) -> Self {
+    fn new(settings: &Arc<CellSettings>, epoch: Epoch, now: Instant) -> Self {
         Self {
-            cell: CellState::new(Arc::new(settings()), epoch, config(ATTEMPTS_MAX), now),
+            cell: CellState::new(Arc::clone(settings), epoch, config(ATTEMPTS_MAX), now),
             orders: BTreeMap::new(),
             in_flight: None,
             reported_incarnations: BTreeMap::new(),
@@ -482,8 +579,8 @@
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &seed);
     let mut runner = TestRunner::new_with_rng(config, rng);
 
-    let result = runner.run(&events(), |events| {
-        let mut simulation = Simulation::new();
+    let result = runner.run(&(any::<bool>(), events()), |(enforces_fences, events)| {
+        let mut simulation = Simulation::new(enforces_fences);
         for event in &events {
             simulation.apply(event);
         }
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -38,6 +38,8 @@
     pub(crate) incarnation: u64,
     pub(crate) is_up: bool,
     clock_ms: u64,
+    /// Whether orders with a lower fencing token than the highest one are refused.
+    enforces_fences: bool,
     token: Epoch,
     lease_end_ms: u64,
     capacity: Resources,
@@ -62,12 +64,13 @@
 }
 
 impl SimulatedExecutor {
-    pub(crate) fn new(id: &'static str, capacity: Resources) -> Self {
+    pub(crate) fn new(id: &'static str, capacity: Resources, enforces_fences: bool) -> Self {
         Self {
             id,
             incarnation: 1,
             is_up: true,
             clock_ms: 50_000,
+            enforces_fences,
             token: Epoch(0),
             lease_end_ms: 0,
             capacity,
@@ -102,7 +105,7 @@
     }
 
     pub(crate) fn restart(&mut self) {
-        let fresh = Self::new(self.id, self.capacity);
+        let fresh = Self::new(self.id, self.capacity, self.enforces_fences);
         *self = Self {
             incarnation: self.incarnation + 1,
             clock_ms: 1_000,
@@ -230,10 +233,10 @@
         if !self.is_up {
             return Err(OrderError::NotSent("no listener".into()));
         }
-        if token < self.token {
+        if self.enforces_fences && token < self.token {
             return Err(OrderError::Fenced);
         }
-        self.token = token;
+        self.token = self.token.max(token);
         Ok(())
     }
 
--- a/crates/jobs/tests/cell/tickets.rs
+++ b/crates/jobs/tests/cell/tickets.rs
@@ -115,7 +115,9 @@
     let order = harness
         .cell
         .start_order(&id, task(1, 0, 0), run, harness.now);
-    harness.cell.abandon_start(&id, task(1, 0, 0), run);
+    harness
+        .cell
+        .abandon_start(&id, task(1, 0, 0), run, false, harness.now);
 
     assert!(order.is_none());
     let executor = harness.cell.executor(&id).expect("a listed executor");
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -3,4 +3,5 @@
 mod hosts;
 mod memory_store;
 mod slow_store;
+mod start_attempts;
 mod vacancies;
