Make the daemon that runs jobs keep to its settings and its exit code

Cause, each seen: the result of the planned stop was dropped, so the exit code was 0 although a call was cut off (the help text says 1); a huge `cell_count` was multiplied before its range was checked, a panic in a debug build and a truncated value in a release build; `lease_ms` was checked after the bounds that derive from it, so the error named another field; `log.format` was ignored. Change: the exit code is 1 with the drain limit in the error; ranges are checked before anything derives from them; the format is obeyed, JSON by default. Ruled out: refusing the format "text", since operators read it at a terminal.

--- a/crates/daemon/src/cli/mod.rs
+++ b/crates/daemon/src/cli/mod.rs
@@ -79,7 +79,8 @@
         CheckedSettings::Jobs(checked) => {
             let lines = LineBuffer::default();
             lines.start_writer()?;
-            logging::init_buffered_logger(&checked.host, checked.log_level, lines.clone())?;
+            let (level, format) = (checked.log_level, checked.log_format);
+            logging::init_buffered_logger(&checked.host, level, format, lines.clone())?;
             let result = JobsDaemon::new(*checked).run();
             lines.drain_to_stdout();
             result
--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -31,6 +31,7 @@
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_peer::rpc::PeerServer;
+use eyre::bail;
 use spdlog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -59,7 +60,7 @@
     /// The runtime has one thread: a host with a fraction of a core gains nothing from more.
     ///
     /// # Errors
-    /// The runtime can't be built, or an address can't be bound.
+    /// The runtime can't be built, an address can't be bound, or a planned stop cut off a call.
     pub(crate) fn run(self) -> eyre::Result<()> {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -84,7 +85,9 @@
             }
         }
         info!("{}", Decision::Stopping);
-        kernel.stop(unready_for, drain_max).await;
+        if !kernel.stop(unready_for, drain_max).await {
+            bail!("calls in progress did not finish within the drain limit of {drain_max:?}");
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -8,6 +8,7 @@
 use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
 
+use crate::settings::LogFormat;
 use crate::settings::LogLevel;
 use crate::settings::RawLog;
 use crate::settings::RawStop;
@@ -97,6 +98,7 @@
     pub(crate) unready_for: Duration,
     pub(crate) drain_max: Duration,
     pub(crate) log_level: LogLevel,
+    pub(crate) log_format: LogFormat,
 }
 
 impl TryFrom<RawJobsSettings> for JobsSettings {
@@ -109,7 +111,9 @@
         let ms = |name: &str, value, min, max| checked_millis(&field(name), value, min, max);
         let lease_max_ms = jobs.lease_max_ms;
         ms("lease_max_ms", lease_max_ms, 500, 600_000)?;
-        let lease_ms = jobs.lease_ms.min(lease_max_ms);
+        let lease = ms("lease_ms", jobs.lease_ms, 500, 600_000)?;
+        let lease = lease.min(Duration::from_millis(lease_max_ms));
+        let lease_ms = lease.as_millis() as u64;
         let store_timeout = ms("store_timeout_ms", jobs.store_timeout_ms, 10, 60_000)?;
         let order_timeout = ms("order_timeout_ms", jobs.order_timeout_ms, 10, lease_ms / 3)?;
         let renewal_hold = ms("renewal_hold_ms", jobs.renewal_hold_ms, 10, 2_000)?;
@@ -117,15 +121,15 @@
             let rule = "with order_timeout_ms, must fit twice into lease_ms";
             return Err(FieldError::new(field("renewal_hold_ms"), rule));
         }
-        if u64::from(required_partition_count(jobs.cell_count as u32)) > jobs.store_partitions {
+        let cell_count = checked_number(&field("cell_count"), jobs.cell_count, 1, 64)? as u32;
+        if u64::from(required_partition_count(cell_count)) > jobs.store_partitions {
             let rule = "the cells need more partitions than store_partitions";
             return Err(FieldError::new(field("cell_count"), rule));
         }
         let ttl_min_ms = jobs.membership_ttl_min_ms;
         let cell = CellSettings {
-            cell_count: checked_number(&field("cell_count"), jobs.cell_count, 1, 64)? as u32,
-            lease: ms("lease_ms", jobs.lease_ms, 500, 600_000)?
-                .min(Duration::from_millis(lease_max_ms)),
+            cell_count,
+            lease,
             renewal_hold,
             order_timeout,
             renewal_right: ms("renewal_right_ms", jobs.renewal_right_ms, 100, 600_000)?,
@@ -166,6 +170,7 @@
             unready_for: checked_millis("stop.unready_ms", raw.stop.unready_ms, 0, 60_000)?,
             drain_max: checked_millis("stop.drain_max_ms", raw.stop.drain_max_ms, 0, 3_600_000)?,
             log_level: raw.log.level,
+            log_format: raw.log.format.unwrap_or(LogFormat::Json),
             host: raw.host,
             failure_domain: raw.failure_domain,
         })
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -73,7 +73,7 @@
             unready_for: checked_millis("stop.unready_ms", raw.stop.unready_ms, 0, 60_000)?,
             drain_max: checked_millis("stop.drain_max_ms", raw.stop.drain_max_ms, 0, 3_600_000)?,
             log_level: raw.log.level,
-            log_format: raw.log.format,
+            log_format: raw.log.format.unwrap_or(LogFormat::Text),
         })
     }
 }
--- a/crates/daemon/src/settings/log_settings.rs
+++ b/crates/daemon/src/settings/log_settings.rs
@@ -30,11 +30,10 @@
 }
 
 /// The encoding of log lines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum LogFormat {
     /// Plain text, one line for each event.
-    #[default]
     Text,
     /// One JSON object per line.
     Json,
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -114,8 +114,9 @@
 pub(crate) struct RawLog {
     #[serde(default)]
     pub(crate) level: LogLevel,
+    /// The encoding of log lines; the default depends on the kind of daemon.
     #[serde(default)]
-    pub(crate) format: LogFormat,
+    pub(crate) format: Option<LogFormat>,
 }
 
 /// Default values of optional fields.
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,3 +3,4 @@
 mod bad_input;
 mod both_parts;
 mod fixture;
+mod jobs_daemon;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -16,6 +16,22 @@
     "scheduler": { "listen_address": "127.0.0.1:6" }
 }"#;
 
+const VALID_JOBS: &str = r#"{
+    "host": "laguna-1",
+    "failure_domain": "laguna",
+    "jobs": {
+        "clients_address": "127.0.0.1:1",
+        "ready_address": "127.0.0.1:2",
+        "peer_address": "127.0.0.1:3",
+        "metrics_address": "127.0.0.1:4",
+        "store_address": "127.0.0.1:5",
+        "store_partitions": 8,
+        "lease_max_ms": 6000,
+        "stop_max_ms": 200,
+        "membership_ttl_min_ms": 1000
+    }
+}"#;
+
 fn check_file(file: &str) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
     command
@@ -163,3 +179,64 @@
         assert!(!output.stderr.is_empty());
     }
 }
+
+#[test]
+fn each_fault_in_the_settings_of_jobs_names_its_field() {
+    let table = [
+        (
+            "\"cell_count\": 18446744073709551615",
+            "cell_count: value 18446744073709551615",
+            "1 to 64",
+        ),
+        (
+            "\"cell_count\": 1073741825",
+            "cell_count: value 1073741825",
+            "1 to 64",
+        ),
+        (
+            "\"cell_count\": 3",
+            "cell_count: value 3",
+            "more partitions than store_partitions",
+        ),
+        ("\"lease_ms\": 0", "lease_ms: value 0", "500 to 600000"),
+        (
+            "\"lease_ms\": 600001",
+            "lease_ms: value 600001",
+            "500 to 600000",
+        ),
+        (
+            "\"order_timeout_ms\": 2001",
+            "order_timeout_ms: value 2001",
+            "10 to 2000",
+        ),
+        (
+            "\"renewal_hold_ms\": 2000, \"order_timeout_ms\": 1001",
+            "renewal_hold_ms: value 2000",
+            "fit twice into lease_ms",
+        ),
+        (
+            "\"executors_enforce_fences\": 1",
+            "executors_enforce_fences: value 1",
+            "invalid type",
+        ),
+        (
+            "\"retention_ms\": 1",
+            "retention_ms: value 1",
+            "1000 to 86400000",
+        ),
+    ];
+    for (index, (added, place, rule)) in table.into_iter().enumerate() {
+        let last = "\"membership_ttl_min_ms\": 1000";
+        let text = VALID_JOBS.replacen(last, &format!("{last}, {added}"), 1);
+
+        let output = check_text(&format!("jobs-fault-{index}"), &text);
+
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert_eq!(output.status.code(), Some(2), "{added}: {error}");
+        assert!(
+            error.contains(&format!("field jobs.{place}")) && error.contains(rule),
+            "{added}: {error}"
+        );
+        assert_eq!(error.lines().count(), 1, "{added}: {error}");
+    }
+}
