Let appends wait at a slow store, and refuse at once what it can't take

Change: a module `admission` (no input or output) holds the queue of each partition: a record that can't be stored by its deadline is refused when it comes or when the next append begins, with the figures; records with the least time go first; the queue is bounded; a record whose client has gone is withdrawn. An overdue append is given up only once the store answers small calls promptly, so it is lost rather than slow. After 400 ms, or at once after a refusal, the record also goes through the owner, which gathers those of all hosts. Refused clients return after 1 s, or 2 s once an outage has lasted longer, in the order in which they were refused. Ruled out: a longer time-out alone, since then an answer that is lost costs the client's whole wait.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -8,6 +8,7 @@
 use dotterelhook_jobs::entry::EntryHandler;
 use dotterelhook_jobs::entry::OwnerClient;
 use dotterelhook_jobs::entry::ReadinessHandler;
+use dotterelhook_jobs::entry::RecordForwarder;
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
 use dotterelhook_jobs::entry::add_owner_handlers;
@@ -167,16 +168,19 @@
                 .await?
                 .spawn(kernel);
         }
-        let owner_client = OwnerClient::new(
+        let owner_client = Arc::new(OwnerClient::new(
             Arc::clone(&owned_cells),
             Arc::clone(&directory),
             peers,
             cell_count,
-        );
+        ));
+        let forwarder = Arc::clone(&owner_client) as Arc<dyn RecordForwarder>;
         let entry = Arc::new(EntryHandler {
             protocol: Arc::new(JobApi),
             config: Arc::clone(&config),
-            records: RecordRouter::new(writer, owner_client),
+            records: RecordRouter::new(Arc::clone(&writer), forwarder),
+            owner_client,
+            writer,
             settings: settings.entry,
             cell_count,
             metrics: job_metrics,
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -21,8 +21,11 @@
 use tokio::time::timeout_at;
 
 use super::EntrySettings;
+use super::OwnerClient;
 use super::RecordRouter;
+use super::RecordWriter;
 use super::recent_jobs::RecentJobs;
+use crate::admission::return_time;
 use crate::config::ActiveConfig;
 use crate::config::DeploymentConfig;
 use crate::config::QueueRoute;
@@ -51,8 +54,12 @@
     pub protocol: Arc<dyn ClientProtocol>,
     /// The active configuration.
     pub config: Arc<ActiveConfig>,
-    /// Stores submissions and cancellations, and queries the owners of jobs.
+    /// Stores submissions and cancellations.
     pub records: RecordRouter,
+    /// Queries the owners of jobs.
+    pub owner_client: Arc<OwnerClient>,
+    /// The writer of this host, which knows how long the store has been away.
+    pub writer: Arc<RecordWriter>,
     /// The timing of replies.
     pub settings: EntrySettings,
     /// The number of cells of the deployment.
@@ -117,8 +124,8 @@
         match (kind, id) {
             (CallKind::Read, _) if rest.is_empty() => self.count_pending(route, deadline).await,
             (CallKind::Read, Ok(id)) => self.query_state(id, deadline).await,
-            (CallKind::Cancel, Ok(id)) => self.cancel(id).await,
-            (CallKind::Submit, Ok(id)) => self.submit(id, config, route, body).await,
+            (CallKind::Cancel, Ok(id)) => self.cancel(id, deadline).await,
+            (CallKind::Submit, Ok(id)) => self.submit(id, config, route, body, deadline).await,
             (CallKind::Other, _) => ClientReply::NoSuchMethod,
             (_, Err(error)) => ClientReply::Malformed(error.to_string().into()),
         }
@@ -130,6 +137,7 @@
         config: &DeploymentConfig,
         route: &QueueRoute,
         body: Incoming,
+        deadline: Instant,
     ) -> ClientReply {
         let limited = Limited::new(body, config.body_max_bytes());
         let body = match limited.collect().await {
@@ -152,7 +160,8 @@
             Ok(value) => value,
             Err(error) => return ClientReply::Malformed(error.to_string().into()),
         };
-        match self.store_record(id, id.as_str().into(), value).await {
+        let key = id.as_str().into();
+        match self.store_record(id, key, value, deadline).await {
             Ok(()) => {
                 let mut recent = self.recent.0.lock().unwrap_or_else(PoisonError::into_inner);
                 recent.add(id, self.settings.recent_retention, Instant::now());
@@ -162,10 +171,10 @@
         }
     }
 
-    async fn cancel(&self, id: JobId) -> ClientReply {
+    async fn cancel(&self, id: JobId, deadline: Instant) -> ClientReply {
         let key = format!("{}{id}", crate::ownership::CANCELLATION_KEY_PREFIX);
         let value = Bytes::from_static(b"cancelled");
-        match self.store_record(id, key.into(), value).await {
+        match self.store_record(id, key.into(), value, deadline).await {
             Ok(()) => ClientReply::CancelAccepted,
             Err(reply) => reply,
         }
@@ -176,11 +185,14 @@
         id: JobId,
         key: Box<str>,
         value: Bytes,
+        deadline: Instant,
     ) -> Result<(), ClientReply> {
         let cell = cell_of(id.as_str(), self.cell_count);
         let partition = job_submission_partition(id.as_str(), self.cell_count);
         let record = KeyedRecord { key, value };
-        let stored = self.records.store(cell, partition, record).await;
+        let deadline = deadline - self.settings.verdict_margin;
+        let stored = self.records.store(cell, partition, record, deadline);
+        let stored = stored.await;
         stored.map_err(|error| match error.had_no_effect() {
             true => self.not_done(&error.to_string()),
             false => ClientReply::Unknown(error.to_string().into()),
@@ -189,10 +201,7 @@
 
     async fn query_state(&self, id: JobId, deadline: Instant) -> ClientReply {
         loop {
-            let query = self
-                .records
-                .owner_client()
-                .job_state(id, self.settings.query_timeout);
+            let query = self.owner_client.job_state(id, self.settings.query_timeout);
             let error = match query.await {
                 Ok(Some(state)) => return ClientReply::State(state),
                 Ok(None) if self.is_recent(id) => {
@@ -212,8 +221,7 @@
         loop {
             let timeout = self.settings.query_timeout;
             let error = match self
-                .records
-                .owner_client()
+                .owner_client
                 .pending_count(&route.queue.name, timeout)
                 .await
             {
@@ -235,7 +243,7 @@
     fn not_done(&self, cause: &str) -> ClientReply {
         ClientReply::NotDone {
             cause: cause.into(),
-            retry_after: self.settings.retry_after,
+            retry_after: return_time(self.settings.retry_after, self.writer.outage_age()),
         }
     }
 
--- a/crates/jobs/src/entry/entry_settings.rs
+++ b/crates/jobs/src/entry/entry_settings.rs
@@ -7,6 +7,8 @@
     pub default_wait: Duration,
     /// The part of a client's timeout that is reserved for sending the reply back.
     pub answer_margin: Duration,
+    /// The part of the remaining time in which the verdict on an unfinished write is given.
+    pub verdict_margin: Duration,
     /// The timeout of one query to the owner of a cell.
     pub query_timeout: Duration,
     /// The delay after which a refused client may retry.
@@ -24,6 +26,7 @@
             default_wait: Duration::from_millis(3_000),
             // Several times the network latency to a client.
             answer_margin: Duration::from_millis(60),
+            verdict_margin: Duration::from_millis(20),
             // Several round trips to another failure domain.
             query_timeout: Duration::from_millis(400),
             // The load balancer polls once a second.
--- a/crates/jobs/src/entry/mod.rs
+++ b/crates/jobs/src/entry/mod.rs
@@ -5,6 +5,7 @@
 mod owner_client;
 mod readiness_handler;
 mod recent_jobs;
+mod record_forwarder;
 mod record_router;
 mod record_writer;
 
@@ -14,5 +15,6 @@
 pub use owner_client::OwnerClient;
 pub use owner_client::add_owner_handlers;
 pub use readiness_handler::ReadinessHandler;
+pub use record_forwarder::RecordForwarder;
 pub use record_router::RecordRouter;
 pub use record_writer::RecordWriter;
--- a/crates/jobs/src/entry/owner_client.rs
+++ b/crates/jobs/src/entry/owner_client.rs
@@ -9,7 +9,9 @@
 use dotterelhook_types::CallError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
+use super::RecordForwarder;
 use super::RecordWriter;
 use crate::ledger::decode;
 use crate::ledger::encode;
@@ -27,8 +29,8 @@
 const PENDING_COUNT: &str = "pending-count";
 const STORE_RECORD: &str = "store-record";
 
-/// The timeout of storing a record through another host; longer than that host retries.
-const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The part of a record's time that is reserved for the owner's answer.
+const FORWARD_MARGIN: Duration = Duration::from_millis(30);
 
 /// Calls the owners of cells, in this process or on other hosts.
 pub struct OwnerClient {
@@ -93,23 +95,6 @@
         Ok(count)
     }
 
-    /// Stores a record through the owner of a cell.
-    ///
-    /// # Errors
-    /// The verdict of the error says whether the record may be stored nevertheless.
-    pub async fn store_record(
-        &self,
-        cell: u32,
-        partition: Partition,
-        record: &KeyedRecord,
-    ) -> Result<(), CallError> {
-        if self.owned_cells.find(cell).is_some() {
-            return Err(CallError::not_run("this host owns the cell itself"));
-        }
-        let request = (partition.number, &record.key, record.value.as_ref());
-        self.call(cell, STORE_RECORD, &request, STORE_TIMEOUT).await
-    }
-
     async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
         cell: u32,
@@ -134,6 +119,25 @@
     }
 }
 
+#[async_trait]
+impl RecordForwarder for OwnerClient {
+    async fn forward(
+        &self,
+        cell: u32,
+        partition: Partition,
+        record: &KeyedRecord,
+        timeout: Duration,
+    ) -> Result<(), CallError> {
+        if self.owned_cells.find(cell).is_some() {
+            return Err(CallError::not_run("this host owns the cell itself"));
+        }
+        let left_ms = timeout.saturating_sub(FORWARD_MARGIN).as_millis() as u64;
+        let value = record.value.as_ref();
+        let request = (partition.number, &record.key, value, left_ms);
+        self.call(cell, STORE_RECORD, &request, timeout).await
+    }
+}
+
 /// Registers the handlers that answer the calls of [`OwnerClient`]s on other hosts.
 pub fn add_owner_handlers(
     handlers: &PeerHandlers,
@@ -163,12 +167,14 @@
 #[async_trait]
 impl PeerHandler for StoreRecordHandler {
     async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
-        let (number, key, value): (u32, Box<str>, Vec<u8>) = decode_request(&frame)?;
+        let (number, key, value, left_ms): (u32, Box<str>, Vec<u8>, u64) = decode_request(&frame)?;
+        let deadline = Instant::now() + Duration::from_millis(left_ms);
         let record = KeyedRecord {
             key,
             value: value.into(),
         };
-        let written = self.0.write(submission_partition_at(number), record).await;
+        let partition = submission_partition_at(number);
+        let written = self.0.write(partition, record, deadline).await;
         written.map_err(|error| match error.had_no_effect() {
             true => CallError::not_run(error.to_string()),
             false => CallError::may_have_run(error.to_string()),
--- a/crates/jobs/src/entry/record_router.rs
+++ b/crates/jobs/src/entry/record_router.rs
@@ -1,36 +1,38 @@
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::OwnerClient;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+use super::RecordForwarder;
 use super::RecordWriter;
 use crate::platform::KeyedRecord;
 use crate::platform::Partition;
 use crate::platform::StoreError;
 
-/// Stores clients' records: directly, or through the owner of their cell if the store is slow or
-/// can't be reached from here.
+/// The wait for the own append before the record also goes to the owner: the store may be silent for
+/// this host only, or hold up the appends of many hosts.
+const HEDGE_DELAY: Duration = Duration::from_millis(400);
+
+/// Stores clients' records: directly, or through the owner of their cell if the store is slow, refuses
+/// this host or can't be reached from here.
 ///
 /// A slow store completes only a few appends per second in a partition, regardless of the sender.
 /// The owner batches the records of all hosts into these appends.
 pub struct RecordRouter {
     writer: Arc<RecordWriter>,
-    owner_client: OwnerClient,
+    owner: Arc<dyn RecordForwarder>,
 }
 
 impl RecordRouter {
     /// Creates a router over the writer of this host and the owners of the cells.
-    pub fn new(writer: Arc<RecordWriter>, owner_client: OwnerClient) -> Self {
-        Self {
-            writer,
-            owner_client,
-        }
-    }
-
-    /// Returns the client that queries the owners of cells.
-    pub fn owner_client(&self) -> &OwnerClient {
-        &self.owner_client
+    pub fn new(writer: Arc<RecordWriter>, owner: Arc<dyn RecordForwarder>) -> Self {
+        Self { writer, owner }
     }
 
-    /// Stores a record, which may be written more than once: writing the record must be idempotent.
+    /// Stores a record by `deadline`. It may be written more than once: writing the record must be
+    /// idempotent.
     ///
     /// # Errors
     /// Returns [`StoreError::Unknown`] if the record may be stored nevertheless. After any other
@@ -40,36 +42,55 @@
         cell: u32,
         partition: Partition,
         record: KeyedRecord,
+        deadline: Instant,
     ) -> Result<(), StoreError> {
-        let mut failed: Option<StoreError> = None;
         if self.writer.is_store_slow() {
-            match self
-                .owner_client
-                .store_record(cell, partition, &record)
-                .await
-            {
+            let elsewhere = match self.forward(cell, partition, &record, deadline).await {
                 Ok(()) => return Ok(()),
-                Err(elsewhere) => failed = Some(elsewhere.into()),
-            }
+                Err(elsewhere) => elsewhere,
+            };
+            let here = self.writer.write(partition, record, deadline).await;
+            return here.map_err(|here| combine_errors(&here, &elsewhere));
         }
-        let here = match self.writer.write(partition, record.clone()).await {
-            Ok(()) => return Ok(()),
-            Err(here) => here,
+        let mut here = pin!(self.writer.write(partition, record.clone(), deadline));
+        let first = match timeout(HEDGE_DELAY, here.as_mut()).await {
+            Ok(Ok(())) => return Ok(()),
+            Ok(Err(error)) => Some(error),
+            Err(_) => None,
         };
-        if failed.is_none() && self.writer.is_store_unreachable() {
-            match self
-                .owner_client
-                .store_record(cell, partition, &record)
-                .await
-            {
-                Ok(()) => return Ok(()),
-                Err(elsewhere) => failed = Some(elsewhere.into()),
-            }
-        }
-        match failed {
-            Some(elsewhere) => Err(combine_errors(&here, &elsewhere)),
-            None => Err(here),
-        }
+        let mut elsewhere = pin!(self.forward(cell, partition, &record, deadline));
+        let Some(here_error) = first else {
+            return tokio::select! {
+                here = here.as_mut() => match here {
+                    Ok(()) => Ok(()),
+                    Err(here) => {
+                        let elsewhere = elsewhere.await;
+                        elsewhere.map_err(|elsewhere| combine_errors(&here, &elsewhere))
+                    }
+                },
+                elsewhere = elsewhere.as_mut() => match elsewhere {
+                    Ok(()) => Ok(()),
+                    Err(elsewhere) => {
+                        let here = here.await;
+                        here.map_err(|here| combine_errors(&here, &elsewhere))
+                    }
+                },
+            };
+        };
+        let elsewhere = elsewhere.await;
+        elsewhere.map_err(|elsewhere| combine_errors(&here_error, &elsewhere))
+    }
+
+    async fn forward(
+        &self,
+        cell: u32,
+        partition: Partition,
+        record: &KeyedRecord,
+        deadline: Instant,
+    ) -> Result<(), StoreError> {
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let forwarded = self.owner.forward(cell, partition, record, timeout).await;
+        forwarded.map_err(StoreError::from)
     }
 }
 
--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -1,51 +1,35 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::timeout;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
 
+use crate::admission::AppendBatch;
+use crate::admission::AppendQueue;
+use crate::admission::Ticket;
 use crate::platform::KeyedRecord;
 use crate::platform::Partition;
 use crate::platform::Store;
 use crate::platform::StoreError;
 use crate::store_access::StoreHealth;
 
-/// The largest number of concurrent appends to one partition; further records wait and share the
-/// next append.
-const CONCURRENT_APPENDS_MAX: usize = 1;
-/// The largest number of records in one append, below the store's limit for a call.
-const RECORDS_PER_APPEND_MAX: usize = 100;
-/// The timeout of an append as a multiple of the mean latency; after the timeout the append is
-/// sent again.
-const TIMEOUT_FACTOR: f64 = 5.0;
-/// The shortest timeout of an append: retries slow down a store that is slow but not silent.
-const APPEND_TIMEOUT_MIN: Duration = Duration::from_millis(400);
-/// The longest timeout of an append.
-const APPEND_TIMEOUT_MAX: Duration = Duration::from_millis(1_000);
-/// The weight of the newest latency in the mean latency.
-const LATENCY_SMOOTHING: f64 = 0.2;
-/// How long an append with an unknown outcome is retried.
-const UNKNOWN_RETRY_MAX: Duration = Duration::from_millis(1_300);
+/// The pause before an append is repeated, in which the queue of a slow store gets shorter.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Stores records in batches; writing a record must be idempotent, because appends are retried.
 ///
 /// Only one append to a partition is in flight at a time, so a slow store gets fewer and larger
-/// appends.
+/// appends. A record that can't be stored by its deadline is refused at once.
 pub struct RecordWriter {
     store: Arc<dyn Store>,
     health: Arc<StoreHealth>,
-    queues: Mutex<HashMap<Partition, PartitionQueue>>,
-    mean_latency_ms: Mutex<f64>,
-}
-
-#[derive(Default)]
-struct PartitionQueue {
-    pending: Vec<PendingRecord>,
-    in_flight: usize,
+    queues: Mutex<HashMap<Partition, AppendQueue<PendingRecord>>>,
 }
 
 struct PendingRecord {
@@ -54,13 +38,12 @@
 }
 
 impl RecordWriter {
-    /// Creates a writer that appends to `store` and reports time-outs to `health`.
+    /// Creates a writer that appends to `store`, whose speed and reachability `health` tells.
     pub fn new(store: Arc<dyn Store>, health: Arc<StoreHealth>) -> Self {
         Self {
             store,
             health,
             queues: Mutex::default(),
-            mean_latency_ms: Mutex::new(0.0),
         }
     }
 
@@ -75,7 +58,15 @@
         self.health.is_slow()
     }
 
-    /// Stores a record in the next append to its partition.
+    /// Returns how long the store has not answered, or zero while it can be reached.
+    pub fn outage_age(&self) -> Duration {
+        match self.health.is_unreachable() {
+            true => self.health.time_since_contact(),
+            false => Duration::ZERO,
+        }
+    }
+
+    /// Stores a record by `deadline`, in the next append to its partition.
     ///
     /// # Errors
     /// Returns [`StoreError::Unknown`] if the record may be stored nevertheless. After any other
@@ -84,107 +75,138 @@
         self: &Arc<Self>,
         partition: Partition,
         record: KeyedRecord,
+        deadline: Instant,
     ) -> Result<(), StoreError> {
         if self.health.is_unreachable() {
             return Err(StoreError::NotDone("the store can't be reached".into()));
         }
         let (reply, result) = oneshot::channel();
-        {
-            let mut queues = self.lock_queues();
-            let queue = queues.entry(partition).or_default();
-            queue.pending.push(PendingRecord { record, reply });
-        }
+        let now = Instant::now();
+        let pending = PendingRecord { record, reply };
+        let admitted = self.lock_queues().entry(partition).or_default().push(
+            pending,
+            deadline,
+            self.health.expected_append(now),
+            now,
+        );
+        let ticket = admitted.map_err(|refusal| StoreError::NotDone(refusal.to_string().into()))?;
+        let waiting = WaitingRecord {
+            writer: self,
+            partition,
+            ticket,
+        };
         self.start_append(partition);
-        let writer_ended = || StoreError::Unknown("the writer has ended".into());
-        result.await.unwrap_or_else(|_| Err(writer_ended()))
+        match timeout_at(deadline, result).await {
+            Ok(result) => {
+                let writer_ended = || StoreError::Unknown("the writer has ended".into());
+                result.unwrap_or_else(|_| Err(writer_ended()))
+            }
+            Err(_) if waiting.withdraw() => Err(StoreError::NotDone(
+                "the append before it has taken all the time".into(),
+            )),
+            Err(_) => Err(StoreError::Unknown("the append has no answer yet".into())),
+        }
     }
 
-    /// Starts the next append to a partition if records are pending and no append is in flight.
+    /// Starts the next append to a partition if records wait and no append is in flight.
     fn start_append(self: &Arc<Self>, partition: Partition) {
+        let now = Instant::now();
+        let append_time = self.health.expected_append(now);
         let mut queues = self.lock_queues();
         let queue = queues.entry(partition).or_default();
-        if queue.pending.is_empty() || queue.in_flight >= CONCURRENT_APPENDS_MAX {
+        let Some(AppendBatch {
+            records,
+            deadline,
+            refused,
+        }) = queue.begin_append(append_time, now)
+        else {
+            return;
+        };
+        drop(queues);
+        for (pending, refusal) in refused {
+            // A caller that no longer waits needs no result.
+            let _ = pending
+                .reply
+                .send(Err(StoreError::NotDone(refusal.to_string().into())));
+        }
+        if records.is_empty() {
             return;
         }
-        queue.in_flight += 1;
-        let count = queue.pending.len().min(RECORDS_PER_APPEND_MAX);
-        let batch: Vec<PendingRecord> = queue.pending.drain(..count).collect();
         let writer = Arc::clone(self);
         tokio::spawn(async move {
-            writer.append(partition, batch).await;
+            writer.append(partition, records, deadline).await;
             if let Some(queue) = writer.lock_queues().get_mut(&partition) {
-                queue.in_flight -= 1;
+                queue.end_append();
             }
             writer.start_append(partition);
         });
     }
 
-    async fn append(&self, partition: Partition, batch: Vec<PendingRecord>) {
+    async fn append(&self, partition: Partition, batch: Vec<PendingRecord>, deadline: Instant) {
         let (records, replies): (Vec<KeyedRecord>, Vec<_>) = batch
             .into_iter()
             .map(|pending| (pending.record, pending.reply))
             .unzip();
-        let result = self.append_until_resolved(partition, &records).await;
+        let result = self
+            .append_until_resolved(partition, &records, deadline)
+            .await;
         for reply in replies {
             // A caller that no longer waits needs no result.
             let _ = reply.send(result.clone());
         }
     }
 
+    /// Repeats an append until its outcome is certain or no caller waits any more.
+    ///
+    /// A slow store refuses appends while its queue is long. They are repeated, since the queue
+    /// gets shorter; a refusal by a store at its usual speed is final.
     async fn append_until_resolved(
         &self,
         partition: Partition,
         records: &[KeyedRecord],
+        deadline: Instant,
     ) -> Result<(), StoreError> {
-        let started_at = Instant::now();
-        let mut append_timeout = self.append_timeout();
         let mut may_be_stored = false;
         loop {
-            let sent_at = Instant::now();
-            let append = self.store.append(partition, records, None);
-            let error = match timeout(append_timeout, append).await {
-                Ok(Ok(_)) => {
-                    self.record_latency(sent_at.elapsed());
-                    return Ok(());
-                }
-                Ok(Err(error)) => error,
-                Err(_) => {
-                    let timed_out =
-                        StoreError::Unknown(format!("no answer within {append_timeout:?}").into());
-                    self.health.record_failure(&timed_out);
-                    timed_out
-                }
+            let error = match self.store.append(partition, records, None).await {
+                Ok(_) => return Ok(()),
+                Err(error) => error,
             };
             may_be_stored |= !error.had_no_effect();
-            if !may_be_stored {
+            let may_repeat = Instant::now() + REPEAT_PAUSE < deadline;
+            if !may_be_stored && !(self.health.is_slow() && may_repeat) {
                 return Err(error);
             }
-            if started_at.elapsed() >= UNKNOWN_RETRY_MAX {
+            if !may_repeat {
                 return Err(StoreError::Unknown(error.to_string().into()));
             }
-            append_timeout = (append_timeout * 2).min(APPEND_TIMEOUT_MAX);
+            sleep(REPEAT_PAUSE).await;
         }
     }
 
-    fn append_timeout(&self) -> Duration {
-        let mean_latency_ms = *self
-            .mean_latency_ms
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        Duration::from_secs_f64(mean_latency_ms * TIMEOUT_FACTOR / 1_000.0)
-            .clamp(APPEND_TIMEOUT_MIN, APPEND_TIMEOUT_MAX)
+    fn lock_queues(&self) -> MutexGuard<'_, HashMap<Partition, AppendQueue<PendingRecord>>> {
+        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
     }
+}
 
-    fn record_latency(&self, latency: Duration) {
-        let mut mean_latency_ms = self
-            .mean_latency_ms
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        *mean_latency_ms +=
-            LATENCY_SMOOTHING * (latency.as_secs_f64() * 1_000.0 - *mean_latency_ms);
+/// A record in the queue of its partition; a record whose caller no longer waits is withdrawn.
+struct WaitingRecord<'a> {
+    writer: &'a RecordWriter,
+    partition: Partition,
+    ticket: Ticket,
+}
+
+impl WaitingRecord<'_> {
+    /// Removes the record from its queue. Returns `false` if an append has taken it.
+    fn withdraw(&self) -> bool {
+        let mut queues = self.writer.lock_queues();
+        let queue = queues.get_mut(&self.partition);
+        queue.is_some_and(|queue| queue.withdraw(self.ticket).is_some())
     }
+}
 
-    fn lock_queues(&self) -> std::sync::MutexGuard<'_, HashMap<Partition, PartitionQueue>> {
-        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+impl Drop for WaitingRecord<'_> {
+    fn drop(&mut self) {
+        self.withdraw();
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! store. Jobs are partitioned into cells, and each cell has one owner among the hosts. The owner
 //! places tasks on the cell's executors, renews their leases and stores the progress of each job.
 
+pub mod admission;
 pub mod cell;
 pub mod config;
 pub mod entry;
--- a/crates/jobs/src/store_access/store_health.rs
+++ b/crates/jobs/src/store_access/store_health.rs
@@ -2,6 +2,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use super::time_since_boot;
 use crate::observe::Decision;
 use crate::observe::decided;
@@ -13,6 +15,8 @@
 const SLOW_LATENCY_MS: f64 = 60.0;
 /// The weight of the latest call in the moving average of latencies.
 const LATENCY_SMOOTHING: f64 = 0.5;
+/// How long the latency of an append says something about the next one.
+const APPEND_LATENCY_AGE_MAX: Duration = Duration::from_secs(5);
 
 /// Reachability and latency of the store as seen from this process.
 #[derive(Debug)]
@@ -28,6 +32,10 @@
     failures: u32,
     /// The exponentially weighted moving average of the latency of small calls.
     latency_ms: f64,
+    /// The send times of the small calls that have no answer yet.
+    unanswered: Vec<Instant>,
+    /// The moving average of the latency of successful appends, and the time of the latest one.
+    append: Option<(Duration, Instant)>,
 }
 
 impl Default for StoreHealth {
@@ -37,6 +45,8 @@
                 answered_at: time_since_boot(),
                 failures: 0,
                 latency_ms: 0.0,
+                unanswered: Vec::new(),
+                append: None,
             }),
         }
     }
@@ -68,6 +78,52 @@
         }
     }
 
+    /// Records that a small call, which the store answers without waiting, is sent now.
+    pub fn record_small_call(&self, sent_at: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.unanswered.push(sent_at);
+    }
+
+    /// Records the end of a small call, answered or not.
+    pub fn record_small_call_end(&self, sent_at: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(index) = state.unanswered.iter().position(|at| *at == sent_at) {
+            state.unanswered.swap_remove(index);
+        }
+    }
+
+    /// Records the latency of a successful append.
+    pub fn record_append_latency(&self, latency: Duration, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let average = match state.append {
+            Some((average, at)) if now.duration_since(at) <= APPEND_LATENCY_AGE_MAX => {
+                average.mul_f64(1.0 - LATENCY_SMOOTHING) + latency.mul_f64(LATENCY_SMOOTHING)
+            }
+            _ => latency,
+        };
+        state.append = Some((average, now));
+    }
+
+    /// Returns how long an append that is sent now is expected to take.
+    pub fn expected_append(&self, now: Instant) -> Duration {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let small_call = Duration::from_secs_f64(state.latency_ms / 1_000.0);
+        let recent = state
+            .append
+            .filter(|(_, at)| now.duration_since(*at) <= APPEND_LATENCY_AGE_MAX);
+        recent.map_or(small_call, |(latency, _)| latency.max(small_call))
+    }
+
+    /// Returns whether the store answers small calls at its usual speed: an append without an answer
+    /// is then lost rather than slow.
+    pub fn is_prompt(&self, now: Instant) -> bool {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_late = |sent_at: &Instant| {
+            now.duration_since(*sent_at).as_secs_f64() * 1_000.0 >= SLOW_LATENCY_MS
+        };
+        state.latency_ms < SLOW_LATENCY_MS && !state.unanswered.iter().any(is_late)
+    }
+
     /// Records the latency of a small call that the store answers without waiting.
     pub fn record_latency(&self, latency: Duration) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/jobs/src/store_access/tracked_store.rs
+++ b/crates/jobs/src/store_access/tracked_store.rs
@@ -4,6 +4,7 @@
 use async_trait::async_trait;
 use dotterelhook_types::ids::Offset;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use super::StoreHealth;
 use super::time_since_boot;
@@ -20,7 +21,20 @@
 use crate::platform::Store;
 use crate::platform::StoreError;
 
+/// The shortest wait for the answer to an append.
+const APPEND_PATIENCE_MIN: Duration = Duration::from_millis(400);
+/// The longest wait for the answer to an append of a store that answers other calls promptly.
+const APPEND_PATIENCE_MAX: Duration = Duration::from_millis(1_000);
+/// The wait for the answer to an append as a multiple of the expected latency.
+const APPEND_PATIENCE_FACTOR: u32 = 5;
+/// The interval at which an overdue append is compared with the store's other answers.
+const OVERDUE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A [`Store`] decorator that counts the calls and records their outcomes in a [`StoreHealth`].
+///
+/// An append whose answer is overdue is given up once the store answers other calls promptly: the
+/// answer is lost. While other calls are slow or silent too, the append stays in flight, because
+/// the store executes the appends to a partition one by one, and a repeat would queue behind it.
 pub struct TrackedStore {
     store: Arc<dyn Store>,
     health: Arc<StoreHealth>,
@@ -65,6 +79,57 @@
     }
 }
 
+impl TrackedStore {
+    async fn append_until_lost(
+        &self,
+        partition: Partition,
+        records: &[KeyedRecord],
+        fence: Option<Fence>,
+    ) -> Result<AppendAck, StoreError> {
+        let sent_at = Instant::now();
+        let mut append = self.store.append(partition, records, fence);
+        let patience = (self.health.expected_append(sent_at) * APPEND_PATIENCE_FACTOR)
+            .clamp(APPEND_PATIENCE_MIN, APPEND_PATIENCE_MAX);
+        let mut wait = patience;
+        loop {
+            if let Ok(result) = timeout(wait, append.as_mut()).await {
+                if result.is_ok() {
+                    let now = Instant::now();
+                    self.health.record_append_latency(sent_at.elapsed(), now);
+                }
+                return result;
+            }
+            let cause = format!("no answer to an append within {:?}", sent_at.elapsed());
+            if self.health.is_prompt(Instant::now()) {
+                return Err(StoreError::Unknown(cause.into()));
+            }
+            if wait == patience {
+                self.health.record_failure(&cause);
+            }
+            wait = OVERDUE_CHECK_INTERVAL;
+        }
+    }
+}
+
+/// A small call in flight; its end is recorded on drop, also if its caller gives it up.
+struct SmallCall<'a> {
+    health: &'a StoreHealth,
+    sent_at: Instant,
+}
+
+impl<'a> SmallCall<'a> {
+    fn start(health: &'a StoreHealth, sent_at: Instant) -> Self {
+        health.record_small_call(sent_at);
+        Self { health, sent_at }
+    }
+}
+
+impl Drop for SmallCall<'_> {
+    fn drop(&mut self) {
+        self.health.record_small_call_end(self.sent_at);
+    }
+}
+
 #[async_trait]
 impl Store for TrackedStore {
     async fn append(
@@ -73,7 +138,7 @@
         records: &[KeyedRecord],
         fence: Option<Fence>,
     ) -> Result<AppendAck, StoreError> {
-        let call = self.store.append(partition, records, fence);
+        let call = self.append_until_lost(partition, records, fence);
         self.track("append", call).await
     }
 
@@ -104,6 +169,7 @@
         generation: u64,
     ) -> Result<GroupAssignment, StoreError> {
         let started = Instant::now();
+        let _in_flight = SmallCall::start(&self.health, started);
         let call = self.store.join(group, member, ttl, generation);
         let joined = self.track("join", call).await;
         if joined.is_ok() {
--- a/crates/jobs/tests/entry/writer.rs
+++ b/crates/jobs/tests/entry/writer.rs
@@ -2,11 +2,14 @@
 use std::time::Duration;
 
 use dotterelhook_jobs::entry::RecordWriter;
+use dotterelhook_jobs::observe::JobMetrics;
 use dotterelhook_jobs::ownership::job_submission_partition;
 use dotterelhook_jobs::ownership::submission_partition_at;
 use dotterelhook_jobs::platform::KeyedRecord;
+use dotterelhook_jobs::platform::Store;
 use dotterelhook_jobs::platform::StoreError;
 use dotterelhook_jobs::store_access::StoreHealth;
+use dotterelhook_jobs::store_access::TrackedStore;
 use tokio::time::Instant;
 
 use crate::fake_store::AppendOutcome;
@@ -14,7 +17,9 @@
 
 fn writer(store: &Arc<FakeStore>) -> (Arc<RecordWriter>, Arc<StoreHealth>) {
     let health = Arc::new(StoreHealth::default());
-    let store = Arc::clone(store) as Arc<dyn dotterelhook_jobs::platform::Store>;
+    let store = Arc::clone(store) as Arc<dyn Store>;
+    let metrics = JobMetrics::default();
+    let store: Arc<dyn Store> = Arc::new(TrackedStore::new(store, Arc::clone(&health), metrics));
     let writer = Arc::new(RecordWriter::new(store, Arc::clone(&health)));
     (writer, health)
 }
@@ -27,7 +32,10 @@
 }
 
 async fn write(writer: &Arc<RecordWriter>, key: &str) -> Result<(), StoreError> {
-    writer.write(submission_partition_at(0), record(key)).await
+    let deadline = Instant::now() + Duration::from_millis(2_900);
+    writer
+        .write(submission_partition_at(0), record(key), deadline)
+        .await
 }
 
 /// Guards against one append for each record, which a slow store can't keep up with.
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -166,7 +166,7 @@
         Self {
             address,
             owned_cells,
-            records: RecordRouter::new(writer, owner_client),
+            records: RecordRouter::new(writer, Arc::new(owner_client)),
             metrics: job_metrics,
             health,
             draining,
--- a/crates/jobs/tests/ownership/slow_store.rs
+++ b/crates/jobs/tests/ownership/slow_store.rs
@@ -4,6 +4,7 @@
 use dotterelhook_jobs::ownership::submission_partition_at;
 use dotterelhook_jobs::platform::KeyedRecord;
 use dotterelhook_jobs::platform::StoreError;
+use tokio::time::Instant;
 
 use crate::hosts::Process;
 use crate::hosts::eventually;
@@ -12,6 +13,9 @@
 /// The latency of a slow store; well above the threshold of `StoreHealth`.
 const SLOW_LATENCY: Duration = Duration::from_millis(100);
 
+/// The time that a client waits for an answer.
+const CLIENT_WAIT: Duration = Duration::from_secs(3);
+
 async fn store_records(process: &Process, count: u32) -> Vec<Result<(), StoreError>> {
     let mut stored = Vec::new();
     for number in 0..count {
@@ -19,10 +23,11 @@
             key: number.to_string().into(),
             value: "1".into(),
         };
+        let deadline = Instant::now() + CLIENT_WAIT;
         stored.push(
             process
                 .records
-                .store(0, submission_partition_at(0), record)
+                .store(0, submission_partition_at(0), record, deadline)
                 .await,
         );
     }
