--- a/crates/state/src/shard/attempts.rs
+++ b/crates/state/src/shard/attempts.rs
@@ -92,7 +92,7 @@
             return Ok(());
         };
         let attempts_max = run.spec.settings.attempts_max;
-        let is_final = failures.is_some_and(|counted| {
+        let is_final = failures.as_ref().is_some_and(|counted| {
             let is_worker_ruled_out = counted.workers >= 2 || workers_known < 2;
             let is_over_same_worker_limit =
                 counted.failures >= attempts_max * SAME_WORKER_LIMIT_FACTOR;
@@ -100,7 +100,7 @@
         });
         let is_active = run.status == RunStatus::Active;
         let is_done = is_active && end == AttemptEnd::Succeeded;
-        let next = next_task_state(run, attempt, &end, is_final);
+        let next = next_task_state(run, attempt, &end, failures.as_ref(), is_final);
         run.set_task(attempt.task.index, next);
         run.done += u32::from(is_done);
         let is_complete = run.done == run.spec.settings.tasks;
@@ -163,22 +163,24 @@
     }
 }
 
-/// Returns the state of a task after its attempt ended.
-fn next_task_state(run: &Run, attempt: &AttemptId, end: &AttemptEnd, is_final: bool) -> TaskState {
+/// Returns the state of a task after its attempt ended. `counted` is given if the end counts as a
+/// failure of the task.
+fn next_task_state(
+    run: &Run,
+    attempt: &AttemptId,
+    end: &AttemptEnd,
+    counted: Option<&TaskFailures>,
+    is_final: bool,
+) -> TaskState {
     let task = run.tasks.get(attempt.task.index as usize);
     let Some(TaskState::Open {
         failures,
         checkpoint,
-        worker,
         ..
     }) = task
     else {
         return TaskState::Ended;
     };
-    let is_counted = run
-        .failed_on
-        .get(&attempt.task.index)
-        .is_some_and(|workers| workers.contains(worker));
     let waiting = |failures: u32, checkpoint: Option<Box<str>>| TaskState::Waiting {
         attempts: attempt.number,
         failures,
@@ -193,6 +195,9 @@
             waiting(*failures, newer.clone().or_else(|| checkpoint.clone()))
         }
         AttemptEnd::Failed { .. } if is_final => TaskState::Ended,
-        AttemptEnd::Failed { .. } => waiting(*failures + u32::from(is_counted), checkpoint.clone()),
+        AttemptEnd::Failed { .. } => {
+            let failures = counted.map_or(*failures, |counted| counted.failures);
+            waiting(failures, checkpoint.clone())
+        }
     }
 }
--- a/crates/state/src/shard/snapshot.rs
+++ b/crates/state/src/shard/snapshot.rs
@@ -22,7 +22,12 @@
     pub text: Box<str>,
 }
 
+/// The largest number of incomplete snapshots; the chunks of a snapshot are appended in one batch.
+const PARTIAL_SNAPSHOTS_MAX: usize = 4;
+
 /// Assembles snapshots from their chunks and retains the newest complete one.
+///
+/// Of the incomplete snapshots only the newest are kept.
 #[derive(Clone, Debug, Default)]
 pub struct SnapshotAssembler {
     partial: BTreeMap<Offset, BTreeMap<u32, Box<str>>>,
@@ -40,9 +45,15 @@
         if newest.is_some_and(|newest| chunk.next_offset <= newest) {
             return;
         }
+        if chunk.index >= chunk.count {
+            return;
+        }
         let texts = self.partial.entry(chunk.next_offset).or_default();
         texts.insert(chunk.index, chunk.text);
         if texts.len() < chunk.count as usize {
+            if self.partial.len() > PARTIAL_SNAPSHOTS_MAX {
+                self.partial.pop_first();
+            }
             return;
         }
         let text: String = texts.values().map(|text| &**text).collect();
--- a/crates/state/tests/shard.rs
+++ b/crates/state/tests/shard.rs
@@ -11,6 +11,7 @@
 use dotterelhook_state::shard::ShardRefusal;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_state::shard::SnapshotAssembler;
+use dotterelhook_state::shard::TaskState;
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
@@ -368,3 +369,53 @@
     assert!(chunks.len() > 1);
     assert_eq!(assembler.into_newest(), None);
 }
+
+#[test]
+fn failures_on_a_quarantined_worker_do_not_count_against_the_task() {
+    let mut shard = OwnedShard::new();
+    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 2)]);
+    shard.add_all([start(0, 0, 1, 0), end(0, 0, 1, failed())]);
+    for run in 1..3 {
+        shard.add_all([
+            submit(run, 1),
+            start(run, 0, 1, 0),
+            end(run, 0, 1, failed()),
+        ]);
+    }
+
+    let is_quarantined = shard.state.workers().values().any(|w| w.is_quarantined());
+    shard.add_all([start(0, 0, 2, 0), end(0, 0, 2, failed())]);
+    let task = &shard.state.runs()[&run_id(0)].tasks[0];
+
+    assert!(is_quarantined);
+    assert!(
+        matches!(task, TaskState::Waiting { failures: 1, .. }),
+        "{task:?}"
+    );
+}
+
+#[test]
+fn incomplete_snapshots_are_kept_in_a_bounded_number() {
+    let mut shard = OwnedShard::new();
+    (0..3_000).for_each(|run| shard.add_all([submit(run, 1)]));
+    let mut snapshots = Vec::new();
+    for run in 3_000..3_006 {
+        shard.add_all([submit(run, 1)]);
+        snapshots.push(shard.state.to_chunks());
+    }
+    let mut assembler = SnapshotAssembler::default();
+
+    for chunks in &snapshots {
+        assembler.add(&chunks[0]);
+    }
+    snapshots[0][1..]
+        .iter()
+        .for_each(|chunk| assembler.add(chunk));
+    let oldest = assembler.clone().into_newest();
+    snapshots[5][1..]
+        .iter()
+        .for_each(|chunk| assembler.add(chunk));
+
+    assert_eq!(oldest, None);
+    assert_eq!(assembler.into_newest(), Some(shard.state));
+}
