--- a/crates/scheduler/src/interference/learned_pairs.rs
+++ b/crates/scheduler/src/interference/learned_pairs.rs
@@ -111,7 +111,8 @@
             .iter()
             .map(|(pair, share)| self.table.weight(pair, now_ms) * share);
         let is_alone = predicted.sum::<f64>() < ALONE_EXCESS_MAX;
-        if self.biases.len() >= self.settings.pairs_max {
+        let is_new = !self.biases.contains_key(&sample.service);
+        if is_new && self.biases.len() >= self.settings.pairs_max {
             self.biases.pop_first();
         }
         let bias = self.biases.entry(sample.service.clone()).or_default();
@@ -212,17 +213,25 @@
     fn record_sample(&mut self, sample: &ServiceSample) {
         let raw_excess = self.baseline.measure_excess(sample);
         let excess = self.learn(sample, raw_excess);
+        let new_status = || ServiceStatus {
+            service: sample.service.clone(),
+            measured_at_ms: 0,
+            excess: 0.0,
+            load: 0.0,
+            acted_at_ms: 0,
+            has_new_sample: false,
+        };
         let status = self
             .statuses
             .entry(sample.worker.clone())
-            .or_insert_with(|| ServiceStatus {
-                service: sample.service.clone(),
-                measured_at_ms: 0,
-                excess: 0.0,
-                load: 0.0,
-                acted_at_ms: 0,
-                has_new_sample: false,
-            });
+            .or_insert_with(new_status);
+        let is_newer = sample.measured_at_ms > status.measured_at_ms;
+        if status.service != sample.service && is_newer {
+            *status = ServiceStatus {
+                acted_at_ms: status.acted_at_ms,
+                ..new_status()
+            };
+        }
         if sample.measured_at_ms >= status.measured_at_ms {
             let is_first_since_action = status.measured_at_ms <= status.acted_at_ms;
             let before = if is_first_since_action {
--- a/crates/scheduler/src/placement/indexed/free_index.rs
+++ b/crates/scheduler/src/placement/indexed/free_index.rs
@@ -108,14 +108,17 @@
             .filter(fits)
     }
 
-    /// Returns the included worker with the most headroom whose capacity fits the size.
-    pub(super) fn roomiest_with_capacity(&self, size: Resources) -> Option<&Arc<WorkerId>> {
+    /// Returns the included workers whose capacity fits the size, most headroom first.
+    pub(super) fn workers_with_capacity(
+        &self,
+        size: Resources,
+    ) -> impl Iterator<Item = &Arc<WorkerId>> {
         let ordered = self
             .without_accelerators
             .iter()
             .chain(&self.with_accelerators);
-        let mut capable = ordered.filter(|(_, id)| size.fits_in(&self.workers[id].capacity));
-        capable.next().map(|(_, id)| id)
+        let capable = ordered.filter(move |(_, id)| size.fits_in(&self.workers[id].capacity));
+        capable.map(|(_, id)| id)
     }
 
     /// Returns whether the size fits the capacity of any worker.
--- a/crates/scheduler/src/placement/indexed/round.rs
+++ b/crates/scheduler/src/placement/indexed/round.rs
@@ -203,10 +203,15 @@
         self.placer.runs[run].waiting_since_unix_ms <= self.long_wait_cutoff_unix_ms()
     }
 
-    /// Reserves the roomiest worker for the class, if the capacity of any worker fits its tasks.
+    /// Reserves the roomiest usable worker for the class, if the capacity of any fits its tasks.
     fn reserve_for(&mut self, class: usize) {
         let size = self.classes[class].size;
-        if let Some(worker) = self.placer.free.roomiest_with_capacity(size).cloned() {
+        let mut capable = self.placer.free.workers_with_capacity(size);
+        let roomiest = capable
+            .find(|worker| (self.context.is_usable)(worker))
+            .cloned();
+        drop(capable);
+        if let Some(worker) = roomiest {
             self.has_reserved_worker = true;
             self.changes.reserve_worker(&mut self.placer.free, worker);
         }
--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -2,6 +2,7 @@
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::ShardRefusal;
 use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 
 use super::pending_replies::Reply;
@@ -86,21 +87,25 @@
     /// unknown.
     pub(super) fn never_runnable_reason(&self, size: &Resources) -> Option<Box<str>> {
         let hosts = self.context.hosts.current();
-        let mut own = hosts
+        let own = hosts
             .workers
             .iter()
             .filter(|entry| self.is_own_worker(entry));
         let workers = self.state.workers();
-        let all_known = own.all(|entry| workers.contains_key(&entry.worker));
-        let fits = workers.values().any(|w| size.fits_in(&w.capacity));
-        if workers.is_empty() || !all_known || fits {
+        let own: Option<Vec<(&WorkerId, &Resources)>> = own
+            .map(|entry| {
+                let worker_state = workers.get(&entry.worker)?;
+                Some((&entry.worker, &worker_state.capacity))
+            })
+            .collect();
+        let own = own?;
+        if own.iter().any(|(_, capacity)| size.fits_in(capacity)) {
             return None;
         }
-        let largest = workers.values().max_by_key(|w| w.capacity.cpu_milli)?;
-        let (worker, _) = workers
-            .iter()
-            .find(|(_, worker_state)| *worker_state == largest)?;
-        let capacity = &largest.capacity;
+        let (worker, capacity) = own
+            .into_iter()
+            .rev()
+            .max_by_key(|(_, capacity)| capacity.cpu_milli)?;
         let reason = format!(
             "a task needs {size}, but no worker has that; the largest, {worker}, has {capacity}; \
              too large for it: {}",
--- a/crates/scheduler/src/shard/interference_actions.rs
+++ b/crates/scheduler/src/shard/interference_actions.rs
@@ -20,7 +20,9 @@
             if !self.state.open_attempts().contains_key(&action.attempt) {
                 continue;
             }
-            self.apply_action(&action);
+            if !self.apply_action(&action) {
+                continue;
+            }
             let Action {
                 attempt,
                 worker,
@@ -32,7 +34,9 @@
         }
     }
 
-    fn apply_action(&mut self, action: &Action) {
+    /// Applies an action and returns whether it was handed to the worker's task. The controller
+    /// requests an action again that was not.
+    fn apply_action(&mut self, action: &Action) -> bool {
         let (attempt, worker) = (&action.attempt, &action.worker);
         info!(
             "shard: {} attempt {attempt} on {worker} to protect its services",
@@ -45,14 +49,16 @@
                 self.context.metrics.interference_evictions.inc();
                 self.send_evict(attempt);
                 self.evicting.insert(attempt.clone());
+                true
             }
         }
     }
 
-    fn throttle(&self, attempt: &AttemptId, worker: &WorkerId, cpu_percent: u32) {
-        if let Some(handle) = self.workers.get(worker) {
-            handle.send(WorkerCommand::Throttle(attempt.clone(), cpu_percent));
-        }
+    fn throttle(&self, attempt: &AttemptId, worker: &WorkerId, cpu_percent: u32) -> bool {
+        let handle = self.workers.get(worker);
+        handle.is_some_and(|handle| {
+            handle.send(WorkerCommand::Throttle(attempt.clone(), cpu_percent))
+        })
     }
 
     /// Reports started and ended attempts to the interference controller.
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -52,6 +52,8 @@
     pub(super) inventories: BTreeMap<WorkerId, (Incarnation, Resources)>,
     pub(super) applied_hosts: Option<Arc<HostSnapshot>>,
     pub(super) leaving_workers: BTreeSet<WorkerId>,
+    /// Workers with a task that the host list no longer contains; they still have open attempts.
+    pub(super) unlisted_workers: BTreeSet<WorkerId>,
     pub(super) silent_since_unix_ms: BTreeMap<WorkerId, u64>,
     pub(super) cool_off_until_ms: BTreeMap<WorkerId, u64>,
     pub(super) reports: mpsc::Sender<WorkerReport>,
@@ -99,6 +101,7 @@
         inventories: BTreeMap::new(),
         applied_hosts: None,
         leaving_workers: BTreeSet::new(),
+        unlisted_workers: BTreeSet::new(),
         silent_since_unix_ms: BTreeMap::new(),
         cool_off_until_ms: BTreeMap::new(),
         reports,
--- a/crates/scheduler/src/shard/workers.rs
+++ b/crates/scheduler/src/shard/workers.rs
@@ -26,6 +26,7 @@
             .as_ref()
             .is_some_and(|s| Arc::ptr_eq(s, &hosts));
         if is_same {
+            self.remove_unlisted_workers();
             return;
         }
         self.applied_hosts = Some(Arc::clone(&hosts));
@@ -43,22 +44,24 @@
                 self.workers.insert(entry.worker.clone(), handle);
             }
         }
-        let listed: BTreeSet<&WorkerId> = hosts.workers.iter().map(|e| &e.worker).collect();
-        let state = &self.state;
-        let has_work = |worker: &WorkerId| {
-            let worker_state = state.workers().get(worker);
-            worker_state.is_some_and(|worker_state| !worker_state.open.is_empty())
-        };
-        let is_removed = |worker: &WorkerId| !listed.contains(worker) && !has_work(worker);
-        let removed: Vec<WorkerId> = self
-            .workers
-            .keys()
-            .filter(|w| is_removed(w))
-            .cloned()
-            .collect();
-        for worker in removed {
-            self.workers.remove(&worker);
-            self.interference.remove_worker(&worker);
+        let listed = hosts.workers.iter().map(|entry| &entry.worker);
+        let listed: BTreeSet<&WorkerId> = listed.collect();
+        let unlisted = self.workers.keys().filter(|w| !listed.contains(w));
+        self.unlisted_workers = unlisted.cloned().collect();
+        self.remove_unlisted_workers();
+    }
+
+    /// Ends the tasks of removed workers whose last open attempt has ended.
+    fn remove_unlisted_workers(&mut self) {
+        let workers = self.state.workers();
+        let has_work = |worker: &WorkerId| workers.get(worker).is_some_and(|w| !w.open.is_empty());
+        let unlisted = std::mem::take(&mut self.unlisted_workers).into_iter();
+        let (kept, removed): (BTreeSet<WorkerId>, BTreeSet<WorkerId>) =
+            unlisted.partition(has_work);
+        self.unlisted_workers = kept;
+        for worker in &removed {
+            self.workers.remove(worker);
+            self.interference.remove_worker(worker);
         }
     }
 
--- a/crates/scheduler/src/worker/worker_task.rs
+++ b/crates/scheduler/src/worker/worker_task.rs
@@ -87,11 +87,11 @@
         self.address
     }
 
-    /// Sends a command, or drops it if the queue is full.
+    /// Sends a command and returns `true`, or drops it if the queue is full.
     ///
     /// The shard's task repeats dropped starts, stops and evictions after the next inventory.
-    pub(crate) fn send(&self, command: WorkerCommand) {
-        let _ = self.commands.try_send(command);
+    pub(crate) fn send(&self, command: WorkerCommand) -> bool {
+        self.commands.try_send(command).is_ok()
     }
 }
 
@@ -108,6 +108,7 @@
         context,
         renewed_attempts: BTreeSet::new(),
         expected_ends: BTreeMap::new(),
+        unconfirmed_throttles: BTreeMap::new(),
         calls: JoinSet::new(),
         next_renewal_at: Instant::now(),
     };
@@ -122,12 +123,16 @@
 enum CallOutcome {
     Renewal(Result<Inventory, CallError>),
     Command(Result<(), CallError>),
+    /// The attempt, its share of CPU time in percent, and the worker's answer.
+    Throttle(AttemptId, u32, Result<(), CallError>),
 }
 
 struct WorkerTask {
     context: WorkerContext,
     renewed_attempts: BTreeSet<AttemptId>,
     expected_ends: BTreeMap<AttemptId, Instant>,
+    /// The latest limit of each attempt, in percent, until the worker has confirmed it.
+    unconfirmed_throttles: BTreeMap<AttemptId, u32>,
     calls: JoinSet<CallOutcome>,
     next_renewal_at: Instant,
 }
@@ -144,11 +149,17 @@
                 Some(outcome) = self.calls.join_next() => match outcome {
                     Ok(CallOutcome::Renewal(result)) => {
                         is_renewing = false;
+                        if result.is_ok() {
+                            self.repeat_throttles();
+                        }
                         if self.report(result).await.is_err() {
                             return;
                         }
                     }
                     Ok(CallOutcome::Command(result)) => self.handle_command_result(result),
+                    Ok(CallOutcome::Throttle(attempt, cpu_percent, result)) => {
+                        self.handle_throttle_result(&attempt, cpu_percent, result);
+                    }
                     Err(error) => warn!("worker: call to {} aborted: {error}", self.context.worker),
                 },
                 command = commands.recv(), if may_call => match command {
@@ -193,14 +204,14 @@
                 });
             }
             WorkerCommand::Throttle(attempt, cpu_percent) => {
-                let call = async move {
-                    CallOutcome::Command(agent.throttle(&attempt, cpu_percent).await)
-                };
-                self.calls.spawn(call);
+                self.unconfirmed_throttles
+                    .insert(attempt.clone(), cpu_percent);
+                self.throttle(attempt, cpu_percent);
             }
             WorkerCommand::Forget(attempt) => {
                 self.renewed_attempts.remove(&attempt);
                 self.expected_ends.remove(&attempt);
+                self.unconfirmed_throttles.remove(&attempt);
                 let call = async move { CallOutcome::Command(agent.forget(&attempt).await) };
                 self.calls.spawn(call);
             }
@@ -218,6 +229,33 @@
         self.calls.spawn(call);
     }
 
+    fn throttle(&mut self, attempt: AttemptId, cpu_percent: u32) {
+        let agent = Arc::clone(&self.context.agent);
+        self.calls.spawn(async move {
+            let result = agent.throttle(&attempt, cpu_percent).await;
+            CallOutcome::Throttle(attempt, cpu_percent, result)
+        });
+    }
+
+    /// Repeats the throttles whose effect is unknown, once the worker answers again.
+    fn repeat_throttles(&mut self) {
+        for (attempt, cpu_percent) in self.unconfirmed_throttles.clone() {
+            self.throttle(attempt, cpu_percent);
+        }
+    }
+
+    fn handle_throttle_result(
+        &mut self,
+        attempt: &AttemptId,
+        cpu_percent: u32,
+        result: Result<(), CallError>,
+    ) {
+        if result.is_ok() && self.unconfirmed_throttles.get(attempt) == Some(&cpu_percent) {
+            self.unconfirmed_throttles.remove(attempt);
+        }
+        self.handle_command_result(result);
+    }
+
     fn handle_command_result(&mut self, result: Result<(), CallError>) {
         if let Err(error) = result {
             warn!("worker: command to {} failed: {error}", self.context.worker);
--- a/crates/scheduler/tests/interference.rs
+++ b/crates/scheduler/tests/interference.rs
@@ -210,6 +210,42 @@
     assert!(controller.allows(&worker(0), &job("noisy"), 0.1));
 }
 
+#[test]
+fn a_full_table_keeps_the_bias_of_a_service_that_it_knows() {
+    let weights = [1, 100].map(|pairs_max| {
+        let mut controller = LearnedPairs::new(LearnedPairsSettings {
+            pairs_max,
+            ..LearnedPairsSettings::default()
+        });
+        controller.record_sample(&sample(0, 0, 1.0));
+        for at in 1..600 {
+            controller.record_sample(&sample(0, at, 1.2));
+        }
+        controller.record_start(&worker(0), colocated("calm", 1, 600));
+        for at in 601..650 {
+            controller.record_sample(&sample(0, at, 1.2));
+        }
+        controller.table().weight(&pair("previews", "calm"), 650)
+    });
+
+    assert_eq!(weights[0], weights[1]);
+}
+
+#[test]
+fn a_worker_whose_service_changed_is_judged_by_the_new_one() {
+    let mut controller = trained_controller();
+    let of_other_service = ServiceSample {
+        service: "checkout".parse().unwrap(),
+        ..sample(0, 1_000, 1.0)
+    };
+
+    controller.record_sample(&of_other_service);
+
+    // The pair of the new service and the job has no sample, so the job may be tried.
+    assert!(controller.allows(&worker(0), &job("noisy"), 0.5));
+    assert!(!controller.allows(&worker(2), &job("noisy"), 0.5));
+}
+
 #[test]
 fn last_in_first_out_evicts_the_youngest_once_for_each_lag() {
     let mut controller = LastInFirstOut::new(0.1);
--- a/crates/scheduler/tests/placement.rs
+++ b/crates/scheduler/tests/placement.rs
@@ -344,6 +344,41 @@
     assert!(has_started, "the large task never started");
 }
 
+#[test]
+fn a_large_task_that_waited_long_gets_no_worker_reserved_that_takes_no_work() {
+    let mut shard = shard(&[(10, 10, 0), (20, 20, 0)]);
+    shard.submit("small", "team", job(20, size((1, 1, 0)), Priority::Normal));
+    for proposal in shard.propose(100).starts {
+        assert!(shard.start(&proposal));
+    }
+    let on_unusable: Vec<_> = shard.state.workers()[&worker(1)]
+        .open
+        .iter()
+        .cloned()
+        .collect();
+    for attempt in on_unusable.into_iter().take(3) {
+        let end = AttemptEnd::Succeeded;
+        shard.record(ShardEvent::End { attempt, end });
+    }
+    shard.submit("large", "team", job(1, size((10, 10, 0)), Priority::Low));
+    shard.now_unix_ms += LONG_WAIT.as_millis() as u64;
+    shard.submit("more", "team", job(4, size((1, 1, 0)), Priority::Normal));
+    let now_unix_ms = shard.now_unix_ms;
+
+    let placement = shard.placer.propose(&PlacementContext {
+        quotas: &NoQuotas,
+        sizes: &DeclaredSizes,
+        colocation: &UnrestrictedColocation,
+        is_usable: &|id| *id == worker(0),
+        is_quarantined: &|_| false,
+        has_all_inventories: true,
+        now_unix_ms,
+        starts_max: 100,
+    });
+
+    assert_eq!(placement.starts, [], "the usable worker is reserved");
+}
+
 #[test]
 fn a_worker_that_is_probed_gets_one_start_in_a_round() {
     let mut shard = shard(&[(20, 20, 0), (3, 3, 0)]);
--- a/crates/scheduler/tests/shard/world/agents.rs
+++ b/crates/scheduler/tests/shard/world/agents.rs
@@ -63,6 +63,10 @@
     started: Mutex<BTreeMap<AttemptId, Option<Box<str>>>>,
     incarnation: Mutex<u64>,
     throttled: Mutex<Vec<(AttemptId, u32)>>,
+    /// Whether throttle calls are lost, and how many were.
+    throttle_loss: Mutex<(bool, u32)>,
+    /// The number of renewals that each worker received.
+    renewals: Mutex<BTreeMap<usize, u32>>,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -85,6 +89,8 @@
             links: Mutex::default(),
             started: Mutex::default(),
             throttled: Mutex::default(),
+            throttle_loss: Mutex::default(),
+            renewals: Mutex::default(),
             incarnation: Mutex::new(1),
         }
     }
@@ -142,6 +148,19 @@
         }
     }
 
+    /// Sets whether throttle calls are lost.
+    pub(crate) fn set_loses_throttles(&self, is_lossy: bool) {
+        lock(&self.throttle_loss).0 = is_lossy;
+    }
+
+    pub(crate) fn lost_throttles(&self) -> u32 {
+        lock(&self.throttle_loss).1
+    }
+
+    pub(crate) fn renewals(&self, worker: usize) -> u32 {
+        lock(&self.renewals).get(&worker).copied().unwrap_or(0)
+    }
+
     /// Returns the throttle calls in order: the attempt and its share of CPU time in percent.
     pub(crate) fn throttled(&self) -> Vec<(AttemptId, u32)> {
         lock(&self.throttled).clone()
@@ -281,6 +300,7 @@
 
     async fn renew(&self, body: &RenewBody) -> Result<Inventory, CallError> {
         let body = body.clone();
+        *lock(&self.fleet.renewals).entry(self.worker).or_default() += 1;
         self.call(Arc::new(move |model, now_ms| {
             model.renew(&body, now_ms)?;
             Ok(model.inventory(now_ms))
@@ -289,6 +309,11 @@
     }
 
     async fn throttle(&self, attempt: &AttemptId, cpu_percent: u32) -> Result<(), CallError> {
+        let mut loss = lock(&self.fleet.throttle_loss);
+        if loss.0 {
+            loss.1 += 1;
+            return Err(CallError::may_have_run("no answer in time"));
+        }
         lock(&self.fleet.throttled).push((attempt.clone(), cpu_percent));
         Ok(())
     }
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -86,6 +86,14 @@
         *hosts = Arc::new(list);
     }
 
+    /// Removes the last worker from the host list.
+    pub(crate) fn remove_last_worker(&self) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut list = HostSnapshot::clone(&hosts);
+        list.workers.pop();
+        *hosts = Arc::new(list);
+    }
+
     pub(crate) fn heal(&self) {
         let workers = HostView::current(self).workers.len();
         (0..workers).for_each(|worker| self.set_leaving(worker, false));
