Limit the memory that a record may claim when it is decoded

Cause: `arbitrary_bytes_never_panic`, whose seed was not fixed, aborted once: a text of 4,744,906,493,660,591,314 bytes was allocated before the record was found to be too short. A corrupt record or a frame from another host could end the process of any host. Change: records decode with a limit of 16 MiB, as frames between daemons do. Ruled out: the codec of frames between daemons in crate peer, which has the limit already.

--- a/crates/jobs/src/ledger/codec.rs
+++ b/crates/jobs/src/ledger/codec.rs
@@ -1,6 +1,10 @@
 use std::error::Error;
 use std::fmt;
 
+use bincode::config::Configuration;
+use bincode::config::Limit;
+use bincode::config::LittleEndian;
+use bincode::config::Varint;
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -8,6 +12,13 @@
 /// The first byte of each record, which distinguishes this layout from later ones.
 const LAYOUT_VERSION: u8 = 1;
 
+/// The largest size that a record may claim, above that of any frame between hosts. Without a limit, a
+/// corrupt length would allocate all memory before the missing bytes are noticed.
+const RECORD_MAX_BYTES: usize = 16 << 20;
+
+const CODEC: Configuration<LittleEndian, Varint, Limit<RECORD_MAX_BYTES>> =
+    bincode::config::standard().with_limit::<RECORD_MAX_BYTES>();
+
 /// The reason why a record can't be encoded or decoded.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CodecError(Box<str>);
@@ -26,7 +37,7 @@
 /// The encoding does not support the type of the value.
 pub fn encode<T: Serialize>(value: &T) -> Result<Bytes, CodecError> {
     let mut frame = vec![LAYOUT_VERSION];
-    bincode::serde::encode_into_std_write(value, &mut frame, bincode::config::standard())
+    bincode::serde::encode_into_std_write(value, &mut frame, CODEC)
         .map_err(|error| CodecError(error.to_string().into()))?;
     Ok(frame.into())
 }
@@ -34,12 +45,12 @@
 /// Decodes a record of the store or a message between hosts.
 ///
 /// # Errors
-/// The bytes have another layout, are truncated, or have trailing bytes.
+/// The bytes have another layout, are truncated, claim too large a size, or have trailing bytes.
 pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, CodecError> {
     let Some((&LAYOUT_VERSION, body)) = frame.split_first() else {
         return Err(CodecError("the record has an unknown layout".into()));
     };
-    let (value, used) = bincode::serde::decode_from_slice(body, bincode::config::standard())
+    let (value, used) = bincode::serde::decode_from_slice(body, CODEC)
         .map_err(|error| CodecError(error.to_string().into()))?;
     if used == body.len() {
         Ok(value)
