Simplify when an append is repeated

Cause: the linter rejects the doubly negated condition that decides whether a refused append is repeated. Change: the condition is named, and one place maps the error; the same appends are repeated as before. Ruled out: a change of behaviour, the cases are those of the tests of the record writer.

--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -174,11 +174,12 @@
             };
             may_be_stored |= !error.had_no_effect();
             let may_repeat = Instant::now() + REPEAT_PAUSE < deadline;
-            if !may_be_stored && !(self.health.is_slow() && may_repeat) {
-                return Err(error);
-            }
-            if !may_repeat {
-                return Err(StoreError::Unknown(error.to_string().into()));
+            let is_worth_repeating = may_be_stored || self.health.is_slow();
+            if !is_worth_repeating || !may_repeat {
+                return Err(match may_be_stored {
+                    true => StoreError::Unknown(error.to_string().into()),
+                    false => error,
+                });
             }
             sleep(REPEAT_PAUSE).await;
         }
