--- a/crates/front/src/forward/forwarder.rs
+++ b/crates/front/src/forward/forwarder.rs
@@ -13,6 +13,7 @@
 use dotterelhook_types::Verdict;
 use dotterelhook_types::ids::FailureDomain;
 use rand::seq::IteratorRandom;
+use tokio::time::Instant;
 
 use super::BufferedAnswer;
 use super::ByteBudget;
@@ -62,7 +63,11 @@
             return None;
         }
         let address = other.heartbeat.peer_address;
-        Some(self.call(address, frame, timeout).await)
+        let answer = self.call(address, frame, timeout).await;
+        if let Ok(answer) = &answer {
+            self.byte_budget.withdraw(answer.body.len());
+        }
+        Some(answer)
     }
 
     /// Forwards a request to the home front of its idempotency key.
@@ -80,7 +85,8 @@
         self.call(home, frame.into(), timeout).await
     }
 
-    /// Claims a key at all other fronts of the failure domain.
+    /// Claims a key at all other fronts of the failure domain, each within `timeout` and all before
+    /// `deadline`.
     ///
     /// Returns the answer or error that another front reports for the key, or `None` if the key's
     /// request may run.
@@ -91,11 +97,13 @@
         &self,
         claim: &KeyClaim,
         timeout: Duration,
+        deadline: Instant,
     ) -> Result<Option<BufferedAnswer>, RequestError> {
         let unknown = |detail: String| RequestError::not_run(Cause::KeyHomeUnknown, detail);
         let frame = Bytes::from(encode(claim).map_err(|error| unknown(error.to_string()))?);
         for front in self.other_fronts_of_domain() {
             let address = front.heartbeat.peer_address;
+            let timeout = timeout.min(deadline.saturating_duration_since(Instant::now()));
             let call = self
                 .peers
                 .call(address, CLAIM_KEY_CALL, frame.clone(), timeout);
@@ -151,7 +159,6 @@
                 return Err(RequestError::may_have_run(Cause::Timeout, detail));
             }
         };
-        self.byte_budget.withdraw(answer.len());
         decode(&answer)
             .map_err(|error| RequestError::may_have_run(Cause::PeerFailed, error.to_string()))
     }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -196,7 +196,10 @@
         body: &RequestBody,
         deadline: Instant,
     ) -> Result<BufferedAnswer, RequestError> {
-        if let Some(known) = self.forwarder.claim_key(&claim, KEY_CLAIM_TIMEOUT).await? {
+        let claimed = self
+            .forwarder
+            .claim_key(&claim, KEY_CLAIM_TIMEOUT, deadline);
+        if let Some(known) = claimed.await? {
             return Ok(known);
         }
         let answer = self.run_or_forward(route, head, body, deadline).await?;
--- a/crates/front/src/idempotency/key_table.rs
+++ b/crates/front/src/idempotency/key_table.rs
@@ -40,6 +40,8 @@
 
 #[derive(Debug)]
 struct Entry {
+    /// Distinguishes the entry from later ones of the same key.
+    id: u64,
     fingerprint: u64,
     started_at: Instant,
     state: KeyState,
@@ -49,6 +51,7 @@
 struct Keys {
     entries: HashMap<IdempotencyKey, Entry>,
     retained_bytes: usize,
+    next_id: u64,
 }
 
 /// The idempotency keys known to this front, each with the state of its request.
@@ -73,6 +76,7 @@
 pub struct InFlightKey {
     table: Arc<KeyTable>,
     key: IdempotencyKey,
+    entry_id: u64,
     is_complete: bool,
 }
 
@@ -106,10 +110,11 @@
             .lock()
             .try_insert(&key, fingerprint, KeyState::Running, None)?;
         Ok(match known {
-            Some(answer) => BeginOutcome::Answered(answer),
-            None => BeginOutcome::First(InFlightKey {
+            KnownKey::Answered(answer) => BeginOutcome::Answered(answer),
+            KnownKey::Inserted { entry_id } => BeginOutcome::First(InFlightKey {
                 table: Arc::clone(self),
                 key,
+                entry_id,
                 is_complete: false,
             }),
         })
@@ -126,8 +131,13 @@
         owner: u64,
     ) -> Result<Option<Arc<BufferedAnswer>>, RequestError> {
         let state = KeyState::Claimed { owner };
-        self.lock()
-            .try_insert(&key, fingerprint, state, Some(owner))
+        let known = self
+            .lock()
+            .try_insert(&key, fingerprint, state, Some(owner))?;
+        Ok(match known {
+            KnownKey::Answered(answer) => Some(answer),
+            KnownKey::Inserted { .. } => None,
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Keys> {
@@ -137,9 +147,14 @@
 
 impl InFlightKey {
     /// Retains the answer for repeats; the key of a request that did not run is removed.
+    ///
+    /// Does nothing if the key's entry has expired in the meantime.
     pub fn complete(mut self, answer: &Arc<BufferedAnswer>) {
         self.is_complete = true;
         let mut keys = self.table.lock();
+        if keys.own_entry(&self.key, self.entry_id).is_none() {
+            return;
+        }
         if answer.verdict == Verdict::NotRun {
             keys.remove(&self.key);
             return;
@@ -152,7 +167,7 @@
         } else {
             KeyState::Lost(answer.verdict)
         };
-        if let Some(entry) = keys.entries.get_mut(&self.key) {
+        if let Some(entry) = keys.own_entry(&self.key, self.entry_id) {
             entry.state = state;
         }
     }
@@ -161,13 +176,21 @@
 impl Drop for InFlightKey {
     fn drop(&mut self) {
         if !self.is_complete
-            && let Some(entry) = self.table.lock().entries.get_mut(&self.key)
+            && let Some(entry) = self.table.lock().own_entry(&self.key, self.entry_id)
         {
             entry.state = KeyState::Lost(Verdict::MayHaveRun);
         }
     }
 }
 
+/// What a table knows of a key that a request brings.
+enum KnownKey {
+    /// The key was unknown and has an entry now.
+    Inserted { entry_id: u64 },
+    /// An earlier request was answered.
+    Answered(Arc<BufferedAnswer>),
+}
+
 impl Entry {
     fn is_claimed_by(&self, other: Option<u64>) -> bool {
         matches!(self.state, KeyState::Claimed { owner } if Some(owner) == other)
@@ -205,13 +228,13 @@
         fingerprint: u64,
         state: KeyState,
         owner: Option<u64>,
-    ) -> Result<Option<Arc<BufferedAnswer>>, RequestError> {
+    ) -> Result<KnownKey, RequestError> {
         let now = Instant::now();
         if let Some(entry) = self.entries.get(key)
             && now.duration_since(entry.started_at) < KEY_RETENTION
             && !entry.is_claimed_by(owner)
         {
-            return entry.retained_answer(fingerprint).map(Some);
+            return entry.retained_answer(fingerprint).map(KnownKey::Answered);
         }
         if self.entries.len() >= KEYS_MAX {
             self.remove_expired(now);
@@ -221,13 +244,21 @@
             return Err(RequestError::not_run(Cause::MemoryLimit, detail));
         }
         self.remove(key);
+        let entry_id = self.next_id;
+        self.next_id += 1;
         let entry = Entry {
+            id: entry_id,
             fingerprint,
             started_at: now,
             state,
         };
         self.entries.insert(key.clone(), entry);
-        Ok(None)
+        Ok(KnownKey::Inserted { entry_id })
+    }
+
+    /// Returns the entry of a key unless it has been replaced or removed.
+    fn own_entry(&mut self, key: &IdempotencyKey, id: u64) -> Option<&mut Entry> {
+        self.entries.get_mut(key).filter(|entry| entry.id == id)
     }
 
     fn remove_expired(&mut self, now: Instant) {
--- a/crates/front/src/request/dispatch.rs
+++ b/crates/front/src/request/dispatch.rs
@@ -44,11 +44,11 @@
         let is_idempotent = self.route.settings.is_idempotent(self.head.method.as_str());
         let mut excluded: Vec<TargetId> = Vec::new();
         let mut last_error: Option<RequestError> = None;
+        let mut slot = self
+            .targets
+            .acquire_slot(&self.route.settings, deadline)
+            .await?;
         loop {
-            let slot = match self.acquire_slot(&excluded, deadline).await {
-                Ok(slot) => slot,
-                Err(error) => return Err(last_error.unwrap_or(error)),
-            };
             let target = slot.entry().target.clone();
             let body = self.body.bytes.clone();
             let mut error = match attempt::send(slot, self.head, body, deadline).await {
@@ -60,41 +60,29 @@
                 error.verdict = error.verdict.max(last.verdict);
             }
             excluded.push(target);
-            if !self.authorize_retry(&error, is_idempotent, excluded.len(), deadline) {
+            if !self.may_retry(&error, is_idempotent, excluded.len()) {
                 return Err(error);
             }
+            let Some(next) = self.acquire_retry_slot(&excluded) else {
+                return Err(error);
+            };
             self.metrics.count_retry(&self.route.service, error.cause);
             last_error = Some(error);
+            slot = next;
         }
     }
 
-    async fn acquire_slot(
-        &self,
-        excluded: &[TargetId],
-        deadline: Instant,
-    ) -> Result<SlotPermit, RequestError> {
-        if excluded.is_empty() {
-            return self
-                .targets
-                .acquire_slot(&self.route.settings, deadline)
-                .await;
-        }
-        self.targets.try_acquire_slot(excluded).ok_or_else(|| {
-            RequestError::not_run(Cause::NoTarget, "no other target has a free slot")
-        })
+    /// Acquires a slot at another target and spends one retry. Without a slot the budget stays as it
+    /// is.
+    fn acquire_retry_slot(&self, excluded: &[TargetId]) -> Option<SlotPermit> {
+        let slot = self.targets.try_acquire_slot(excluded)?;
+        self.targets.retry_budget().try_withdraw().then_some(slot)
     }
 
-    fn authorize_retry(
-        &self,
-        error: &RequestError,
-        is_idempotent: bool,
-        attempts: usize,
-        deadline: Instant,
-    ) -> bool {
+    fn may_retry(&self, error: &RequestError, is_idempotent: bool, attempts: usize) -> bool {
         error.verdict.allows_retry(is_idempotent)
             && error.cause != Cause::RequestInvalid
             && attempts < ATTEMPTS_MAX
-            && Instant::now() < deadline
-            && self.targets.retry_budget().try_withdraw()
+            && Instant::now() < self.deadline
     }
 }
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -23,6 +23,7 @@
 use dotterelhook_standins::target::TargetServer;
 use dotterelhook_standins::target::TargetSettings;
 use fixtures::PATH;
+use fixtures::StoppedClock;
 use fixtures::TestFront;
 use fixtures::header;
 use fixtures::request;
@@ -377,11 +378,74 @@
         };
         let own = start_named_front("laguna-1", settings, timeout_ms, &[near_address]).await;
         set_members(&[&own, &other]);
+        // A busy machine must not use up the 20 ms before the near target has answered.
+        let stopped_clock = StoppedClock::stop();
 
         let answer = send(own.address, request("POST", "x")).await.unwrap();
 
+        drop(stopped_clock);
         assert_eq!(answer.status(), 503);
         assert_eq!(header(&answer, "x-dotterelhook-verdict"), Some("not-run"));
     }
     assert_eq!(far.counters().executed, 0);
 }
+
+#[tokio::test]
+async fn answers_of_a_keys_home_leave_the_budget_for_other_domains_alone() {
+    const BODY_BYTES: usize = 8 << 10;
+    let (near, near_address) = target_server().await;
+    let (far, far_address) = target_server().await;
+    let with_budget = || FrontSettings {
+        forward_bytes_per_second: 4 * BODY_BYTES,
+        ..settings()
+    };
+    let own = start_named_front("laguna-1", with_budget(), TIMEOUT_MS, &[near_address]).await;
+    let home = start_named_front("laguna-2", with_budget(), TIMEOUT_MS, &[near_address]).await;
+    let other = start_front_in("pampanga-1", "pampanga", &[far_address]).await;
+    set_members(&[&own, &home, &other]);
+    let body = "x".repeat(BODY_BYTES);
+    for number in 0..40 {
+        let keyed = keyed_request(&format!("key-{number}"), &body);
+        let answer = send(own.address, keyed).await.unwrap();
+        assert_eq!(answer.status(), 200);
+    }
+
+    set_fault(&near, Fault::Full);
+    let answer = send(own.address, request("POST", "x")).await.unwrap();
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(far.counters().executed, 1);
+}
+
+/// Guards against claims one after the other that take longer than the caller waits.
+#[tokio::test(start_paused = true)]
+async fn the_claims_of_a_key_at_slow_fronts_end_with_the_requests_time() {
+    const SLOW_FRONTS: usize = 4;
+    let (_, address) = target_server().await;
+    let own = start_named_front("laguna-1", settings(), 500, &[address]).await;
+    let mut members = vec![own.member()];
+    let mut slow = Vec::new();
+    for number in 0..SLOW_FRONTS {
+        let front = start_front_in(&format!("laguna-slow-{number}"), "laguna", &[address]).await;
+        let (link, link_address) = link_to(front.peer_address).await;
+        link.set(LinkState {
+            is_cut: false,
+            delay_ms: 110,
+            jitter_ms: 0,
+        });
+        let mut member = front.member();
+        member.heartbeat.peer_address = link_address;
+        members.push(member);
+        slow.push((front, link));
+    }
+    *own.membership.members.lock().unwrap() = members;
+    let mut longest = Duration::ZERO;
+
+    for number in 0..20 {
+        let begun_at = tokio::time::Instant::now();
+        purchase(&own, &format!("key-{number}")).await;
+        longest = longest.max(begun_at.elapsed());
+    }
+
+    assert!(longest <= Duration::from_millis(600), "{longest:?}");
+}
--- a/crates/front/tests/refusals.rs
+++ b/crates/front/tests/refusals.rs
@@ -293,3 +293,17 @@
 
     assert_eq!(target.counters().executed, 0);
 }
+
+#[tokio::test]
+async fn a_retry_without_another_target_spends_no_budget() {
+    let (target, address) = target_server(8).await;
+    target.faults().set(fault_body(Fault::Full));
+    let front = start_front(TIMEOUT_MS, &[address]).await;
+
+    let answer = send(front.address, request("GET", "")).await.unwrap();
+
+    let service = front.handle.targets.service(&SERVICE.parse().unwrap());
+    let service = service.expect("a known service");
+    assert_eq!(answer.status(), 503);
+    assert!(service.retry_budget().try_withdraw());
+}
