Send stops first, and end the wait behind a paused filler

An executor on probation gets one run at a time until it makes progress; a filler that was paused before any progress never makes any, so nothing was placed there while it stayed paused. Change: `OrderQueue` gives stops a lane of their own, then paces, of which the latest for each run is kept, then starts; a run that may not work is no probe. Measured: tests of the load for each; with the former rule of probation the lasting task gets no start (seen to fail), now it starts. Ruled out by reading: a cancellation that a takeover loses, since it is stored before its answer and applied at each restore; the generated test draws cancellations, takeovers, lost and late orders and finds none.

--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -227,11 +227,7 @@
             .clock
             .is_some_and(|clock| now.duration_since(clock.seen_at()) <= silence_max);
         let is_full = self.full_until.is_some_and(|until| now < until);
-        let is_probed = self.health.is_on_probation()
-            && self.runs.values().any(|view| {
-                matches!(view.phase, RunPhase::Proposed | RunPhase::Ordered)
-                    || view.progress_percent < 1.0
-            });
+        let is_probed = self.health.is_on_probation() && self.runs.values().any(RunView::is_probe);
         self.is_listed
             && self.incarnation.is_some()
             && is_heard
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod headroom;
 mod health;
 mod order;
+mod order_queue;
 mod run_view;
 
 pub use executor::Executor;
@@ -14,5 +15,6 @@
 pub use headroom::Headroom;
 pub use health::Health;
 pub use order::Order;
+pub use order_queue::OrderQueue;
 pub use run_view::RunPhase;
 pub use run_view::RunView;
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -7,6 +7,9 @@
 use crate::model::RunNumber;
 use crate::model::StepSpec;
 
+/// The progress from which a run shows that its executor works, in percent.
+const PROBE_PROGRESS_PERCENT: f64 = 1.0;
+
 /// The phase of a run on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -102,6 +105,13 @@
         self.tail_target_ms.is_some()
     }
 
+    /// Returns whether the run is still to show that its executor works: it is about to start, or has
+    /// made no progress although it may.
+    pub fn is_probe(&self) -> bool {
+        let is_starting = matches!(self.phase, RunPhase::Proposed | RunPhase::Ordered);
+        is_starting || self.pace_percent > 0 && self.progress_percent < PROBE_PROGRESS_PERCENT
+    }
+
     /// Returns whether the run is a filler, which uses processor time that others leave idle.
     pub fn is_filler(&self) -> bool {
         self.filler_cpu_milli > 0
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
@@ -11,6 +12,7 @@
 use super::StartAttempts;
 use super::StartStep;
 use crate::fleet::Order;
+use crate::fleet::OrderQueue;
 use crate::model::ExecutorId;
 use crate::model::RunNumber;
 use crate::model::TaskId;
@@ -18,8 +20,10 @@
 use crate::platform::OrderError;
 use crate::platform::PaceOrder;
 
-/// Concurrent orders to one executor.
+/// Concurrent orders to one executor that are no stops.
 const ORDERS_IN_FLIGHT_MAX: usize = 4;
+/// Concurrent stops to one executor.
+const STOPS_IN_FLIGHT_MAX: usize = 4;
 /// Sends of a stop without an answer. The next report repeats a stop that had no effect.
 const STOP_SENDS_MAX: u32 = 3;
 /// The pause between two sends of an order.
@@ -37,6 +41,7 @@
     id: ExecutorId,
     link: Arc<dyn ExecutorLink>,
     orders_in_flight: Arc<Semaphore>,
+    stops_in_flight: Arc<Semaphore>,
 }
 
 impl ExecutorSession {
@@ -46,6 +51,7 @@
             id,
             link,
             orders_in_flight: Arc::new(Semaphore::new(ORDERS_IN_FLIGHT_MAX)),
+            stops_in_flight: Arc::new(Semaphore::new(STOPS_IN_FLIGHT_MAX)),
         }
     }
 
@@ -112,23 +118,45 @@
         }
     }
 
+    /// Sends the orders of the cell state; ends when the state drops the channel.
     async fn dispatch(self: Arc<Self>, mut orders: UnboundedReceiver<Order>) {
-        while let Some(order) = orders.recv().await {
-            let Ok(permit) = Arc::clone(&self.orders_in_flight).acquire_owned().await else {
-                return;
+        let mut queue = OrderQueue::default();
+        loop {
+            let (order, permit) = tokio::select! {
+                biased;
+                order = orders.recv() => match order {
+                    Some(order) => {
+                        queue.push(order);
+                        continue;
+                    }
+                    None => return,
+                },
+                permit = permit_of(&self.stops_in_flight), if queue.has_stop() => {
+                    (queue.pop_stop(), permit)
+                }
+                permit = permit_of(&self.orders_in_flight), if queue.has_other() => {
+                    (queue.pop_other(), permit)
+                }
+            };
+            let Some(order) = order else {
+                continue;
             };
             let session = Arc::clone(&self);
             tokio::spawn(async move {
-                match order {
-                    Order::Start(task, run) => session.start(task, run).await,
-                    Order::Stop(task, run) => session.stop(task, run).await,
-                    Order::Pace(task, run, percent) => session.pace(task, run, percent).await,
-                }
+                session.send(order).await;
                 drop(permit);
             });
         }
     }
 
+    async fn send(&self, order: Order) {
+        match order {
+            Order::Start(task, run) => self.start(task, run).await,
+            Order::Stop(task, run) => self.stop(task, run).await,
+            Order::Pace(task, run, percent) => self.pace(task, run, percent).await,
+        }
+    }
+
     async fn start(&self, task: TaskId, run: RunNumber) {
         let mut attempts = StartAttempts::default();
         loop {
@@ -212,6 +240,11 @@
     }
 }
 
+/// Waits for a permit. The semaphores of a session are never closed.
+async fn permit_of(semaphore: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    Arc::clone(semaphore).acquire_owned().await.ok()
+}
+
 fn outcome_label(answer: &Result<(), OrderError>) -> &'static str {
     match answer {
         Ok(()) => "ok",
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -5,6 +5,8 @@
 mod gangs;
 mod generated_faults;
 mod load;
+mod orders;
+mod probation;
 mod simulated_executor;
 mod tails;
 mod takeovers;
