--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use dotterelhook_adapter::JobApi;
@@ -8,6 +9,7 @@
 use dotterelhook_jobs::entry::EntryHandler;
 use dotterelhook_jobs::entry::OwnerClient;
 use dotterelhook_jobs::entry::ReadinessHandler;
+use dotterelhook_jobs::entry::RecentJobs;
 use dotterelhook_jobs::entry::RecordForwarder;
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
@@ -122,9 +124,9 @@
             job_metrics.clone(),
         ));
         let config = Arc::new(ActiveConfig::default());
-        let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store)));
-        let owned_cells = Arc::new(OwnedCells::default());
         let cell_count = settings.cell.cell_count;
+        let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store), cell_count));
+        let owned_cells = Arc::new(OwnedCells::default());
         let peers = Arc::new(PeerClient::default());
         let context = Arc::new(OwnerContext {
             platform: Arc::clone(&platform),
@@ -184,7 +186,7 @@
             settings: settings.entry,
             cell_count,
             metrics: job_metrics,
-            recent: Default::default(),
+            recent: Mutex::new(RecentJobs::new(settings.entry.recent_retention)),
         });
         HttpServer::bind(
             "entry",
@@ -196,7 +198,7 @@
         .spawn(kernel);
 
         tokio::spawn(ConfigFollower::new(platform, store, config).run());
-        tokio::spawn(async move { directory.run().await });
+        tokio::spawn(directory.run());
         kernel.spawn(Candidate::new(context, owned_cells, kernel.draining(), handover_max).run());
         Ok(())
     }
--- a/crates/jobs/src/config/deployment_config.rs
+++ b/crates/jobs/src/config/deployment_config.rs
@@ -1,7 +1,10 @@
 use std::collections::HashMap;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::http::uri::Authority;
+
 use crate::model::QueueConfig;
 use crate::model::QueueName;
 use crate::model::ServiceId;
@@ -78,7 +81,8 @@
     /// Returns the route with the longest matching prefix, and the rest of the path after that
     /// prefix. A port in `host` is ignored.
     pub fn route<'path>(&self, host: &str, path: &'path str) -> Option<(&QueueRoute, &'path str)> {
-        let host = host.split(':').next().unwrap_or(host);
+        let authority = Authority::from_str(host).ok();
+        let host = authority.as_ref().map_or(host, Authority::host);
         self.routes.get(host)?.iter().find_map(|route| {
             let rest = path.strip_prefix(&*route.path_prefix)?;
             Some((route, rest))
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -12,6 +12,7 @@
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
 use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
@@ -22,9 +23,9 @@
 
 use super::EntrySettings;
 use super::OwnerClient;
+use super::RecentJobs;
 use super::RecordRouter;
 use super::RecordWriter;
-use super::recent_jobs::RecentJobs;
 use crate::admission::return_time;
 use crate::config::ActiveConfig;
 use crate::config::DeploymentConfig;
@@ -67,13 +68,9 @@
     /// The metrics of calls.
     pub metrics: JobMetrics,
     /// The jobs that this host accepted recently.
-    pub recent: SharedRecentJobs,
+    pub recent: Mutex<RecentJobs>,
 }
 
-/// The jobs that a host accepted recently, shared between concurrent calls.
-#[derive(Debug, Default)]
-pub struct SharedRecentJobs(Mutex<RecentJobs>);
-
 #[async_trait]
 impl HttpHandler for EntryHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -142,7 +139,10 @@
         let limited = Limited::new(body, config.body_max_bytes());
         let body = match limited.collect().await {
             Ok(body) => body.to_bytes(),
-            Err(error) => return ClientReply::Malformed(error.to_string().into()),
+            Err(error) if error.is::<LengthLimitError>() => {
+                return ClientReply::Malformed(error.to_string().into());
+            }
+            Err(error) => return self.not_done(&format!("the body broke off: {error}")),
         };
         let spec = match self.protocol.decode_job(&body) {
             Ok(spec) => spec,
@@ -163,8 +163,8 @@
         let key = id.as_str().into();
         match self.store_record(id, key, value, deadline).await {
             Ok(()) => {
-                let mut recent = self.recent.0.lock().unwrap_or_else(PoisonError::into_inner);
-                recent.add(id, self.settings.recent_retention, Instant::now());
+                let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+                recent.add(id, Instant::now());
                 ClientReply::Accepted
             }
             Err(reply) => reply,
@@ -236,8 +236,8 @@
     }
 
     fn is_recent(&self, id: JobId) -> bool {
-        let recent = self.recent.0.lock().unwrap_or_else(PoisonError::into_inner);
-        recent.contains(id)
+        let recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
+        recent.contains(id, Instant::now())
     }
 
     fn not_done(&self, cause: &str) -> ClientReply {
--- a/crates/jobs/src/entry/mod.rs
+++ b/crates/jobs/src/entry/mod.rs
@@ -10,11 +10,11 @@
 mod record_writer;
 
 pub use entry_handler::EntryHandler;
-pub use entry_handler::SharedRecentJobs;
 pub use entry_settings::EntrySettings;
 pub use owner_client::OwnerClient;
 pub use owner_client::add_owner_handlers;
 pub use readiness_handler::ReadinessHandler;
+pub use recent_jobs::RecentJobs;
 pub use record_forwarder::RecordForwarder;
 pub use record_router::RecordRouter;
 pub use record_writer::RecordWriter;
--- a/crates/jobs/src/ownership/owner_directory.rs
+++ b/crates/jobs/src/ownership/owner_directory.rs
@@ -6,9 +6,11 @@
 
 use bytes::Bytes;
 use dotterelhook_types::ids::Epoch;
+use dotterelhook_types::ids::Sequence;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use super::MemberName;
@@ -17,6 +19,7 @@
 use crate::ledger::encode;
 use crate::observe::Decision;
 use crate::observe::decided;
+use crate::platform::Fence;
 use crate::platform::KeyedRecord;
 use crate::platform::Store;
 use crate::platform::StoreError;
@@ -41,16 +44,17 @@
 pub struct OwnerDirectory {
     store: Arc<dyn Store>,
     owners: RwLock<BTreeMap<u32, OwnerRecord>>,
-    refresh_requested: Notify,
+    /// Requests an immediate read, for each cell.
+    refresh_requested: Vec<Notify>,
 }
 
 impl OwnerDirectory {
-    /// Creates an empty directory. [`Self::run`] fills it.
-    pub fn new(store: Arc<dyn Store>) -> Self {
+    /// Creates an empty directory of the cells from 0 to `cell_count`. [`Self::run`] fills it.
+    pub fn new(store: Arc<dyn Store>, cell_count: u32) -> Self {
         Self {
             store,
             owners: RwLock::default(),
-            refresh_requested: Notify::new(),
+            refresh_requested: (0..cell_count).map(|_| Notify::new()).collect(),
         }
     }
 
@@ -62,21 +66,25 @@
 
     /// Requests an immediate read, for example because an owner did not answer.
     pub fn request_refresh(&self) {
-        self.refresh_requested.notify_one();
+        self.refresh_requested.iter().for_each(Notify::notify_one);
     }
 
-    /// Publishes this process as the owner of a cell.
+    /// Publishes a process as the owner of a cell.
     ///
     /// # Errors
-    /// The store is unreachable.
-    pub(super) async fn publish(&self, cell: u32, owner: &OwnerRecord) -> Result<(), StoreError> {
+    /// The store is unreachable, or a later owner has published itself.
+    pub async fn publish(&self, cell: u32, owner: &OwnerRecord) -> Result<(), StoreError> {
         let value = encode(owner).map_err(|error| StoreError::NotDone(error.to_string().into()))?;
         let record = KeyedRecord {
             key: cell.to_string().into(),
             value,
         };
+        let fence = Fence {
+            epoch: owner.epoch,
+            sequence: Sequence(0),
+        };
         self.store
-            .append(topics::owner_partition(), &[record], None)
+            .append(topics::owner_partition(cell), &[record], Some(fence))
             .await?;
         self.record(cell, owner.clone());
         Ok(())
@@ -86,19 +94,34 @@
     ///
     /// # Errors
     /// The store is unreachable.
-    pub(super) async fn refresh(&self) -> Result<(), StoreError> {
-        let mut feed = ChangeFeed::new(Arc::clone(&self.store), topics::owner_partition());
-        self.apply(feed.next(Duration::ZERO).await?);
+    pub async fn refresh(&self) -> Result<(), StoreError> {
+        for cell in self.cells() {
+            let mut feed = ChangeFeed::new(Arc::clone(&self.store), topics::owner_partition(cell));
+            self.apply(feed.next(Duration::ZERO).await?);
+        }
         Ok(())
     }
 
-    /// Follows the topic of owners; never returns.
-    pub async fn run(&self) {
-        let mut feed = ChangeFeed::new(Arc::clone(&self.store), topics::owner_partition());
+    /// Follows the owners of all cells; never returns.
+    pub async fn run(self: Arc<Self>) {
+        let mut feeds = JoinSet::new();
+        for cell in self.cells() {
+            feeds.spawn(Arc::clone(&self).follow(cell));
+        }
+        while feeds.join_next().await.is_some() {}
+    }
+
+    fn cells(&self) -> std::ops::Range<u32> {
+        0..self.refresh_requested.len() as u32
+    }
+
+    async fn follow(self: Arc<Self>, cell: u32) {
+        let mut feed = ChangeFeed::new(Arc::clone(&self.store), topics::owner_partition(cell));
+        let refresh_requested = &self.refresh_requested[cell as usize];
         loop {
             let read = tokio::select! {
                 read = feed.next(READ_HOLD) => read,
-                () = self.refresh_requested.notified() => feed.next(Duration::ZERO).await,
+                () = refresh_requested.notified() => feed.next(Duration::ZERO).await,
             };
             match read {
                 Ok(batch) => self.apply(batch),
--- a/crates/jobs/src/ownership/topics.rs
+++ b/crates/jobs/src/ownership/topics.rs
@@ -79,10 +79,11 @@
     }
 }
 
-/// Returns the partition in which owners publish themselves.
-pub(super) fn owner_partition() -> Partition {
+/// Returns the partition in which the owners of a cell publish themselves. Each cell has one of its
+/// own, since the store fences each partition by a single sequence of epochs.
+pub(super) fn owner_partition(cell: u32) -> Partition {
     Partition {
         topic: OWNERS,
-        number: 0,
+        number: cell,
     }
 }
--- a/crates/jobs/src/policy/filler_pacer.rs
+++ b/crates/jobs/src/policy/filler_pacer.rs
@@ -17,6 +17,12 @@
 
 /// The largest number of pairs of images with a learned weight.
 const PAIRS_MAX: usize = 4_096;
+/// The largest number of serving images with a learned load; clients choose the names.
+const IMAGES_MAX: usize = 1_024;
+/// The largest size of the learned state that is exported, below the store's limit for a record.
+const LEARNED_BYTES_MAX: usize = 192 << 10;
+/// The size of an exported entry without its names, rounded up.
+const LEARNED_ENTRY_BYTES: usize = 32;
 /// The number of load forecasts above which outdated ones are removed.
 const FORECASTS_MAX: usize = 65_536;
 /// The half-life of a pair's weight without further samples.
@@ -66,7 +72,7 @@
 #[derive(Clone, Debug)]
 pub struct FillerPacer {
     pressures: PairTable<(ImageName, ImageName)>,
-    images: BTreeMap<ImageName, ImageLoad>,
+    images: BTreeMap<ImageName, LearnedImage>,
     forecasts: BTreeMap<TaskId, LoadForecast>,
 }
 
@@ -80,6 +86,13 @@
     }
 }
 
+/// The learned load of a serving image, and when it was last updated.
+#[derive(Clone, Copy, Debug)]
+struct LearnedImage {
+    load: ImageLoad,
+    updated_ms: u64,
+}
+
 /// The extra load that the tasks of one serving image still tolerate, as a multiple of their own.
 struct LoadBudget<'a> {
     image: &'a ImageName,
@@ -100,7 +113,22 @@
 
 impl FillerPacer {
     fn image_load(&self, image: &ImageName) -> ImageLoad {
-        self.images.get(image).copied().unwrap_or_default()
+        let learned = self.images.get(image);
+        learned.map(|learned| learned.load).unwrap_or_default()
+    }
+
+    /// Sets the load of an image. A new one replaces the image that was updated least recently if
+    /// there are too many.
+    fn set_image_load(&mut self, image: &ImageName, load: ImageLoad, now_ms: u64) {
+        if !self.images.contains_key(image) && self.images.len() >= IMAGES_MAX {
+            let oldest = self.images.iter().min_by_key(|(_, known)| known.updated_ms);
+            if let Some(oldest) = oldest.map(|(name, _)| name.clone()) {
+                self.images.remove(&oldest);
+            }
+        }
+        let updated_ms = now_ms;
+        self.images
+            .insert(image.clone(), LearnedImage { load, updated_ms });
     }
 
     fn weight(&self, serving: &ImageName, filler: &ImageName, now_ms: u64) -> f64 {
@@ -274,7 +302,7 @@
                     image.update_peak(forecast.at(now_ms));
                 }
             }
-            self.images.insert(name.clone(), image);
+            self.set_image_load(name, image, now_ms);
             let pairs: Vec<((ImageName, ImageName), f64)> = sample
                 .filler_shares
                 .iter()
@@ -293,27 +321,44 @@
         }
     }
 
+    /// Exports the images that were updated last and the pairs with the most samples, as many as fit
+    /// into a record.
     fn learned(&self, now_ms: u64) -> LearnedInterference {
-        let pressures = self.pressures.entries(now_ms);
-        LearnedInterference {
-            images: self
-                .images
-                .iter()
-                .map(|(name, image)| (name.clone(), *image))
-                .collect(),
-            pressures: pressures
-                .map(|((serving, filler), weight, samples)| LearnedPressure {
-                    serving: serving.clone(),
-                    filler: filler.clone(),
-                    weight,
-                    samples,
-                })
-                .collect(),
-        }
+        let mut left_bytes = LEARNED_BYTES_MAX;
+        let mut fits = |names_bytes: usize| {
+            let size = names_bytes + LEARNED_ENTRY_BYTES;
+            let fits = size <= left_bytes;
+            left_bytes = left_bytes.saturating_sub(size);
+            fits
+        };
+        let mut images: Vec<(&ImageName, &LearnedImage)> = self.images.iter().collect();
+        images.sort_by_key(|(_, image)| std::cmp::Reverse(image.updated_ms));
+        let images = images
+            .into_iter()
+            .take_while(|(name, _)| fits(name.as_str().len()))
+            .map(|(name, image)| (name.clone(), image.load))
+            .collect();
+        let mut pressures: Vec<_> = self.pressures.entries(now_ms).collect();
+        pressures.sort_by_key(|(_, _, samples)| std::cmp::Reverse(*samples));
+        let pressures = pressures
+            .into_iter()
+            .take_while(|((serving, filler), ..)| {
+                fits(serving.as_str().len() + filler.as_str().len())
+            })
+            .map(|((serving, filler), weight, samples)| LearnedPressure {
+                serving: serving.clone(),
+                filler: filler.clone(),
+                weight,
+                samples,
+            })
+            .collect();
+        LearnedInterference { images, pressures }
     }
 
     fn restore(&mut self, learned: LearnedInterference, now_ms: u64) {
-        self.images.extend(learned.images);
+        for (name, load) in learned.images {
+            self.set_image_load(&name, load, now_ms);
+        }
         for pressure in learned.pressures {
             let pair = (pressure.serving, pressure.filler);
             self.pressures
--- a/crates/jobs/tests/entry/main.rs
+++ b/crates/jobs/tests/entry/main.rs
@@ -3,4 +3,5 @@
 mod fake_store;
 mod feeds;
 mod members;
+mod recent_jobs;
 mod writer;
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -120,7 +120,7 @@
         let store: Arc<dyn Store> = Arc::new(tracked);
         let config = Arc::new(ActiveConfig::default());
         config.activate_if_newer(DeploymentConfig::default());
-        let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store)));
+        let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store), 1));
         let peers = Arc::new(PeerClient::default());
         let context = Arc::new(OwnerContext {
             platform: Arc::new(StoreOnlyPlatform(Arc::clone(&store))),
@@ -156,7 +156,7 @@
         add_owner_handlers(&handlers, &owned_cells, &writer);
         let owner_client =
             OwnerClient::new(Arc::clone(&owned_cells), Arc::clone(&directory), peers, 1);
-        tokio::spawn(async move { directory.run().await });
+        tokio::spawn(directory.run());
         let candidate = Candidate::new(
             context,
             Arc::clone(&owned_cells),
--- a/crates/jobs/tests/policies/configuration.rs
+++ b/crates/jobs/tests/policies/configuration.rs
@@ -28,3 +28,27 @@
     assert_eq!(accepted, [true, false, false, true]);
     assert_eq!((found.queue.priority, rest), (1, "c"));
 }
+
+#[test]
+fn a_port_is_no_part_of_the_host_also_behind_an_ipv6_address() {
+    let route = |host: &str| QueueRoute {
+        host: host.into(),
+        path_prefix: "/".into(),
+        timeout: Duration::from_secs(3),
+        queue: Arc::new(queue_config(0)),
+    };
+    let routes = vec![route("a.example"), route("[fd00::1]")];
+    let config = DeploymentConfig::new(1, 1_000, routes, HashMap::new());
+
+    let hosts = [
+        "a.example",
+        "a.example:80",
+        "[fd00::1]",
+        "[fd00::1]:80",
+        "[fd00::2]:80",
+        "",
+    ];
+    let found = hosts.map(|host| config.route(host, "/x").is_some());
+
+    assert_eq!(found, [true, true, true, true, false, false]);
+}
--- a/crates/jobs/tests/policies/interference.rs
+++ b/crates/jobs/tests/policies/interference.rs
@@ -4,6 +4,7 @@
 
 use dotterelhook_jobs::fleet::FillerHistory;
 use dotterelhook_jobs::fleet::Headroom;
+use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ImageName;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::policy::FillerAction;
@@ -278,3 +279,33 @@
     assert_eq!(next.pressures(&heavy, 0), former.pressures(&heavy, 20_000));
     assert!(!next.pressures(&heavy, 0).is_empty());
 }
+
+/// Guards against clients whose image names fill the memory, and against a record of what was learned
+/// that the store refuses for its size.
+#[test]
+fn ever_new_image_names_are_forgotten_and_their_record_stays_small() {
+    const RECORD_MAX_BYTES: usize = 262_144;
+    let mut pacer = FillerPacer::default();
+    let tail = |number: u64| TailRatio {
+        task: task(number as u32),
+        image: format!("{number:0>1000}").as_str().into(),
+        ratio: 0.4,
+    };
+
+    for number in 0..3_000_u64 {
+        let sample = TailSample {
+            tails: vec![tail(number)],
+            filler_shares: vec![("nesting".into(), 0.2)],
+            over_target_for: Duration::ZERO,
+            fillers: Vec::new(),
+        };
+        pacer.learn(&sample, number * 10);
+    }
+    let learned = pacer.learned(30_000);
+
+    let newest = learned.images.first().map(|(name, _)| name.clone());
+    let size = encode(&learned).expect("encoded").len();
+    assert_eq!(newest, Some(tail(2_999).image));
+    assert!(learned.images.len() <= 1_024, "{}", learned.images.len());
+    assert!(size <= RECORD_MAX_BYTES, "{size} bytes");
+}
