Make four tests check what their names say

Cause and change: malformed frames in the test of peers carried a wrong version and never reached the decoder: three of the right form with a wrong content follow, and the test asserts that they do; "racing operators get on" held with one accepted publication of anybody: each operator needs one; "refused as not run" counted all requests as cases: those refused count; a closed port could be taken by another process: it stays bound.

--- a/crates/borders/tests/host_list.rs
+++ b/crates/borders/tests/host_list.rs
@@ -24,6 +24,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 /// Far longer than an answer takes, even on a busy machine.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -214,9 +215,10 @@
 
 #[tokio::test]
 async fn a_closed_port_is_not_run() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("bound");
-    drop(listener);
+    // Bound for the whole test, so that no other process listens there.
+    let closed = TcpSocket::new_v4().expect("a socket");
+    closed.bind(([127, 0, 0, 1], 0).into()).expect("a port");
+    let address = closed.local_addr().expect("bound");
 
     let error = HttpHostList::new(address, CALL_TIMEOUT).read().await;
 
--- a/crates/peer/tests/config_peers.rs
+++ b/crates/peer/tests/config_peers.rs
@@ -10,6 +10,9 @@
 use dotterelhook_borders::log::LogFault;
 use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_kernel::names;
+use dotterelhook_peer::membership::FrameError;
+use dotterelhook_peer::membership::decode;
+use dotterelhook_peer::membership::encode;
 use dotterelhook_peer::rpc::PeerHandler;
 use dotterelhook_peer::rpc::PeerHandlers;
 use dotterelhook_types::CallError;
@@ -119,12 +122,12 @@
 }
 
 /// Answers every call for the configuration with fixed bytes.
-struct FixedAnswer(&'static [u8]);
+struct FixedAnswer(Bytes);
 
 #[async_trait]
 impl PeerHandler for FixedAnswer {
     async fn call(&self, _: Bytes) -> Result<Bytes, CallError> {
-        Ok(Bytes::from_static(self.0))
+        Ok(self.0.clone())
     }
 }
 
@@ -138,9 +141,25 @@
     let handlers = handlers.expect("the server provides them");
     let good = start_process(log_with_jobs(4).await, "good", Vec::new()).await;
     wait_for_offset(&*good.view, 4).await;
-    let frames: [&'static [u8]; 4] = [b"", b"\x09", b"\x01\x07\x07", b"\x01\x01\x05\x01\x01{"];
-    for frame in frames {
-        handlers.add("config", Arc::new(FixedAnswer(frame)));
+    let mut corrupt = encode(&(1_u8, 5_u64)).expect("encoded");
+    corrupt.last_mut().map(|byte| *byte ^= 1);
+    let other_version = b"\x01\x07\x07".to_vec();
+    let never_decoded = [Vec::new(), b"\x09".to_vec(), other_version, corrupt];
+    // These pass the checks of the frame, so the decoder of the answer meets them.
+    let malformed = [
+        encode(&9_u8).expect("encoded"),
+        encode(&(1_u8, 5_u64)).expect("encoded"),
+        encode(&(1_u8, 5_u64, 0_u32, 1_u32, "{")).expect("encoded"),
+    ];
+    for frame in &malformed {
+        let checked = decode::<(u64, u64, u64, u64)>(frame);
+        assert!(
+            matches!(checked, Err(FrameError::Malformed(_))),
+            "{checked:?}"
+        );
+    }
+    for frame in never_decoded.into_iter().chain(malformed) {
+        handlers.add("config", Arc::new(FixedAnswer(frame.into())));
         let seeds = vec![bad.peer_address, good.peer_address];
 
         let started = start_process(unavailable_log(), "started", seeds).await;
--- a/crates/standins/src/faults/checks.rs
+++ b/crates/standins/src/faults/checks.rs
@@ -6,6 +6,7 @@
 
 use dotterelhook_borders::http::JsonClient;
 use dotterelhook_state::config::ConfigState;
+use dotterelhook_state::config::WriterId;
 use dotterelhook_state::shard::RunSummary;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TaskId;
@@ -98,7 +99,7 @@
         ),
         Finding::new(
             "a request refused as not run did not run",
-            outcomes.len(),
+            with(RequestOutcome::NotRun).count(),
             run_though_refused
                 .map(|(id, _)| format!("{id} ran {} times", run_count(id)))
                 .collect(),
@@ -163,22 +164,31 @@
     ]
 }
 
-/// Checks that observed configuration offsets never decrease, and that at least one of the recent
-/// publications was accepted.
+/// Checks that observed configuration offsets never decrease, and that each operator has a
+/// publication among the recent ones that was accepted.
 pub fn check_operators(state: &ConfigState, observed: &[Offset]) -> Vec<Finding> {
     let reversals = observed.windows(2).filter(|pair| pair[1] < pair[0]);
     let reversals = reversals.map(|pair| format!("{} came after {}", pair[1], pair[0]));
-    let accepted = state
-        .outcomes()
+    let mut accepted_by_writer: BTreeMap<&WriterId, u32> = BTreeMap::new();
+    for outcome in state.outcomes() {
+        if let Some((writer, _)) = &outcome.writer {
+            let accepted = accepted_by_writer.entry(writer).or_default();
+            *accepted += u32::from(outcome.refusal.is_none());
+        }
+    }
+    let without = accepted_by_writer
         .iter()
-        .filter(|outcome| outcome.refusal.is_none());
+        .filter(|(_, accepted)| **accepted == 0);
+    let without = without
+        .map(|(writer, _)| format!("no publication of {writer} was accepted"))
+        .collect();
     vec![
         Finding::new(
             "the configuration in force never reverts",
             observed.len(),
             reversals.collect(),
         ),
-        Finding::new("racing operators get on", accepted.count(), Vec::new()),
+        Finding::new("racing operators get on", accepted_by_writer.len(), without),
     ]
 }
 
