Flip the last byte of the corrupt frame as the linter asks

Cause: the linter rejects a map for its side effect. Change: the byte is changed directly. Measured: clippy passes on the workspace; the test is as before. Ruled out: an attribute that allows it.

--- a/crates/peer/tests/config_peers.rs
+++ b/crates/peer/tests/config_peers.rs
@@ -142,7 +142,7 @@
     let good = start_process(log_with_jobs(4).await, "good", Vec::new()).await;
     wait_for_offset(&*good.view, 4).await;
     let mut corrupt = encode(&(1_u8, 5_u64)).expect("encoded");
-    corrupt.last_mut().map(|byte| *byte ^= 1);
+    *corrupt.last_mut().expect("a frame") ^= 1;
     let other_version = b"\x01\x07\x07".to_vec();
     let never_decoded = [Vec::new(), b"\x09".to_vec(), other_version, corrupt];
     // These pass the checks of the frame, so the decoder of the answer meets them.
