Tell a lost answer from a slow store by calls sent since the append

Change: a heartbeat that was sent after the append, within the last 300 ms, and answered promptly shows that the store is prompt, whatever else is open. Ruled out: the number of failures in a row, which also rises while a store is slow.

--- a/crates/jobs/src/store_access/store_health.rs
+++ b/crates/jobs/src/store_access/store_health.rs
@@ -15,6 +15,10 @@
 const SLOW_LATENCY_MS: f64 = 60.0;
 /// The weight of the latest call in the moving average of latencies.
 const LATENCY_SMOOTHING: f64 = 0.5;
+/// How long a prompt answer to a small call shows that the store is prompt, although other calls have
+/// no answer. Shorter than the wait for an append's answer, so a store that has just turned slow
+/// isn't taken for one that loses answers.
+const PROMPT_ANSWER_AGE_MAX: Duration = Duration::from_millis(300);
 /// How long the latency of an append says something about the next one.
 const APPEND_LATENCY_AGE_MAX: Duration = Duration::from_secs(5);
 
@@ -34,6 +38,8 @@
     latency_ms: f64,
     /// The send times of the small calls that have no answer yet.
     unanswered: Vec<Instant>,
+    /// The send time of the latest small call with a prompt answer.
+    prompt_sent_at: Option<Instant>,
     /// The moving average of the latency of successful appends, and the time of the latest one.
     append: Option<(Duration, Instant)>,
 }
@@ -46,6 +52,7 @@
                 failures: 0,
                 latency_ms: 0.0,
                 unanswered: Vec::new(),
+                prompt_sent_at: None,
                 append: None,
             }),
         }
@@ -115,13 +122,26 @@
     }
 
     /// Returns whether the store answers small calls at its usual speed: an append without an answer
-    /// is then lost rather than slow.
-    pub fn is_prompt(&self, now: Instant) -> bool {
+    /// since `sent_at` is then lost rather than slow.
+    ///
+    /// A small call that was sent after the append and answered promptly tells most. Without one, no
+    /// small call may be slow.
+    pub fn is_prompt(&self, sent_at: Instant, now: Instant) -> bool {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        let is_late = |sent_at: &Instant| {
-            now.duration_since(*sent_at).as_secs_f64() * 1_000.0 >= SLOW_LATENCY_MS
-        };
-        state.latency_ms < SLOW_LATENCY_MS && !state.unanswered.iter().any(is_late)
+        let is_recent = |at: Instant| at >= sent_at && now - at <= PROMPT_ANSWER_AGE_MAX;
+        let is_late = |at: &Instant| is_slow_latency(now.duration_since(*at));
+        state.prompt_sent_at.is_some_and(is_recent)
+            || state.latency_ms < SLOW_LATENCY_MS && !state.unanswered.iter().any(is_late)
+    }
+
+    /// Records the answer to a small call.
+    pub fn record_small_answer(&self, sent_at: Instant, now: Instant) {
+        let latency = now.duration_since(sent_at);
+        self.record_latency(latency);
+        if !is_slow_latency(latency) {
+            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.prompt_sent_at = state.prompt_sent_at.max(Some(sent_at));
+        }
     }
 
     /// Records the latency of a small call that the store answers without waiting.
@@ -155,3 +175,7 @@
         time_since_boot().saturating_sub(state.answered_at)
     }
 }
+
+fn is_slow_latency(latency: Duration) -> bool {
+    latency.as_secs_f64() * 1_000.0 >= SLOW_LATENCY_MS
+}
--- a/crates/jobs/src/store_access/tracked_store.rs
+++ b/crates/jobs/src/store_access/tracked_store.rs
@@ -100,7 +100,7 @@
                 return result;
             }
             let cause = format!("no answer to an append within {:?}", sent_at.elapsed());
-            if self.health.is_prompt(Instant::now()) {
+            if self.health.is_prompt(sent_at, Instant::now()) {
                 return Err(StoreError::Unknown(cause.into()));
             }
             if wait == patience {
@@ -173,7 +173,7 @@
         let call = self.store.join(group, member, ttl, generation);
         let joined = self.track("join", call).await;
         if joined.is_ok() {
-            self.health.record_latency(started.elapsed());
+            self.health.record_small_answer(started, Instant::now());
         }
         joined
     }
--- a/crates/jobs/tests/admission/crowds.rs
+++ b/crates/jobs/tests/admission/crowds.rs
@@ -218,3 +218,24 @@
     );
     assert!(after - before >= 40, "{} appends", after - before);
 }
+
+/// Guards against waiting for a lost answer as if the store were slow, because an answer to a heartbeat
+/// was lost as well.
+#[tokio::test(start_paused = true)]
+async fn store_that_loses_a_third_of_its_answers_stores_each_record_within_the_clients_wait() {
+    let store = SerialStore::new();
+    let routers = routers(&store);
+    sleep(Duration::from_secs(2)).await;
+
+    store.set_loses_one_of(3);
+    let answers = submit(&routers, Duration::from_millis(25), 0..176).await;
+
+    let stored = share(&answers, |answer| answer.result.is_ok());
+    let within_half = share(&answers, |answer| answer.took <= CLIENT_WAIT / 2);
+    assert!(stored >= 0.99, "{stored:.2} stored");
+    assert!(
+        within_half >= 0.9,
+        "{within_half:.2} within half of the wait"
+    );
+    assert_refused_records_are_not_stored(&store, &answers).await;
+}
--- a/crates/jobs/tests/admission/serial_store.rs
+++ b/crates/jobs/tests/admission/serial_store.rs
@@ -41,6 +41,9 @@
     stored: Arc<Mutex<HashSet<Box<str>>>>,
     appends: u32,
     refusals: u32,
+    calls: u32,
+    /// Of this many calls one gets no answer; 0 for none.
+    loses_one_of: u32,
 }
 
 impl SerialStore {
@@ -55,6 +58,23 @@
         self.lock().slowdown = slowdown;
     }
 
+    /// Sets of how many calls one is carried out without an answer.
+    pub(crate) fn set_loses_one_of(&self, calls: u32) {
+        self.lock().loses_one_of = calls;
+    }
+
+    /// Waits for good if the answer to this call is lost.
+    async fn answer(&self) {
+        let is_lost = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.loses_one_of > 0 && state.calls % state.loses_one_of == 0
+        };
+        if is_lost {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Returns whether a record is stored.
     pub(crate) fn contains(&self, key: &str) -> bool {
         let stored = Arc::clone(&self.lock().stored);
@@ -106,6 +126,7 @@
             stored.lock().expect("no panic").extend(keys);
         });
         sleep_until(done_at).await;
+        self.answer().await;
         Ok(AppendAck {
             first_offset: Offset(0),
             end_offset: Offset(0),
@@ -133,6 +154,7 @@
         _: u64,
     ) -> Result<GroupAssignment, StoreError> {
         sleep(self.call_time()).await;
+        self.answer().await;
         Ok(GroupAssignment::default())
     }
 
