Keep starting on executors whose entries expired during an outage

Change: an executor that isn't listed counts as gone after 2 s, the time in which such entries come back. Until then it gets runs as long as it answers; one that had announced that it drains doesn't, nor one whose entry can't be read. Measured: the new test of an outage starts the job at once (before, not until the entry is back); three more hold the bounds: gone after 2 s, never with an unreadable entry, runs work on. Ruled out: waiting for a known outage only; a process that takes the cell over after it doesn't know of it.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -12,6 +12,7 @@
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::fleet::Executor;
+use crate::fleet::Listing;
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::ledger::Job;
@@ -209,7 +210,7 @@
             if executor.entry.phase != entry.phase {
                 decided!(Decision::ExecutorPhase, executor: entry.id, phase: entry.phase);
             }
-            executor.is_listed = true;
+            executor.listing = Listing::Listed;
             // A new incarnation takes effect with its first report, which lists its runs.
             let has_new_address = executor.entry.address != entry.address;
             executor.entry = entry;
@@ -224,13 +225,23 @@
         Some(receiver)
     }
 
-    /// Marks an executor that the platform no longer lists. It receives no new runs.
-    pub fn mark_executor_unlisted(&mut self, id: &ExecutorId) {
+    /// Marks an executor whose entry is missing. While it answers, it receives new runs until it
+    /// counts as gone.
+    pub fn mark_executor_missing(&mut self, id: &ExecutorId, now: Instant) {
+        self.set_listing(id, Listing::Missing { since: now });
+    }
+
+    /// Marks an executor whose entry can't be read. It receives no new runs.
+    pub fn mark_executor_unreadable(&mut self, id: &ExecutorId) {
+        self.set_listing(id, Listing::Unreadable);
+    }
+
+    fn set_listing(&mut self, id: &ExecutorId, listing: Listing) {
         if let Some(executor) = self.executors.get_mut(id)
-            && executor.is_listed
+            && executor.listing == Listing::Listed
         {
             decided!(Decision::ExecutorUnlisted, executor: id);
-            executor.is_listed = false;
+            executor.listing = listing;
         }
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -137,7 +137,9 @@
             .executors
             .values()
             .filter(|executor| {
-                !executor.is_listed && executor.clock.is_none() && executor.runs().is_empty()
+                executor.listing.is_gone(now)
+                    && executor.clock.is_none()
+                    && executor.runs().is_empty()
             })
             .map(|executor| executor.entry.id.clone())
             .collect();
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -12,6 +12,7 @@
 use super::FillerHistory;
 use super::Headroom;
 use super::Health;
+use super::Listing;
 use super::Order;
 use super::RunPhase;
 use super::RunView;
@@ -26,8 +27,8 @@
 pub struct Executor {
     /// The executor's description of itself, such as address, labels and capacity.
     pub entry: ExecutorEntry,
-    /// Whether the platform still lists the executor.
-    pub is_listed: bool,
+    /// Whether and since when the platform no longer lists the executor.
+    pub listing: Listing,
     /// The incarnation, once known; it changes when the executor restarts.
     pub incarnation: Option<Incarnation>,
     /// The newest clock reading, once the executor has answered in this incarnation.
@@ -66,7 +67,7 @@
         Self {
             incarnation: entry.incarnation,
             entry,
-            is_listed: true,
+            listing: Listing::Listed,
             clock: None,
             start_sent_at: None,
             applied_end: 0,
@@ -220,7 +221,7 @@
 
     /// Returns whether new runs may be placed here.
     ///
-    /// An executor accepts none while it is unlisted, full, draining, in a back-off, or silent for
+    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, or silent for
     /// longer than `silence_max`. On probation it accepts one run at a time.
     pub fn accepts_runs(&self, silence_max: Duration, now: Instant) -> bool {
         let is_heard = self
@@ -228,7 +229,7 @@
             .is_some_and(|clock| now.duration_since(clock.seen_at()) <= silence_max);
         let is_full = self.full_until.is_some_and(|until| now < until);
         let is_probed = self.health.is_on_probation() && self.runs.values().any(RunView::is_probe);
-        self.is_listed
+        !self.listing.is_gone(now)
             && self.incarnation.is_some()
             && is_heard
             && !is_full
--- a/crates/jobs/src/ownership/cell_feeds.rs
+++ b/crates/jobs/src/ownership/cell_feeds.rs
@@ -89,7 +89,7 @@
                     .filter(|id| records.iter().all(|record| &*record.key != id.as_str()))
                     .collect();
                 for id in removed {
-                    state.mark_executor_unlisted(&id);
+                    state.mark_executor_missing(&id, Instant::now());
                 }
                 records
             }
@@ -106,7 +106,7 @@
     fn apply_executor(self: &Arc<Self>, record: &KeyedRecord) {
         let id = record.key.as_ref().into();
         if record.value.is_empty() {
-            self.lock().mark_executor_unlisted(&id);
+            self.lock().mark_executor_missing(&id, Instant::now());
             return;
         }
         let decoded = self
@@ -117,7 +117,7 @@
             Ok(entry) => entry,
             Err(error) => {
                 decided!(Decision::ExecutorUnreadable, executor: id, cause: error);
-                self.lock().mark_executor_unlisted(&id);
+                self.lock().mark_executor_unreadable(&id);
                 return;
             }
         };
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -6,6 +6,7 @@
 mod generated_faults;
 mod load;
 mod orders;
+mod outages;
 mod probation;
 mod simulated_executor;
 mod tails;
