--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -11,7 +11,7 @@
     history   print the outcomes of the newest publications
     status    print the daemons and the offset that each has in force
     jobs      print the runs and their progress
-    explain   print the timeline of one job from log files
+    explain   print the timeline of one job, or an overview, from log files
     report    print error budgets, or runs that failed, are overdue or wait
 
 Each command has --help and --json.
@@ -93,12 +93,17 @@
 const EXPLAIN: &str = "\
 USAGE:
     dotterelhook explain ID [FILE]...
+    dotterelhook explain --overview [FILE]...
 
 Reads the logs of any number of hosts, from files or from the standard input,
 and prints the lines about the job, its executors and the owners of its cell,
 each line after its cause. Gaps, such as a run without an outcome, are listed at
 the end. Exits with 1 if no line is about the job.
 
+--overview counts, for each second, the submissions and cancellations that were
+stored, refused or left unknown, the runs started, stopped, paced and lost, and
+lists the changes of hosts, cells, executors and of the store.
+
 EXAMPLE:
     dotterelhook explain 5c0e7a21d94b36f8 host-*.log
 ";
--- a/crates/cli/src/command/explain.rs
+++ b/crates/cli/src/command/explain.rs
@@ -7,16 +7,21 @@
 use crate::cli::Failure;
 use crate::explain::JobTimeline;
 use crate::explain::LogLine;
+use crate::explain::Overview;
 
-/// Prints the timeline of one job from the log lines of several processes.
+/// Prints the timeline of one job, or an overview of all events, from the log lines of several
+/// processes.
 ///
 /// # Errors
 /// No job id is given, a file can't be read, or no line is about the job.
 pub(crate) async fn explain(arguments: pico_args::Arguments) -> Result<(), Failure> {
     let mut arguments = CommonArguments::parse(arguments)?;
     let is_json = arguments.is_json;
-    let missing = || Failure::usage("no job id given; try: dotterelhook explain ID host-*.log");
-    let job = arguments.next_positional()?.ok_or_else(missing)?;
+    let is_overview = arguments.flag("--overview");
+    let job = match is_overview {
+        true => None,
+        false => Some(arguments.next_positional()?.ok_or_else(missing_job)?),
+    };
     let mut files = Vec::new();
     while let Some(file) = arguments.next_positional()? {
         files.push(file);
@@ -37,6 +42,9 @@
             logs.unparsable_count
         );
     }
+    let Some(job) = job else {
+        return print_overview(&Overview::from_lines(&logs.lines), is_json);
+    };
     let Some(timeline) = JobTimeline::from_lines(&job, &logs.lines) else {
         let text = format!("no line is about job {job}, of {} read", logs.lines.len());
         return Err(Failure::NotFound(text));
@@ -50,6 +58,10 @@
     Ok(())
 }
 
+fn missing_job() -> Failure {
+    Failure::usage("no job id given; try: dotterelhook explain ID host-*.log")
+}
+
 /// The parsed lines of all inputs, and the number of lines that are not log lines.
 #[derive(Default)]
 struct ParsedLogs {
@@ -90,3 +102,27 @@
         }
     }
 }
+
+fn print_overview(overview: &Overview, is_json: bool) -> Result<(), Failure> {
+    if is_json {
+        let text = serde_json::to_string_pretty(overview).map_err(Failure::usage)?;
+        println!("{text}");
+        return Ok(());
+    }
+    println!("second  stored refused unknown started stopped  paced   lost  changes");
+    for second in &overview.seconds {
+        println!(
+            "{:>6}  {:>6} {:>7} {:>7} {:>7} {:>7} {:>6} {:>6}  {}",
+            second.second,
+            second.stored,
+            second.refused,
+            second.unknown,
+            second.started,
+            second.stopped,
+            second.paced,
+            second.lost,
+            second.changes.join("; ")
+        );
+    }
+    Ok(())
+}
--- a/crates/cli/tests/explain.rs
+++ b/crates/cli/tests/explain.rs
@@ -216,3 +216,40 @@
     assert_eq!(timeline["lines"][0]["event"], "job-accepted");
     assert_eq!(timeline["gaps"].as_array().map(Vec::len), Some(1));
 }
+
+/// Guards against an incident that shows only in the lines of many jobs.
+#[test]
+fn an_overview_counts_the_events_of_each_second() {
+    let call = |timestamp_ms, kind: &str, status: u32| {
+        let fields = format!(r#""kind":"{kind}","status":"{status}""#);
+        line(timestamp_ms, "laguna-1", "call-answered", &fields)
+    };
+    let lost = |host: &str| line(3_100, host, "store-lost", r#""cause":"silent""#);
+    let lines = [
+        call(1_000, "submit", 200),
+        call(1_900, "cancel", 200),
+        call(1_950, "read", 503),
+        run_line(1_999, "laguna-1", "run-started", 1),
+        lost("laguna-1"),
+        lost("laguna-2"),
+        call(3_200, "submit", 503),
+        call(3_300, "submit", 504),
+        line(5_000, "laguna-2", "cell-claimed", r#""cell":"0""#),
+    ];
+    let path = file("overview.log", &lines);
+
+    let output = explain(&["--overview", path.to_str().expect("UTF-8")]);
+
+    let printed = text(&output.stdout);
+    let rows: Vec<Vec<&str>> = printed
+        .lines()
+        .skip(1)
+        .map(|row| row.split_whitespace().collect())
+        .collect();
+    assert!(output.status.success(), "{output:?}");
+    assert_eq!(rows[0], ["0", "2", "0", "0", "1", "0", "0", "0"]);
+    assert_eq!(rows[1][..4], ["2", "0", "1", "1"]);
+    assert_eq!(rows[1][8..].join(" "), "2 hosts lost the store");
+    assert_eq!(rows[2][8..].join(" "), "1 cells claimed by laguna-2");
+    assert_eq!(rows.len(), 3);
+}
