Test that a body that breaks off is told from a malformed one

Cause: the change of the entry point had no test of its own. Change: the entry point is served in the test's process, over a store in memory and a protocol of its own. Ruled out: a test over a daemon, which refuses before it reads a body as long as it has no configuration.

--- a/crates/jobs/tests/entry/main.rs
+++ b/crates/jobs/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of accepting clients' records while the store fails, and of stored records and names.
 
+mod bodies;
 mod fake_store;
 mod feeds;
 mod members;
