--- a/crates/jobs/src/admission/return_time.rs
+++ b/crates/jobs/src/admission/return_time.rs
@@ -1,17 +1,13 @@
 use std::time::Duration;
 
-/// The share of an outage's age after which a refused client returns.
-const OUTAGE_SHARE: f64 = 1.0;
 /// The longest wait, as a multiple of the shortest: a client must notice the end of an outage.
 const WAIT_MAX_FACTOR: u32 = 2;
 
 /// Returns when a client that is refused during an outage of the given age should return.
 ///
-/// An outage that has lasted long is likely to last on, and a client has few attempts. Waiting a share
-/// of the outage's age makes the same attempts outlast a longer outage. Clients that were refused
-/// first return first, at the rate at which they came.
+/// An outage that has lasted long is likely to last on, and a client has few attempts. Waiting for as
+/// long as the outage has lasted makes the same attempts outlast a longer one. Clients that were
+/// refused first return first, at the rate at which they came.
 pub fn return_time(shortest: Duration, outage_age: Duration) -> Duration {
-    outage_age
-        .mul_f64(OUTAGE_SHARE)
-        .clamp(shortest, shortest * WAIT_MAX_FACTOR)
+    outage_age.clamp(shortest, shortest * WAIT_MAX_FACTOR)
 }
--- a/crates/jobs/src/entry/record_router.rs
+++ b/crates/jobs/src/entry/record_router.rs
@@ -1,3 +1,4 @@
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,32 +54,16 @@
             return here.map_err(|here| combine_errors(&here, &elsewhere));
         }
         let mut here = pin!(self.writer.write(partition, record.clone(), deadline));
-        let first = match timeout(HEDGE_DELAY, here.as_mut()).await {
-            Ok(Ok(())) => return Ok(()),
-            Ok(Err(error)) => Some(error),
-            Err(_) => None,
-        };
-        let mut elsewhere = pin!(self.forward(cell, partition, &record, deadline));
-        let Some(here_error) = first else {
-            return tokio::select! {
-                here = here.as_mut() => match here {
-                    Ok(()) => Ok(()),
-                    Err(here) => {
-                        let elsewhere = elsewhere.await;
-                        elsewhere.map_err(|elsewhere| combine_errors(&here, &elsewhere))
-                    }
-                },
-                elsewhere = elsewhere.as_mut() => match elsewhere {
-                    Ok(()) => Ok(()),
-                    Err(elsewhere) => {
-                        let here = here.await;
-                        here.map_err(|here| combine_errors(&here, &elsewhere))
-                    }
-                },
-            };
-        };
-        let elsewhere = elsewhere.await;
-        elsewhere.map_err(|elsewhere| combine_errors(&here_error, &elsewhere))
+        let early = timeout(HEDGE_DELAY, here.as_mut()).await;
+        let elsewhere = self.forward(cell, partition, &record, deadline);
+        match early {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(here)) => {
+                let elsewhere = elsewhere.await;
+                elsewhere.map_err(|elsewhere| combine_errors(&here, &elsewhere))
+            }
+            Err(_) => first_stored(here, elsewhere).await,
+        }
     }
 
     async fn forward(
@@ -94,6 +79,30 @@
     }
 }
 
+/// Waits until one of two attempts has stored the record, or both have failed.
+async fn first_stored(
+    mut here: Pin<&mut impl Future<Output = Result<(), StoreError>>>,
+    elsewhere: impl Future<Output = Result<(), StoreError>>,
+) -> Result<(), StoreError> {
+    let mut elsewhere = pin!(elsewhere);
+    tokio::select! {
+        result = here.as_mut() => {
+            let Err(here) = result else {
+                return Ok(());
+            };
+            let elsewhere = elsewhere.await;
+            elsewhere.map_err(|elsewhere| combine_errors(&here, &elsewhere))
+        }
+        result = elsewhere.as_mut() => {
+            let Err(elsewhere) = result else {
+                return Ok(());
+            };
+            let here = here.await;
+            here.map_err(|here| combine_errors(&here, &elsewhere))
+        }
+    }
+}
+
 /// Combines the errors of two attempts: the record is certainly not stored only if neither attempt
 /// may have stored it.
 fn combine_errors(here: &StoreError, elsewhere: &StoreError) -> StoreError {
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -221,8 +221,8 @@
 
     /// Returns whether new runs may be placed here.
     ///
-    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, or silent for
-    /// longer than `silence_max`. On probation it accepts one run at a time.
+    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, or
+    /// silent for longer than `silence_max`. On probation it accepts one run at a time.
     pub fn accepts_runs(&self, silence_max: Duration, now: Instant) -> bool {
         let is_heard = self
             .clock
