Ask for multiples as the linter does

Cause: the linter rejects a remainder compared with zero. Change: the stand-in store of the admission tests uses is_multiple_of; zero means that no answer is lost, as before. Ruled out: an attribute that allows it.

--- a/crates/jobs/tests/admission/serial_store.rs
+++ b/crates/jobs/tests/admission/serial_store.rs
@@ -68,7 +68,7 @@
         let is_lost = {
             let mut state = self.lock();
             state.calls += 1;
-            state.loses_one_of > 0 && state.calls % state.loses_one_of == 0
+            state.calls.is_multiple_of(state.loses_one_of)
         };
         if is_lost {
             std::future::pending::<()>().await;
