Charge the byte budget the whole frame of another domain's answer again

Cause: found on rereading the change: when answers of a key's home were taken off the budget, the charge for answers of other domains became that of the body alone, without status, headers and verdict. Change: the call returns the frame, and forwarding to another domain, which owns the budget, charges the frame's length as before the change; both callers decode in one place. Ruled out: a count of bytes in the decoded answer, which would repeat the codec.

--- a/crates/front/src/forward/forwarder.rs
+++ b/crates/front/src/forward/forwarder.rs
@@ -64,10 +64,10 @@
         }
         let address = other.heartbeat.peer_address;
         let answer = self.call(address, frame, timeout).await;
-        if let Ok(answer) = &answer {
-            self.byte_budget.withdraw(answer.body.len());
-        }
-        Some(answer)
+        Some(answer.and_then(|frame| {
+            self.byte_budget.withdraw(frame.len());
+            decode_answer(&frame)
+        }))
     }
 
     /// Forwards a request to the home front of its idempotency key.
@@ -82,7 +82,8 @@
         let timeout = Duration::from_millis(request.timeout_ms);
         let frame = encode(request)
             .map_err(|error| RequestError::not_run(Cause::BodyTooLarge, error.to_string()))?;
-        self.call(home, frame.into(), timeout).await
+        let answer = self.call(home, frame.into(), timeout).await?;
+        decode_answer(&answer)
     }
 
     /// Claims a key at all other fronts of the failure domain, each within `timeout` and all before
@@ -138,28 +139,29 @@
         others.collect()
     }
 
+    /// Sends a request to another front and returns the frame of its answer.
     async fn call(
         &self,
         address: SocketAddr,
         frame: Bytes,
         timeout: Duration,
-    ) -> Result<BufferedAnswer, RequestError> {
+    ) -> Result<Bytes, RequestError> {
         let call = self.peers.call(address, FORWARD_CALL, frame, timeout);
-        let answer = match tokio::time::timeout(timeout, call).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
-                return Err(RequestError {
-                    cause: Cause::PeerFailed,
-                    verdict: error.verdict,
-                    detail: error.cause,
-                });
-            }
+        match tokio::time::timeout(timeout, call).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(error)) => Err(RequestError {
+                cause: Cause::PeerFailed,
+                verdict: error.verdict,
+                detail: error.cause,
+            }),
             Err(_) => {
                 let detail = "the other front did not answer in time";
-                return Err(RequestError::may_have_run(Cause::Timeout, detail));
+                Err(RequestError::may_have_run(Cause::Timeout, detail))
             }
-        };
-        decode(&answer)
-            .map_err(|error| RequestError::may_have_run(Cause::PeerFailed, error.to_string()))
+        }
     }
 }
+
+fn decode_answer(frame: &[u8]) -> Result<BufferedAnswer, RequestError> {
+    decode(frame).map_err(|error| RequestError::may_have_run(Cause::PeerFailed, error.to_string()))
+}
