Log the ends that come after their runs were given up

Of the three hypotheses for the double runs, two differ only in what an executor says later of a run that the owner had given up. CellState::apply_run_end dropped such an end without a line, and acknowledged it. It now writes run-ended-late with the newest run of the task; executor-lapsed names the runs and the end of the last lease on the executor's clock; run-lost tells a silent executor from a restarted one. No decision changes. The tests of the owner and of the command line pass.

--- a/crates/cli/src/explain/job_timeline.rs
+++ b/crates/cli/src/explain/job_timeline.rs
@@ -70,7 +70,7 @@
         "job-accepted" => 1,
         "run-placed" => 2,
         "run-started" => 3,
-        "run-not-started" | "run-ended" | "run-lost" => 5,
+        "run-not-started" | "run-ended" | "run-ended-late" | "run-lost" => 5,
         "job-ended" => 6,
         _ => 4,
     }
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -90,7 +90,7 @@
             };
             let is_listed = report.lists(task, view.run);
             if !is_listed && !may_arrive {
-                self.declare_run_lost(&previous, task, view, now);
+                self.declare_run_lost(&previous, task, view, "the executor restarted", now);
                 continue;
             }
             let run = view.run;
@@ -146,7 +146,7 @@
         }
     }
 
-    pub(super) fn declare_runs_lost(&mut self, id: &ExecutorId, now: Instant) {
+    pub(super) fn declare_runs_lost(&mut self, id: &ExecutorId, cause: &str, now: Instant) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
@@ -154,14 +154,21 @@
             return;
         };
         for (task, view) in executor.remove_all_runs() {
-            self.declare_run_lost(&key, task, view, now);
+            self.declare_run_lost(&key, task, view, cause, now);
         }
     }
 
     /// Requeues the task of a run that has certainly ended, with the last known checkpoint.
-    fn declare_run_lost(&mut self, key: &ExecutorKey, task: TaskId, view: RunView, now: Instant) {
+    fn declare_run_lost(
+        &mut self,
+        key: &ExecutorKey,
+        task: TaskId,
+        view: RunView,
+        cause: &str,
+        now: Instant,
+    ) {
         if self.requeue_run(key, task, view.run, view.checkpoint, now) {
-            decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: "silent or restarted");
+            decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: cause);
         }
     }
 
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -117,10 +117,18 @@
             .map(|executor| executor.entry.id.clone())
             .collect();
         for id in lapsed {
-            let clock = self.executors.get(&id).and_then(|executor| executor.clock);
+            let Some(executor) = self.executors.get(&id) else {
+                continue;
+            };
+            let clock = executor.clock;
             let silent_ms = clock.map(|clock| now.duration_since(clock.seen_at()).as_millis());
-            decided!(Decision::ExecutorLapsed, executor: id, silent_ms: silent_ms.unwrap_or_default());
-            self.declare_runs_lost(&id, now);
+            let lease_end_ms = clock.map(|clock| clock.lease_end_ms(lease));
+            decided!(Decision::ExecutorLapsed, executor: id, silent_ms: silent_ms.unwrap_or_default(), lease_end_ms: lease_end_ms.unwrap_or_default(), runs: executor.runs().len());
+            let cause = match clock {
+                Some(_) => "silent for a lease",
+                None => "silent since the takeover",
+            };
+            self.declare_runs_lost(&id, cause, now);
             if let Some(executor) = self.executors.get_mut(&id) {
                 executor.clock = None;
             }
@@ -173,6 +181,8 @@
             return;
         };
         if !job.is_placed(task, ended.run, key) {
+            let newest_run = job.task(task).map(|progress| progress.run);
+            decided!(Decision::RunEndedLate, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number, newest_run: newest_run.unwrap_or_default());
             return;
         }
         decided!(Decision::RunEnded, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number);
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -21,6 +21,9 @@
     RunNotStarted,
     /// An executor reported the end of a run.
     RunEnded,
+    /// An executor reported the end of a run that is no longer placed there, such as one that was
+    /// given up as lost.
+    RunEndedLate,
     /// A run was lost: its executor is silent, or no longer lists the run.
     RunLost,
     /// A run was ordered to stop.
