Pass the wait for an executor's answer with each call

Each client of an executor kept one fixed wait, so the owner could not change it while the client's connections stayed open. ExecutorLink's calls now take the wait from the session.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -115,7 +115,6 @@
             settings.store_address,
             settings.advisor_address,
             settings.store_timeout,
-            settings.order_timeout,
         ));
         let health = Arc::new(StoreHealth::default());
         let store: Arc<dyn Store> = Arc::new(TrackedStore::new(
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -92,7 +92,6 @@
     pub(crate) advisor_address: Option<SocketAddr>,
     pub(crate) connections_max: usize,
     pub(crate) store_timeout: Duration,
-    pub(crate) order_timeout: Duration,
     pub(crate) cell: CellSettings,
     pub(crate) entry: EntrySettings,
     pub(crate) unready_for: Duration,
@@ -161,7 +160,6 @@
             advisor_address: jobs.advisor_address,
             connections_max: connections_max as usize,
             store_timeout,
-            order_timeout,
             cell,
             entry: EntrySettings {
                 retry_after: ms("retry_after_ms", jobs.retry_after_ms, 1, 60_000)?,
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -200,6 +200,11 @@
         self.context.health.time_since_contact() <= self.context.settings.renewal_right
     }
 
+    /// Returns how long to wait for an executor's answer.
+    pub(super) fn order_timeout(&self) -> Duration {
+        self.context.settings.order_timeout
+    }
+
     fn start(self: &Arc<Self>, submission_feeds: Vec<ChangeFeed>, next_sequence: Sequence) {
         for (index, feed) in submission_feeds.into_iter().enumerate() {
             let task = Arc::clone(self).follow_submissions(index, feed);
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -75,7 +75,7 @@
                 return;
             };
             let sent_at = Instant::now();
-            match self.link.renew(&renewal).await {
+            match self.link.renew(&renewal, self.owner.order_timeout()).await {
                 Ok(report) => {
                     pause = RENEWAL_PAUSE;
                     self.count("renew", "ok");
@@ -173,7 +173,7 @@
                     state.abandon_start(&self.id, task, run, may_have_run, now)
                 });
             };
-            let answer = self.link.start(&order).await;
+            let answer = self.link.start(&order, self.owner.order_timeout()).await;
             self.count("start", outcome_label(&answer));
             match attempts.record(answer) {
                 StartStep::Resend => sleep(RESEND_PAUSE).await,
@@ -202,7 +202,7 @@
                 return;
             }
             let order = self.owner.with_state(|state| state.stop_order(task, run));
-            let answer = self.link.stop(&order).await;
+            let answer = self.link.stop(&order, self.owner.order_timeout()).await;
             self.count("stop", outcome_label(&answer));
             if answer == Err(OrderError::Fenced) {
                 self.owner
@@ -227,7 +227,7 @@
             run,
             percent,
         };
-        let answer = self.link.pace(&order).await;
+        let answer = self.link.pace(&order, self.owner.order_timeout()).await;
         self.count("pace", outcome_label(&answer));
         if answer.is_err() {
             self.owner
--- a/crates/jobs/src/platform/executor_link.rs
+++ b/crates/jobs/src/platform/executor_link.rs
@@ -199,32 +199,39 @@
 impl Error for OrderError {}
 
 /// A client of one executor.
+///
+/// Each call waits for its answer for at most `timeout`.
 #[async_trait]
 pub trait ExecutorLink: Send + Sync {
-    /// Renews the leases and returns the running and the ended runs.
+    /// Renews the leases and returns the running and the ended runs. The long-poll time of the renewal
+    /// is added to `timeout`.
     ///
     /// Run ends are numbered per incarnation. An implementation acknowledges them only to the
     /// incarnation that sent the last report, and acknowledges none to any other one.
     ///
     /// # Errors
     /// [`OrderError::Unknown`] if the renewal may have taken effect.
-    async fn renew(&self, renewal: &Renewal) -> Result<ExecutorReport, OrderError>;
+    async fn renew(
+        &self,
+        renewal: &Renewal,
+        timeout: Duration,
+    ) -> Result<ExecutorReport, OrderError>;
 
     /// Starts a run. The call is idempotent: repeating a successful start succeeds as well.
     ///
     /// # Errors
     /// [`OrderError::Unknown`] if the run may have started or may still start.
-    async fn start(&self, order: &StartOrder) -> Result<(), OrderError>;
+    async fn start(&self, order: &StartOrder, timeout: Duration) -> Result<(), OrderError>;
 
     /// Stops a run.
     ///
     /// # Errors
     /// [`OrderError::Unknown`] if the stop may have taken effect.
-    async fn stop(&self, order: &StopOrder) -> Result<(), OrderError>;
+    async fn stop(&self, order: &StopOrder, timeout: Duration) -> Result<(), OrderError>;
 
     /// Sets the permitted speed of a run.
     ///
     /// # Errors
     /// [`OrderError::Unknown`] if the order may have taken effect.
-    async fn pace(&self, order: &PaceOrder) -> Result<(), OrderError>;
+    async fn pace(&self, order: &PaceOrder, timeout: Duration) -> Result<(), OrderError>;
 }
