Wait for executors' answers by the median latency of all calls

Cause: on a full link every answer comes after the fixed 500 ms. The owner gave the call up, closed the connection and sent the call again over a new one, whose handshake makes the next answer later still: 13,737 new connections for 612 requests. Answers that were given up held the ends of the runs; after a lease without an accepted answer the owner gave the runs up and placed their tasks again. Change: AnswerTimeout follows four times the median latency of all calls of the owner, from 500 ms to a third of the lease without the hold. Unreachable executors below a half of all don't move it.

--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -11,7 +11,7 @@
     pub lease: Duration,
     /// How long an executor may hold a renewal (long poll) until a run ends.
     pub renewal_hold: Duration,
-    /// The timeout for an executor's answer, in addition to the hold of a renewal.
+    /// The shortest timeout for an executor's answer, in addition to the hold of a renewal.
     pub order_timeout: Duration,
     /// How long an owner may renew leases after its last contact with the store.
     pub renewal_right: Duration,
@@ -38,6 +38,13 @@
         self.renewal_right + ExecutorClock::lapse_after(self.lease)
     }
 
+    /// Returns the longest timeout for an executor's answer.
+    ///
+    /// After a held renewal that gets no answer, there is time for two more before the lease expires.
+    pub fn order_timeout_max(&self) -> Duration {
+        (self.lease.saturating_sub(self.renewal_hold) / 3).max(self.order_timeout)
+    }
+
     /// Returns the time without a report after which an executor receives no new runs.
     pub fn silence_max(&self) -> Duration {
         self.renewal_hold + self.order_timeout
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
 
+use super::AnswerTimeout;
 use super::MemberName;
 use super::OwnerDirectory;
 use super::commit_loop::CommitLoop;
@@ -34,6 +35,7 @@
 use crate::observe::JobMetrics;
 use crate::observe::decided;
 use crate::platform::KeyedRecord;
+use crate::platform::OrderError;
 use crate::platform::Platform;
 use crate::platform::Store;
 use crate::platform::StoreError;
@@ -76,6 +78,7 @@
     pub(super) cell: u32,
     pub(super) context: Arc<OwnerContext>,
     state: Mutex<CellState>,
+    answer_timeout: Mutex<AnswerTimeout>,
     /// Wakes the commit loop: tasks may be placeable or records may be ready to store.
     pub(super) wake: Notify,
     /// Notified after each stored batch.
@@ -100,9 +103,13 @@
         } = take_over(&context, cell).await?;
         let epoch = state.epoch();
         let jobs = state.ledger().jobs().count();
+        let settings = &context.settings;
+        let answer_timeout =
+            AnswerTimeout::new(settings.order_timeout, settings.order_timeout_max());
         let owner = Arc::new(Self {
             cell,
             state: Mutex::new(state),
+            answer_timeout: Mutex::new(answer_timeout),
             wake: Notify::new(),
             batch_stored: Notify::new(),
             released: CancellationToken::new(),
@@ -200,9 +207,34 @@
         self.context.health.time_since_contact() <= self.context.settings.renewal_right
     }
 
-    /// Returns how long to wait for an executor's answer.
-    pub(super) fn order_timeout(&self) -> Duration {
-        self.context.settings.order_timeout
+    /// Makes a call to an executor and records its latency.
+    ///
+    /// `hold` is the time for which the executor may hold its answer. If it answers earlier, the call
+    /// does not tell the latency.
+    pub(super) async fn call_executor<T, F>(
+        &self,
+        hold: Duration,
+        call: impl FnOnce(Duration) -> F,
+    ) -> Result<T, OrderError>
+    where
+        F: Future<Output = Result<T, OrderError>>,
+    {
+        let timeout = self.answer_timeout().current();
+        let sent_at = Instant::now();
+        let answer = call(timeout).await;
+        let is_answered = !matches!(answer, Err(OrderError::NotSent(_) | OrderError::Unknown(_)));
+        if let Some(latency) = sent_at.elapsed().checked_sub(hold)
+            && (is_answered || latency >= timeout)
+        {
+            self.answer_timeout().record(latency);
+        }
+        answer
+    }
+
+    fn answer_timeout(&self) -> MutexGuard<'_, AnswerTimeout> {
+        self.answer_timeout
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn start(self: &Arc<Self>, submission_feeds: Vec<ChangeFeed>, next_sequence: Sequence) {
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -75,7 +75,11 @@
                 return;
             };
             let sent_at = Instant::now();
-            match self.link.renew(&renewal, self.owner.order_timeout()).await {
+            let hold = renewal.hold;
+            let answer = self
+                .owner
+                .call_executor(hold, |timeout| self.link.renew(&renewal, timeout));
+            match answer.await {
                 Ok(report) => {
                     pause = RENEWAL_PAUSE;
                     self.count("renew", "ok");
@@ -173,7 +177,7 @@
                     state.abandon_start(&self.id, task, run, may_have_run, now)
                 });
             };
-            let answer = self.link.start(&order, self.owner.order_timeout()).await;
+            let answer = self.call(|timeout| self.link.start(&order, timeout)).await;
             self.count("start", outcome_label(&answer));
             match attempts.record(answer) {
                 StartStep::Resend => sleep(RESEND_PAUSE).await,
@@ -202,7 +206,7 @@
                 return;
             }
             let order = self.owner.with_state(|state| state.stop_order(task, run));
-            let answer = self.link.stop(&order, self.owner.order_timeout()).await;
+            let answer = self.call(|timeout| self.link.stop(&order, timeout)).await;
             self.count("stop", outcome_label(&answer));
             if answer == Err(OrderError::Fenced) {
                 self.owner
@@ -227,7 +231,7 @@
             run,
             percent,
         };
-        let answer = self.link.pace(&order, self.owner.order_timeout()).await;
+        let answer = self.call(|timeout| self.link.pace(&order, timeout)).await;
         self.count("pace", outcome_label(&answer));
         if answer.is_err() {
             self.owner
@@ -235,6 +239,14 @@
         }
     }
 
+    /// Makes a call that the executor answers at once.
+    async fn call<F>(&self, call: impl FnOnce(Duration) -> F) -> Result<(), OrderError>
+    where
+        F: Future<Output = Result<(), OrderError>>,
+    {
+        self.owner.call_executor(Duration::ZERO, call).await
+    }
+
     fn count(&self, kind: &'static str, outcome: &'static str) {
         self.owner.context().metrics.count_order(kind, outcome);
     }
--- a/crates/jobs/src/ownership/mod.rs
+++ b/crates/jobs/src/ownership/mod.rs
@@ -1,6 +1,7 @@
 //! Leader election of cells: each cell has one owner among the hosts, which runs the cell's jobs
 //! until another host takes over.
 
+mod answer_timeout;
 mod candidate;
 mod cell_feeds;
 mod cell_owner;
@@ -16,6 +17,7 @@
 mod takeover;
 mod topics;
 
+pub use answer_timeout::AnswerTimeout;
 pub use candidate::Candidate;
 pub use cell_owner::CellOwner;
 pub use cell_owner::OwnerContext;
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -1,5 +1,6 @@
 //! Leader election of cells among several processes that share an in-memory store.
 
+mod answer_timeout;
 mod directory;
 mod hosts;
 mod memory_store;
