Add failing tests of runs that are given up while they work

Change: directed tests only; the simulated executor takes its longest lease as a setting and lists 500 ends.

--- /dev/null
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -0,0 +1,184 @@
+//! Runs that the owner gives up must have ended, and their ends must not count later.
+
+use std::time::Duration;
+
+use dotterelhook_jobs::fleet::ExecutorClock;
+use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_jobs::model::StepSpec;
+use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::platform::RunEnd;
+use dotterelhook_types::sizes::Resources;
+
+use crate::fixture::CellHarness;
+use crate::fixture::LEASE;
+use crate::fixture::ended;
+use crate::fixture::job;
+use crate::fixture::step;
+use crate::fixture::submission;
+use crate::fixture::task;
+use crate::simulated_executor::History;
+use crate::simulated_executor::SimulatedExecutor;
+
+/// The longest lease that the executor grants; longer than the owner's leases.
+const LEASE_MAX: Duration = Duration::from_secs(10);
+/// The time that the task needs; longer than any lease.
+const WORK: Duration = Duration::from_secs(20);
+/// The most run ends that one report lists.
+const ENDS_LISTED_MAX: u32 = 500;
+
+/// An owner with a spare executor, and an executor whose calls and clock are simulated.
+struct RestartedExecutor {
+    harness: CellHarness,
+    executor: SimulatedExecutor,
+    history: History,
+    /// The incarnation to which the open connection leads.
+    connected_to: u64,
+}
+
+impl RestartedExecutor {
+    /// Creates an executor that has answered in its first incarnation and then restarted.
+    fn new() -> Self {
+        let mut harness = CellHarness::new();
+        harness.list_executor("i-1", 4_000);
+        harness.list_executor("i-2", 4_000);
+        let resources = Resources::new(4_000, 100_000);
+        let executor = SimulatedExecutor::new("i-1", resources, true)
+            .with_lease_max(LEASE_MAX.as_millis() as u64);
+        let mut restarted = Self {
+            harness,
+            executor,
+            history: History::default(),
+            connected_to: 0,
+        };
+        restarted.renew();
+        restarted.executor.crash();
+        restarted.executor.restart();
+        restarted
+    }
+
+    /// Exchanges one renewal as `HttpExecutor` does: the first call over a new connection
+    /// acknowledges no run ends.
+    fn renew(&mut self) {
+        let renewal = self.harness.cell.renewal(&"i-1".into(), true);
+        let mut renewal = renewal.expect("a listed executor");
+        if self.connected_to != self.executor.incarnation {
+            renewal.acked_end = 0;
+        }
+        self.connected_to = self.executor.incarnation;
+        let requested_at = self.harness.now;
+        let report = self.executor.renew(&renewal, &mut self.history);
+        self.advance(Duration::from_millis(5));
+        let now = self.harness.now;
+        let report = report.expect("an answer");
+        self.harness
+            .cell
+            .handle_report(&"i-1".into(), report, requested_at, now);
+    }
+
+    fn advance(&mut self, time: Duration) {
+        self.harness.advance(time);
+        self.executor.advance(time.as_millis() as u64);
+    }
+
+    /// Submits a job with one task and starts it on the executor.
+    fn start_task(&mut self, work: Duration, fails: bool) -> TaskId {
+        let submitted = submission(vec![step(1, 1_000, &[])]);
+        let now = self.harness.now;
+        self.harness.cell.accept(job(1), submitted, now);
+        self.harness.commit();
+        let (started, run) = (task(1, 0, 0), RunNumber(1));
+        let id = "i-1".into();
+        let order = self.harness.cell.start_order(&id, started, run, now);
+        let order = order.expect("a placed run");
+        let need = Resources::new(1_000, 1_000);
+        let work_ms = work.as_millis() as u64;
+        let answer = self.executor.start(&order, need, work_ms, fails);
+        assert_eq!(answer, Ok(true));
+        self.harness
+            .cell
+            .handle_start_result(&id, started, run, Ok(()), now);
+        started
+    }
+
+    /// Lets the executor be silent until its runs are given up, and places their tasks again.
+    fn fall_silent(&mut self) {
+        self.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
+        self.harness.cell.expire_leases(self.harness.now);
+        self.harness.report("i-2", vec![], vec![]);
+        self.harness.commit();
+    }
+}
+
+/// Guards against TWICE: the first renewal to a restarted executor carries a lease end on the clock of
+/// the former incarnation, and its runs outlive the time at which the owner gives them up.
+#[tokio::test]
+async fn a_run_on_a_restarted_executor_has_ended_when_its_task_starts_elsewhere() {
+    let mut restarted = RestartedExecutor::new();
+    restarted.renew();
+    let started = restarted.start_task(WORK, false);
+
+    restarted.fall_silent();
+
+    let again = Order::Start(started, RunNumber(2));
+    assert_eq!(restarted.harness.take_orders("i-2"), [again]);
+    assert!(!restarted.executor.runs(started), "{started} runs twice");
+}
+
+/// Guards against BUDGET and TWICE: an executor falls silent after a restart, its run fails under a
+/// lease that the owner believes to be over, and the end is acknowledged without being counted.
+#[tokio::test]
+async fn the_failure_of_a_run_that_was_given_up_after_a_restart_is_not_acknowledged_uncounted() {
+    let mut restarted = RestartedExecutor::new();
+    restarted.renew();
+    let lapse = ExecutorClock::lapse_after(LEASE);
+    let started = restarted.start_task(lapse + Duration::from_secs(1), true);
+    restarted.fall_silent();
+
+    restarted.advance(Duration::from_secs(2));
+    restarted.renew();
+    restarted.harness.commit();
+    restarted.renew();
+
+    let acknowledged = restarted.history.failures.get(&started).copied();
+    let ledger = restarted.harness.cell.ledger();
+    let progress = ledger.job(job(1)).and_then(|job| job.task(started));
+    let counted = progress.map(|progress| progress.failures);
+    assert_eq!(
+        acknowledged.unwrap_or_default(),
+        counted.unwrap_or_default()
+    );
+}
+
+/// Guards against TWICE and BUDGET: a run that ended before a takeover is beyond the 500 ends that one
+/// report lists, so the next owner takes it for a run whose start never arrived.
+#[tokio::test]
+async fn an_end_beyond_the_first_page_of_a_report_is_counted_by_the_next_owner() {
+    let small = StepSpec {
+        need: Resources::new(1, 1),
+        ..step(ENDS_LISTED_MAX + 1, 1, &[])
+    };
+    let submitted = submission(vec![small]);
+    let mut harness = CellHarness::new();
+    harness.list_executor("i-1", 4_000_000);
+    harness.report("i-1", vec![], vec![]);
+    harness.cell.accept(job(1), submitted.clone(), harness.now);
+    for _ in 0..4 {
+        harness.commit();
+    }
+    let count = harness.accept_starts("i-1").len();
+    let ends: Vec<_> = (0..=ENDS_LISTED_MAX)
+        .map(|index| ended(u64::from(index) + 1, task(1, 0, index), 1, RunEnd::Done))
+        .collect();
+    let (listed, beyond) = ends.split_at(ENDS_LISTED_MAX as usize);
+    let mut next = harness.take_over(&[(job(1), submitted)]);
+    next.list_executor("i-1", 4_000_000);
+
+    next.report("i-1", vec![], listed.to_vec());
+    next.commit();
+    next.report("i-1", vec![], beyond.to_vec());
+    next.commit();
+
+    assert_eq!(count, ENDS_LISTED_MAX as usize + 1);
+    assert_eq!(next.take_orders("i-1"), []);
+}
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod gangs;
 mod generated_faults;
+mod given_up_runs;
 mod load;
 mod orders;
 mod outages;
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -18,8 +18,10 @@
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
 
-/// The longest lease that an executor grants, in milliseconds.
+/// The longest lease that an executor grants, in milliseconds, unless it was created with another.
 const LEASE_MAX_MS: u64 = 6_000;
+/// The most run ends that one report lists.
+const ENDS_LISTED_MAX: usize = 500;
 
 /// A run on a simulated executor.
 #[derive(Clone, Debug)]
@@ -42,6 +44,7 @@
     enforces_fences: bool,
     token: Epoch,
     lease_end_ms: u64,
+    lease_max_ms: u64,
     capacity: Resources,
     runs: BTreeMap<TaskId, SimulatedRun>,
     ended: Vec<EndedRun>,
@@ -73,6 +76,7 @@
             enforces_fences,
             token: Epoch(0),
             lease_end_ms: 0,
+            lease_max_ms: LEASE_MAX_MS,
             capacity,
             runs: BTreeMap::new(),
             ended: Vec::new(),
@@ -82,6 +86,14 @@
         }
     }
 
+    /// Sets the longest lease that the executor grants, which may exceed the owner's leases.
+    pub(crate) fn with_lease_max(self, lease_max_ms: u64) -> Self {
+        Self {
+            lease_max_ms,
+            ..self
+        }
+    }
+
     /// Returns whether a run of the task is active on this executor.
     pub(crate) fn runs(&self, task: TaskId) -> bool {
         self.is_up && self.runs.contains_key(&task)
@@ -109,6 +121,7 @@
         *self = Self {
             incarnation: self.incarnation + 1,
             clock_ms: 1_000,
+            lease_max_ms: self.lease_max_ms,
             ..fresh
         };
     }
@@ -225,7 +238,7 @@
             clock_ms: self.clock_ms,
             incarnation: Incarnation(self.incarnation),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(ENDS_LISTED_MAX).cloned().collect(),
         })
     }
 
@@ -241,7 +254,7 @@
     }
 
     fn extend_lease(&mut self, lease_end_ms: u64) {
-        let granted = lease_end_ms.min(self.clock_ms + LEASE_MAX_MS);
+        let granted = lease_end_ms.min(self.clock_ms + self.lease_max_ms);
         self.lease_end_ms = self.lease_end_ms.max(granted);
     }
 
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 mod directory;
 mod hosts;
 mod memory_store;
+mod rights;
 mod slow_store;
 mod start_attempts;
 mod vacancies;
