--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 mod directory;
 mod hosts;
 mod memory_store;
+mod rights;
 mod slow_store;
 mod start_attempts;
 mod vacancies;
