Extend no lease over a connection that may lead to another incarnation

Cause: a renewal carries the end of the lease on the executor's clock. After a restart under the same id that clock begins anew, and the first renewal over a new connection still carried an end on the former clock, far ahead. The executor cut it to the longest lease that it grants, 10 s, while the owner gives runs up 6.73 s after the last report. An executor that falls silent within 3.27 s of that renewal then works on a run that the owner has started elsewhere, and a failed end from that time is acknowledged without being counted. Change: the first call over a new connection only requests a report, as it already acknowledged no ends. The next renewal goes over the same connection with the new clock.

--- a/crates/jobs/src/platform/executor_link.rs
+++ b/crates/jobs/src/platform/executor_link.rs
@@ -206,8 +206,9 @@
     /// Renews the leases and returns the running and the ended runs. The long-poll time of the renewal
     /// is added to `timeout`.
     ///
-    /// Run ends are numbered per incarnation. An implementation acknowledges them only to the
-    /// incarnation that sent the last report, and acknowledges none to any other one.
+    /// Run ends are numbered and clocks are started per incarnation. An implementation acknowledges run
+    /// ends and extends leases only at the incarnation that sent the last report. It requests just a
+    /// report from any other one.
     ///
     /// # Errors
     /// [`OrderError::Unknown`] if the renewal may have taken effect.
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -58,12 +58,13 @@
     }
 
     /// Exchanges one renewal as `HttpExecutor` does: the first call over a new connection
-    /// acknowledges no run ends.
+    /// acknowledges no run ends and extends no lease.
     fn renew(&mut self) {
         let renewal = self.harness.cell.renewal(&"i-1".into(), true);
         let mut renewal = renewal.expect("a listed executor");
         if self.connected_to != self.executor.incarnation {
             renewal.acked_end = 0;
+            renewal.lease_end_ms = None;
         }
         self.connected_to = self.executor.incarnation;
         let requested_at = self.harness.now;
