Check starts in the cell simulation also against ends that are acknowledged later

The simulation compared starts with earlier acknowledgements only, and no task failed more than once. Ends now carry their position among the starts, and the first task of every fourth job fails in each run.

--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -50,13 +50,13 @@
 use crate::fixture::settings;
 use crate::fixture::step;
 use crate::fixture::submission;
+use crate::simulated_executor::ATTEMPTS_MAX;
 use crate::simulated_executor::History;
 use crate::simulated_executor::SimulatedExecutor;
 use crate::simulated_executor::checkpoint;
 
 const EXECUTORS: [&str; 3] = ["i-1", "i-2", "i-3"];
 const CAPACITY_MILLI: u64 = 4_000;
-const ATTEMPTS_MAX: u32 = 3;
 /// The number of cases, unless the variable `DOTTERELHOOK_CASES` is set.
 const CASES: u32 = 200;
 /// The random seed, unless the variable `DOTTERELHOOK_SEED` is set.
@@ -250,8 +250,9 @@
 
     fn advance(&mut self, ms: u64) {
         self.now += Duration::from_millis(ms);
+        let moment = self.history.moment();
         for executor in &mut self.executors {
-            executor.advance(ms);
+            executor.advance(ms, moment);
         }
         self.carry_out_late_orders();
         self.owner.cell.expire_leases(self.now);
@@ -314,7 +315,7 @@
             // Nobody waits for these answers any more.
             let _ = match order {
                 LateOrder::Start(order) => self.start(index, &order),
-                LateOrder::Stop(order) => self.executors[index].stop(&order),
+                LateOrder::Stop(order) => self.executors[index].stop(&order, self.history.moment()),
             };
         }
     }
@@ -344,9 +345,9 @@
             Order::Stop(task, run) => {
                 let order = owner.cell.stop_order(task, run);
                 let answer = match deliveries[0] {
-                    Delivery::Answered => self.executors[index].stop(&order),
+                    Delivery::Answered => self.executors[index].stop(&order, self.history.moment()),
                     Delivery::AnswerLost => {
-                        let _ = self.executors[index].stop(&order);
+                        let _ = self.executors[index].stop(&order, self.history.moment());
                         return;
                     }
                     Delivery::DeliveredLate { after_ms } => {
@@ -415,7 +416,7 @@
         let step = &submission.spec.steps[task.step as usize];
         let number = u64::from(task.step) * 7 + u64::from(task.index);
         let work_ms = 300 + 200 * (number % 4);
-        let fails = number % 5 == 4 && order.run.0 == 1;
+        let fails = fails_always(task) || number % 5 == 4 && order.run.0 < ATTEMPTS_MAX;
         if order.incarnation.0 != self.executors[index].incarnation {
             return Err(OrderError::OtherExecutor);
         }
@@ -429,8 +430,11 @@
             .count();
         assert_eq!(duplicates, 0, "{task} runs twice");
         assert!(!self.history.done.contains(&task), "{task} was done before");
-        let failures = self.history.failures.get(&task).copied().unwrap_or(0);
-        assert!(failures < ATTEMPTS_MAX, "{task} had no attempts left");
+        let failures = self.history.failure_count(task);
+        assert!(
+            failures < ATTEMPTS_MAX as usize,
+            "{task} had no attempts left"
+        );
         for before in &step.after {
             let count = submission.spec.steps[*before as usize].count;
             for index in 0..count {
@@ -448,7 +452,7 @@
         if let Some(resumed) = &order.checkpoint {
             assert_eq!(*resumed, checkpoint(task));
         }
-        self.history.starts.entry(task).or_default().push(order.run);
+        self.history.record_start(task, order.run);
         Ok(())
     }
 
@@ -513,8 +517,16 @@
             let JobLookup::Known(state) = state else {
                 panic!("job {id} is not known");
             };
+            let first = TaskId {
+                job: *id,
+                occurrence: 0,
+                step: 0,
+                index: 0,
+            };
             if self.cancelled.contains(id) {
                 assert!(state.is_final(), "cancelled job {id} is {state}");
+            } else if fails_always(first) {
+                assert_eq!(state, JobState::Failed, "job {id}");
             } else {
                 assert_eq!(state, JobState::Completed, "job {id}");
             }
@@ -527,7 +539,7 @@
                 executor.id
             );
         }
-        for (task, runs) in &self.history.starts {
+        for (task, runs) in self.history.runs() {
             let rises = runs.windows(2).all(|pair| pair[0] < pair[1]);
             assert!(rises, "the runs of {task} don't rise: {runs:?}");
         }
@@ -563,6 +575,12 @@
     }
 }
 
+/// Returns whether all runs of a task fail. The first task of every fourth job is of this kind.
+fn fails_always(task: TaskId) -> bool {
+    let is_chosen = |number: &u64| job(*number) == task.job;
+    task.step == 0 && task.index == 0 && (0..64).step_by(4).any(|number| is_chosen(&number))
+}
+
 fn number_from<T: FromStr>(variable: &str, default: T) -> T {
     let text = std::env::var(variable).ok();
     text.and_then(|text| text.parse().ok()).unwrap_or(default)
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -18,6 +18,9 @@
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
 
+/// The number of failed runs after which a task must not start again.
+pub(crate) const ATTEMPTS_MAX: u32 = 3;
+
 /// The longest lease that an executor grants, in milliseconds.
 const LEASE_MAX_MS: u64 = 6_000;
 
@@ -50,17 +53,77 @@
     last_end: u64,
     /// The highest run of each task that was stopped or has ended on this executor.
     highest_ended_run: HashMap<TaskId, RunNumber>,
+    /// How far the history was when each end took place, by the number of the end.
+    ended_after: HashMap<u64, Moment>,
 }
 
+/// A position in the order of all starts.
+pub(crate) type Moment = usize;
+
 /// The outcomes of the runs on all executors.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
     /// The tasks with an acknowledged end `done`.
     pub(crate) done: HashSet<TaskId>,
-    /// The number of acknowledged failed runs of each task.
-    pub(crate) failures: HashMap<TaskId, u32>,
-    /// The runs of each task in the order of their starts.
-    pub(crate) starts: HashMap<TaskId, Vec<RunNumber>>,
+    /// The acknowledged failed ends of each task, as the numbers of starts before them.
+    failures: HashMap<TaskId, Vec<Moment>>,
+    /// All starts in their order.
+    starts: Vec<(TaskId, RunNumber)>,
+}
+
+impl History {
+    /// Returns the number of starts so far.
+    pub(crate) fn moment(&self) -> Moment {
+        self.starts.len()
+    }
+
+    pub(crate) fn record_start(&mut self, task: TaskId, run: RunNumber) {
+        self.starts.push((task, run));
+    }
+
+    /// Returns the runs of each task in the order of their starts.
+    pub(crate) fn runs(&self) -> HashMap<TaskId, Vec<RunNumber>> {
+        let mut runs: HashMap<TaskId, Vec<RunNumber>> = HashMap::new();
+        for (task, run) in &self.starts {
+            runs.entry(*task).or_default().push(*run);
+        }
+        runs
+    }
+
+    /// Returns how many acknowledged runs of the task have failed.
+    pub(crate) fn failure_count(&self, task: TaskId) -> usize {
+        self.failures.get(&task).map_or(0, Vec::len)
+    }
+
+    /// Records the acknowledgement of an end and checks that no start came after an end that rules
+    /// it out. The end may have taken place long before its acknowledgement.
+    fn acknowledge(&mut self, ended: &EndedRun, ended_at: Moment) {
+        let task = ended.task;
+        match ended.end {
+            RunEnd::Done => {
+                self.done.insert(task);
+                let later = self.start_after(task, ended_at);
+                assert_eq!(later, None, "{task} started after it was done");
+            }
+            RunEnd::Failed => {
+                let failures = self.failures.entry(task).or_default();
+                failures.push(ended_at);
+                failures.sort_unstable();
+                let last = failures.get(ATTEMPTS_MAX as usize - 1).copied();
+                let later = last.and_then(|last| self.start_after(task, last));
+                assert_eq!(later, None, "{task} started after its last attempt");
+            }
+            _ => {}
+        }
+    }
+
+    fn start_after(&self, task: TaskId, moment: Moment) -> Option<RunNumber> {
+        let later = self.starts[moment..].iter();
+        later
+            .filter(|(started, _)| *started == task)
+            .map(|(_, run)| *run)
+            .next()
+    }
 }
 
 impl SimulatedExecutor {
@@ -79,6 +142,7 @@
             void_up_to: 0,
             last_end: 0,
             highest_ended_run: HashMap::new(),
+            ended_after: HashMap::new(),
         }
     }
 
@@ -114,7 +178,7 @@
     }
 
     /// Advances the clock: runs make progress and end, and leases expire.
-    pub(crate) fn advance(&mut self, time_ms: u64) {
+    pub(crate) fn advance(&mut self, time_ms: u64, moment: Moment) {
         if !self.is_up {
             return;
         }
@@ -132,7 +196,7 @@
                 (false, 0, false) => RunEnd::Done,
                 (false, _, _) => continue,
             };
-            self.end(task, end);
+            self.end(task, end, moment);
         }
         if lapsed {
             self.void_up_to = self.last_end;
@@ -179,14 +243,14 @@
         Ok(true)
     }
 
-    pub(crate) fn stop(&mut self, order: &StopOrder) -> Result<(), OrderError> {
+    pub(crate) fn stop(&mut self, order: &StopOrder, moment: Moment) -> Result<(), OrderError> {
         self.check(order.token)?;
         let is_running = self
             .runs
             .get(&order.task)
             .is_some_and(|run| run.run == order.run);
         if is_running {
-            self.end(order.task, RunEnd::Stopped);
+            self.end(order.task, RunEnd::Stopped, moment);
         }
         let highest_ended_run = self.highest_ended_run.entry(order.task).or_default();
         *highest_ended_run = (*highest_ended_run).max(order.run);
@@ -204,13 +268,7 @@
         }
         for ended in &self.ended {
             if ended.number <= renewal.acked_end && ended.number > self.void_up_to {
-                match ended.end {
-                    RunEnd::Done => {
-                        history.done.insert(ended.task);
-                    }
-                    RunEnd::Failed => *history.failures.entry(ended.task).or_default() += 1,
-                    _ => {}
-                }
+                history.acknowledge(ended, self.ended_after[&ended.number]);
             }
         }
         self.ended.retain(|ended| ended.number > renewal.acked_end);
@@ -245,11 +303,12 @@
         self.lease_end_ms = self.lease_end_ms.max(granted);
     }
 
-    fn end(&mut self, task: TaskId, end: RunEnd) {
+    fn end(&mut self, task: TaskId, end: RunEnd, moment: Moment) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
         self.last_end += 1;
+        self.ended_after.insert(self.last_end, moment);
         let highest_ended_run = self.highest_ended_run.entry(task).or_default();
         *highest_ended_run = (*highest_ended_run).max(run.run);
         self.ended.push(EndedRun {
