--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -223,12 +223,14 @@
         if highest_ended_run.is_some_and(|highest_ended_run| order.run <= *highest_ended_run)
             || self.runs.contains_key(&order.task)
         {
+            self.extend_lease(order.lease_end_ms);
             return refused(StartRefusal::Old);
         }
         if order.lease_end_ms <= self.clock_ms {
             return refused(StartRefusal::Late);
         }
         if !need.saturating_add(&self.used()).fits_in(&self.capacity) {
+            self.extend_lease(order.lease_end_ms);
             return refused(StartRefusal::Room);
         }
         self.extend_lease(order.lease_end_ms);
