Let simulated executors grant longer leases than owners request

Deployments allow 6 s or 10 s, owners request 6.5 s at most. With equal values in the simulation, an executor cut each lease to what the owner expected. Now a renewal with a lease end on the clock of an earlier incarnation gets the longest lease.

--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -21,8 +21,8 @@
 /// The number of failed runs after which a task must not start again.
 pub(crate) const ATTEMPTS_MAX: u32 = 3;
 
-/// The longest lease that an executor grants, in milliseconds.
-const LEASE_MAX_MS: u64 = 6_000;
+/// The longest lease that an executor grants, in milliseconds. Owners request shorter ones.
+const LEASE_MAX_MS: u64 = 10_000;
 
 /// A run on a simulated executor.
 #[derive(Clone, Debug)]
