Let the cell simulation carry out renewals late and deliver reports late

PROTOCOL: a call that receives no response may be executed, also seconds later, after newer calls. The simulation carried out late starts and stops only, 4 s late at most, and each report arrived within 2 ms. Calls are now up to 12 s late, and a report arrives at any time within the owner's timeout, which is the hold of the renewal and 500 ms.

--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -26,7 +26,9 @@
 use dotterelhook_jobs::model::TaskId;
 use dotterelhook_jobs::ownership::StartAttempts;
 use dotterelhook_jobs::ownership::StartStep;
+use dotterelhook_jobs::platform::ExecutorReport;
 use dotterelhook_jobs::platform::OrderError;
+use dotterelhook_jobs::platform::Renewal;
 use dotterelhook_jobs::platform::StartOrder;
 use dotterelhook_jobs::platform::StartRefusal;
 use dotterelhook_jobs::platform::StopOrder;
@@ -66,12 +68,18 @@
 const SETTLE_STEP: Duration = Duration::from_millis(100);
 
 /// The longest delay of an order that an executor carries out late.
-const LATE_MAX_MS: u64 = 4_000;
+const LATE_MAX_MS: u64 = 12_000;
+/// The longest delay of a report: an owner waits for the hold of a renewal and then 500 ms.
+const REPORT_DELAY_MAX_MS: u64 = 1_500;
 
 /// The outcome of a message and its answer.
 #[derive(Clone, Copy, Debug)]
 enum Delivery {
     Answered,
+    /// Carried out at once. A report reaches the owner late, the answer to an order at once.
+    AnsweredLate {
+        after_ms: u64,
+    },
     AnswerLost,
     /// Carried out without an answer, after calls that were sent later.
     DeliveredLate {
@@ -87,6 +95,14 @@
 enum LateOrder {
     Start(StartOrder),
     Stop(StopOrder),
+    Renewal(Renewal),
+}
+
+/// A report on its way to the owner.
+struct DelayedReport {
+    report: ExecutorReport,
+    requested_at: Instant,
+    arrives_at: Instant,
 }
 
 /// One event of a generated simulation.
@@ -127,6 +143,7 @@
 fn deliveries() -> impl Strategy<Value = Delivery> {
     prop_oneof![
         8 => Just(Delivery::Answered),
+        2 => (0..REPORT_DELAY_MAX_MS).prop_map(|after_ms| Delivery::AnsweredLate { after_ms }),
         1 => Just(Delivery::AnswerLost),
         1 => (0..LATE_MAX_MS).prop_map(|after_ms| Delivery::DeliveredLate { after_ms }),
         1 => Just(Delivery::NotSent),
@@ -159,6 +176,8 @@
     in_flight: Option<CommitBatch>,
     /// The incarnation of each executor that sent the last report.
     reported_incarnations: BTreeMap<ExecutorId, u64>,
+    /// Reports on their way. An owner sends no other renewal to such an executor.
+    delayed_reports: BTreeMap<ExecutorId, DelayedReport>,
 }
 
 /// All owners, executors and stored records.
@@ -255,6 +274,7 @@
             executor.advance(ms, moment);
         }
         self.carry_out_late_orders();
+        self.owner.handle_delayed_reports(self.now);
         self.owner.cell.expire_leases(self.now);
         self.owner.cell.relocate_runs(self.now);
     }
@@ -283,6 +303,9 @@
 
     fn renew(&mut self, index: usize, delivery: Delivery) {
         let id = ExecutorId::from(EXECUTORS[index]);
+        if self.owner.delayed_reports.contains_key(&id) {
+            return;
+        }
         let Some(mut renewal) = self.owner.cell.renewal(&id, true) else {
             return;
         };
@@ -290,18 +313,32 @@
         if self.owner.reported_incarnations.get(&id) != Some(&incarnation) {
             renewal.acked_end = 0;
         }
-        if matches!(delivery, Delivery::NotSent | Delivery::Refused) {
-            return;
-        }
-        let requested_at = self.now;
-        let report = self.executors[index].renew(&renewal, &mut self.history);
-        if let (Ok(report), Delivery::Answered) = (report, delivery) {
-            self.advance(2);
-            self.owner
-                .reported_incarnations
-                .insert(id.clone(), incarnation);
-            let cell = &mut self.owner.cell;
-            cell.handle_report(&id, report, requested_at, self.now);
+        let executor = &mut self.executors[index];
+        match delivery {
+            Delivery::NotSent | Delivery::Refused => {}
+            Delivery::DeliveredLate { after_ms } => {
+                self.delay(after_ms, index, LateOrder::Renewal(renewal));
+            }
+            Delivery::AnswerLost => {
+                let _ = executor.renew(&renewal, &mut self.history);
+            }
+            Delivery::Answered | Delivery::AnsweredLate { .. } => {
+                let delay_ms = match delivery {
+                    Delivery::AnsweredLate { after_ms } => after_ms,
+                    _ => 2,
+                };
+                if let Ok(report) = executor.renew(&renewal, &mut self.history) {
+                    let delayed = DelayedReport {
+                        report,
+                        requested_at: self.now,
+                        arrives_at: self.now + Duration::from_millis(delay_ms),
+                    };
+                    self.owner.delayed_reports.insert(id, delayed);
+                    if matches!(delivery, Delivery::Answered) {
+                        self.advance(delay_ms);
+                    }
+                }
+            }
         }
     }
 
@@ -314,6 +351,10 @@
         for (_, index, order) in due {
             // Nobody waits for these answers any more.
             let _ = match order {
+                LateOrder::Renewal(renewal) => {
+                    let executor = &mut self.executors[index];
+                    executor.renew(&renewal, &mut self.history).map(|_| ())
+                }
                 LateOrder::Start(order) => self.start(index, &order),
                 LateOrder::Stop(order) => self.executors[index].stop(&order, self.history.moment()),
             };
@@ -345,7 +386,9 @@
             Order::Stop(task, run) => {
                 let order = owner.cell.stop_order(task, run);
                 let answer = match deliveries[0] {
-                    Delivery::Answered => self.executors[index].stop(&order, self.history.moment()),
+                    Delivery::Answered | Delivery::AnsweredLate { .. } => {
+                        self.executors[index].stop(&order, self.history.moment())
+                    }
                     Delivery::AnswerLost => {
                         let _ = self.executors[index].stop(&order, self.history.moment());
                         return;
@@ -383,7 +426,7 @@
             };
             let unknown = Err(OrderError::Unknown("no answer".into()));
             let answer = match *delivery {
-                Delivery::Answered => self.start(index, &order),
+                Delivery::Answered | Delivery::AnsweredLate { .. } => self.start(index, &order),
                 Delivery::AnswerLost => {
                     let _ = self.start(index, &order);
                     unknown
@@ -553,6 +596,23 @@
             orders: BTreeMap::new(),
             in_flight: None,
             reported_incarnations: BTreeMap::new(),
+            delayed_reports: BTreeMap::new(),
+        }
+    }
+
+    fn handle_delayed_reports(&mut self, now: Instant) {
+        let arrived = self
+            .delayed_reports
+            .extract_if(.., |_, delayed| delayed.arrives_at <= now);
+        for (id, delayed) in arrived {
+            let DelayedReport {
+                report,
+                requested_at,
+                ..
+            } = delayed;
+            let incarnation = report.incarnation.0;
+            self.reported_incarnations.insert(id.clone(), incarnation);
+            self.cell.handle_report(&id, report, requested_at, now);
         }
     }
 
