Let simulated executors list a limited number of ended runs in one report

PROTOCOL: ends that are not acknowledged are returned 500 at a time. The limit is 3 or 500 in each case of the simulation, and some jobs have tasks small enough for more than 3 ends.

--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -114,16 +114,22 @@
     /// Whether an order that is carried out late outlives its incarnation: the next one at the same
     /// address then carries it out. Otherwise the order is lost with the process.
     late_orders_cross_restarts: bool,
+    /// The number of ended runs in one report.
+    listed_ends_max: usize,
 }
 
 /// Late orders cross restarts only if the variable `DOTTERELHOOK_LATE_ACROSS_RESTARTS` is set to 1:
 /// no owner can rule out a duplicate then, because a restarted executor knows no stopped run.
 fn contracts() -> impl Strategy<Value = Contract> {
     let may_cross = number_from("DOTTERELHOOK_LATE_ACROSS_RESTARTS", 0) == 1;
-    any::<(bool, bool)>().prop_map(move |(enforces_fences, crosses)| Contract {
-        enforces_fences,
-        late_orders_cross_restarts: may_cross && crosses,
-    })
+    let choices = (any::<(bool, bool)>(), prop_oneof![Just(3), Just(500_usize)]);
+    choices.prop_map(
+        move |((enforces_fences, crosses), listed_ends_max)| Contract {
+            enforces_fences,
+            late_orders_cross_restarts: may_cross && crosses,
+            listed_ends_max,
+        },
+    )
 }
 
 /// A report on its way to the owner.
@@ -139,6 +145,7 @@
     Submit {
         steps: u32,
         width: u32,
+        cpu_milli: u64,
     },
     Cancel {
         index: usize,
@@ -179,10 +186,20 @@
     ]
 }
 
+fn submissions() -> impl Strategy<Value = Event> {
+    let wide = (1..3_u32, 1..4_u32, Just(1_500));
+    let small = (1..3_u32, 1..9_u32, Just(400));
+    prop_oneof![wide, small].prop_map(|(steps, width, cpu_milli)| Event::Submit {
+        steps,
+        width,
+        cpu_milli,
+    })
+}
+
 fn events() -> impl Strategy<Value = Vec<Event>> {
     let executor = 0..EXECUTORS.len();
     let event = prop_oneof![
-        2 => (1..3_u32, 1..4_u32).prop_map(|(steps, width)| Event::Submit { steps, width }),
+        2 => submissions(),
         1 => any::<usize>().prop_map(|index| Event::Cancel { index }),
         6 => (1..900_u64).prop_map(|ms| Event::Advance { ms }),
         8 => any::<u8>().prop_map(|dice| Event::Commit { answer_lost: dice < 25 }),
@@ -239,7 +256,12 @@
             stale_owner: None,
             executors: EXECUTORS
                 .iter()
-                .map(|id| SimulatedExecutor::new(id, resources, contract.enforces_fences))
+                .map(|id| {
+                    let mut executor =
+                        SimulatedExecutor::new(id, resources, contract.enforces_fences);
+                    executor.listed_ends_max = contract.listed_ends_max;
+                    executor
+                })
                 .collect(),
             submissions: Vec::new(),
             cancelled: Vec::new(),
@@ -255,7 +277,11 @@
 
     fn apply(&mut self, event: &Event) {
         match event {
-            Event::Submit { steps, width } => self.submit(*steps, *width),
+            Event::Submit {
+                steps,
+                width,
+                cpu_milli,
+            } => self.submit(*steps, *width, *cpu_milli),
             Event::Cancel { index } => self.cancel(*index),
             Event::Advance { ms } => self.advance(*ms),
             Event::Commit { answer_lost } => self.commit(*answer_lost),
@@ -274,12 +300,12 @@
         }
     }
 
-    fn submit(&mut self, steps: u32, width: u32) {
+    fn submit(&mut self, steps: u32, width: u32, cpu_milli: u64) {
         let id = job(self.submissions.len() as u64 + 1);
         let steps = (0..steps)
             .map(|number| {
                 let after: Vec<u32> = (0..number).collect();
-                step(width, 1_500, &after)
+                step(width, cpu_milli, &after)
             })
             .collect();
         let submission = submission(steps);
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -48,6 +48,8 @@
     capacity: Resources,
     runs: BTreeMap<TaskId, SimulatedRun>,
     ended: Vec<EndedRun>,
+    /// The number of ended runs in one report.
+    pub(crate) listed_ends_max: usize,
     /// The number of the last end before the lease expired. Ends up to this number never count.
     void_up_to: u64,
     last_end: u64,
@@ -139,6 +141,7 @@
             capacity,
             runs: BTreeMap::new(),
             ended: Vec::new(),
+            listed_ends_max: 500,
             void_up_to: 0,
             last_end: 0,
             highest_ended_run: HashMap::new(),
@@ -173,6 +176,7 @@
         *self = Self {
             incarnation: self.incarnation + 1,
             clock_ms: 1_000,
+            listed_ends_max: self.listed_ends_max,
             ..fresh
         };
     }
@@ -285,7 +289,12 @@
             clock_ms: self.clock_ms,
             incarnation: Incarnation(self.incarnation),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self
+                .ended
+                .iter()
+                .take(self.listed_ends_max)
+                .cloned()
+                .collect(),
         })
     }
 
