Let a former owner go on in the cell simulation, with executors that only it reaches

It now renews leases for the renewal right of 2 s after the takeover, then requests reports without a lease, expires leases, and ends once an executor refuses its token. Executors may be cut off from all other owners for a while.

--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -67,6 +67,8 @@
 const SETTLE: Duration = Duration::from_secs(60);
 const SETTLE_STEP: Duration = Duration::from_millis(100);
 
+/// How long a former owner may renew leases after a takeover.
+const RENEWAL_RIGHT: Duration = Duration::from_secs(2);
 /// The longest delay of an order that an executor carries out late.
 const LATE_MAX_MS: u64 = 12_000;
 /// The longest delay of a report: an owner waits for the hold of a renewal and then 500 ms.
@@ -139,6 +141,14 @@
     arrives_at: Instant,
 }
 
+/// The owner that a message comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    Owner,
+    /// The owner before the last takeover, which has not learned of it.
+    FormerOwner,
+}
+
 /// One event of a generated simulation.
 #[derive(Clone, Debug)]
 enum Event {
@@ -157,13 +167,22 @@
         answer_lost: bool,
     },
     Renew {
+        sender: Sender,
         executor: usize,
         delivery: Delivery,
     },
     DeliverOrder {
+        sender: Sender,
         executor: usize,
         deliveries: Vec<Delivery>,
     },
+    /// Cuts an executor off from all owners but the former one.
+    Isolate {
+        executor: usize,
+    },
+    Reconnect {
+        executor: usize,
+    },
     Crash {
         executor: usize,
     },
@@ -186,6 +205,10 @@
     ]
 }
 
+fn senders() -> impl Strategy<Value = Sender> {
+    prop_oneof![2 => Just(Sender::Owner), 1 => Just(Sender::FormerOwner)]
+}
+
 fn submissions() -> impl Strategy<Value = Event> {
     let wide = (1..3_u32, 1..4_u32, Just(1_500));
     let small = (1..3_u32, 1..9_u32, Just(400));
@@ -203,10 +226,13 @@
         1 => any::<usize>().prop_map(|index| Event::Cancel { index }),
         6 => (1..900_u64).prop_map(|ms| Event::Advance { ms }),
         8 => any::<u8>().prop_map(|dice| Event::Commit { answer_lost: dice < 25 }),
-        8 => (executor.clone(), deliveries())
-            .prop_map(|(executor, delivery)| Event::Renew { executor, delivery }),
-        8 => (executor.clone(), proptest::collection::vec(deliveries(), 3))
-            .prop_map(|(executor, deliveries)| Event::DeliverOrder { executor, deliveries }),
+        12 => (senders(), executor.clone(), deliveries())
+            .prop_map(|(sender, executor, delivery)| Event::Renew { sender, executor, delivery }),
+        12 => (senders(), executor.clone(), proptest::collection::vec(deliveries(), 3)).prop_map(
+            |(sender, executor, deliveries)| Event::DeliverOrder { sender, executor, deliveries }
+        ),
+        1 => executor.clone().prop_map(|executor| Event::Isolate { executor }),
+        1 => executor.clone().prop_map(|executor| Event::Reconnect { executor }),
         1 => executor.clone().prop_map(|executor| Event::Crash { executor }),
         2 => executor.prop_map(|executor| Event::Restart { executor }),
         1 => any::<bool>().prop_map(|keeps_stale_owner| Event::TakeOver { keeps_stale_owner }),
@@ -219,6 +245,10 @@
     cell: CellState,
     orders: BTreeMap<ExecutorId, UnboundedReceiver<Order>>,
     in_flight: Option<CommitBatch>,
+    /// The last contact to the store of an owner that has lost it.
+    last_contact: Option<Instant>,
+    /// Whether an executor has told this owner of a later one.
+    is_released: bool,
     /// The incarnation of each executor that sent the last report.
     reported_incarnations: BTreeMap<ExecutorId, u64>,
     /// Reports on their way. An owner sends no other renewal to such an executor.
@@ -232,6 +262,8 @@
     owner: Owner,
     stale_owner: Option<Owner>,
     executors: Vec<SimulatedExecutor>,
+    /// The executors that only the former owner reaches.
+    isolated: [bool; EXECUTORS.len()],
     submissions: Vec<(JobId, Arc<Submission>)>,
     cancelled: Vec<JobId>,
     stored: HashMap<JobId, JobProgress>,
@@ -246,6 +278,7 @@
         let now = Instant::now();
         let settings = Arc::new(CellSettings {
             executors_enforce_fences: contract.enforces_fences,
+            renewal_right: RENEWAL_RIGHT,
             ..settings()
         });
         let resources = Resources::new(CAPACITY_MILLI, 100_000);
@@ -263,6 +296,7 @@
                     executor
                 })
                 .collect(),
+            isolated: [false; EXECUTORS.len()],
             submissions: Vec::new(),
             cancelled: Vec::new(),
             stored: HashMap::new(),
@@ -285,11 +319,22 @@
             Event::Cancel { index } => self.cancel(*index),
             Event::Advance { ms } => self.advance(*ms),
             Event::Commit { answer_lost } => self.commit(*answer_lost),
-            Event::Renew { executor, delivery } => self.renew(*executor, *delivery),
+            Event::Renew {
+                sender,
+                executor,
+                delivery,
+            } => self.act_as(*sender, |simulation, owner| {
+                simulation.renew(owner, *executor, *delivery);
+            }),
             Event::DeliverOrder {
+                sender,
                 executor,
                 deliveries,
-            } => self.deliver_order(*executor, deliveries),
+            } => self.act_as(*sender, |simulation, owner| {
+                simulation.deliver_order(owner, *executor, deliveries);
+            }),
+            Event::Isolate { executor } => self.isolated[*executor] = true,
+            Event::Reconnect { executor } => self.isolated[*executor] = false,
             Event::Crash { executor } => self.executors[*executor].crash(),
             Event::Restart { executor } => {
                 if !self.executors[*executor].is_up {
@@ -329,9 +374,11 @@
             executor.advance(ms, moment);
         }
         self.carry_out_late_orders();
-        self.owner.handle_delayed_reports(self.now);
-        self.owner.cell.expire_leases(self.now);
-        self.owner.cell.relocate_runs(self.now);
+        for owner in self.stale_owner.iter_mut().chain([&mut self.owner]) {
+            owner.handle_delayed_reports(self.now);
+            owner.cell.expire_leases(self.now);
+            owner.cell.relocate_runs(self.now);
+        }
     }
 
     /// Stores the owner's next batch. If the store's answer is lost, the effects follow with the
@@ -356,18 +403,48 @@
         }
     }
 
-    fn renew(&mut self, index: usize, delivery: Delivery) {
+    /// Lets one owner act on the executors. An executor's refusal of its token releases it.
+    fn act_as(&mut self, sender: Sender, act: impl FnOnce(&mut Self, &mut Owner)) {
+        match sender {
+            Sender::Owner => {
+                let placeholder = Owner::new(&self.settings, Epoch(0), self.now);
+                let mut owner = std::mem::replace(&mut self.owner, placeholder);
+                act(self, &mut owner);
+                self.owner = owner;
+            }
+            Sender::FormerOwner => {
+                if let Some(mut owner) = self.stale_owner.take() {
+                    act(self, &mut owner);
+                    self.stale_owner = (!owner.is_released).then_some(owner);
+                }
+            }
+        }
+        self.advance(0);
+    }
+
+    /// Returns whether messages of an owner reach an executor.
+    fn reaches(&self, owner: &Owner, index: usize) -> bool {
+        !self.isolated[index] || owner.cell.epoch() < self.epoch
+    }
+
+    fn renew(&mut self, owner: &mut Owner, index: usize, delivery: Delivery) {
         let id = ExecutorId::from(EXECUTORS[index]);
-        if self.owner.delayed_reports.contains_key(&id) {
+        if owner.delayed_reports.contains_key(&id) {
             return;
         }
-        let Some(mut renewal) = self.owner.cell.renewal(&id, true) else {
+        let may_renew = owner
+            .last_contact
+            .is_none_or(|at| self.now.duration_since(at) <= RENEWAL_RIGHT);
+        let Some(mut renewal) = owner.cell.renewal(&id, may_renew) else {
             return;
         };
         let incarnation = self.executors[index].incarnation;
-        if self.owner.reported_incarnations.get(&id) != Some(&incarnation) {
+        if owner.reported_incarnations.get(&id) != Some(&incarnation) {
             renewal.acked_end = 0;
         }
+        if !self.reaches(owner, index) {
+            return;
+        }
         let executor = &mut self.executors[index];
         match delivery {
             Delivery::NotSent | Delivery::Refused => {}
@@ -382,16 +459,20 @@
                     Delivery::AnsweredLate { after_ms } => after_ms,
                     _ => 2,
                 };
-                if let Ok(report) = executor.renew(&renewal, &mut self.history) {
-                    let delayed = DelayedReport {
-                        report,
-                        requested_at: self.now,
-                        arrives_at: self.now + Duration::from_millis(delay_ms),
-                    };
-                    self.owner.delayed_reports.insert(id, delayed);
-                    if matches!(delivery, Delivery::Answered) {
-                        self.advance(delay_ms);
+                match executor.renew(&renewal, &mut self.history) {
+                    Ok(report) => {
+                        let delayed = DelayedReport {
+                            report,
+                            requested_at: self.now,
+                            arrives_at: self.now + Duration::from_millis(delay_ms),
+                        };
+                        owner.delayed_reports.insert(id, delayed);
                     }
+                    Err(error) => owner.is_released |= error == OrderError::Fenced,
+                }
+                if matches!(delivery, Delivery::Answered) {
+                    self.advance(delay_ms);
+                    owner.handle_delayed_reports(self.now);
                 }
             }
         }
@@ -422,18 +503,7 @@
         }
     }
 
-    fn deliver_order(&mut self, index: usize, deliveries: &[Delivery]) {
-        if let Some(mut stale_owner) = self.stale_owner.take() {
-            self.deliver_order_from(&mut stale_owner, index, deliveries);
-            self.stale_owner = Some(stale_owner);
-        }
-        let placeholder = Owner::new(&self.settings, Epoch(0), self.now);
-        let mut owner = std::mem::replace(&mut self.owner, placeholder);
-        self.deliver_order_from(&mut owner, index, deliveries);
-        self.owner = owner;
-    }
-
-    fn deliver_order_from(&mut self, owner: &mut Owner, index: usize, deliveries: &[Delivery]) {
+    fn deliver_order(&mut self, owner: &mut Owner, index: usize, deliveries: &[Delivery]) {
         let id = ExecutorId::from(EXECUTORS[index]);
         let Some(order) = owner
             .orders
@@ -442,6 +512,11 @@
         else {
             return;
         };
+        let unreached = [Delivery::NotSent; 3];
+        let deliveries = match self.reaches(owner, index) {
+            true => deliveries,
+            false => &unreached,
+        };
         match order {
             Order::Start(task, run) => self.deliver_start(owner, index, (task, run), deliveries),
             Order::Stop(task, run) => {
@@ -460,6 +535,7 @@
                     }
                     Delivery::NotSent | Delivery::Refused => return,
                 };
+                owner.is_released |= answer == Err(OrderError::Fenced);
                 owner
                     .cell
                     .handle_stop_result(&id, task, run, answer, self.now);
@@ -504,6 +580,7 @@
                 Delivery::Refused => Err(OrderError::Refused(StartRefusal::Unhealthy)),
             };
             if let StartStep::Finish(outcome) = attempts.record(answer) {
+                owner.is_released |= outcome == Err(OrderError::Fenced);
                 return owner
                     .cell
                     .handle_start_result(&id, task, run, outcome, self.now);
@@ -596,13 +673,15 @@
             next.cell.cancel(*id, self.now);
         }
         next.list_all(self.now);
-        let former = std::mem::replace(&mut self.owner, next);
+        let mut former = std::mem::replace(&mut self.owner, next);
+        former.last_contact = Some(self.now);
         self.stale_owner = keeps_stale_owner.then_some(former);
     }
 
     /// Stops injecting faults and lets all jobs end.
     fn settle(&mut self) {
         self.stale_owner = None;
+        self.isolated = [false; EXECUTORS.len()];
         for executor in &mut self.executors {
             if !executor.is_up {
                 executor.restart();
@@ -612,12 +691,16 @@
         for _ in 0..rounds {
             self.advance(SETTLE_STEP.as_millis() as u64);
             for index in 0..EXECUTORS.len() {
-                self.renew(index, Delivery::Answered);
+                self.act_as(Sender::Owner, |simulation, owner| {
+                    simulation.renew(owner, index, Delivery::Answered);
+                });
             }
             self.commit(false);
             for index in 0..EXECUTORS.len() {
                 for _ in 0..8 {
-                    self.deliver_order(index, &[Delivery::Answered; 3]);
+                    self.act_as(Sender::Owner, |simulation, owner| {
+                        simulation.deliver_order(owner, index, &[Delivery::Answered; 3]);
+                    });
                 }
             }
         }
@@ -664,6 +747,8 @@
             cell: CellState::new(Arc::clone(settings), epoch, config(ATTEMPTS_MAX), now),
             orders: BTreeMap::new(),
             in_flight: None,
+            last_contact: None,
+            is_released: false,
             reported_incarnations: BTreeMap::new(),
             delayed_reports: BTreeMap::new(),
         }
