Add directed tests for three ways to run a task twice

They fail on the current code: - a_lease_is_renewed_only_over_the_connection_that_showed_the_clock: a renewal over a new connection carries the lease end for the former clock. A restarted executor, whose clock starts anew, takes it for the longest lease, which outlasts the owner's wait by up to 3.5 s where the limit is 10 s. - a_restored_run_whose_end_is_not_listed_yet_is_not_started_again and a_run_whose_end_is_not_listed_yet_is_not_started_again: a run that isn't listed as running counts as lost, although the report lists 500 ends at most and its end may be a later one.

--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell's state machine, without a network.
 
 mod bursts;
+mod double_runs;
 mod fixture;
 mod gangs;
 mod generated_faults;
