Take no run for lost while its end may not be listed yet

An executor lists at most 500 ends in one answer. The owner took a run that was neither running nor among the ends for lost: after a takeover at once, otherwise after a stop. Change: a report says whether ends may be missing, and such a report rules out no run; the ends that it lists are acknowledged, and the next report lists the others. How often 500 ends wait on one executor of the sites was not measured.

--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -42,8 +42,9 @@
         for key in keys {
             for task in self.unlisted_placements.remove(&key).unwrap_or_default() {
                 let run = self.placed_run(&key, task);
-                let is_accepted =
-                    run.is_some_and(|run| report.is_some_and(|report| report.lists(task, run)));
+                let is_accepted = run.is_some_and(|run| {
+                    report.is_some_and(|report| report.may_have_accepted(task, run))
+                });
                 if key == current {
                     self.restore_run(&key, task, now);
                 } else if let (true, Some(run)) = (is_accepted, run) {
@@ -88,8 +89,8 @@
                 RunPhase::Running { since } => since > requested_at,
                 RunPhase::Proposed | RunPhase::Withdrawn | RunPhase::Restored => false,
             };
-            let is_listed = report.lists(task, view.run);
-            if !is_listed && !may_arrive {
+            let is_accepted = report.may_have_accepted(task, view.run);
+            if !is_accepted && !may_arrive {
                 self.declare_run_lost(&previous, task, view, "the executor restarted", now);
                 continue;
             }
@@ -97,7 +98,7 @@
             self.adopt_run(&current, task, run);
             if let Some(executor) = self.executors.get_mut(id) {
                 executor.add_run(task, view);
-                if !is_listed {
+                if !is_accepted {
                     executor.stop(task, run, now);
                 }
             }
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -98,7 +98,9 @@
         for running in &report.running {
             self.handle_running_run(id, running, now);
         }
-        self.reconcile_missing_runs(id, &report, requested_at, now);
+        if !report.may_have_more_ends {
+            self.reconcile_missing_runs(id, &report, requested_at, now);
+        }
         self.control_tail_latency(id, now);
     }
 
--- a/crates/jobs/src/platform/executor_link.rs
+++ b/crates/jobs/src/platform/executor_link.rs
@@ -71,12 +71,17 @@
     pub running: Vec<RunningRun>,
     /// The unacknowledged run ends, in order of their numbers.
     pub ended: Vec<EndedRun>,
+    /// Whether further run ends may follow once these are acknowledged. A run that is not listed may
+    /// have ended then.
+    pub may_have_more_ends: bool,
 }
 
 impl ExecutorReport {
-    /// Returns whether the report contains a run, as running or as ended.
-    pub fn lists(&self, task: TaskId, run: RunNumber) -> bool {
-        self.is_running(task, run)
+    /// Returns whether the executor may have accepted a run: the report contains the run, as running
+    /// or as ended, or does not contain all ends.
+    pub fn may_have_accepted(&self, task: TaskId, run: RunNumber) -> bool {
+        self.may_have_more_ends
+            || self.is_running(task, run)
             || self
                 .ended
                 .iter()
--- a/crates/jobs/tests/cell/double_runs.rs
+++ b/crates/jobs/tests/cell/double_runs.rs
@@ -10,6 +10,7 @@
 
 use crate::fixture::CellHarness;
 use crate::fixture::LEASE;
+use crate::fixture::LISTED_ENDS_MAX;
 use crate::fixture::ended;
 use crate::fixture::job;
 use crate::fixture::running;
@@ -18,12 +19,9 @@
 use crate::fixture::submission;
 use crate::fixture::task;
 
-/// The number of ended runs that an executor lists in one report at most.
-const LISTED_ENDS_MAX: u64 = 500;
-
 /// Creates the ends of other jobs' runs, as many as fit into one report.
 fn listed_ends() -> Vec<EndedRun> {
-    (1..=LISTED_ENDS_MAX)
+    (1..=LISTED_ENDS_MAX as u64)
         .map(|number| ended(number, task(1_000 + number, 0, 0), 1, RunEnd::Done))
         .collect()
 }
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -35,6 +35,8 @@
 pub(crate) const QUEUE: &str = "plans";
 /// The pool of all executors.
 pub(crate) const SERVICE: &str = "desk";
+/// The most run ends that an executor lists in one report.
+pub(crate) const LISTED_ENDS_MAX: usize = 500;
 /// The lease duration in the tests.
 pub(crate) const LEASE: Duration = Duration::from_secs(6);
 
@@ -236,6 +238,7 @@
         let report = ExecutorReport {
             clock_ms: self.clock_ms,
             incarnation: Incarnation(incarnation),
+            may_have_more_ends: ended.len() >= LISTED_ENDS_MAX,
             running,
             ended,
         };
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -12,6 +12,7 @@
 
 use crate::fixture::CellHarness;
 use crate::fixture::LEASE;
+use crate::fixture::LISTED_ENDS_MAX;
 use crate::fixture::ended;
 use crate::fixture::job;
 use crate::fixture::step;
@@ -22,8 +23,6 @@
 
 /// The time that the task needs; longer than any lease.
 const WORK: Duration = Duration::from_secs(20);
-/// The most run ends that one report lists.
-const ENDS_LISTED_MAX: u32 = 500;
 
 /// An owner with a spare executor, and an executor whose calls and clock are simulated.
 struct RestartedExecutor {
@@ -152,7 +151,7 @@
 async fn an_end_beyond_the_first_page_of_a_report_is_counted_by_the_next_owner() {
     let small = StepSpec {
         need: Resources::new(1, 1),
-        ..step(ENDS_LISTED_MAX + 1, 1, &[])
+        ..step(LISTED_ENDS_MAX as u32 + 1, 1, &[])
     };
     let submitted = submission(vec![small]);
     let mut harness = CellHarness::new();
@@ -163,10 +162,10 @@
         harness.commit();
     }
     let count = harness.accept_starts("i-1").len();
-    let ends: Vec<_> = (0..=ENDS_LISTED_MAX)
+    let ends: Vec<_> = (0..=LISTED_ENDS_MAX as u32)
         .map(|index| ended(u64::from(index) + 1, task(1, 0, index), 1, RunEnd::Done))
         .collect();
-    let (listed, beyond) = ends.split_at(ENDS_LISTED_MAX as usize);
+    let (listed, beyond) = ends.split_at(LISTED_ENDS_MAX);
     let mut next = harness.take_over(&[(job(1), submitted)]);
     next.list_executor("i-1", 4_000_000);
 
@@ -175,6 +174,6 @@
     next.report("i-1", vec![], beyond.to_vec());
     next.commit();
 
-    assert_eq!(count, ENDS_LISTED_MAX as usize + 1);
+    assert_eq!(count, LISTED_ENDS_MAX + 1);
     assert_eq!(next.take_orders("i-1"), []);
 }
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -288,6 +288,7 @@
         Ok(ExecutorReport {
             clock_ms: self.clock_ms,
             incarnation: Incarnation(self.incarnation),
+            may_have_more_ends: self.ended.len() >= self.listed_ends_max,
             running: running.collect(),
             ended: self
                 .ended
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -104,6 +104,7 @@
             incarnation: Incarnation(1),
             running: Vec::new(),
             ended: Vec::new(),
+            may_have_more_ends: false,
         })
     }
 
