Without fences, give no run up before the leases of former owners are over

Cause: an owner gave up the runs of an executor that it had heard once by its own lease alone. Where executors check no fencing tokens, a former owner without contact to the store goes on renewing there for its right to renew after the takeover, so a run could work on while its task started elsewhere. Change: without fences such an executor counts as lapsed only once all former leases are over as well.

--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -109,11 +109,14 @@
     pub fn expire_leases(&mut self, now: Instant) {
         let lease = self.settings.lease;
         let former_leases_are_over = self.former_leases_end <= now;
+        // With fences, an executor that has answered this owner refuses renewals of former owners.
+        let is_renewed_by_us_only =
+            former_leases_are_over || self.settings.executors_enforce_fences;
         let lapsed: Vec<ExecutorId> = self
             .executors
             .values()
             .filter(|executor| match executor.clock {
-                Some(_) => executor.is_lapsed(lease, now),
+                Some(_) => is_renewed_by_us_only && executor.is_lapsed(lease, now),
                 None => former_leases_are_over && !executor.runs().is_empty(),
             })
             .map(|executor| executor.entry.id.clone())
