Send no start without the right to renew leases

Cause: each start carries a lease end and extends the lease of its executor, but only renewals were bound to the owner's right to renew, 2 s after its last contact with the store. Starts that waited for a slow executor, and sends that were repeated, went on with fresh readings of the executor's clock. A new owner that can't reach the executor gives its runs up 8.73 s after the takeover and starts their tasks again, while that lease goes on (TWICE). Change: CellState::start_order takes the right as CellState::renewal does. A start that was never sent is taken back and placed again; one that may have run is stopped.

--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -23,13 +23,19 @@
 /// Orders to executors, and the handling of their answers.
 impl CellState {
     /// Returns the start order of a run, or `None` if the run must not start any more.
+    ///
+    /// A start extends the lease of its executor, so it needs `may_renew` as a renewal does.
     pub fn start_order(
         &mut self,
         id: &ExecutorId,
         task: TaskId,
         run: RunNumber,
+        may_renew: bool,
         now: Instant,
     ) -> Option<StartOrder> {
+        if !may_renew {
+            return None;
+        }
         let ticket = self
             .executors
             .get(id)
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -168,9 +168,10 @@
                 return;
             }
             let now = Instant::now();
+            let may_renew = self.owner.may_renew();
             let order = self
                 .owner
-                .with_state(|state| state.start_order(&self.id, task, run, now));
+                .with_state(|state| state.start_order(&self.id, task, run, may_renew, now));
             let Some(order) = order else {
                 let may_have_run = attempts.may_have_run();
                 return self.owner.with_state(|state| {
--- a/crates/jobs/tests/cell/double_runs.rs
+++ b/crates/jobs/tests/cell/double_runs.rs
@@ -93,9 +93,10 @@
         harness.report("i-1", vec![], vec![]);
         harness.cell.expire_leases(harness.now);
     }
-    let start = harness
-        .cell
-        .start_order(&executor, task(1, 0, 0), RunNumber(1), harness.now);
+    let start =
+        harness
+            .cell
+            .start_order(&executor, task(1, 0, 0), RunNumber(1), false, harness.now);
 
     let lease_end_ms = start.map(|start| start.lease_end_ms);
     assert!(
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -458,9 +458,7 @@
         if owner.delayed_reports.contains_key(&id) {
             return;
         }
-        let may_renew = owner
-            .last_contact
-            .is_none_or(|at| self.now.duration_since(at) <= RENEWAL_RIGHT);
+        let may_renew = owner.may_renew(self.now);
         let Some(mut renewal) = owner.cell.renewal(&id, may_renew) else {
             return;
         };
@@ -598,7 +596,11 @@
         let Some(delivery) = start.deliveries.pop() else {
             return;
         };
-        let Some(order) = owner.cell.start_order(&id, start.task, start.run, self.now) else {
+        let may_renew = owner.may_renew(self.now);
+        let order = owner
+            .cell
+            .start_order(&id, start.task, start.run, may_renew, self.now);
+        let Some(order) = order else {
             let may_have_run = start.attempts.may_have_run();
             return owner
                 .cell
@@ -824,6 +826,11 @@
         }
     }
 
+    fn may_renew(&self, now: Instant) -> bool {
+        self.last_contact
+            .is_none_or(|at| now.duration_since(at) <= RENEWAL_RIGHT)
+    }
+
     fn handle_delayed_reports(&mut self, now: Instant) {
         let arrived = self
             .delayed_reports
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -87,7 +87,7 @@
         self.harness.commit();
         let (started, run) = (task(1, 0, 0), RunNumber(1));
         let id = "i-1".into();
-        let order = self.harness.cell.start_order(&id, started, run, now);
+        let order = self.harness.cell.start_order(&id, started, run, true, now);
         let order = order.expect("a placed run");
         let need = Resources::new(1_000, 1_000);
         let work_ms = work.as_millis() as u64;
--- a/crates/jobs/tests/cell/tickets.rs
+++ b/crates/jobs/tests/cell/tickets.rs
@@ -66,7 +66,7 @@
     let run = RunNumber(1);
     let order = harness
         .cell
-        .start_order(&id, task(1, 0, 0), run, harness.now);
+        .start_order(&id, task(1, 0, 0), run, true, harness.now);
 
     assert_eq!(before, (vec![], vec![]));
     assert_eq!(request.executors.len(), 2);
@@ -114,7 +114,7 @@
     let run = RunNumber(1);
     let order = harness
         .cell
-        .start_order(&id, task(1, 0, 0), run, harness.now);
+        .start_order(&id, task(1, 0, 0), run, true, harness.now);
     harness
         .cell
         .abandon_start(&id, task(1, 0, 0), run, false, harness.now);
