Base the right to renew leases on accepted appends, not on any answer of the store

Cause: a new owner waits until the former one's right must have ended, 2 s after its last contact with the store. Any answer counted as contact, heartbeats and reads included, and these reach a replaced owner as well. An owner that had nothing to append, and whose read of the owner directory hung, renewed leases without end; on an executor that the new owner could not reach, a run went on while its task started elsewhere (TWICE). Change: the right counts from the send time of the latest append that the store accepted, which proves that no claim came before. An owner without records appends an empty value every 0.5 s. Whether a cell counts as owned still follows any contact, so that slow appends cause no takeovers.

--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -13,7 +13,7 @@
     pub renewal_hold: Duration,
     /// The shortest timeout for an executor's answer, in addition to the hold of a renewal.
     pub order_timeout: Duration,
-    /// How long an owner may renew leases after its last contact with the store.
+    /// How long an owner may start runs and renew leases after its last accepted append.
     pub renewal_right: Duration,
     /// The interval between two appends of an owner to the store.
     pub commit_interval: Duration,
@@ -32,8 +32,8 @@
 impl CellSettings {
     /// Returns the time after a takeover at which all leases of former owners have expired.
     ///
-    /// A partitioned former owner renews leases until its last contact with the store is older
-    /// than `renewal_right`. That contact came before the takeover.
+    /// A former owner renews leases until its last accepted append is older than `renewal_right`. The
+    /// store accepted that append before the takeover, whose claim fences later ones.
     pub fn former_lease_lifetime_max(&self) -> Duration {
         self.renewal_right + ExecutorClock::lapse_after(self.lease)
     }
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -41,6 +41,7 @@
 use crate::platform::StoreError;
 use crate::store_access::ChangeFeed;
 use crate::store_access::StoreHealth;
+use crate::store_access::time_since_boot;
 
 /// The greatest age of the last read of submissions at which an unknown job counts as nonexistent.
 const SUBMISSIONS_AGE_MAX: Duration = Duration::from_millis(2_500);
@@ -79,6 +80,9 @@
     pub(super) context: Arc<OwnerContext>,
     state: Mutex<CellState>,
     answer_timeout: Mutex<AnswerTimeout>,
+    /// The send time of the latest append that the store accepted from this owner, since boot. No other
+    /// owner had claimed the cell then.
+    confirmed_at: Mutex<Duration>,
     /// Wakes the commit loop: tasks may be placeable or records may be ready to store.
     pub(super) wake: Notify,
     /// Notified after each stored batch.
@@ -96,6 +100,7 @@
     /// The store is unreachable, or another host claims the cell at the same time.
     pub async fn claim(context: Arc<OwnerContext>, cell: u32) -> Result<Arc<Self>, StoreError> {
         let started = Instant::now();
+        let started_since_boot = time_since_boot();
         let Takeover {
             state,
             submission_feeds,
@@ -110,6 +115,7 @@
             cell,
             state: Mutex::new(state),
             answer_timeout: Mutex::new(answer_timeout),
+            confirmed_at: Mutex::new(started_since_boot),
             wake: Notify::new(),
             batch_stored: Notify::new(),
             released: CancellationToken::new(),
@@ -201,12 +207,36 @@
         &self.context
     }
 
-    /// Returns whether this owner may still renew leases: an owner without recent contact to the
-    /// store may have been replaced without knowing.
+    /// Returns whether this owner may still start runs and renew leases: an owner whose last append
+    /// was accepted too long ago may have been replaced without knowing.
+    ///
+    /// Other answers of the store don't count, because they reach a replaced owner as well.
     pub(super) fn may_renew(&self) -> bool {
+        self.time_since_confirmation() <= self.context.settings.renewal_right
+    }
+
+    /// Returns whether this owner is in contact with the store.
+    pub(super) fn has_store_contact(&self) -> bool {
         self.context.health.time_since_contact() <= self.context.settings.renewal_right
     }
 
+    /// Records that the store accepted an append of this owner, which was first sent at `sent_at`
+    /// since boot.
+    pub(super) fn record_confirmation(&self, sent_at: Duration) {
+        let mut confirmed_at = self.confirmed_at();
+        *confirmed_at = sent_at.max(*confirmed_at);
+    }
+
+    pub(super) fn time_since_confirmation(&self) -> Duration {
+        time_since_boot().saturating_sub(*self.confirmed_at())
+    }
+
+    fn confirmed_at(&self) -> MutexGuard<'_, Duration> {
+        self.confirmed_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Makes a call to an executor and records its latency.
     ///
     /// `hold` is the time for which the executor may hold its answer. If it answers earlier, the call
--- a/crates/jobs/src/ownership/claim_calls.rs
+++ b/crates/jobs/src/ownership/claim_calls.rs
@@ -127,7 +127,10 @@
     async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
         let cell = decode(&frame).map_err(|error| CallError::not_run(error.to_string()))?;
         // An owner without contact to the store must be replaced by one with contact.
-        let is_live = self.0.find(cell).is_some_and(|owner| owner.may_renew());
+        let is_live = self
+            .0
+            .find(cell)
+            .is_some_and(|owner| owner.has_store_contact());
         let owns = is_live || self.0.is_claiming(cell);
         encode(&owns).map_err(|error| CallError::not_run(error.to_string()))
     }
--- a/crates/jobs/src/ownership/commit_loop.rs
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dotterelhook_types::ids::Sequence;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -12,7 +13,12 @@
 use crate::platform::Fence;
 use crate::platform::KeyedRecord;
 use crate::platform::StoreError;
+use crate::store_access::time_since_boot;
 
+/// An owner without records confirms its ownership by an append after this share of the renewal right.
+const CONFIRMATION_SHARE: f64 = 0.25;
+/// The key of the record that confirms an ownership. Without a value it leaves nothing in the store.
+const CONFIRMATION_KEY: &str = "ownership";
 /// The first pause after a failed append.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// The longest pause after failed appends.
@@ -62,10 +68,25 @@
             if state.place_waiting_tasks(now) {
                 self.owner.wake.notify_one();
             }
-            state.has_pending_batch().then(|| state.take_batch(now))
+            let mut batch = state.has_pending_batch().then(|| state.take_batch(now));
+            if self.is_confirmation_due() {
+                let batch = batch.get_or_insert_default();
+                if batch.records.is_empty() {
+                    batch.records.push(KeyedRecord {
+                        key: CONFIRMATION_KEY.into(),
+                        value: Bytes::new(),
+                    });
+                }
+            }
+            batch
         })
     }
 
+    fn is_confirmation_due(&self) -> bool {
+        let interval = self.owner.context().settings.renewal_right;
+        self.owner.time_since_confirmation() >= interval.mul_f64(CONFIRMATION_SHARE)
+    }
+
     /// Retries the append until its outcome is certain. Returns whether the records are stored.
     async fn append(&mut self, records: &[KeyedRecord]) -> bool {
         let fence = Fence {
@@ -74,10 +95,13 @@
         };
         let partition = topics::progress_partition(self.owner.cell());
         let mut pause = RETRY_PAUSE;
+        // A repeated append may get the answer to its first send.
+        let sent_at = time_since_boot();
         loop {
             let store = &self.owner.context().store;
             match store.append(partition, records, Some(fence)).await {
                 Ok(_) => {
+                    self.owner.record_confirmation(sent_at);
                     self.next_sequence = self.next_sequence.next();
                     return true;
                 }
