Count the ends of runs that were given up before

Cause: the owner gives a run up by inference: its executor was silent for a lease, restarted, or no longer lists it. When the executor listed the run's end after all, CellState::apply_run_end dropped it, and the end was acknowledged. The task started again although it was done, also if the end came before the second start (1.1 s before it in one trace), and a failed end was missing from the attempts: on a task started again after three failed runs, one of which the owner held to have not started (BUDGET). Change: a done end completes its task, whichever run it is of, and stops a newer run. A failed end counts if this owner gave the run up and has not counted it; the given-up runs are kept with the job and not stored, so a failed end that arrives after a takeover may still go uncounted. Evidence: three directed tests failed with the former rule and pass.

--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -190,7 +190,7 @@
         if !job.is_placed(task, run, key) {
             return false;
         }
-        job.requeue(task, checkpoint, false);
+        job.requeue_lost(task, checkpoint);
         self.dirty.insert(task.job);
         self.stop_gang_members(task, now);
         true
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -8,6 +8,8 @@
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
+use crate::ledger::StepRef;
+use crate::ledger::TaskStatus;
 use crate::model::Checkpoint;
 use crate::model::ExecutorId;
 use crate::model::ExecutorKey;
@@ -186,8 +188,7 @@
             return;
         };
         if !job.is_placed(task, ended.run, key) {
-            let newest_run = job.task(task).map(|progress| progress.run);
-            decided!(Decision::RunEndedLate, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number, newest_run: newest_run.unwrap_or_default());
+            self.apply_late_run_end(key, ended, now);
             return;
         }
         decided!(Decision::RunEnded, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number);
@@ -222,6 +223,54 @@
         }
     }
 
+    /// Handles the end of a run that is not placed on this executor, such as one that was given up as
+    /// lost or that a former owner started.
+    ///
+    /// The end counts, because the executor may discard it once it is acknowledged.
+    fn apply_late_run_end(&mut self, key: &ExecutorKey, ended: &EndedRun, now: Instant) {
+        let task = ended.task;
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return;
+        };
+        let Some(progress) = job.task(task) else {
+            return;
+        };
+        decided!(Decision::RunEndedLate, task: task, run: ended.run, executor: key, end: ended.end, number: ended.number, newest_run: progress.run);
+        if !job.is_open() || progress.status == TaskStatus::Done {
+            return;
+        }
+        let step = job.step(task.step);
+        let (is_gang, is_long_running) = (step.is_gang, step.is_long_running);
+        match ended.end {
+            RunEnd::Done if !is_long_running => {
+                let is_completed = |other: TaskId| match is_gang {
+                    true => StepRef::from(other) == StepRef::from(task),
+                    false => other == task,
+                };
+                let needless_runs: Vec<(TaskId, ExecutorKey)> = job
+                    .placed_tasks()
+                    .filter(|(other, ..)| is_completed(*other))
+                    .map(|(other, _, executor)| (other, executor.clone()))
+                    .collect();
+                job.complete_task(task);
+                self.dirty.insert(task.job);
+                for (other, executor) in needless_runs {
+                    self.stop_run(&executor, other, now);
+                }
+            }
+            RunEnd::Failed if job.record_lost_failure(task, ended.run) => {
+                let queue = Self::queue_config(&self.config, job);
+                job.fail_if_exhausted(task, queue.attempts_max);
+                let has_failed = !job.is_open();
+                self.dirty.insert(task.job);
+                if has_failed {
+                    self.stop_job(task.job, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn handle_running_run(&mut self, id: &ExecutorId, running: &RunningRun, now: Instant) {
         let Some(executor) = self.executors.get_mut(id) else {
             return;
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use tokio::time::Instant;
@@ -52,6 +53,8 @@
     is_cancelled: bool,
     has_started: bool,
     accepted_at: Instant,
+    /// Runs that were given up without knowing how they ended. Not stored.
+    lost_runs: BTreeSet<(TaskId, RunNumber)>,
 }
 
 impl Job {
@@ -83,6 +86,7 @@
             tasks_per_occurrence,
             counts: Vec::new(),
             accepted_at,
+            lost_runs: BTreeSet::new(),
         };
         if job.submission.spec.schedule.is_none() {
             job.create_occurrences(1);
@@ -288,6 +292,27 @@
         self.counts_mut(task).placed -= 1;
     }
 
+    /// Lets a placed task wait again, after its run was lost: how it ended may still become known.
+    pub fn requeue_lost(&mut self, task: TaskId, checkpoint: Option<Checkpoint>) {
+        if let Some(progress) = self.task(task) {
+            let run = progress.run;
+            self.requeue(task, checkpoint, false);
+            self.lost_runs.insert((task, run));
+        }
+    }
+
+    /// Counts the failure of a run that was lost. Returns `false` if the run is not a lost one, such as
+    /// one whose failure was counted before.
+    pub fn record_lost_failure(&mut self, task: TaskId, run: RunNumber) -> bool {
+        if !self.lost_runs.remove(&(task, run)) {
+            return false;
+        }
+        if let Some(index) = self.progress_index(task) {
+            self.progress.tasks[index].failures += 1;
+        }
+        true
+    }
+
     /// Marks a task as done. For a gang, one member's completion counts for all members.
     pub fn complete_task(&mut self, task: TaskId) {
         let step_ref = StepRef::from(task);
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
+use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::ExecutorClock;
 use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::model::JobState;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::TaskId;
@@ -145,6 +147,70 @@
     assert_eq!(acknowledged, counted as usize);
 }
 
+/// Creates a cell with one single-task job whose run on `i-1` was given up, because `i-1` fell silent.
+fn lost_run() -> CellHarness {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut harness = CellHarness::with_job(&submitted);
+    harness.commit();
+    harness.accept_starts("i-1");
+    harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
+    harness.cell.expire_leases(harness.now);
+    harness
+}
+
+/// Guards against TWICE: the owner learns that a run which it had given up is done, acknowledges the end
+/// and starts the task again all the same.
+#[tokio::test]
+async fn a_task_whose_lost_run_turns_out_to_be_done_is_not_started_again() {
+    let mut harness = lost_run();
+    harness.list_executor("i-2", 4_000);
+    harness.report("i-2", vec![], vec![]);
+
+    let done = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![done]);
+    harness.commit();
+
+    let state = harness.cell.lookup_job_state(job(1));
+    assert_eq!(state, JobLookup::Known(JobState::Completed));
+    assert_eq!(harness.take_orders("i-1"), []);
+    assert_eq!(harness.take_orders("i-2"), []);
+}
+
+/// Guards against work that is done twice: the second run of a task goes on although the first one turns
+/// out to be done.
+#[tokio::test]
+async fn a_second_run_stops_once_the_lost_run_turns_out_to_be_done() {
+    let mut harness = lost_run();
+    harness.list_executor("i-2", 4_000);
+    harness.report("i-2", vec![], vec![]);
+    harness.commit();
+    let started = harness.accept_starts("i-2");
+
+    let done = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![done]);
+    harness.commit();
+
+    let stop = Order::Stop(task(1, 0, 0), RunNumber(2));
+    assert_eq!(started, [task(1, 0, 0)]);
+    assert_eq!(harness.take_orders("i-2"), [stop]);
+}
+
+/// Guards against BUDGET: a lost run turns out to have failed, and its task gets one attempt more than
+/// its queue allows.
+#[tokio::test]
+async fn the_failure_of_a_lost_run_counts_once_against_the_attempts() {
+    let mut harness = lost_run();
+    let failed = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
+
+    harness.report("i-1", vec![], vec![failed.clone()]);
+    harness.report("i-1", vec![], vec![failed]);
+    harness.commit();
+
+    let ledger = harness.cell.ledger();
+    let progress = ledger.job(job(1)).and_then(|job| job.task(task(1, 0, 0)));
+    assert_eq!(progress.map(|progress| progress.failures), Some(1));
+}
+
 /// Guards against TWICE and BUDGET: a run that ended before a takeover is beyond the 500 ends that one
 /// report lists, so the next owner takes it for a run whose start never arrived.
 #[tokio::test]
