Count a job as pending until an executor is known to have started a task

Cause: a job left the pending count once a run was placed, which precedes the start. A job whose starts were all refused, unanswered or never sent stayed out of the count for good, and after a takeover too, since the count was restored from run numbers above 0. Change: a job leaves the count on evidence only: an accepted start, a listed run, or a listed end. The next owner takes done tasks, counted failures and checkpoints in the record as evidence and otherwise waits for reports. The layout of the record and the state shown for a single job are unchanged: that one is still `running` from the first placement, which also keeps it from going back to `pending` at a takeover. Limit: the record doesn't show a run that was stopped or lapsed without a checkpoint. Such a job counts as pending again after a takeover, until its next run starts or a report lists its end.

--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -103,6 +103,9 @@
         answer: Result<(), OrderError>,
         now: Instant,
     ) {
+        if answer.is_ok() {
+            self.ledger.mark_started(task.job);
+        }
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -167,6 +167,7 @@
             return;
         }
         executor.applied_end = ended.number;
+        self.ledger.mark_started(ended.task.job);
         executor.remove_run(ended.task, ended.run);
         self.effects.push(Effect::AckEnds {
             executor: key.clone(),
@@ -218,6 +219,7 @@
     }
 
     fn handle_running_run(&mut self, id: &ExecutorId, running: &RunningRun, now: Instant) {
+        self.ledger.mark_started(running.task.job);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -50,6 +50,9 @@
     tasks_per_occurrence: usize,
     counts: Vec<StepCounts>,
     is_cancelled: bool,
+    /// Whether any task was placed, even if its start was refused.
+    was_placed: bool,
+    /// Whether any executor is known to have started a task.
     has_started: bool,
     accepted_at: Instant,
 }
@@ -76,7 +79,10 @@
         let mut job = Self {
             id,
             submission,
-            has_started: progress.tasks.iter().any(|task| task.run.0 > 0),
+            was_placed: progress.tasks.iter().any(|task| task.run.0 > 0),
+            has_started: progress.tasks.iter().any(|task| {
+                task.status == TaskStatus::Done || task.failures > 0 || task.checkpoint.is_some()
+            }),
             is_cancelled: progress.outcome == Some(JobState::Cancelled),
             progress,
             step_offsets,
@@ -133,11 +139,23 @@
         match self.progress.outcome {
             Some(outcome) => outcome,
             None if self.is_cancelled => JobState::Cancelled,
-            None if self.has_started => JobState::Running,
+            None if self.was_placed => JobState::Running,
             None => JobState::Pending,
         }
     }
 
+    /// Returns whether the job is open and no task is known to have started.
+    ///
+    /// The record of a placement precedes the start, so neither it nor a run number shows a start.
+    pub fn is_pending(&self) -> bool {
+        self.is_open() && !self.has_started
+    }
+
+    /// Records that an executor has started a task.
+    pub fn mark_started(&mut self) {
+        self.has_started = true;
+    }
+
     /// Returns whether the state is final and no task is placed any more.
     pub fn is_finished(&self) -> bool {
         self.state().is_final() && self.counts.iter().all(|counts| counts.placed == 0)
@@ -255,7 +273,7 @@
         progress.run = progress.run.next().max(run.unwrap_or_default());
         progress.status = TaskStatus::Placed(executor);
         let run = progress.run;
-        self.has_started = true;
+        self.was_placed = true;
         self.counts_mut(task).placed += 1;
         Some(run)
     }
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -91,6 +91,13 @@
         self.active.get_mut(&id)
     }
 
+    /// Records that an executor has started a task of a job.
+    pub fn mark_started(&mut self, id: JobId) {
+        if let Some(job) = self.active.get_mut(&id) {
+            job.mark_started();
+        }
+    }
+
     /// Returns the active jobs in the order of their ids.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.active.values()
@@ -130,9 +137,10 @@
 
     /// Returns the number of a queue's jobs without a started task.
     pub fn pending_count(&self, queue: &QueueName) -> u64 {
-        let pending = self.active.values().filter(|job| {
-            job.submission().queue.name == *queue && job.state() == JobState::Pending
-        });
+        let pending = self
+            .active
+            .values()
+            .filter(|job| job.submission().queue.name == *queue && job.is_pending());
         pending.count() as u64
     }
 
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod load;
 mod orders;
 mod outages;
+mod pending;
 mod probation;
 mod simulated_executor;
 mod tails;
