Confirm an ownership beside slow timers, log the loss of the right, and place nothing without it

Nothing is placed without the right, and right-lost and right-regained are logged. - An owner that reads the store but has no append accepted for a lease no longer counts as the cell's owner. - The test of a replaced owner also passed with the former rule, since a fenced append released that owner. Two tests are added: appends without an answer beside heartbeats, and an owner with nothing to append. The first fails if any answer counts as proof, the second without confirmations (both run).

--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -58,6 +58,10 @@
     CellClaimed,
     /// This host no longer owns a cell.
     CellReleased,
+    /// This owner may no longer start runs and renew leases: its last accepted append is too old.
+    RightLost,
+    /// This owner may start runs and renew leases again.
+    RightRegained,
     /// A cell has a new owner.
     OwnerChanged,
     /// The approval service did not answer.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -215,9 +215,12 @@
         self.time_since_confirmation() <= self.context.settings.renewal_right
     }
 
-    /// Returns whether this owner is in contact with the store.
-    pub(super) fn has_store_contact(&self) -> bool {
-        self.context.health.time_since_contact() <= self.context.settings.renewal_right
+    /// Returns whether this owner should keep the cell: it is in contact with the store, and its leases
+    /// have not expired for want of an accepted append.
+    pub(super) fn should_keep_cell(&self) -> bool {
+        let settings = &self.context.settings;
+        self.context.health.time_since_contact() <= settings.renewal_right
+            && self.time_since_confirmation() <= settings.lease
     }
 
     /// Records that the store accepted an append of this owner, which was first sent at `sent_at`
@@ -231,6 +234,14 @@
         time_since_boot().saturating_sub(*self.confirmed_at())
     }
 
+    fn log_right(&self, has_right: bool) {
+        let decision = match has_right {
+            true => Decision::RightRegained,
+            false => Decision::RightLost,
+        };
+        decided!(decision, cell: self.cell, confirmed_ms: self.time_since_confirmation().as_millis());
+    }
+
     fn confirmed_at(&self) -> MutexGuard<'_, Duration> {
         self.confirmed_at
             .lock()
@@ -311,6 +322,7 @@
     async fn run_timers(self: Arc<Self>) {
         let mut config = self.context.config.subscribe();
         let mut load_logged_at = Instant::now();
+        let mut had_right = true;
         loop {
             tokio::select! {
                 () = sleep(TIMER_INTERVAL) => {}
@@ -320,6 +332,11 @@
                     }
                 }
             }
+            let has_right = self.may_renew();
+            if has_right != had_right {
+                self.log_right(has_right);
+                had_right = has_right;
+            }
             let newest = config.borrow_and_update().clone();
             let now_unix = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
--- a/crates/jobs/src/ownership/claim_calls.rs
+++ b/crates/jobs/src/ownership/claim_calls.rs
@@ -130,7 +130,7 @@
         let is_live = self
             .0
             .find(cell)
-            .is_some_and(|owner| owner.has_store_contact());
+            .is_some_and(|owner| owner.should_keep_cell());
         let owns = is_live || self.0.is_claiming(cell);
         encode(&owns).map_err(|error| CallError::not_run(error.to_string()))
     }
--- a/crates/jobs/src/ownership/commit_loop.rs
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
+use tokio::time::timeout;
 
 use super::CellOwner;
 use super::topics;
@@ -41,7 +42,9 @@
 
     pub(super) async fn run(mut self) {
         loop {
-            self.owner.wake.notified().await;
+            // Timers may be held up by other calls to the store, but a confirmation must not be.
+            let woken = self.owner.wake.notified();
+            let _ = timeout(self.confirmation_interval(), woken).await;
             let started = Instant::now();
             let Some(batch) = self.next_batch(started) else {
                 continue;
@@ -65,7 +68,8 @@
     /// Places waiting tasks and returns the batch of records to store, if there is any.
     fn next_batch(&self, now: Instant) -> Option<CommitBatch> {
         self.owner.with_state(|state| {
-            if state.place_waiting_tasks(now) {
+            // Without the right to renew, the starts could not be sent.
+            if self.owner.may_renew() && state.place_waiting_tasks(now) {
                 self.owner.wake.notify_one();
             }
             let mut batch = state.has_pending_batch().then(|| state.take_batch(now));
@@ -83,8 +87,12 @@
     }
 
     fn is_confirmation_due(&self) -> bool {
-        let interval = self.owner.context().settings.renewal_right;
-        self.owner.time_since_confirmation() >= interval.mul_f64(CONFIRMATION_SHARE)
+        self.owner.time_since_confirmation() >= self.confirmation_interval()
+    }
+
+    fn confirmation_interval(&self) -> Duration {
+        let right = self.owner.context().settings.renewal_right;
+        right.mul_f64(CONFIRMATION_SHARE)
     }
 
     /// Retries the append until its outcome is certain. Returns whether the records are stored.
--- a/crates/jobs/tests/ownership/memory_store.rs
+++ b/crates/jobs/tests/ownership/memory_store.rs
@@ -47,6 +47,8 @@
     /// The host whose member gets the first partition, if set.
     first_host: Option<Box<str>>,
     full_reads: HashMap<&'static str, u32>,
+    /// The owner whose appends get no answer, if any.
+    unanswered_epoch: Option<Epoch>,
 }
 
 impl MemoryStore {
@@ -70,6 +72,11 @@
         self.lock().latency = Some(latency);
     }
 
+    /// Leaves the appends of one owner without an answer, while other calls are answered.
+    pub(crate) fn leave_appends_unanswered(&self, epoch: Epoch) {
+        self.lock().unanswered_epoch = Some(epoch);
+    }
+
     /// Returns the number of records in a topic.
     pub(crate) fn len_of(&self, topic: &str) -> usize {
         let state = self.lock();
@@ -152,6 +159,10 @@
         records: &[KeyedRecord],
         fence: Option<Fence>,
     ) -> Result<AppendAck, StoreError> {
+        let unanswered_epoch = self.lock().unanswered_epoch;
+        if unanswered_epoch.is_some() && fence.map(|fence| fence.epoch) == unanswered_epoch {
+            std::future::pending::<()>().await;
+        }
         let mut state = self.begin_call().await?;
         if let Some(fence) = fence {
             let newest = state.epochs.entry(partition).or_default();
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -330,3 +330,47 @@
     assert_eq!(starts, 0, "starts without the right to renew");
     owner.release("the test is over");
 }
+
+/// Guards against TWICE: heartbeats and reads are taken for a proof of ownership, while the store answers
+/// no append of this owner.
+#[tokio::test]
+async fn an_owner_whose_appends_get_no_answer_stops_renewing_leases_in_time() {
+    let store = Arc::new(MemoryStore::default());
+    list_executor(&store).await;
+    let executor = RecordingExecutor::new(true);
+    let context = context(&store, "a", &executor);
+    let heartbeats = tokio::spawn(send_heartbeats(Arc::clone(&context)));
+    let started = Instant::now();
+    let owner = CellOwner::claim(context, 0).await.expect("a claim");
+    sleep(MARGIN).await;
+    let renewals_before = executor.renewals_after(started);
+
+    store.leave_appends_unanswered(owner.epoch());
+    let unanswered_at = Instant::now();
+    sleep(RENEWAL_RIGHT + MARGIN * 4).await;
+
+    let renewals = executor.renewals_after(unanswered_at + RENEWAL_RIGHT + MARGIN);
+    assert!(renewals_before > 0);
+    assert!(owner.is_active());
+    assert_eq!(renewals, 0, "renewals without an accepted append");
+    owner.release("the test is over");
+    heartbeats.abort();
+}
+
+/// Guards against LOST: an owner that has nothing to append loses its right to renew, and all leases
+/// expire.
+#[tokio::test]
+async fn an_owner_with_nothing_to_append_goes_on_renewing_leases() {
+    let store = Arc::new(MemoryStore::default());
+    list_executor(&store).await;
+    let executor = RecordingExecutor::new(true);
+    let owner = CellOwner::claim(context(&store, "a", &executor), 0).await;
+    let owner = owner.expect("a claim");
+
+    sleep(RENEWAL_RIGHT * 5).await;
+    let idle_since = Instant::now();
+    sleep(MARGIN).await;
+
+    assert!(executor.renewals_after(idle_since) > 0);
+    owner.release("the test is over");
+}
