Let renewals over new connections tell their latency

From the review: after a failed renewal the next one goes over a new connection without a hold, but its latency was counted less the hold: timeouts there were never recorded, and slow answers counted as prompt. Such a renewal now asks for no hold. The right is checked under the state's lock, so that no report can bring a later lease end in between.

--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -66,20 +66,27 @@
     /// Sends renewals until the cell state no longer tracks the executor.
     async fn renew_leases(&self) {
         let mut pause = RENEWAL_PAUSE;
+        let mut has_failed = false;
         loop {
-            let may_renew = self.owner.may_renew();
+            // The right is checked under the lock: a later report would bring a later lease end.
             let renewal = self
                 .owner
-                .with_state(|state| state.renewal(&self.id, may_renew));
-            let Some(renewal) = renewal else {
+                .with_state(|state| state.renewal(&self.id, self.owner.may_renew()));
+            let Some(mut renewal) = renewal else {
                 return;
             };
+            if has_failed {
+                // The next call goes over a new connection, and its latency counts from now.
+                renewal.hold = Duration::ZERO;
+            }
             let sent_at = Instant::now();
             let hold = renewal.hold;
             let answer = self
                 .owner
                 .call_executor(hold, |timeout| self.link.renew(&renewal, timeout));
-            match answer.await {
+            let answer = answer.await;
+            has_failed = answer.is_err();
+            match answer {
                 Ok(report) => {
                     pause = RENEWAL_PAUSE;
                     self.count("renew", "ok");
@@ -168,10 +175,10 @@
                 return;
             }
             let now = Instant::now();
-            let may_renew = self.owner.may_renew();
-            let order = self
-                .owner
-                .with_state(|state| state.start_order(&self.id, task, run, may_renew, now));
+            let order = self.owner.with_state(|state| {
+                let may_renew = self.owner.may_renew();
+                state.start_order(&self.id, task, run, may_renew, now)
+            });
             let Some(order) = order else {
                 let may_have_run = attempts.may_have_run();
                 return self.owner.with_state(|state| {
--- a/crates/jobs/tests/ownership/answer_timeout.rs
+++ b/crates/jobs/tests/ownership/answer_timeout.rs
@@ -61,6 +61,7 @@
     assert_eq!(timeout.current(), MIN);
 }
 
+// Guards against a timeout below the configured one where leases are short.
 #[test]
 fn a_maximum_below_the_minimum_keeps_the_timeout_constant() {
     let mut timeout = AnswerTimeout::new(MIN, Duration::ZERO);
