Keep no lost runs of long-running tasks, and test late ends further

From the review: entries of refused starts would pile up for the life of a job that runs on; its tasks have no limit of attempts.

--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -244,9 +244,8 @@
         let (is_gang, is_long_running) = (step.is_gang, step.is_long_running);
         match ended.end {
             RunEnd::Done if !is_long_running => {
-                let is_completed = |other: TaskId| match is_gang {
-                    true => StepRef::from(other) == StepRef::from(task),
-                    false => other == task,
+                let is_completed = |other: TaskId| {
+                    other == task || is_gang && StepRef::from(other) == StepRef::from(task)
                 };
                 let needless_runs: Vec<(TaskId, ExecutorKey)> = job
                     .placed_tasks()
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -312,9 +312,10 @@
 
     /// Lets a placed task wait again, after its run was lost: how it ended may still become known.
     pub fn requeue_lost(&mut self, task: TaskId, checkpoint: Option<Checkpoint>) {
-        if let Some(progress) = self.task(task) {
-            let run = progress.run;
-            self.requeue(task, checkpoint, false);
+        let run = self.task(task).map(|progress| progress.run);
+        self.requeue(task, checkpoint, false);
+        // Long-running tasks have no limit of attempts.
+        if let Some(run) = run.filter(|_| !self.step(task.step).is_long_running) {
             self.lost_runs.insert((task, run));
         }
     }
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -1,4 +1,4 @@
-//! Runs that the owner gives up must have ended, and their ends must not count later.
+//! Runs that the owner gives up must have ended, and ends that are listed later must count.
 
 use std::time::Duration;
 
@@ -211,6 +211,55 @@
     assert_eq!(progress.map(|progress| progress.failures), Some(1));
 }
 
+/// Guards against LOST: a failure that is stored and listed again to the next owner counts twice, and the
+/// job fails before its attempts are exhausted.
+#[tokio::test]
+async fn a_stored_failure_that_is_listed_again_after_a_takeover_counts_once() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut harness = CellHarness::with_job(&submitted);
+    harness.commit();
+    harness.accept_starts("i-1");
+    let failed = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
+    harness.report("i-1", vec![], vec![failed.clone()]);
+    harness.commit();
+    let mut next = harness.take_over(&[(job(1), submitted)]);
+    next.list_executor("i-1", 4_000);
+
+    next.report("i-1", vec![], vec![failed]);
+    next.commit();
+
+    let ledger = next.cell.ledger();
+    let progress = ledger.job(job(1)).and_then(|job| job.task(task(1, 0, 0)));
+    assert_eq!(progress.map(|progress| progress.failures), Some(1));
+}
+
+/// Guards against work that is done twice: a member of a gang works on although a lost run of the gang
+/// turns out to be done.
+#[tokio::test]
+async fn a_gang_stops_once_its_lost_run_turns_out_to_be_done() {
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2, 1_000, &[])
+    };
+    let mut harness = CellHarness::with_job(&submission(vec![gang]));
+    harness.commit();
+    harness.accept_starts("i-1");
+    harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
+    harness.cell.expire_leases(harness.now);
+    harness.list_executor("i-2", 4_000);
+    harness.report("i-2", vec![], vec![]);
+    harness.commit();
+    let started = harness.accept_starts("i-2");
+
+    let done = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![done]);
+    harness.commit();
+
+    let stops = [0, 1].map(|index| Order::Stop(task(1, 0, index), RunNumber(2)));
+    assert_eq!(started.len(), 2);
+    assert_eq!(harness.take_orders("i-2"), stops);
+}
+
 /// Guards against TWICE and BUDGET: a run that ended before a takeover is beyond the 500 ends that one
 /// report lists, so the next owner takes it for a run whose start never arrived.
 #[tokio::test]
