Let the wait for answers grow to a third of the lease again

A renewal needs to reach the executor before the lease ends, its answer may come later, so a third leaves time for the report before it.

--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -40,10 +40,10 @@
 
     /// Returns the longest timeout for an executor's answer.
     ///
-    /// After a held renewal that gets no answer, there is time to request a report over a new connection
-    /// and to renew the lease, with pauses between.
+    /// After a held renewal that gets no answer, there is time for a report over a new connection and
+    /// for a renewal to reach the executor.
     pub fn order_timeout_max(&self) -> Duration {
-        (self.lease.saturating_sub(self.renewal_hold) / 4).max(self.order_timeout)
+        (self.lease.saturating_sub(self.renewal_hold) / 3).max(self.order_timeout)
     }
 
     /// Returns the time without a report after which an executor receives no new runs.
