Stop and fail runs by one piece of code for ends in time and late ones

The handling of late ends had copies of the search for a gang's placed runs and of the failing of a job. The stop of a lost gang now serves any task (stop_task_and_gang), and fail_if_exhausted serves both kinds of ends. The confirmation keeps the send time as it is: appends of an owner follow each other, so the latest is the last. Behaviour is meant to be the same.

--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -192,7 +192,7 @@
         }
         job.requeue_lost(task, checkpoint);
         self.dirty.insert(task.job);
-        self.stop_gang_members(task, now);
+        self.stop_task_and_gang(task, now);
         true
     }
 }
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -189,21 +189,22 @@
         }
     }
 
-    /// Stops the other members of a gang that has lost one. They can't make progress without it.
-    pub(super) fn stop_gang_members(&mut self, lost: TaskId, now: Instant) {
-        let Some(job) = self.ledger.job(lost.job) else {
+    /// Stops the placed run of a task, and those of its gang. The members of a gang make progress only
+    /// together.
+    pub(super) fn stop_task_and_gang(&mut self, task: TaskId, now: Instant) {
+        let Some(job) = self.ledger.job(task.job) else {
             return;
         };
-        if !job.step(lost.step).is_gang {
-            return;
-        }
-        let members: Vec<(TaskId, ExecutorKey)> = job
+        let is_gang = job.step(task.step).is_gang;
+        let runs: Vec<(TaskId, ExecutorKey)> = job
             .placed_tasks()
-            .filter(|(task, ..)| StepRef::from(*task) == StepRef::from(lost))
-            .map(|(task, _, executor)| (task, executor.clone()))
+            .filter(|(other, ..)| {
+                *other == task || is_gang && StepRef::from(*other) == StepRef::from(task)
+            })
+            .map(|(other, _, executor)| (other, executor.clone()))
             .collect();
-        for (task, executor) in members {
-            self.stop_run(&executor, task, now);
+        for (other, executor) in runs {
+            self.stop_run(&executor, other, now);
         }
     }
 }
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -8,7 +8,6 @@
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
-use crate::ledger::StepRef;
 use crate::ledger::TaskStatus;
 use crate::model::Checkpoint;
 use crate::model::ExecutorId;
@@ -112,13 +111,13 @@
         let lease = self.settings.lease;
         let former_leases_are_over = self.former_leases_end <= now;
         // With fences, an executor that has answered this owner refuses renewals of former owners.
-        let is_renewed_by_us_only =
+        let only_this_owner_renews =
             former_leases_are_over || self.settings.executors_enforce_fences;
         let lapsed: Vec<ExecutorId> = self
             .executors
             .values()
             .filter(|executor| match executor.clock {
-                Some(_) => is_renewed_by_us_only && executor.is_lapsed(lease, now),
+                Some(_) => only_this_owner_renews && executor.is_lapsed(lease, now),
                 None => former_leases_are_over && !executor.runs().is_empty(),
             })
             .map(|executor| executor.entry.id.clone())
@@ -208,17 +207,12 @@
                 // After an earlier failure, the task is a more likely cause than this executor.
                 let is_first_failure = job.task(task).is_some_and(|found| found.failures == 0);
                 job.requeue(task, checkpoint, true);
-                let queue = Self::queue_config(&self.config, job);
-                job.fail_if_exhausted(task, queue.attempts_max);
-                let has_failed = !job.is_open();
                 if let Some(executor) = executor
                     && is_first_failure
                 {
                     executor.health.record_failure(task.job, now);
                 }
-                if has_failed {
-                    self.stop_job(task.job, now);
-                }
+                self.fail_if_exhausted(task, now);
             }
             _ => job.requeue(task, checkpoint, false),
         }
@@ -240,37 +234,34 @@
         if !job.is_open() || progress.status == TaskStatus::Done {
             return;
         }
-        let step = job.step(task.step);
-        let (is_gang, is_long_running) = (step.is_gang, step.is_long_running);
         match ended.end {
-            RunEnd::Done if !is_long_running => {
-                let is_completed = |other: TaskId| {
-                    other == task || is_gang && StepRef::from(other) == StepRef::from(task)
-                };
-                let needless_runs: Vec<(TaskId, ExecutorKey)> = job
-                    .placed_tasks()
-                    .filter(|(other, ..)| is_completed(*other))
-                    .map(|(other, _, executor)| (other, executor.clone()))
-                    .collect();
-                job.complete_task(task);
+            RunEnd::Done if !job.step(task.step).is_long_running => {
+                self.stop_task_and_gang(task, now);
                 self.dirty.insert(task.job);
-                for (other, executor) in needless_runs {
-                    self.stop_run(&executor, other, now);
+                if let Some(job) = self.ledger.job_mut(task.job) {
+                    job.complete_task(task);
                 }
             }
             RunEnd::Failed if job.record_lost_failure(task, ended.run) => {
-                let queue = Self::queue_config(&self.config, job);
-                job.fail_if_exhausted(task, queue.attempts_max);
-                let has_failed = !job.is_open();
                 self.dirty.insert(task.job);
-                if has_failed {
-                    self.stop_job(task.job, now);
-                }
+                self.fail_if_exhausted(task, now);
             }
             _ => {}
         }
     }
 
+    /// Fails the job if its task has exhausted its attempts, and stops the runs of a job that is over.
+    fn fail_if_exhausted(&mut self, task: TaskId, now: Instant) {
+        let Some(job) = self.ledger.job_mut(task.job) else {
+            return;
+        };
+        let queue = Self::queue_config(&self.config, job);
+        job.fail_if_exhausted(task, queue.attempts_max);
+        if !job.is_open() {
+            self.stop_job(task.job, now);
+        }
+    }
+
     fn handle_running_run(&mut self, id: &ExecutorId, running: &RunningRun, now: Instant) {
         self.ledger.mark_started(running.task.job);
         let Some(executor) = self.executors.get_mut(id) else {
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -226,8 +226,7 @@
     /// Records that the store accepted an append of this owner, which was first sent at `sent_at`
     /// since boot.
     pub(super) fn record_confirmation(&self, sent_at: Duration) {
-        let mut confirmed_at = self.confirmed_at();
-        *confirmed_at = sent_at.max(*confirmed_at);
+        *self.confirmed_at() = sent_at;
     }
 
     pub(super) fn time_since_confirmation(&self) -> Duration {
