Share fixtures of the tests of given-up runs, and keep generated events in a file of their own

One function stands for the rule of a link over a new connection in both simulations, one for the renewals over two connections, one for lost runs and counted failures; the settings of the tests of the right to renew extend those of the hosts.

--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -5,7 +5,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,10 +34,6 @@
 use dotterelhook_types::ids::Epoch;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
-use proptest::prelude::Just;
-use proptest::prelude::Strategy;
-use proptest::prelude::any;
-use proptest::prop_oneof;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
@@ -52,12 +47,20 @@
 use crate::fixture::settings;
 use crate::fixture::step;
 use crate::fixture::submission;
+use crate::generated_events::Contract;
+use crate::generated_events::Delivery;
+use crate::generated_events::EXECUTORS;
+use crate::generated_events::Event;
+use crate::generated_events::Sender;
+use crate::generated_events::contracts;
+use crate::generated_events::events;
+use crate::generated_events::number_from;
 use crate::simulated_executor::ATTEMPTS_MAX;
 use crate::simulated_executor::History;
 use crate::simulated_executor::SimulatedExecutor;
 use crate::simulated_executor::checkpoint;
+use crate::simulated_executor::over_new_connection;
 
-const EXECUTORS: [&str; 3] = ["i-1", "i-2", "i-3"];
 const CAPACITY_MILLI: u64 = 4_000;
 /// The number of cases, unless the variable `DOTTERELHOOK_CASES` is set.
 const CASES: u32 = 200;
@@ -69,31 +72,8 @@
 
 /// How long a former owner may renew leases after a takeover.
 const RENEWAL_RIGHT: Duration = Duration::from_secs(2);
-/// The longest delay of an order that an executor carries out late.
-const LATE_MAX_MS: u64 = 12_000;
 /// How long an owner waits for the answer to an order.
 const ORDER_TIMEOUT_MS: u64 = 500;
-/// The longest delay of a report: an owner waits for the hold of a renewal and then 500 ms.
-const REPORT_DELAY_MAX_MS: u64 = 1_500;
-
-/// The outcome of a message and its answer.
-#[derive(Clone, Copy, Debug)]
-enum Delivery {
-    Answered,
-    /// Carried out at once. A report reaches the owner late, the answer to an order at once.
-    AnsweredLate {
-        after_ms: u64,
-    },
-    AnswerLost,
-    /// Carried out without an answer, after calls that were sent later.
-    DeliveredLate {
-        after_ms: u64,
-    },
-    NotSent,
-    /// Refused by an unhealthy executor, without an effect.
-    Refused,
-}
-
 /// An order that an executor carries out late.
 #[derive(Clone, Debug)]
 enum LateOrder {
@@ -111,31 +91,6 @@
     order: LateOrder,
 }
 
-/// What the platform's contract leaves open, the same for a whole case.
-#[derive(Clone, Copy, Debug)]
-struct Contract {
-    enforces_fences: bool,
-    /// Whether an order that is carried out late outlives its incarnation: the next one at the same
-    /// address then carries it out. Otherwise the order is lost with the process.
-    late_orders_cross_restarts: bool,
-    /// The number of ended runs in one report.
-    listed_ends_max: usize,
-}
-
-/// Late orders cross restarts only if the variable `DOTTERELHOOK_LATE_ACROSS_RESTARTS` is set to 1:
-/// no owner can rule out a duplicate then, because a restarted executor knows no stopped run.
-fn contracts() -> impl Strategy<Value = Contract> {
-    let may_cross = number_from("DOTTERELHOOK_LATE_ACROSS_RESTARTS", 0) == 1;
-    let choices = (any::<(bool, bool)>(), prop_oneof![Just(3), Just(500_usize)]);
-    choices.prop_map(
-        move |((enforces_fences, crosses), listed_ends_max)| Contract {
-            enforces_fences,
-            late_orders_cross_restarts: may_cross && crosses,
-            listed_ends_max,
-        },
-    )
-}
-
 /// A start that an owner sends, until its outcome is final.
 struct StartInFlight {
     executor: usize,
@@ -156,105 +111,6 @@
     arrives_at: Instant,
 }
 
-/// The owner that a message comes from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sender {
-    Owner,
-    /// The owner before the last takeover, which has not learned of it.
-    FormerOwner,
-}
-
-/// One event of a generated simulation.
-#[derive(Clone, Debug)]
-enum Event {
-    Submit {
-        steps: u32,
-        width: u32,
-        cpu_milli: u64,
-    },
-    Cancel {
-        index: usize,
-    },
-    Advance {
-        ms: u64,
-    },
-    Commit {
-        answer_lost: bool,
-    },
-    Renew {
-        sender: Sender,
-        executor: usize,
-        delivery: Delivery,
-    },
-    DeliverOrder {
-        sender: Sender,
-        executor: usize,
-        deliveries: Vec<Delivery>,
-    },
-    /// Cuts an executor off from all owners but the former one.
-    Isolate {
-        executor: usize,
-    },
-    Reconnect {
-        executor: usize,
-    },
-    Crash {
-        executor: usize,
-    },
-    Restart {
-        executor: usize,
-    },
-    TakeOver {
-        keeps_stale_owner: bool,
-    },
-}
-
-fn deliveries() -> impl Strategy<Value = Delivery> {
-    prop_oneof![
-        8 => Just(Delivery::Answered),
-        2 => (0..REPORT_DELAY_MAX_MS).prop_map(|after_ms| Delivery::AnsweredLate { after_ms }),
-        1 => Just(Delivery::AnswerLost),
-        1 => (0..LATE_MAX_MS).prop_map(|after_ms| Delivery::DeliveredLate { after_ms }),
-        1 => Just(Delivery::NotSent),
-        1 => Just(Delivery::Refused),
-    ]
-}
-
-fn senders() -> impl Strategy<Value = Sender> {
-    prop_oneof![2 => Just(Sender::Owner), 1 => Just(Sender::FormerOwner)]
-}
-
-fn submissions() -> impl Strategy<Value = Event> {
-    let wide = (1..3_u32, 1..4_u32, Just(1_500));
-    let small = (1..3_u32, 1..9_u32, Just(400));
-    prop_oneof![wide, small].prop_map(|(steps, width, cpu_milli)| Event::Submit {
-        steps,
-        width,
-        cpu_milli,
-    })
-}
-
-fn events() -> impl Strategy<Value = Vec<Event>> {
-    let executor = 0..EXECUTORS.len();
-    let event = prop_oneof![
-        2 => submissions(),
-        1 => any::<usize>().prop_map(|index| Event::Cancel { index }),
-        6 => (1..900_u64).prop_map(|ms| Event::Advance { ms }),
-        8 => any::<u8>().prop_map(|dice| Event::Commit { answer_lost: dice < 25 }),
-        12 => (senders(), executor.clone(), deliveries())
-            .prop_map(|(sender, executor, delivery)| Event::Renew { sender, executor, delivery }),
-        12 => (senders(), executor.clone(), proptest::collection::vec(deliveries(), 3)).prop_map(
-            |(sender, executor, deliveries)| Event::DeliverOrder { sender, executor, deliveries }
-        ),
-        1 => executor.clone().prop_map(|executor| Event::Isolate { executor }),
-        1 => executor.clone().prop_map(|executor| Event::Reconnect { executor }),
-        1 => executor.clone().prop_map(|executor| Event::Crash { executor }),
-        2 => executor.prop_map(|executor| Event::Restart { executor }),
-        1 => any::<bool>().prop_map(|keeps_stale_owner| Event::TakeOver { keeps_stale_owner }),
-    ];
-    proptest::collection::vec(event, 20..160)
-}
-
 /// An owner and the orders that it has emitted.
 struct Owner {
     cell: CellState,
@@ -464,8 +320,7 @@
         };
         let incarnation = self.executors[index].incarnation;
         if owner.reported_incarnations.get(&id) != Some(&incarnation) {
-            renewal.acked_end = 0;
-            renewal.lease_end_ms = None;
+            renewal = over_new_connection(renewal);
         }
         if !self.reaches(owner, index) {
             return;
@@ -872,11 +727,6 @@
     task.step == 0 && task.index == 0 && (0..64).step_by(4).any(|number| is_chosen(&number))
 }
 
-fn number_from<T: FromStr>(variable: &str, default: T) -> T {
-    let text = std::env::var(variable).ok();
-    text.and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 #[test]
 fn no_task_runs_twice_and_every_job_ends() {
     let config = Config {
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -22,6 +22,7 @@
 use crate::fixture::task;
 use crate::simulated_executor::History;
 use crate::simulated_executor::SimulatedExecutor;
+use crate::simulated_executor::over_new_connection;
 
 /// The time that the task needs; longer than any lease.
 const WORK: Duration = Duration::from_secs(20);
@@ -55,14 +56,12 @@
         restarted
     }
 
-    /// Exchanges one renewal as `HttpExecutor` does: the first call over a new connection
-    /// acknowledges no run ends and extends no lease.
+    /// Exchanges one renewal as `HttpExecutor` does.
     fn renew(&mut self) {
         let renewal = self.harness.cell.renewal(&"i-1".into(), true);
         let mut renewal = renewal.expect("a listed executor");
         if self.connected_to != self.executor.incarnation {
-            renewal.acked_end = 0;
-            renewal.lease_end_ms = None;
+            renewal = over_new_connection(renewal);
         }
         self.connected_to = self.executor.incarnation;
         let requested_at = self.harness.now;
@@ -141,16 +140,19 @@
     restarted.renew();
 
     let acknowledged = restarted.history.failure_count(started);
-    let ledger = restarted.harness.cell.ledger();
-    let progress = ledger.job(job(1)).and_then(|job| job.task(started));
-    let counted = progress.map_or(0, |progress| progress.failures);
-    assert_eq!(acknowledged, counted as usize);
+    let counted = counted_failures(&restarted.harness);
+    assert_eq!(acknowledged, counted.unwrap_or_default() as usize);
 }
 
-/// Creates a cell with one single-task job whose run on `i-1` was given up, because `i-1` fell silent.
-fn lost_run() -> CellHarness {
-    let submitted = submission(vec![step(1, 1_000, &[])]);
-    let mut harness = CellHarness::with_job(&submitted);
+/// Returns the failures of task 0 of job 1 that the owner has counted.
+fn counted_failures(harness: &CellHarness) -> Option<u32> {
+    let job = harness.cell.ledger().job(job(1))?;
+    job.task(task(1, 0, 0)).map(|progress| progress.failures)
+}
+
+/// Creates a cell with a job of one step whose runs on `i-1` were given up, because `i-1` fell silent.
+fn lost_runs(step: StepSpec) -> CellHarness {
+    let mut harness = CellHarness::with_job(&submission(vec![step]));
     harness.commit();
     harness.accept_starts("i-1");
     harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
@@ -162,7 +164,7 @@
 /// and starts the task again all the same.
 #[tokio::test]
 async fn a_task_whose_lost_run_turns_out_to_be_done_is_not_started_again() {
-    let mut harness = lost_run();
+    let mut harness = lost_runs(step(1, 1_000, &[]));
     harness.list_executor("i-2", 4_000);
     harness.report("i-2", vec![], vec![]);
 
@@ -180,7 +182,7 @@
 /// out to be done.
 #[tokio::test]
 async fn a_second_run_stops_once_the_lost_run_turns_out_to_be_done() {
-    let mut harness = lost_run();
+    let mut harness = lost_runs(step(1, 1_000, &[]));
     harness.list_executor("i-2", 4_000);
     harness.report("i-2", vec![], vec![]);
     harness.commit();
@@ -199,16 +201,14 @@
 /// its queue allows.
 #[tokio::test]
 async fn the_failure_of_a_lost_run_counts_once_against_the_attempts() {
-    let mut harness = lost_run();
+    let mut harness = lost_runs(step(1, 1_000, &[]));
     let failed = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
 
     harness.report("i-1", vec![], vec![failed.clone()]);
     harness.report("i-1", vec![], vec![failed]);
     harness.commit();
 
-    let ledger = harness.cell.ledger();
-    let progress = ledger.job(job(1)).and_then(|job| job.task(task(1, 0, 0)));
-    assert_eq!(progress.map(|progress| progress.failures), Some(1));
+    assert_eq!(counted_failures(&harness), Some(1));
 }
 
 /// Guards against LOST: a failure that is stored and listed again to the next owner counts twice, and the
@@ -228,9 +228,7 @@
     next.report("i-1", vec![], vec![failed]);
     next.commit();
 
-    let ledger = next.cell.ledger();
-    let progress = ledger.job(job(1)).and_then(|job| job.task(task(1, 0, 0)));
-    assert_eq!(progress.map(|progress| progress.failures), Some(1));
+    assert_eq!(counted_failures(&next), Some(1));
 }
 
 /// Guards against work that is done twice: a member of a gang works on although a lost run of the gang
@@ -241,11 +239,7 @@
         is_gang: true,
         ..step(2, 1_000, &[])
     };
-    let mut harness = CellHarness::with_job(&submission(vec![gang]));
-    harness.commit();
-    harness.accept_starts("i-1");
-    harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
-    harness.cell.expire_leases(harness.now);
+    let mut harness = lost_runs(gang);
     harness.list_executor("i-2", 4_000);
     harness.report("i-2", vec![], vec![]);
     harness.commit();
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod double_runs;
 mod fixture;
 mod gangs;
+mod generated_events;
 mod generated_faults;
 mod given_up_runs;
 mod load;
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -128,6 +128,16 @@
     }
 }
 
+/// Returns a renewal as a link sends it over a new connection, which may lead to another incarnation: it
+/// acknowledges no run ends and extends no lease.
+pub(crate) fn over_new_connection(renewal: Renewal) -> Renewal {
+    Renewal {
+        acked_end: 0,
+        lease_end_ms: None,
+        ..renewal
+    }
+}
+
 impl SimulatedExecutor {
     pub(crate) fn new(id: &'static str, capacity: Resources, enforces_fences: bool) -> Self {
         Self {
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -230,7 +230,7 @@
     let _ = peers.call(address, "claim-cell", cell, WAIT_MAX).await;
 }
 
-fn settings() -> CellSettings {
+pub(crate) fn settings() -> CellSettings {
     CellSettings {
         cell_count: 1,
         lease: Duration::from_secs(6),
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -45,6 +45,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::hosts;
 use crate::memory_store::MemoryStore;
 
 const EXECUTORS: Partition = Partition {
@@ -176,17 +177,10 @@
 
 fn settings() -> CellSettings {
     CellSettings {
-        cell_count: 1,
-        lease: Duration::from_secs(6),
         renewal_hold: Duration::from_millis(10),
         order_timeout: ORDER_TIMEOUT,
         renewal_right: RENEWAL_RIGHT,
-        commit_interval: Duration::from_millis(25),
-        stop_max: Duration::from_millis(200),
-        executors_enforce_fences: true,
-        retention: Duration::from_secs(180),
-        early_max: Duration::ZERO,
-        membership_ttl: Duration::from_millis(100),
+        ..hosts::settings()
     }
 }
 
