Start nothing in an evacuated failure domain, nor on an outdated view

Cause: operators' records "evacuate/DOMAIN" were ignored, so tasks went on starting in a failure domain that operators wanted empty.

Change: the config follower puts evacuations in force in log order, and an OperatorView shares them with their age on the boot clock, counted from the send time of the last read that reached the end of the log. With jobs.evacuate_max_ms (bounds.evacuateMs) an owner whose view is older than half of it places and sends nothing; without it the age isn't limited. The cell state checks the view when it places, dispatches, sends and resends a start. Runs without an answer to their start are stopped when the request is seen, with their gangs. A start carries a lease end at which the view expires, so an executor refuses one that arrives later. ChangeFeed rejects older states and tells when it last reached the end; ReadPage carries the log's end.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -14,6 +14,7 @@
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
 use dotterelhook_jobs::entry::add_owner_handlers;
+use dotterelhook_jobs::evacuation::OperatorView;
 use dotterelhook_jobs::observe::Decision;
 use dotterelhook_jobs::observe::JobMetrics;
 use dotterelhook_jobs::ownership::Candidate;
@@ -123,6 +124,7 @@
             job_metrics.clone(),
         ));
         let config = Arc::new(ActiveConfig::default());
+        let operators = Arc::new(OperatorView::new(settings.evacuate_max));
         let cell_count = settings.cell.cell_count;
         let directory = Arc::new(OwnerDirectory::new(Arc::clone(&store), cell_count));
         let owned_cells = Arc::new(OwnedCells::default());
@@ -132,6 +134,7 @@
             store: Arc::clone(&store),
             health: Arc::clone(&health),
             config: Arc::clone(&config),
+            operators: Arc::clone(&operators),
             directory: Arc::clone(&directory),
             settings: Arc::new(settings.cell),
             member: MemberName {
@@ -196,7 +199,7 @@
         .await?
         .spawn(kernel);
 
-        tokio::spawn(ConfigFollower::new(platform, store, config).run());
+        tokio::spawn(ConfigFollower::new(platform, store, config, operators).run());
         tokio::spawn(directory.run());
         kernel.spawn(Candidate::new(context, owned_cells, kernel.draining(), handover_max).run());
         Ok(())
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -65,6 +65,8 @@
     #[serde(default = "defaults::commit_interval_ms")]
     commit_interval_ms: u64,
     stop_max_ms: u64,
+    /// Absent if the deployment sets no limit.
+    evacuate_max_ms: Option<u64>,
     #[serde(default)]
     executors_enforce_fences: bool,
     #[serde(default = "defaults::early_max_ms")]
@@ -92,6 +94,8 @@
     pub(crate) advisor_address: Option<SocketAddr>,
     pub(crate) connections_max: usize,
     pub(crate) store_timeout: Duration,
+    /// The time after which nothing may start in an evacuated failure domain.
+    pub(crate) evacuate_max: Option<Duration>,
     pub(crate) cell: CellSettings,
     pub(crate) entry: EntrySettings,
     pub(crate) unready_for: Duration,
@@ -160,6 +164,10 @@
             advisor_address: jobs.advisor_address,
             connections_max: connections_max as usize,
             store_timeout,
+            evacuate_max: jobs
+                .evacuate_max_ms
+                .map(|limit| ms("evacuate_max_ms", limit, 500, 600_000))
+                .transpose()?,
             cell,
             entry: EntrySettings {
                 retry_after: ms("retry_after_ms", jobs.retry_after_ms, 1, 60_000)?,
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -224,6 +224,11 @@
             "retention_ms: value 1",
             "1000 to 86400000",
         ),
+        (
+            "\"evacuate_max_ms\": 0",
+            "evacuate_max_ms: value 0",
+            "500 to 600000",
+        ),
     ];
     for (index, (added, place, rule)) in table.into_iter().enumerate() {
         let last = "\"membership_ttl_min_ms\": 1000";
--- a/crates/jobs/src/cell/cell_load.rs
+++ b/crates/jobs/src/cell/cell_load.rs
@@ -47,7 +47,6 @@
                 }
             }
         }
-        let silence_max = self.settings.silence_max();
         for executor in self.executors.values() {
             load.reserved_cpu.0 += executor.used().cpu_milli.0;
             let paused = executor
@@ -55,7 +54,7 @@
                 .values()
                 .filter(|view| view.pace_percent == 0);
             load.paused_fillers += paused.count() as u64;
-            if executor.accepts_runs(silence_max, now) {
+            if self.may_place_on(executor, now) {
                 load.open_executors += 1;
                 load.free_cpu.0 += executor.free().cpu_milli.0;
             }
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -11,6 +11,7 @@
 use super::Effect;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
+use crate::evacuation::ViewSnapshot;
 use crate::fleet::Executor;
 use crate::fleet::Listing;
 use crate::fleet::Order;
@@ -54,6 +55,8 @@
     pub(super) settings: Arc<CellSettings>,
     pub(super) epoch: Epoch,
     pub(super) config: Arc<DeploymentConfig>,
+    /// What the owner knows of the operators' requests.
+    pub(super) operator_view: ViewSnapshot,
     pub(super) ledger: JobLedger,
     pub(super) executors: BTreeMap<ExecutorId, Executor>,
     /// Jobs whose current progress is not stored yet.
@@ -92,6 +95,7 @@
             settings,
             epoch,
             config,
+            operator_view: ViewSnapshot::default(),
             ledger: JobLedger::default(),
             executors: BTreeMap::new(),
             dirty: BTreeSet::new(),
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -41,6 +41,11 @@
             .get(id)
             .and_then(|executor| self.ticket(task.job, task.into(), executor, now))
             .map(Box::from);
+        let executor = self.executors.get(id)?;
+        if !self.may_start_on(executor, now) {
+            return None;
+        }
+        let starts_until = self.operator_view.valid_until;
         let executor = self.executors.get_mut(id)?;
         let view = executor.run(task).filter(|view| view.run == run)?;
         if view.phase != RunPhase::Ordered {
@@ -51,7 +56,12 @@
             return None;
         }
         let incarnation = executor.incarnation?;
-        let lease_end_ms = executor.clock?.lease_end_ms(self.settings.lease);
+        let clock = executor.clock?;
+        let lease_end_ms = clock.lease_end_ms(self.settings.lease);
+        // The executor refuses a start after its lease end, so one that arrives late can't take
+        // place once the view would be too old. Renewals bring the full lease.
+        let latest_ms = starts_until.map_or(u64::MAX, |until| clock.earliest_ms_at(until));
+        let lease_end_ms = lease_end_ms.min(latest_ms);
         executor.start_sent_at = Some(now);
         Some(StartOrder {
             incarnation,
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -307,9 +307,8 @@
         service: &'s ServiceId,
         now: Instant,
     ) -> impl Iterator<Item = &'s Executor> {
-        let silence_max = self.settings.silence_max();
         self.executors.values().filter(move |executor| {
-            executor.entry.service == *service && executor.accepts_runs(silence_max, now)
+            executor.entry.service == *service && self.may_place_on(executor, now)
         })
     }
 
@@ -324,8 +323,7 @@
         let rack = executor.entry.rack();
         let is_on_rack = search.rack.is_none_or(|wanted| rack == Some(wanted));
         let is_over_target = step.is_filler && executor.over_target_since.is_some();
-        if !is_on_rack || is_over_target || !executor.accepts_runs(self.settings.silence_max(), now)
-        {
+        if !is_on_rack || is_over_target || !self.may_place_on(executor, now) {
             return None;
         }
         if search.needs_ticket {
--- a/crates/jobs/src/fleet/executor_clock.rs
+++ b/crates/jobs/src/fleet/executor_clock.rs
@@ -42,6 +42,13 @@
         self.executor_ms + lease.as_millis() as u64
     }
 
+    /// Returns the reading that the executor's clock has reached for certain at a time of this host's
+    /// clock.
+    pub fn earliest_ms_at(&self, time: Instant) -> u64 {
+        let elapsed = time.saturating_duration_since(self.seen_at);
+        self.executor_ms + elapsed.mul_f64(1.0 - DRIFT_MAX).as_millis() as u64
+    }
+
     /// Returns when all leases have expired for certain, on this host's clock.
     ///
     /// The executor read its clock before the answer arrived, and no lease ends later than this
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cell;
 pub mod config;
 pub mod entry;
+pub mod evacuation;
 pub mod fleet;
 pub mod ledger;
 pub mod model;
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -50,6 +50,16 @@
     ConfigInForce,
     /// A version of the configuration could not be decoded.
     ConfigUnreadable,
+    /// Operators requested the evacuation of a failure domain: nothing starts there any more.
+    EvacuationRequested,
+    /// A run without an answer to its start is stopped, because its failure domain is evacuated.
+    StartHeldBack,
+    /// The evacuation of a failure domain ended.
+    EvacuationEnded,
+    /// The view of the operators' requests is too old: this owner starts nothing.
+    ViewStale,
+    /// The view of the operators' requests is recent again.
+    ViewFresh,
     /// A record that this service wrote could not be decoded.
     RecordUnreadable,
     /// The load of a cell; logged once a second.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -28,6 +28,7 @@
 use crate::cell::CellState;
 use crate::cell::JobLookup;
 use crate::config::ActiveConfig;
+use crate::evacuation::OperatorView;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::QueueName;
@@ -62,6 +63,8 @@
     pub health: Arc<StoreHealth>,
     /// The active configuration.
     pub config: Arc<ActiveConfig>,
+    /// The operators' requests.
+    pub operators: Arc<OperatorView>,
     /// The owners of all cells.
     pub directory: Arc<OwnerDirectory>,
     /// The settings that are common to all cells.
@@ -199,6 +202,15 @@
         act(&mut self.lock())
     }
 
+    /// Runs `act` on the state under its lock, after the state has learned the operators' requests.
+    pub(super) fn with_current_view<T>(&self, act: impl FnOnce(&mut CellState, Instant) -> T) -> T {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let view = self.context.operators.snapshot(now, time_since_boot());
+        state.apply_operator_view(view, now);
+        act(&mut state, now)
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, CellState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -241,6 +253,15 @@
         decided!(decision, cell: self.cell, confirmed_ms: self.time_since_confirmation().as_millis());
     }
 
+    fn log_view(&self, is_stale: bool) {
+        let decision = match is_stale {
+            true => Decision::ViewStale,
+            false => Decision::ViewFresh,
+        };
+        let age = self.context.operators.age(time_since_boot());
+        decided!(decision, cell: self.cell, view_ms: age.unwrap_or_default().as_millis());
+    }
+
     fn confirmed_at(&self) -> MutexGuard<'_, Duration> {
         self.confirmed_at
             .lock()
@@ -320,6 +341,8 @@
 
     async fn run_timers(self: Arc<Self>) {
         let mut config = self.context.config.subscribe();
+        let mut evacuations = self.context.operators.subscribe();
+        let mut was_stale = false;
         let mut load_logged_at = Instant::now();
         let mut had_right = true;
         loop {
@@ -330,6 +353,11 @@
                         return;
                     }
                 }
+                changed = evacuations.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
             }
             let has_right = self.may_renew();
             if has_right != had_right {
@@ -340,14 +368,19 @@
             let now_unix = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
                 .unwrap_or_default();
-            self.with_state(|state| {
+            let is_stale = self.with_current_view(|state, now| {
                 if let Some(config) = newest {
                     state.apply_config(config);
                 }
                 state.create_due_occurrences(now_unix.as_millis() as u64);
-                state.expire_leases(Instant::now());
-                state.relocate_runs(Instant::now());
+                state.expire_leases(now);
+                state.relocate_runs(now);
+                state.is_operator_view_stale(now)
             });
+            if is_stale != was_stale {
+                self.log_view(is_stale);
+                was_stale = is_stale;
+            }
             if load_logged_at.elapsed() >= LOAD_LOG_INTERVAL {
                 load_logged_at = Instant::now();
                 self.with_state(|state| state.log_load(load_logged_at));
--- a/crates/jobs/src/ownership/commit_loop.rs
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -46,15 +46,15 @@
             let woken = self.owner.wake.notified();
             let _ = timeout(self.confirmation_interval(), woken).await;
             let started = Instant::now();
-            let Some(batch) = self.next_batch(started) else {
+            let Some(batch) = self.next_batch() else {
                 continue;
             };
             if !batch.records.is_empty() && !self.append(&batch.records).await {
                 self.owner.release("the store rejected an append");
                 return;
             }
-            let has_more = self.owner.with_state(|state| {
-                state.handle_batch_stored(batch, Instant::now());
+            let has_more = self.owner.with_current_view(|state, now| {
+                state.handle_batch_stored(batch, now);
                 state.has_pending_batch()
             });
             if has_more {
@@ -66,8 +66,8 @@
     }
 
     /// Places waiting tasks and returns the batch of records to store, if there is any.
-    fn next_batch(&self, now: Instant) -> Option<CommitBatch> {
-        self.owner.with_state(|state| {
+    fn next_batch(&self) -> Option<CommitBatch> {
+        self.owner.with_current_view(|state, now| {
             // Without the right to renew, the starts could not be sent.
             if self.owner.may_renew() && state.place_waiting_tasks(now) {
                 self.owner.wake.notify_one();
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -174,16 +174,17 @@
             if !self.owner.is_active() {
                 return;
             }
-            let now = Instant::now();
-            let order = self.owner.with_state(|state| {
+            let may_have_run = attempts.may_have_run();
+            let order = self.owner.with_current_view(|state, now| {
                 let may_renew = self.owner.may_renew();
-                state.start_order(&self.id, task, run, may_renew, now)
+                let order = state.start_order(&self.id, task, run, may_renew, now);
+                if order.is_none() {
+                    state.abandon_start(&self.id, task, run, may_have_run, now);
+                }
+                order
             });
             let Some(order) = order else {
-                let may_have_run = attempts.may_have_run();
-                return self.owner.with_state(|state| {
-                    state.abandon_start(&self.id, task, run, may_have_run, now)
-                });
+                return;
             };
             let answer = self.call(|timeout| self.link.start(&order, timeout)).await;
             self.count("start", outcome_label(&answer));
--- a/crates/jobs/src/platform/mod.rs
+++ b/crates/jobs/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod advisor;
 mod client_protocol;
 mod executor_link;
+mod operator_record;
 mod platform_trait;
 mod store;
 
@@ -25,6 +26,7 @@
 pub use executor_link::StartOrder;
 pub use executor_link::StartRefusal;
 pub use executor_link::StopOrder;
+pub use operator_record::OperatorRecord;
 pub use platform_trait::DecodeError;
 pub use platform_trait::Platform;
 pub use store::AppendAck;
--- a/crates/jobs/src/platform/platform_trait.rs
+++ b/crates/jobs/src/platform/platform_trait.rs
@@ -8,9 +8,9 @@
 use super::Advisor;
 use super::ExecutorLink;
 use super::KeyedRecord;
+use super::OperatorRecord;
 use super::Partition;
 use super::Store;
-use crate::config::DeploymentConfig;
 use crate::model::ExecutorEntry;
 use crate::model::ExecutorId;
 
@@ -38,17 +38,17 @@
     /// Returns the client of the store.
     fn store(&self) -> Arc<dyn Store>;
 
-    /// Returns the partition that operators publish the configuration to.
+    /// Returns the partition to which operators publish the configuration and their requests.
     fn operator_partition(&self) -> Partition;
 
     /// Returns the partition that executors register in.
     fn executor_partition(&self) -> Partition;
 
-    /// Decodes an operator's record; returns `None` if the record is no configuration.
+    /// Decodes an operator's record.
     ///
     /// # Errors
-    /// The record is a configuration but can't be decoded.
-    fn decode_config(&self, record: &KeyedRecord) -> Result<Option<DeploymentConfig>, DecodeError>;
+    /// The record concerns the scheduler but can't be decoded.
+    fn decode_operator_record(&self, record: &KeyedRecord) -> Result<OperatorRecord, DecodeError>;
 
     /// Decodes the registration record of an executor.
     ///
--- a/crates/jobs/src/platform/store.rs
+++ b/crates/jobs/src/platform/store.rs
@@ -61,6 +61,8 @@
     pub records: Vec<KeyedRecord>,
     /// The offset at which the next read continues.
     pub next_offset: Offset,
+    /// The offset that the next record of the partition will get, according to this answer.
+    pub end_offset: Offset,
 }
 
 /// The latest records of some keys, as returned by [`Store::newest`]. Consecutive pages do not form
--- a/crates/jobs/tests/admission/serial_store.rs
+++ b/crates/jobs/tests/admission/serial_store.rs
@@ -138,6 +138,7 @@
         Ok(ReadPage {
             records: Vec::new(),
             next_offset: from,
+            end_offset: from,
         })
     }
 
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -8,6 +8,8 @@
 use dotterelhook_jobs::cell::CommitBatch;
 use dotterelhook_jobs::config::DeploymentConfig;
 use dotterelhook_jobs::config::QueueRoute;
+use dotterelhook_jobs::evacuation::Evacuations;
+use dotterelhook_jobs::evacuation::ViewSnapshot;
 use dotterelhook_jobs::fleet::Order;
 use dotterelhook_jobs::ledger::JobProgress;
 use dotterelhook_jobs::ledger::decode;
@@ -204,12 +206,17 @@
 
     /// Lists an executor with the given processor capacity.
     pub(crate) fn list_executor(&mut self, id: &str, cpu_milli: u64) {
+        self.list_executor_in("laguna", id, cpu_milli);
+    }
+
+    /// Lists an executor in a failure domain.
+    pub(crate) fn list_executor_in(&mut self, domain: &str, id: &str, cpu_milli: u64) {
         let entry = ExecutorEntry {
             id: id.into(),
             incarnation: Some(Incarnation(1)),
             service: SERVICE.into(),
             address: ([127, 0, 0, 1], 9_000).into(),
-            failure_domain: "laguna".into(),
+            failure_domain: domain.into(),
             labels: Vec::new(),
             capacity: Resources::new(cpu_milli, 100_000),
             phase: ExecutorPhase::Ready,
@@ -246,6 +253,19 @@
             .handle_report(&id.into(), report, requested_at, self.now);
     }
 
+    /// Sets the failure domains with an evacuation in force, in a view that is valid for `valid_for`.
+    pub(crate) fn evacuate(&mut self, domains: &[&str], valid_for: Option<Duration>) {
+        let mut evacuations = Evacuations::default();
+        for domain in domains {
+            evacuations.request((*domain).into(), Duration::ZERO);
+        }
+        let view = ViewSnapshot {
+            evacuations: Arc::new(evacuations),
+            valid_until: valid_for.map(|time| self.now + time),
+        };
+        self.cell.apply_operator_view(view, self.now);
+    }
+
     /// Advances the time of the owner and of all executors.
     pub(crate) fn advance(&mut self, time: Duration) {
         self.now += time;
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod bursts;
 mod double_runs;
+mod evacuations;
 mod fixture;
 mod gangs;
 mod generated_events;
--- a/crates/jobs/tests/entry/fake_store.rs
+++ b/crates/jobs/tests/entry/fake_store.rs
@@ -95,6 +95,7 @@
         Ok(ReadPage {
             records: Vec::new(),
             next_offset: from,
+            end_offset: from,
         })
     }
 
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -10,6 +10,7 @@
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
 use dotterelhook_jobs::entry::add_owner_handlers;
+use dotterelhook_jobs::evacuation::OperatorView;
 use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::ExecutorId;
@@ -25,6 +26,7 @@
 use dotterelhook_jobs::platform::DecodeError;
 use dotterelhook_jobs::platform::ExecutorLink;
 use dotterelhook_jobs::platform::KeyedRecord;
+use dotterelhook_jobs::platform::OperatorRecord;
 use dotterelhook_jobs::platform::Partition;
 use dotterelhook_jobs::platform::Platform;
 use dotterelhook_jobs::platform::Store;
@@ -72,8 +74,8 @@
         }
     }
 
-    fn decode_config(&self, _: &KeyedRecord) -> Result<Option<DeploymentConfig>, DecodeError> {
-        Ok(None)
+    fn decode_operator_record(&self, _: &KeyedRecord) -> Result<OperatorRecord, DecodeError> {
+        Ok(OperatorRecord::Other)
     }
 
     fn decode_executor(&self, _: &str, _: &Bytes) -> Result<ExecutorEntry, DecodeError> {
@@ -127,6 +129,7 @@
             store: Arc::clone(&store),
             health: Arc::clone(&health),
             config,
+            operators: Arc::new(OperatorView::new(None)),
             directory: Arc::clone(&directory),
             settings: Arc::new(settings()),
             member: MemberName {
--- a/crates/jobs/tests/ownership/memory_store.rs
+++ b/crates/jobs/tests/ownership/memory_store.rs
@@ -136,6 +136,7 @@
         ReadPage {
             records: log[from.0 as usize..].to_vec(),
             next_offset: Offset(log.len() as u64),
+            end_offset: Offset(log.len() as u64),
         }
     }
 
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -8,6 +8,7 @@
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::config::ActiveConfig;
 use dotterelhook_jobs::config::DeploymentConfig;
+use dotterelhook_jobs::evacuation::OperatorView;
 use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::ExecutorId;
@@ -28,6 +29,7 @@
 use dotterelhook_jobs::platform::ExecutorReport;
 use dotterelhook_jobs::platform::Group;
 use dotterelhook_jobs::platform::KeyedRecord;
+use dotterelhook_jobs::platform::OperatorRecord;
 use dotterelhook_jobs::platform::OrderError;
 use dotterelhook_jobs::platform::PaceOrder;
 use dotterelhook_jobs::platform::Partition;
@@ -38,6 +40,7 @@
 use dotterelhook_jobs::platform::Store;
 use dotterelhook_jobs::store_access::StoreHealth;
 use dotterelhook_jobs::store_access::TrackedStore;
+use dotterelhook_jobs::store_access::time_since_boot;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::CpuMilli;
@@ -149,8 +152,8 @@
         EXECUTORS
     }
 
-    fn decode_config(&self, _: &KeyedRecord) -> Result<Option<DeploymentConfig>, DecodeError> {
-        Ok(None)
+    fn decode_operator_record(&self, _: &KeyedRecord) -> Result<OperatorRecord, DecodeError> {
+        Ok(OperatorRecord::Other)
     }
 
     fn decode_executor(&self, id: &str, _: &Bytes) -> Result<ExecutorEntry, DecodeError> {
@@ -190,6 +193,15 @@
     store: &Arc<MemoryStore>,
     host: &str,
     executor: &Arc<RecordingExecutor>,
+) -> Arc<OwnerContext> {
+    context_with(store, host, executor, OperatorView::new(None))
+}
+
+fn context_with(
+    store: &Arc<MemoryStore>,
+    host: &str,
+    executor: &Arc<RecordingExecutor>,
+    operators: OperatorView,
 ) -> Arc<OwnerContext> {
     let store = Arc::clone(store) as Arc<dyn Store>;
     let health = Arc::new(StoreHealth::default());
@@ -206,6 +218,7 @@
         store: Arc::clone(&store),
         health,
         config,
+        operators: Arc::new(operators),
         directory: Arc::new(OwnerDirectory::new(store, 1)),
         settings: Arc::new(settings()),
         member: MemberName {
@@ -368,3 +381,33 @@
     assert!(executor.renewals_after(idle_since) > 0);
     owner.release("the test is over");
 }
+
+/// Guards against a start in an evacuated failure domain: the operators' partition can't be read, while
+/// the store accepts appends, so the owner doesn't learn of a request.
+#[tokio::test]
+async fn an_owner_with_an_outdated_view_of_the_requests_starts_nothing_and_renews_leases() {
+    const EVACUATE_MAX: Duration = Duration::from_millis(600);
+    let store = Arc::new(MemoryStore::default());
+    list_executor(&store).await;
+    let executor = RecordingExecutor::new(true);
+    let operators = OperatorView::new(Some(EVACUATE_MAX));
+    operators.confirm(time_since_boot());
+    let context = context_with(&store, "a", &executor, operators);
+    let operators = Arc::clone(&context.operators);
+    let started = Instant::now();
+    let owner = CellOwner::claim(context, 0).await.expect("a claim");
+
+    submit(&store, 40).await;
+    sleep(EVACUATE_MAX / 2 + MARGIN).await;
+    let (in_time, outdated_at) = (executor.starts_after(started), Instant::now());
+    sleep(MARGIN).await;
+    let outdated = executor.starts_after(outdated_at);
+    let renewals = executor.renewals_after(outdated_at);
+    operators.confirm(time_since_boot());
+    sleep(MARGIN).await;
+
+    assert!(in_time > 0 && executor.starts_after(outdated_at) > 0);
+    assert_eq!(outdated, 0, "starts on an outdated view");
+    assert!(renewals > 0);
+    owner.release("the test is over");
+}
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -3,5 +3,6 @@
 mod configuration;
 mod fixture;
 mod interference;
+mod operator_view;
 mod order;
 mod placement;
