Let runs leave an evacuated failure domain, into places held for them

Cause: work that ran in an evacuated failure domain stayed there until it ended, also where it could continue elsewhere from a checkpoint, and serving tasks never left.

Change: each round, runs in evacuated failure domains are considered in turn (evacuation::RunFacts decides): those that end soon or have no checkpoint stay; serving tasks leave while no more of their step are away than unavailable_max, where waiting tasks count; gangs leave as a whole. A run is stopped only after a place outside the evacuated failure domains is held for its task, so nothing is stopped for want of capacity, and work that arrives meanwhile doesn't take the place. A place is given up after 3 s, when its job ends, or when its own failure domain is evacuated. The generated test begins and ends evacuations, cuts owners off from the operators' records, and checks each start against the acknowledged requests.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -9,6 +9,7 @@
 
 use super::CellSettings;
 use super::Effect;
+use super::departures::Departure;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::evacuation::ViewSnapshot;
@@ -57,6 +58,10 @@
     pub(super) config: Arc<DeploymentConfig>,
     /// What the owner knows of the operators' requests.
     pub(super) operator_view: ViewSnapshot,
+    /// The tasks whose runs leave an evacuated failure domain.
+    pub(super) departures: BTreeMap<TaskId, Departure>,
+    /// The run in an evacuated failure domain for which a place was searched last.
+    pub(super) last_considered: Option<(ExecutorId, TaskId)>,
     pub(super) ledger: JobLedger,
     pub(super) executors: BTreeMap<ExecutorId, Executor>,
     /// Jobs whose current progress is not stored yet.
@@ -96,6 +101,8 @@
             epoch,
             config,
             operator_view: ViewSnapshot::default(),
+            departures: BTreeMap::new(),
+            last_considered: None,
             ledger: JobLedger::default(),
             executors: BTreeMap::new(),
             dirty: BTreeSet::new(),
--- a/crates/jobs/src/cell/held_starts.rs
+++ b/crates/jobs/src/cell/held_starts.rs
@@ -19,6 +19,7 @@
         let is_same = Arc::ptr_eq(&view.evacuations, &self.operator_view.evacuations);
         self.operator_view = view;
         if !is_same {
+            self.release_closed_places(now);
             self.hold_back_starts(now);
         }
     }
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -49,20 +49,20 @@
 
 /// The constraints on executors for the tasks of a step.
 #[derive(Clone, Copy)]
-struct StepSearch<'a> {
-    job: JobId,
-    step_ref: StepRef,
-    step: &'a StepSpec,
-    service: &'a ServiceId,
-    pressures: &'a [(ImageName, f64)],
+pub(super) struct StepSearch<'a> {
+    pub(super) job: JobId,
+    pub(super) step_ref: StepRef,
+    pub(super) step: &'a StepSpec,
+    pub(super) service: &'a ServiceId,
+    pub(super) pressures: &'a [(ImageName, f64)],
     /// The only rack to search, if any.
-    rack: Option<&'a Label>,
+    pub(super) rack: Option<&'a Label>,
     /// Whether a start needs a valid ticket.
-    needs_ticket: bool,
+    pub(super) needs_ticket: bool,
     /// Whether the executor must have room for twice the task, so that as much is left for others.
-    requires_spare_room: bool,
+    pub(super) requires_spare_room: bool,
     /// Whether the tasks may run where they interfere with serving tasks.
-    may_interfere: bool,
+    pub(super) may_interfere: bool,
 }
 
 impl StepSearch<'_> {
@@ -76,6 +76,7 @@
 impl CellState {
     /// Places waiting tasks and returns whether the round reached its limit of placements.
     pub fn place_waiting_tasks(&mut self, now: Instant) -> bool {
+        self.place_departed_tasks(now);
         self.update_wait_times(now);
         let waiting = self.waiting_steps(now);
         let overdue = waiting.iter().filter(|waiting| {
@@ -219,7 +220,11 @@
     }
 
     /// Returns the executors that accept a task of the step, ordered by score.
-    fn score_executors(&self, search: &StepSearch<'_>, now: Instant) -> BinaryHeap<ScoredExecutor> {
+    pub(super) fn score_executors(
+        &self,
+        search: &StepSearch<'_>,
+        now: Instant,
+    ) -> BinaryHeap<ScoredExecutor> {
         let executors = self.available_executors(search.service, now);
         executors
             .filter_map(|executor| self.score_executor(search, executor, now))
@@ -278,7 +283,7 @@
         (placements.len() == tasks.len()).then_some(placements)
     }
 
-    fn service_racks(&self, service: &ServiceId) -> Vec<Label> {
+    pub(super) fn service_racks(&self, service: &ServiceId) -> Vec<Label> {
         let executors = self.executors.values().map(|executor| &executor.entry);
         let racks: BTreeSet<Label> = executors
             .filter(|entry| entry.service == *service)
@@ -362,7 +367,13 @@
         })
     }
 
-    fn place_task(&mut self, step: &StepSpec, task: TaskId, id: &ExecutorId, now: Instant) -> bool {
+    pub(super) fn place_task(
+        &mut self,
+        step: &StepSpec,
+        task: TaskId,
+        id: &ExecutorId,
+        now: Instant,
+    ) -> bool {
         let Some(executor) = self.executors.get_mut(id) else {
             return false;
         };
--- a/crates/jobs/src/cell/relocation.rs
+++ b/crates/jobs/src/cell/relocation.rs
@@ -3,6 +3,7 @@
 use tokio::time::Instant;
 
 use super::CellState;
+use crate::evacuation::RELOCATION_TIME;
 use crate::fleet::Executor;
 use crate::fleet::RunPhase;
 use crate::model::ExecutorId;
@@ -19,8 +20,6 @@
 const STALL_ESTIMATE_SHARE: f64 = 0.5;
 /// The assumed time until the shutdown of a draining executor that does not report one.
 const DRAIN_REMAINING_DEFAULT: Duration = Duration::from_millis(2_000);
-/// The time reserved for the stop of a run and its start on another executor.
-const RELOCATION_TIME: Duration = Duration::from_millis(600);
 /// Limits the runs that leave one draining executor per round, so that other executors have room
 /// for them.
 const EVACUATIONS_PER_ROUND_MAX: usize = 4;
@@ -29,6 +28,7 @@
 impl CellState {
     /// Stops runs that should resume on another executor from their checkpoints.
     pub fn relocate_runs(&mut self, now: Instant) {
+        self.evacuate_runs(now);
         let ids: Vec<ExecutorId> = self.executors.keys().cloned().collect();
         for id in ids {
             let Some(executor) = self.executors.get(&id) else {
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -54,6 +54,8 @@
     EvacuationRequested,
     /// A run without an answer to its start is stopped, because its failure domain is evacuated.
     StartHeldBack,
+    /// A run is stopped to continue outside its evacuated failure domain, with its gang.
+    RunLeaving,
     /// The evacuation of a failure domain ended.
     EvacuationEnded,
     /// The view of the operators' requests is too old: this owner starts nothing.
--- a/crates/jobs/tests/cell/generated_events.rs
+++ b/crates/jobs/tests/cell/generated_events.rs
@@ -71,6 +71,7 @@
         steps: u32,
         width: u32,
         cpu_milli: u64,
+        estimate_ms: u64,
     },
     Cancel {
         index: usize,
@@ -107,6 +108,18 @@
     TakeOver {
         keeps_stale_owner: bool,
     },
+    /// Operators evacuate the failure domain of an executor.
+    Evacuate {
+        executor: usize,
+    },
+    EndEvacuation {
+        executor: usize,
+    },
+    /// Sets whether an owner's reads of the operators' records fail.
+    CutOffView {
+        sender: Sender,
+        is_cut_off: bool,
+    },
 }
 
 fn deliveries() -> impl Strategy<Value = Delivery> {
@@ -125,12 +138,14 @@
 }
 
 fn submissions() -> impl Strategy<Value = Event> {
-    let wide = (1..3_u32, 1..4_u32, Just(1_500));
-    let small = (1..3_u32, 1..9_u32, Just(400));
-    prop_oneof![wide, small].prop_map(|(steps, width, cpu_milli)| Event::Submit {
+    // Only runs with a long estimate leave an evacuated failure domain.
+    let wide = (1..3_u32, 1..4_u32, Just((1_500, 10_000)));
+    let small = (1..3_u32, 1..9_u32, Just((400, 1_000)));
+    prop_oneof![wide, small].prop_map(|(steps, width, (cpu_milli, estimate_ms))| Event::Submit {
         steps,
         width,
         cpu_milli,
+        estimate_ms,
     })
 }
 
@@ -149,7 +164,11 @@
         1 => executor.clone().prop_map(|executor| Event::Isolate { executor }),
         1 => executor.clone().prop_map(|executor| Event::Reconnect { executor }),
         1 => executor.clone().prop_map(|executor| Event::Crash { executor }),
-        2 => executor.prop_map(|executor| Event::Restart { executor }),
+        2 => executor.clone().prop_map(|executor| Event::Restart { executor }),
+        2 => executor.clone().prop_map(|executor| Event::Evacuate { executor }),
+        2 => executor.prop_map(|executor| Event::EndEvacuation { executor }),
+        1 => (senders(), any::<bool>())
+            .prop_map(|(sender, is_cut_off)| Event::CutOffView { sender, is_cut_off }),
         1 => any::<bool>().prop_map(|keeps_stale_owner| Event::TakeOver { keeps_stale_owner }),
     ];
     proptest::collection::vec(event, 20..160)
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -1,6 +1,7 @@
 //! Simulates owners, executors and messages under generated faults.
 //!
-//! Guards against duplicate runs, runs out of order and jobs that never end. Such errors arise from
+//! Guards against duplicate runs, runs out of order, late starts in evacuated failure domains and jobs
+//! that never end. Such errors arise from
 //! lost or late messages, executor crashes and takeovers in unlucky sequences.
 
 use std::collections::BTreeMap;
@@ -21,6 +22,7 @@
 use dotterelhook_jobs::model::JobId;
 use dotterelhook_jobs::model::JobState;
 use dotterelhook_jobs::model::RunNumber;
+use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::Submission;
 use dotterelhook_jobs::model::TaskId;
 use dotterelhook_jobs::ownership::StartAttempts;
@@ -47,6 +49,9 @@
 use crate::fixture::settings;
 use crate::fixture::step;
 use crate::fixture::submission;
+use crate::generated_evacuations::OperatorRecords;
+use crate::generated_evacuations::OwnerView;
+use crate::generated_evacuations::domain_of;
 use crate::generated_events::Contract;
 use crate::generated_events::Delivery;
 use crate::generated_events::EXECUTORS;
@@ -125,6 +130,7 @@
     /// Reports on their way. An owner sends no other renewal to such an executor.
     delayed_reports: BTreeMap<ExecutorId, DelayedReport>,
     starts_in_flight: Vec<StartInFlight>,
+    view: OwnerView,
 }
 
 /// All owners, executors and stored records.
@@ -143,6 +149,7 @@
     contract: Contract,
     settings: Arc<CellSettings>,
     history: History,
+    operators: OperatorRecords,
 }
 
 impl Simulation {
@@ -157,7 +164,7 @@
         let mut simulation = Self {
             now,
             epoch: Epoch(1),
-            owner: Owner::new(&settings, Epoch(1), now),
+            owner: Owner::new(&settings, Epoch(1), &OperatorRecords::default(), now),
             stale_owner: None,
             executors: EXECUTORS
                 .iter()
@@ -176,6 +183,7 @@
             contract,
             settings,
             history: History::default(),
+            operators: OperatorRecords::default(),
         };
         simulation.owner.list_all(now);
         simulation
@@ -187,7 +195,8 @@
                 steps,
                 width,
                 cpu_milli,
-            } => self.submit(*steps, *width, *cpu_milli),
+                estimate_ms,
+            } => self.submit(*steps, *width, *cpu_milli, *estimate_ms),
             Event::Cancel { index } => self.cancel(*index),
             Event::Advance { ms } => self.advance(*ms),
             Event::Commit { answer_lost } => self.commit(*answer_lost),
@@ -214,15 +223,29 @@
                 }
             }
             Event::TakeOver { keeps_stale_owner } => self.take_over(*keeps_stale_owner),
+            Event::Evacuate { executor } => self.operators.evacuate(*executor, self.now),
+            Event::EndEvacuation { executor } => self.operators.end(*executor),
+            Event::CutOffView { sender, is_cut_off } => {
+                let owner = match sender {
+                    Sender::Owner => Some(&mut self.owner),
+                    Sender::FormerOwner => self.stale_owner.as_mut(),
+                };
+                if let Some(owner) = owner {
+                    owner.view.is_cut_off = *is_cut_off;
+                }
+            }
         }
     }
 
-    fn submit(&mut self, steps: u32, width: u32, cpu_milli: u64) {
+    fn submit(&mut self, steps: u32, width: u32, cpu_milli: u64, estimate_ms: u64) {
         let id = job(self.submissions.len() as u64 + 1);
         let steps = (0..steps)
             .map(|number| {
                 let after: Vec<u32> = (0..number).collect();
-                step(width, cpu_milli, &after)
+                StepSpec {
+                    estimate_ms,
+                    ..step(width, cpu_milli, &after)
+                }
             })
             .collect();
         let submission = submission(steps);
@@ -247,7 +270,7 @@
         }
         self.carry_out_late_orders();
         if !self.owner.starts_in_flight.is_empty() {
-            let placeholder = Owner::new(&self.settings, Epoch(0), self.now);
+            let placeholder = Owner::new(&self.settings, Epoch(0), &self.operators, self.now);
             let mut owner = std::mem::replace(&mut self.owner, placeholder);
             self.handle_start_answers(&mut owner);
             self.owner = owner;
@@ -257,6 +280,8 @@
             self.stale_owner = (!owner.is_released).then_some(owner);
         }
         for owner in self.stale_owner.iter_mut().chain([&mut self.owner]) {
+            owner.view.read(&self.operators, self.now);
+            owner.view.apply_to(&mut owner.cell, self.now);
             owner.handle_delayed_reports(self.now);
             owner.cell.expire_leases(self.now);
             owner.cell.relocate_runs(self.now);
@@ -266,6 +291,7 @@
     /// Stores the owner's next batch. If the store's answer is lost, the effects follow with the
     /// next commit.
     fn commit(&mut self, answer_lost: bool) {
+        self.owner.view.apply_to(&mut self.owner.cell, self.now);
         if let Some(batch) = self.owner.in_flight.take() {
             self.owner.cell.handle_batch_stored(batch, self.now);
         }
@@ -289,7 +315,7 @@
     fn act_as(&mut self, sender: Sender, act: impl FnOnce(&mut Self, &mut Owner)) {
         match sender {
             Sender::Owner => {
-                let placeholder = Owner::new(&self.settings, Epoch(0), self.now);
+                let placeholder = Owner::new(&self.settings, Epoch(0), &self.operators, self.now);
                 let mut owner = std::mem::replace(&mut self.owner, placeholder);
                 act(self, &mut owner);
                 self.owner = owner;
@@ -452,6 +478,7 @@
             return;
         };
         let may_renew = owner.may_renew(self.now);
+        owner.view.apply_to(&mut owner.cell, self.now);
         let order = owner
             .cell
             .start_order(&id, start.task, start.run, may_renew, self.now);
@@ -539,6 +566,7 @@
         if !begins {
             return Ok(());
         }
+        self.operators.check_start(index, self.now);
         let others = self.executors.iter().enumerate();
         let duplicates = others
             .filter(|(other, executor)| *other != index && executor.runs(task))
@@ -589,7 +617,7 @@
 
     fn take_over(&mut self, keeps_stale_owner: bool) {
         self.epoch = self.epoch.next();
-        let mut next = Owner::new(&self.settings, self.epoch, self.now);
+        let mut next = Owner::new(&self.settings, self.epoch, &self.operators, self.now);
         for (id, submission) in &self.submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
             next.cell
@@ -608,6 +636,8 @@
     fn settle(&mut self) {
         self.stale_owner = None;
         self.isolated = [false; EXECUTORS.len()];
+        self.operators.end_all();
+        self.owner.view.is_cut_off = false;
         for executor in &mut self.executors {
             if !executor.is_up {
                 executor.restart();
@@ -668,8 +698,14 @@
 }
 
 impl Owner {
-    fn new(settings: &Arc<CellSettings>, epoch: Epoch, now: Instant) -> Self {
+    fn new(
+        settings: &Arc<CellSettings>,
+        epoch: Epoch,
+        operators: &OperatorRecords,
+        now: Instant,
+    ) -> Self {
         Self {
+            view: OwnerView::new(operators, now),
             cell: CellState::new(Arc::clone(settings), epoch, config(ATTEMPTS_MAX), now),
             orders: BTreeMap::new(),
             in_flight: None,
@@ -703,13 +739,13 @@
     }
 
     fn list_all(&mut self, now: Instant) {
-        for id in EXECUTORS {
+        for (index, id) in EXECUTORS.into_iter().enumerate() {
             let entry = ExecutorEntry {
                 id: id.into(),
                 incarnation: Some(Incarnation(1)),
                 service: SERVICE.into(),
                 address: ([127, 0, 0, 1], 9_000).into(),
-                failure_domain: "laguna".into(),
+                failure_domain: domain_of(index).as_str().into(),
                 labels: Vec::new(),
                 capacity: Resources::new(CAPACITY_MILLI, 100_000),
                 phase: ExecutorPhase::Ready,
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,10 +1,12 @@
 //! Tests of a cell's state machine, without a network.
 
 mod bursts;
+mod departures;
 mod double_runs;
 mod evacuations;
 mod fixture;
 mod gangs;
+mod generated_evacuations;
 mod generated_events;
 mod generated_faults;
 mod given_up_runs;
