Raise new load in steps on cold executors and after an evacuation

Cause: an executor that had just started, or whose evacuation had ended, was empty and got all waiting work at once, though a cold one is slow.

Change: the record's coldLeftMs (a repeated entry never extends it) and 3 s after an evacuation limit the processor time that newly placed runs reserve to a quarter, a half and three quarters of the capacity, by the time that is left. Long-running tasks that have waited for 3 s ignore the steps. A cold executor is chosen only if no other fits, gets at most bounds.coldOverage times its share of its pool's starts and bounds.coldBurst more, and the slowdown observed there counts in the estimates for stalls and drains. Executors that are neither cold nor returning are treated as before. A test renders the deployment's template and checks the settings.

--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dotterelhook_jobs::cell::CellSettings;
+use dotterelhook_jobs::cell::ColdLimits;
 use dotterelhook_jobs::entry::EntrySettings;
 use dotterelhook_jobs::ownership::required_partition_count;
 use dotterelhook_types::document::FieldError;
@@ -17,6 +18,10 @@
 
 /// The smallest CPU capacity of a host, in cores.
 const CPU_CORES_MIN: f64 = 0.001;
+/// The smallest multiple of its share of the runs that a cold executor may get.
+const COLD_OVERAGE_MIN: f64 = 1.0;
+/// The largest multiple of its share of the runs that a cold executor may get.
+const COLD_OVERAGE_MAX: f64 = 1_000.0;
 /// The largest CPU capacity of a host, in cores.
 const CPU_CORES_MAX: f64 = 1_024.0;
 
@@ -67,6 +72,9 @@
     stop_max_ms: u64,
     /// Absent if the deployment sets no limit.
     evacuate_max_ms: Option<u64>,
+    /// Absent if the deployment sets no limits for cold executors.
+    cold_overage: Option<f64>,
+    cold_burst: Option<u64>,
     #[serde(default)]
     executors_enforce_fences: bool,
     #[serde(default = "defaults::early_max_ms")]
@@ -147,6 +155,7 @@
                 ttl_min_ms,
                 60_000,
             )?,
+            cold_limits: cold_limits(jobs)?,
         };
         let connections_max =
             checked_number(&field("connections_max"), jobs.connections_max, 1, 100_000)?;
@@ -201,6 +210,21 @@
     Ok(())
 }
 
+/// Returns the limits of cold executors, if any of them is set.
+fn cold_limits(jobs: &RawJobs) -> Result<Option<ColdLimits>, FieldError> {
+    if jobs.cold_overage.is_none() && jobs.cold_burst.is_none() {
+        return Ok(None);
+    }
+    let overage = jobs.cold_overage.unwrap_or(COLD_OVERAGE_MIN);
+    if !(COLD_OVERAGE_MIN..=COLD_OVERAGE_MAX).contains(&overage) {
+        let rule = format!("must be from {COLD_OVERAGE_MIN} to {COLD_OVERAGE_MAX}");
+        return Err(FieldError::new("jobs.cold_overage", rule));
+    }
+    let burst = jobs.cold_burst.unwrap_or(0);
+    let burst = checked_number("jobs.cold_burst", burst, 0, 100_000)? as u32;
+    Ok(Some(ColdLimits { overage, burst }))
+}
+
 /// Default values of optional fields.
 mod defaults {
     pub(super) fn cpu_cores() -> f64 {
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -229,6 +229,11 @@
             "evacuate_max_ms: value 0",
             "500 to 600000",
         ),
+        (
+            "\"cold_overage\": 0.5",
+            "cold_overage: value 0.5",
+            "from 1 to 1000",
+        ),
     ];
     for (index, (added, place, rule)) in table.into_iter().enumerate() {
         let last = "\"membership_ttl_min_ms\": 1000";
@@ -245,3 +250,65 @@
         assert_eq!(error.lines().count(), 1, "{added}: {error}");
     }
 }
+
+/// Renders the template of the deployment: sections are kept if their value is given.
+fn render_template(values: &[(&str, &str)]) -> String {
+    let mut text = include_str!("../../../deploy/settings.jsonc").to_owned();
+    while let Some(start) = text.find("{{#") {
+        let name = text[start + 3..].split("}}").next().unwrap().to_owned();
+        let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+        let end = text.find(&close).unwrap();
+        let is_given = values.iter().any(|(given, _)| *given == name);
+        let body = if is_given {
+            &text[start + open.len()..end]
+        } else {
+            ""
+        };
+        text = format!("{}{body}{}", &text[..start], &text[end + close.len()..]);
+    }
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+        text = text.replace(&format!("{{{{{name}|json}}}}"), &format!("\"{value}\""));
+    }
+    text
+}
+
+/// Guards against a template whose rendered settings no process accepts, with or without the bounds
+/// that only some deployments have.
+#[test]
+fn the_template_renders_to_valid_settings() {
+    let required = [
+        ("node", "laguna-1"),
+        ("zone", "laguna"),
+        ("limits.cpuShare", "0.1"),
+        ("listen.front", "127.0.0.1:7301"),
+        ("listen.ready", "127.0.0.1:7302"),
+        ("ip", "127.0.0.1"),
+        ("portRange.0", "7303"),
+        ("portRange.1", "7304"),
+        ("platform.address", "127.0.0.1:7305"),
+        ("platform.parts", "8"),
+        ("platform.ttlMinMs", "1000"),
+        ("bounds.holdMaxMs", "6000"),
+        ("bounds.stopMs", "200"),
+    ];
+    let optional = [
+        ("advice", "127.0.0.1:7306"),
+        ("bounds.fencingEnforced", "true"),
+        ("bounds.evacuateMs", "5000"),
+        ("bounds.coldOverage", "1.5"),
+        ("bounds.coldBurst", "5"),
+    ];
+
+    for (name, values) in [
+        ("least", required.to_vec()),
+        ("all", [&required[..], &optional].concat()),
+    ] {
+        let text = render_template(&values);
+        let output = check_text(&format!("template-{name}"), &text);
+
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(output.status.success(), "{name}: {error}\n{text}");
+        assert!(!text.contains("{{"), "{text}");
+    }
+}
--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -27,6 +27,17 @@
     pub early_max: Duration,
     /// How long a host remains a group member without a heartbeat.
     pub membership_ttl: Duration,
+    /// Limits the runs on executors that are slow after their start, if the deployment sets limits.
+    pub cold_limits: Option<ColdLimits>,
+}
+
+/// How many runs an executor that is slow after its start may get beyond its share of its pool's.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimits {
+    /// The multiple of its share.
+    pub overage: f64,
+    /// The further runs.
+    pub burst: u32,
 }
 
 impl CellSettings {
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -28,6 +28,7 @@
 use crate::model::JobState;
 use crate::model::QueueConfig;
 use crate::model::QueueName;
+use crate::model::ServiceId;
 use crate::model::Submission;
 use crate::model::TaskId;
 use crate::observe::Decision;
@@ -58,6 +59,10 @@
     pub(super) config: Arc<DeploymentConfig>,
     /// What the owner knows of the operators' requests.
     pub(super) operator_view: ViewSnapshot,
+    /// The runs placed on each pool by this owner.
+    pub(super) pool_starts: BTreeMap<ServiceId, u64>,
+    /// The executors of each pool.
+    pub(super) pool_sizes: BTreeMap<ServiceId, u64>,
     /// The tasks whose runs leave an evacuated failure domain.
     pub(super) departures: BTreeMap<TaskId, Departure>,
     /// The run in an evacuated failure domain for which a place was searched last.
@@ -101,6 +106,8 @@
             epoch,
             config,
             operator_view: ViewSnapshot::default(),
+            pool_starts: BTreeMap::new(),
+            pool_sizes: BTreeMap::new(),
             departures: BTreeMap::new(),
             last_considered: None,
             ledger: JobLedger::default(),
@@ -217,7 +224,12 @@
         entry: ExecutorEntry,
         now: Instant,
     ) -> Option<UnboundedReceiver<Order>> {
+        let pool_starts = self.pool_starts.get(&entry.service).copied().unwrap_or(0);
+        let cold_left = entry.cold_left;
         if let Some(executor) = self.executors.get_mut(&entry.id) {
+            let is_new = executor.entry.incarnation != entry.incarnation;
+            let ramp_up = &mut executor.ramp_up;
+            ramp_up.update_cold(cold_left, is_new, pool_starts, now);
             if executor.entry.phase != entry.phase {
                 decided!(Decision::ExecutorPhase, executor: entry.id, phase: entry.phase);
             }
@@ -230,7 +242,9 @@
         let (orders, receiver) = unbounded_channel();
         decided!(Decision::ExecutorListed, executor: entry.id, domain: entry.failure_domain);
         let id = entry.id.clone();
-        let executor = Executor::new(entry, orders);
+        let mut executor = Executor::new(entry, orders);
+        let ramp_up = &mut executor.ramp_up;
+        ramp_up.update_cold(cold_left, true, pool_starts, now);
         self.executors.insert(id.clone(), executor);
         self.restore_unlisted_runs(&id, None, now);
         Some(receiver)
--- a/crates/jobs/src/cell/departures.rs
+++ b/crates/jobs/src/cell/departures.rs
@@ -222,6 +222,7 @@
                 rack,
                 needs_ticket: queue.advice.is_some(),
                 // Long-running tasks keep their place for good, so as much is left for others.
+                ignores_ramp_up: false,
                 requires_spare_room: step.is_long_running,
                 may_interfere: false,
             };
--- a/crates/jobs/src/cell/held_starts.rs
+++ b/crates/jobs/src/cell/held_starts.rs
@@ -17,8 +17,9 @@
     /// places tasks, and each time before it sends a start.
     pub fn apply_operator_view(&mut self, view: ViewSnapshot, now: Instant) {
         let is_same = Arc::ptr_eq(&view.evacuations, &self.operator_view.evacuations);
-        self.operator_view = view;
+        let former = std::mem::replace(&mut self.operator_view, view);
         if !is_same {
+            self.begin_returns(&former, now);
             self.release_closed_places(now);
             self.hold_back_starts(now);
         }
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -133,6 +133,7 @@
         let step = job.step(task.step);
         let view = RunView {
             checkpoint: progress.checkpoint.clone(),
+            placed_at: None,
             ..RunView::new(progress.run, step, RunPhase::Restored, now)
         };
         if let Some(executor) = self.executors.get_mut(&key.id) {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod incarnations;
 mod order_outcomes;
 mod planning;
+mod ramp_up;
 mod relocation;
 mod reports;
 mod scored_executor;
@@ -21,6 +22,7 @@
 
 pub use cell_load::CellLoad;
 pub use cell_settings::CellSettings;
+pub use cell_settings::ColdLimits;
 pub use cell_state::CellState;
 pub use cell_state::JobLookup;
 pub use commit_batch::CommitBatch;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -61,6 +61,8 @@
     pub(super) needs_ticket: bool,
     /// Whether the executor must have room for twice the task, so that as much is left for others.
     pub(super) requires_spare_room: bool,
+    /// Whether the tasks have waited so long that they are placed on any executor with room.
+    pub(super) ignores_ramp_up: bool,
     /// Whether the tasks may run where they interfere with serving tasks.
     pub(super) may_interfere: bool,
 }
@@ -194,6 +196,7 @@
             rack: None,
             needs_ticket: queue.advice.is_some(),
             requires_spare_room,
+            ignores_ramp_up: requires_spare_room,
             may_interfere: self.has_been_idle(waiting.job, now),
         };
         if step.is_gang {
@@ -361,8 +364,11 @@
         {
             return None;
         }
+        if !self.ramp_up_permits(search, executor, now) {
+            return None;
+        }
         Some(ScoredExecutor {
-            score,
+            score: score - Self::cold_penalty(executor, now),
             executor: executor.entry.id.clone(),
         })
     }
@@ -401,6 +407,9 @@
             .map_or(0, |clock| now.duration_since(clock.seen_at()).as_millis());
         decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free(), heard_ms: heard_ms, config: self.config.version());
         executor.add_run(task, RunView::new(run, step, RunPhase::Proposed, now));
+        executor.ramp_up.record_start();
+        let service = executor.entry.service.clone();
+        *self.pool_starts.entry(service).or_default() += 1;
         self.dirty.insert(task.job);
         self.effects.push(Effect::Start {
             executor: key,
--- a/crates/jobs/src/cell/relocation.rs
+++ b/crates/jobs/src/cell/relocation.rs
@@ -28,6 +28,7 @@
 impl CellState {
     /// Stops runs that should resume on another executor from their checkpoints.
     pub fn relocate_runs(&mut self, now: Instant) {
+        self.count_pools();
         self.evacuate_runs(now);
         let ids: Vec<ExecutorId> = self.executors.keys().cloned().collect();
         for id in ids {
@@ -37,7 +38,7 @@
             let Some(key) = executor.key() else {
                 continue;
             };
-            let evacuated = self.runs_to_evacuate(executor);
+            let evacuated = self.runs_to_evacuate(executor, now);
             let stalled = self.stalled_runs(executor, now);
             let has_stalled = !stalled.is_empty();
             self.stop_runs(&key, evacuated, "the executor is draining", now);
@@ -57,7 +58,7 @@
     }
 
     /// Returns the runs that won't end before a draining executor shuts down.
-    fn runs_to_evacuate(&self, executor: &Executor) -> Vec<TaskId> {
+    fn runs_to_evacuate(&self, executor: &Executor, now: Instant) -> Vec<TaskId> {
         let ExecutorPhase::Draining { remaining_ms } = executor.entry.phase else {
             return Vec::new();
         };
@@ -68,6 +69,7 @@
             };
             let step = job.step(task.step);
             let ends_in = Duration::from_millis(step.estimate_ms)
+                .mul_f64(executor.ramp_up.slowdown(now))
                 .mul_f64(1.0 - (view.progress_percent / 100.0).clamp(0.0, 1.0));
             let is_cut_off = step.is_long_running || ends_in + RELOCATION_TIME > remaining;
             is_cut_off && matches!(view.phase, RunPhase::Running { .. })
@@ -84,7 +86,8 @@
                 return false;
             };
             let step = job.step(task.step);
-            let estimate = Duration::from_millis(step.estimate_ms);
+            let estimate =
+                Duration::from_millis(step.estimate_ms).mul_f64(executor.ramp_up.slowdown(now));
             let stall_timeout = estimate
                 .mul_f64(STALL_ESTIMATE_SHARE)
                 .max(STALL_TIMEOUT_MIN);
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -264,6 +264,7 @@
 
     fn handle_running_run(&mut self, id: &ExecutorId, running: &RunningRun, now: Instant) {
         self.ledger.mark_started(running.task.job);
+        self.observe_speed(id, running.task, running.progress_percent, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -14,6 +14,7 @@
 use super::Health;
 use super::Listing;
 use super::Order;
+use super::RampUp;
 use super::RunPhase;
 use super::RunView;
 use crate::model::ExecutorEntry;
@@ -52,6 +53,8 @@
     /// The executor gets no new run before this time, because a start was refused for lack of room
     /// or could not be sent.
     pub full_until: Option<Instant>,
+    /// Limits new load while the executor is cold, or returns after an evacuation.
+    pub ramp_up: RampUp,
     runs: BTreeMap<TaskId, RunView>,
     used: Resources,
     serving_cpu_milli: u64,
@@ -77,6 +80,7 @@
             filler_history: FillerHistory::default(),
             headroom: Vec::new(),
             full_until: None,
+            ramp_up: RampUp::default(),
             runs: BTreeMap::new(),
             used: Resources::default(),
             serving_cpu_milli: 0,
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -51,6 +51,8 @@
     pub image: Option<ImageName>,
     /// The phase of the run.
     pub phase: RunPhase,
+    /// When this owner placed the run; unknown for a run of a former owner.
+    pub placed_at: Option<Instant>,
     /// The newest checkpoint that the executor reported.
     pub checkpoint: Option<Checkpoint>,
     /// The share of the work that is done, 0 to 100.
@@ -79,6 +81,7 @@
             tail_target_ms: step.tail_target_ms,
             image: step.image.clone(),
             phase,
+            placed_at: Some(now),
             checkpoint: None,
             progress_percent: 0.0,
             progressed_at: now,
--- a/crates/jobs/src/model/executor.rs
+++ b/crates/jobs/src/model/executor.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
@@ -67,6 +68,8 @@
     pub capacity: Resources,
     /// Whether the executor accepts new runs.
     pub phase: ExecutorPhase,
+    /// How much longer the executor is slow after its start.
+    pub cold_left: Duration,
 }
 
 impl ExecutorEntry {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -65,6 +65,7 @@
         retention: Duration::from_secs(180),
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(1_500),
+        cold_limits: None,
     }
 }
 
@@ -211,6 +212,17 @@
 
     /// Lists an executor in a failure domain.
     pub(crate) fn list_executor_in(&mut self, domain: &str, id: &str, cpu_milli: u64) {
+        self.list_cold_executor(domain, id, cpu_milli, Duration::ZERO);
+    }
+
+    /// Lists an executor that is slow after its start.
+    pub(crate) fn list_cold_executor(
+        &mut self,
+        domain: &str,
+        id: &str,
+        cpu_milli: u64,
+        cold_left: Duration,
+    ) {
         let entry = ExecutorEntry {
             id: id.into(),
             incarnation: Some(Incarnation(1)),
@@ -220,6 +232,7 @@
             labels: Vec::new(),
             capacity: Resources::new(cpu_milli, 100_000),
             phase: ExecutorPhase::Ready,
+            cold_left,
         };
         if let Some(orders) = self.cell.upsert_executor(entry, self.now) {
             self.orders.insert(id.into(), orders);
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -757,6 +757,7 @@
                 labels: Vec::new(),
                 capacity: Resources::new(CAPACITY_MILLI, 100_000),
                 phase: ExecutorPhase::Ready,
+                cold_left: Duration::ZERO,
             };
             if let Some(orders) = self.cell.upsert_executor(entry, now) {
                 self.orders.insert(id.into(), orders);
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -15,6 +15,7 @@
 mod outages;
 mod pending;
 mod probation;
+mod ramp_ups;
 mod simulated_executor;
 mod tails;
 mod takeovers;
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -166,6 +166,7 @@
             labels: Vec::new(),
             capacity: Resources::new(4_000, 100_000),
             phase: ExecutorPhase::Ready,
+            cold_left: Duration::ZERO,
         })
     }
 
--- a/crates/jobs/tests/policies/fixture.rs
+++ b/crates/jobs/tests/policies/fixture.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use dotterelhook_jobs::fleet::Executor;
 use dotterelhook_jobs::fleet::RunPhase;
 use dotterelhook_jobs::fleet::RunView;
@@ -48,6 +50,7 @@
         labels: vec!["a".into(), "r1-3".into()],
         capacity: Resources::new(32_000, 128_000),
         phase: ExecutorPhase::Ready,
+        cold_left: Duration::ZERO,
     };
     Executor::new(entry, orders)
 }
