Show operators how far an evacuation is, and what is left

Cause: operators couldn't tell whether an evacuated failure domain is empty, or why it isn't. Change: the owner logs evacuation-progress on each change of state and once a second until the failure domain is empty, with the runs by what they wait for, and exports evacuation_runs, evacuation_stops and operator_view_seconds. An executor that hasn't answered since the request keeps the state from being empty.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -59,6 +59,12 @@
     pub(super) config: Arc<DeploymentConfig>,
     /// What the owner knows of the operators' requests.
     pub(super) operator_view: ViewSnapshot,
+    /// When the set of evacuations last changed for this owner.
+    pub(super) evacuations_changed_at: Option<Instant>,
+    /// The runs that this owner stopped so that they leave an evacuated failure domain.
+    pub(super) evacuation_stops: u64,
+    /// The runs that this owner stopped because their start had no answer when an evacuation began.
+    pub(super) held_back_starts: u64,
     /// The runs placed on each pool by this owner.
     pub(super) pool_starts: BTreeMap<ServiceId, u64>,
     /// The executors of each pool.
@@ -106,6 +112,9 @@
             epoch,
             config,
             operator_view: ViewSnapshot::default(),
+            evacuations_changed_at: None,
+            evacuation_stops: 0,
+            held_back_starts: 0,
             pool_starts: BTreeMap::new(),
             pool_sizes: BTreeMap::new(),
             departures: BTreeMap::new(),
--- a/crates/jobs/src/cell/departures.rs
+++ b/crates/jobs/src/cell/departures.rs
@@ -73,6 +73,7 @@
                 self.departures
                     .insert(*task, Departure { target, held_until });
             }
+            self.evacuation_stops += tasks.len() as u64;
             self.stop_task_and_gang(task, now);
         }
     }
@@ -149,7 +150,7 @@
 
     /// Returns the tasks that leave together with a task, and the facts that decide whether they do.
     /// Returns `None` if they can't leave now, because a member of the gang isn't running.
-    fn facts_of(
+    pub(super) fn facts_of(
         &self,
         task: TaskId,
         executor: &ExecutorId,
--- a/crates/jobs/src/cell/held_starts.rs
+++ b/crates/jobs/src/cell/held_starts.rs
@@ -19,6 +19,7 @@
         let is_same = Arc::ptr_eq(&view.evacuations, &self.operator_view.evacuations);
         let former = std::mem::replace(&mut self.operator_view, view);
         if !is_same {
+            self.evacuations_changed_at = Some(now);
             self.begin_returns(&former, now);
             self.release_closed_places(now);
             self.hold_back_starts(now);
@@ -30,6 +31,13 @@
         self.operator_view.is_stale(now)
     }
 
+    /// Returns the number of runs that were stopped since the last call because their start had no
+    /// answer when an evacuation began, and of those that were stopped so that they leave.
+    pub fn take_evacuation_counts(&mut self) -> (u64, u64) {
+        let held_back = std::mem::take(&mut self.held_back_starts);
+        (held_back, std::mem::take(&mut self.evacuation_stops))
+    }
+
     /// Returns whether new runs may be placed on an executor.
     pub(super) fn may_place_on(&self, executor: &Executor, now: Instant) -> bool {
         executor.accepts_runs(self.settings.silence_max(), now) && self.may_start_on(executor, now)
@@ -60,6 +68,7 @@
             .collect();
         for (executor, task) in held {
             decided!(Decision::StartHeldBack, task: task, executor: executor);
+            self.held_back_starts += 1;
             self.stop_task_and_gang(task, now);
         }
     }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod commit_batch;
 mod commits;
 mod departures;
+mod evacuation_progress;
 mod held_starts;
 mod incarnations;
 mod order_outcomes;
--- a/crates/jobs/src/evacuation/mod.rs
+++ b/crates/jobs/src/evacuation/mod.rs
@@ -1,10 +1,14 @@
 //! Evacuation of failure domains at the request of operators.
 
+mod evacuation_status;
 mod evacuations;
 mod operator_view;
 mod stay_cause;
 mod view_snapshot;
 
+pub use evacuation_status::EvacuationState;
+pub use evacuation_status::EvacuationStatus;
+pub use evacuation_status::RunCounts;
 pub use evacuations::Evacuations;
 pub use operator_view::OperatorView;
 pub use stay_cause::RELOCATION_TIME;
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -52,6 +52,9 @@
     ConfigUnreadable,
     /// Operators requested the evacuation of a failure domain: nothing starts there any more.
     EvacuationRequested,
+    /// How far an evacuation is; logged on each change of its state, and once a second until the
+    /// failure domain is empty.
+    EvacuationProgress,
     /// A run without an answer to its start is stopped, because its failure domain is evacuated.
     StartHeldBack,
     /// A run is stopped to continue outside its evacuated failure domain, with its gang.
--- a/crates/jobs/src/observe/job_metrics.rs
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -1,9 +1,11 @@
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use dotterelhook_kernel::Metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
 /// The bucket bounds of latency histograms, in seconds, from a fast answer of the store to a late
@@ -19,6 +21,17 @@
     pub outcome: &'static str,
 }
 
+/// The labels of the runs that are left in an evacuated failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EvacuationLabels {
+    /// The cell of the runs.
+    pub cell: u32,
+    /// The evacuated failure domain.
+    pub domain: String,
+    /// What the runs wait for.
+    pub kind: &'static str,
+}
+
 /// The counters and latency histograms of one process.
 #[derive(Clone, Debug)]
 pub struct JobMetrics {
@@ -30,6 +43,12 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// The number of takeovers of cells.
     pub takeovers: Counter,
+    /// The number of runs that are left in each evacuated failure domain, by kind.
+    pub evacuation_runs: Family<EvacuationLabels, Gauge>,
+    /// The number of runs stopped for evacuations, by kind: `held-back` or `leaving`.
+    pub evacuation_stops: Family<OutcomeLabels, Counter>,
+    /// The age of the view of the operators' requests, in seconds.
+    pub operator_view_seconds: Gauge<f64, AtomicU64>,
     /// The latency of clients' calls, in seconds.
     pub call_seconds: Histogram,
     /// The latency of calls to the store, in seconds; for a read, including the wait for records.
@@ -46,6 +65,9 @@
             store_calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
+            evacuation_runs: Family::default(),
+            evacuation_stops: Family::default(),
+            operator_view_seconds: Gauge::default(),
             call_seconds: histogram(),
             store_seconds: histogram(),
             takeover_seconds: histogram(),
@@ -65,6 +87,13 @@
             );
             registry.register("orders", "Orders to executors", self.orders.clone());
             registry.register("takeovers", "Takeovers of cells", self.takeovers.clone());
+            let help = "Runs left in evacuated failure domains";
+            registry.register("evacuation_runs", help, self.evacuation_runs.clone());
+            let help = "Runs stopped for evacuations";
+            registry.register("evacuation_stops", help, self.evacuation_stops.clone());
+            let help = "Age of the view of the operators' requests";
+            let age = self.operator_view_seconds.clone();
+            registry.register("operator_view_seconds", help, age);
             let help = "Time to answer a client";
             registry.register("call_seconds", help, self.call_seconds.clone());
             let help = "Time of a call to the store";
@@ -82,6 +111,13 @@
         self.store_seconds.observe(took.as_secs_f64());
     }
 
+    /// Counts runs that were stopped for evacuations.
+    pub fn count_evacuation_stops(&self, kind: &'static str, count: u64) {
+        let outcome = "stopped";
+        let labels = OutcomeLabels { kind, outcome };
+        self.evacuation_stops.get_or_create(&labels).inc_by(count);
+    }
+
     /// Counts an order to an executor by kind and outcome.
     pub fn count_order(&self, kind: &'static str, outcome: &'static str) {
         self.orders
--- a/crates/jobs/src/observe/mod.rs
+++ b/crates/jobs/src/observe/mod.rs
@@ -5,5 +5,6 @@
 
 pub use decision::Decision;
 pub(crate) use decision::decided;
+pub use job_metrics::EvacuationLabels;
 pub use job_metrics::JobMetrics;
 pub use job_metrics::OutcomeLabels;
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -20,6 +20,7 @@
 use super::MemberName;
 use super::OwnerDirectory;
 use super::commit_loop::CommitLoop;
+use super::evacuation_report::EvacuationReport;
 use super::takeover::Takeover;
 use super::takeover::take_over;
 use super::topics::CANCELLATION_KEY_PREFIX;
@@ -50,6 +51,8 @@
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The interval between two log lines about the load of a cell.
 const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// The interval between two reports of the progress of evacuations, which look at all executors.
+const EVACUATION_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval between two checks of timers.
 const TIMER_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -253,6 +256,20 @@
         decided!(decision, cell: self.cell, confirmed_ms: self.time_since_confirmation().as_millis());
     }
 
+    fn report_evacuations(&self, report: &mut EvacuationReport) {
+        let (statuses, (held_back, leaving)) = self.with_state(|state| {
+            let statuses = state.evacuation_statuses(Instant::now());
+            (statuses, state.take_evacuation_counts())
+        });
+        let now = time_since_boot();
+        let age = self.context.operators.age(now).unwrap_or_default();
+        let metrics = &self.context.metrics;
+        report.update(self.cell, &statuses, age, now, metrics);
+        metrics.operator_view_seconds.set(age.as_secs_f64());
+        metrics.count_evacuation_stops("held-back", held_back);
+        metrics.count_evacuation_stops("leaving", leaving);
+    }
+
     fn log_view(&self, is_stale: bool) {
         let decision = match is_stale {
             true => Decision::ViewStale,
@@ -343,6 +360,8 @@
         let mut config = self.context.config.subscribe();
         let mut evacuations = self.context.operators.subscribe();
         let mut was_stale = false;
+        let mut report = EvacuationReport::default();
+        let mut reported_at = Instant::now();
         let mut load_logged_at = Instant::now();
         let mut had_right = true;
         loop {
@@ -385,6 +404,10 @@
                 load_logged_at = Instant::now();
                 self.with_state(|state| state.log_load(load_logged_at));
             }
+            if reported_at.elapsed() >= EVACUATION_REPORT_INTERVAL {
+                reported_at = Instant::now();
+                self.report_evacuations(&mut report);
+            }
             self.delete_expired_jobs().await;
             self.wake.notify_one();
         }
--- a/crates/jobs/src/ownership/mod.rs
+++ b/crates/jobs/src/ownership/mod.rs
@@ -7,6 +7,7 @@
 mod cell_owner;
 mod claim_calls;
 mod commit_loop;
+mod evacuation_report;
 mod executor_session;
 mod host_registry;
 mod member_name;
--- a/crates/jobs/tests/cell/departures.rs
+++ b/crates/jobs/tests/cell/departures.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use dotterelhook_jobs::evacuation::EvacuationState;
+use dotterelhook_jobs::evacuation::RunCounts;
 use dotterelhook_jobs::fleet::Order;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::StepSpec;
@@ -259,3 +261,38 @@
     assert!(during.is_empty());
     assert_eq!(harness.accept_starts(EMPTYING), [task(1, 0, 0)]);
 }
+
+/// Guards against a failure domain that operators take for empty while something runs there, or while
+/// an executor hasn't been heard since the request.
+#[test]
+fn operators_see_what_is_left_until_all_executors_report_nothing() {
+    let reports = reports(2, false);
+    let mut harness = evacuated_cell(long_step(2), &reports, 4_000);
+    let progress = |harness: &CellHarness| {
+        let statuses = harness.cell.evacuation_statuses(harness.now);
+        let status = statuses.first().expect("an evacuation");
+        (status.state, status.runs, status.silent_executors)
+    };
+
+    let at_first = progress(&harness);
+    let tasks: Vec<TaskId> = reports.iter().map(|run| run.task).collect();
+    let ends: Vec<EndedRun> = (1..)
+        .zip(&tasks)
+        .map(|(number, task)| ended(number, *task, 1, RunEnd::Done))
+        .collect();
+    harness.report(EMPTYING, vec![], ends);
+    let at_last = progress(&harness);
+    harness.list_executor_in(EVACUATED, "i-3", 1_000);
+    let with_another = progress(&harness);
+    harness.evacuate(&[], None);
+
+    let without_checkpoint = RunCounts {
+        without_checkpoint: 2,
+        ..RunCounts::default()
+    };
+    assert_eq!(at_first, (EvacuationState::Emptying, without_checkpoint, 1));
+    let none = RunCounts::default();
+    assert_eq!(at_last, (EvacuationState::Empty, none, 0));
+    assert_eq!(with_another, (EvacuationState::Requested, none, 1));
+    assert!(harness.cell.evacuation_statuses(harness.now).is_empty());
+}
