Give each test that starts processes ports of its own

Cause: tests bound port 0, released the port and passed it to a process or a server that bound it later.

Change: `ReservedPorts` in crates/standins gives a test a block of ports below the range that the system assigns, locked by a listener on the first port of the block. Servers inside a test process (peer servers of jobs, peer and front, links) get the bound listener itself. `DaemonProcess::check_exit` reports a process that exits by itself with its last log lines, and the tests that wait for a process fail with this report at once.

--- a/crates/daemon/tests/processes/bad_input.rs
+++ b/crates/daemon/tests/processes/bad_input.rs
@@ -6,11 +6,8 @@
 use crate::fixture::Daemon;
 use crate::fixture::Platform;
 use crate::fixture::exchange;
-use crate::fixture::test_ip;
 use crate::fixture::wait_until;
 
-const FRONT_PORT: u16 = 7100;
-const SCHEDULER_PORT: u16 = 7110;
 const HUGE_HEADER_BYTES: usize = 200_000;
 const BODY_MAX_BYTES: usize = 1 << 20;
 
@@ -122,8 +119,8 @@
 
 #[test]
 fn the_front_refuses_bad_requests_and_goes_on() {
-    let platform = Platform::start(test_ip(1));
-    let front = Daemon::start(&platform, "front", FRONT_PORT);
+    let platform = Platform::start();
+    let front = Daemon::start(&platform, "front");
     wait_until(|| echo(front.api).ends_with("hello"));
 
     for case in front_cases() {
@@ -141,8 +138,8 @@
 
 #[test]
 fn the_scheduler_refuses_bad_submissions() {
-    let platform = Platform::start(test_ip(2));
-    let scheduler = Daemon::start(&platform, "scheduler", SCHEDULER_PORT);
+    let platform = Platform::start();
+    let scheduler = Daemon::start(&platform, "scheduler");
 
     for case in scheduler_cases() {
         assert_refused(scheduler.api, &case);
@@ -151,8 +148,8 @@
 
 #[test]
 fn a_planned_stop_exits_with_0() {
-    let platform = Platform::start(test_ip(3));
-    let front = Daemon::start(&platform, "front", FRONT_PORT);
+    let platform = Platform::start();
+    let front = Daemon::start(&platform, "front");
 
     let code = front.stop();
 
--- a/crates/daemon/tests/processes/both_parts.rs
+++ b/crates/daemon/tests/processes/both_parts.rs
@@ -6,11 +6,8 @@
 use crate::fixture::Daemon;
 use crate::fixture::Platform;
 use crate::fixture::exchange;
-use crate::fixture::test_ip;
 use crate::fixture::wait_until;
 
-const FIRST_PORT: u16 = 7100;
-
 fn post(address: SocketAddr, path: &str) -> String {
     let request = format!(
         "POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
@@ -20,10 +17,9 @@
 
 #[test]
 fn a_process_with_both_parts_serves_both() {
-    let platform = Platform::start(test_ip(4));
-    let daemon = Daemon::start_both(&platform, FIRST_PORT);
-    let scheduler_api = SocketAddr::from((platform.ip, FIRST_PORT + 3));
+    let platform = Platform::start();
+    let daemon = Daemon::start_both(&platform);
 
     wait_until(|| post(daemon.api, "/echo/a").contains("x-dotterelhook-verdict: ran"));
-    wait_until(|| post(scheduler_api, "/runs/desk/nightly/r-1").starts_with("HTTP/1.1 200"));
+    wait_until(|| post(daemon.scheduler_api, "/runs/desk/nightly/r-1").starts_with("HTTP/1.1 200"));
 }
--- a/crates/daemon/tests/processes/fixture.rs
+++ b/crates/daemon/tests/processes/fixture.rs
@@ -3,13 +3,9 @@
 use std::fs;
 use std::io::Read;
 use std::io::Write;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -19,9 +15,11 @@
 use dotterelhook_borders::hosts::TargetEntry;
 use dotterelhook_borders::log::HttpLog;
 use dotterelhook_borders::log::Log;
+use dotterelhook_standins::faults::DaemonProcess;
 use dotterelhook_standins::hosts::HostListServer;
 use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::log::LogServer;
+use dotterelhook_standins::ports::ReservedPorts;
 use dotterelhook_standins::server::bind;
 use dotterelhook_standins::server::serve;
 use dotterelhook_standins::target::TargetServer;
@@ -33,39 +31,37 @@
 
 /// The longest wait for a condition, a response or an append.
 const WAIT_MAX: Duration = Duration::from_secs(30);
-const LOG_PORT: u16 = 7000;
-const HOSTS_PORT: u16 = 7001;
-const TARGET_PORT: u16 = 7002;
+/// The places of the platform's ports in a test's block.
+const LOG_PORT: u16 = 0;
+const HOSTS_PORT: u16 = 1;
+const TARGET_PORT: u16 = 2;
+/// The places of a daemon's ports.
+const ADMIN_PORT: u16 = 3;
+const PEERS_PORT: u16 = 4;
+const API_PORT: u16 = 5;
+const SECOND_API_PORT: u16 = 6;
 const RECORDS_MAX: usize = 10_000;
 const BODY_TIMEOUT_MS: u64 = 300;
 
-/// Returns a loopback address for one test of this process.
-///
-/// The address contains the low 16 bits of the process id, so that concurrent test processes don't
-/// share ports.
-pub(crate) fn test_ip(test: u8) -> Ipv4Addr {
-    let id = std::process::id();
-    Ipv4Addr::new(127, 10 + test, (id >> 8) as u8, id as u8)
-}
-
 /// A platform with a log, a host list and one target of the service `echo`.
 pub(crate) struct Platform {
-    pub(crate) ip: Ipv4Addr,
+    ports: ReservedPorts,
     runtime: Runtime,
 }
 
 impl Platform {
-    pub(crate) fn start(ip: Ipv4Addr) -> Self {
+    pub(crate) fn start() -> Self {
+        let ports = ReservedPorts::reserve();
         let runtime = Runtime::new().unwrap();
-        runtime.block_on(start_servers(ip));
-        let platform = Self { ip, runtime };
+        runtime.block_on(start_servers(&ports));
+        let platform = Self { ports, runtime };
         platform.publish(echo_service());
         platform.publish(nightly_job());
         platform
     }
 
     pub(crate) fn publish(&self, publication: Value) {
-        let log = HttpLog::new(SocketAddr::from((self.ip, LOG_PORT)), WAIT_MAX);
+        let log = HttpLog::new(self.ports.address(LOG_PORT), WAIT_MAX);
         let payload: Box<str> = publication.to_string().into();
         self.runtime
             .block_on(log.append(CONFIG_STREAM, &[payload]))
@@ -73,10 +69,10 @@
     }
 }
 
-async fn start_servers(ip: Ipv4Addr) {
-    let log = bind(SocketAddr::from((ip, LOG_PORT))).await.unwrap();
+async fn start_servers(ports: &ReservedPorts) {
+    let log = bind(ports.address(LOG_PORT)).await.unwrap();
     tokio::spawn(serve(log, Arc::new(LogServer::new(RECORDS_MAX))));
-    let host_list = SocketAddr::from((ip, HOSTS_PORT));
+    let host_list = ports.address(HOSTS_PORT);
     let hosts = bind(host_list).await.unwrap();
     tokio::spawn(serve(hosts, Arc::new(HostListServer::new(Duration::ZERO))));
     let target = TargetServer::new(TargetSettings {
@@ -84,7 +80,7 @@
         connections_max: 64,
         service_time: Duration::ZERO,
     });
-    let entry = echo_target(SocketAddr::from((ip, TARGET_PORT)));
+    let entry = echo_target(ports.address(TARGET_PORT));
     let listener = bind(entry.address).await.unwrap();
     tokio::spawn(Arc::new(target).serve(listener));
     register(
@@ -137,31 +133,28 @@
 /// A daemon as a child process, killed on drop.
 pub(crate) struct Daemon {
     pub(crate) api: SocketAddr,
-    child: Child,
+    /// The second API of a daemon with a front and a scheduler.
+    pub(crate) scheduler_api: SocketAddr,
+    process: DaemonProcess,
 }
 
 impl Daemon {
     /// Starts a daemon with a front and a scheduler, and waits until `/readyz` answers 200.
-    pub(crate) fn start_both(platform: &Platform, first_port: u16) -> Self {
-        let address = SocketAddr::from((platform.ip, first_port + 3));
+    pub(crate) fn start_both(platform: &Platform) -> Self {
+        let address = platform.ports.address(SECOND_API_PORT);
         let scheduler = json!({ "listen_address": address });
-        Self::start_with(platform, "front", first_port, Some(scheduler))
+        Self::start_with(platform, "front", Some(scheduler))
     }
 
     /// Starts a daemon with one section, `front` or `scheduler`, and waits until `/readyz` answers
     /// 200.
-    pub(crate) fn start(platform: &Platform, section: &str, first_port: u16) -> Self {
-        Self::start_with(platform, section, first_port, None)
+    pub(crate) fn start(platform: &Platform, section: &str) -> Self {
+        Self::start_with(platform, section, None)
     }
 
-    fn start_with(
-        platform: &Platform,
-        section: &str,
-        first_port: u16,
-        scheduler: Option<Value>,
-    ) -> Self {
-        let address = |port: u16| SocketAddr::from((platform.ip, port));
-        let (admin, api) = (address(first_port), address(first_port + 2));
+    fn start_with(platform: &Platform, section: &str, scheduler: Option<Value>) -> Self {
+        let address = |port| platform.ports.address(port);
+        let (admin, api) = (address(ADMIN_PORT), address(API_PORT));
         let mut settings = json!({
             "host": "laguna-1",
             "failure_domain": "laguna",
@@ -171,7 +164,7 @@
                 "host_list_address": address(HOSTS_PORT),
                 "host_poll_ms": 100
             },
-            "peers": { "listen_address": address(first_port + 1) },
+            "peers": { "listen_address": address(PEERS_PORT) },
             section: { "listen_address": api },
             "stop": { "unready_ms": 100 }
         });
@@ -181,36 +174,48 @@
         if let Some(scheduler) = scheduler {
             settings["scheduler"] = scheduler;
         }
-        let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        file.push(format!("{}-{first_port}.jsonc", platform.ip));
-        fs::write(&file, settings.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhookd"));
-        command.arg("--settings").arg(&file).stderr(Stdio::null());
-        let daemon = Self {
+        let mut process = start_process(&settings, admin, api);
+        wait_until_running(&mut process, || {
+            get(admin, "/readyz").starts_with("HTTP/1.1 200")
+        });
+        Self {
             api,
-            child: command.spawn().unwrap(),
-        };
-        wait_until(|| get(admin, "/readyz").starts_with("HTTP/1.1 200"));
-        daemon
+            scheduler_api: address(SECOND_API_PORT),
+            process,
+        }
     }
 
     /// Sends SIGTERM and returns the exit code.
     pub(crate) fn stop(mut self) -> Option<i32> {
-        let id = self.child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status().unwrap();
-        self.child.wait().unwrap().code()
+        self.process.terminate()?.code()
     }
 }
 
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// Starts a daemon with these settings. Its addresses are unique among running tests.
+pub(crate) fn start_process(settings: &Value, admin: SocketAddr, api: SocketAddr) -> DaemonProcess {
+    let mut file = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    file.push(format!("daemon-{}.jsonc", api.port()));
+    fs::write(&file, settings.to_string()).unwrap();
+    let binary = env!("CARGO_BIN_EXE_dotterelhookd").into();
+    let mut process = DaemonProcess::new(binary, file, admin, api);
+    // An earlier run may have left a log.
+    let _ = fs::remove_file(process.log_path());
+    process.start().unwrap();
+    process
+}
+
+/// Waits until a condition holds. Panics as soon as the process has exited by itself.
+pub(crate) fn wait_until_running(process: &mut DaemonProcess, condition: impl Fn() -> bool) {
+    wait_until(|| {
+        if let Err(exit) = process.check_exit() {
+            panic!("{exit:?}");
+        }
+        condition()
+    });
 }
 
 /// Polls a condition every 20 ms, and panics when it is still false after the wait limit.
-pub(crate) fn wait_until(condition: impl Fn() -> bool) {
+pub(crate) fn wait_until(mut condition: impl FnMut() -> bool) {
     let deadline = Instant::now() + WAIT_MAX;
     while !condition() {
         assert!(
--- a/crates/front/tests/peers.rs
+++ b/crates/front/tests/peers.rs
@@ -71,16 +71,10 @@
         .unwrap()
 }
 
-/// Starts a link on a port that was free a moment before; retries if another process took it.
 async fn link_to(to: SocketAddr) -> (Arc<TcpLink>, SocketAddr) {
-    loop {
-        let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = free.local_addr().unwrap();
-        drop(free);
-        if let Ok(link) = TcpLink::start(address, to).await {
-            return (link, address);
-        }
-    }
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (TcpLink::start(listener, to), address)
 }
 
 async fn purchase(front: &TestFront, key: &str) -> Response<Bytes> {
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -35,9 +35,11 @@
 use dotterelhook_kernel::names;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandlers;
+use dotterelhook_peer::rpc::PeerLimits;
 use dotterelhook_peer::rpc::PeerServer;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::CpuMilli;
+use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -112,7 +114,9 @@
         incarnation: u64,
         cpu_milli: CpuMilli,
     ) -> Self {
-        let address = free_address();
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a free port");
+        let address = listener.local_addr().expect("a bound socket");
         let store = Arc::clone(store) as Arc<dyn Store>;
         let health = Arc::new(StoreHealth::default());
         let job_metrics = JobMetrics::default();
@@ -144,8 +148,9 @@
         kernel
             .registry()
             .provide::<Metrics>(names::METRICS, metrics);
-        let server = PeerServer::new(address);
-        kernel.start(Box::new(server)).await.expect("a free port");
+        let server = PeerServer::with_listener(listener, PeerLimits::default());
+        let started = kernel.start(Box::new(server)).await;
+        started.expect("a peer server");
         let handlers = kernel
             .registry()
             .find::<PeerHandlers>(names::PEER_HANDLERS)
@@ -245,8 +250,3 @@
         membership_ttl: Duration::from_millis(100),
     }
 }
-
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound socket")
-}
--- a/crates/standins/src/faults/cluster.rs
+++ b/crates/standins/src/faults/cluster.rs
@@ -150,8 +150,8 @@
         let base_port = self.settings.first_port + 10 + index * PORTS_PER_DOMAIN;
         let failure_domain = self.settings.failure_domains[usize::from(index)].clone();
         let link_address = self.address(base_port);
-        self.links
-            .push(TcpLink::start(link_address, self.log_address).await?);
+        let link = TcpLink::start(bind(link_address).await?, self.log_address);
+        self.links.push(link);
         self.start_targets(&failure_domain, base_port + 10).await?;
         self.start_workers(&failure_domain, base_port + 60).await?;
         for host in 0..self.settings.hosts {
--- a/crates/standins/src/faults/daemon_process.rs
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -1,11 +1,16 @@
+use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::process::Stdio;
 
 use eyre::WrapErr;
 
+/// The number of lines of the log that are part of a report about an exit.
+const REPORTED_LINES: usize = 20;
+
 /// A daemon in a child process, which can be killed, frozen and restarted.
 #[derive(Debug)]
 pub struct DaemonProcess {
@@ -16,6 +21,8 @@
     binary: PathBuf,
     settings: PathBuf,
     child: Option<Child>,
+    /// Whether the process was sent a signal that ends it.
+    is_stop_requested: bool,
 }
 
 impl DaemonProcess {
@@ -27,6 +34,7 @@
             binary,
             settings,
             child: None,
+            is_stop_requested: false,
         }
     }
 
@@ -41,7 +49,7 @@
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
-            .open(self.settings.with_extension("log"))?;
+            .open(self.log_path())?;
         let errors = log.try_clone()?;
         let child = Command::new(&self.binary)
             .arg("--settings")
@@ -52,6 +60,7 @@
             .spawn()
             .wrap_err_with(|| format!("could not start daemon {}", self.binary.display()))?;
         self.child = Some(child);
+        self.is_stop_requested = false;
         Ok(())
     }
 
@@ -63,22 +72,50 @@
         }
     }
 
-    /// Requests a planned stop with SIGTERM and returns whether the process exited with status 0.
-    pub fn terminate(&mut self) -> bool {
+    /// Requests a planned stop with SIGTERM and waits for the exit. Returns its status if a process
+    /// ran.
+    pub fn terminate(&mut self) -> Option<ExitStatus> {
         self.signal("-TERM");
         // A frozen process handles the signal only after it is resumed.
         self.resume();
-        let child = self.child.take();
-        child.is_some_and(|mut child| child.wait().is_ok_and(|status| status.success()))
+        self.child.take()?.wait().ok()
+    }
+
+    /// Checks that the process has not exited by itself: it runs, or it was stopped by a signal of
+    /// this value.
+    ///
+    /// # Errors
+    /// The process exited by itself. The error has its status and the last lines of its log.
+    pub fn check_exit(&mut self) -> eyre::Result<()> {
+        let exited = self.child.as_mut().map(Child::try_wait);
+        let Some(Ok(Some(status))) = exited else {
+            return Ok(());
+        };
+        if self.is_stop_requested {
+            return Ok(());
+        }
+        let log = fs::read(self.log_path()).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        let lines: Vec<&str> = log.lines().collect();
+        let last = lines[lines.len().saturating_sub(REPORTED_LINES)..].join("\n");
+        Err(eyre::eyre!(
+            "the daemon with settings {} exited by itself: {status}; its last log lines:\n{last}",
+            self.settings.display()
+        ))
+    }
+
+    /// Returns the path of the file with the output of the process.
+    pub fn log_path(&self) -> PathBuf {
+        self.settings.with_extension("log")
     }
 
     /// Freezes the process with SIGSTOP.
-    pub fn freeze(&self) {
+    pub fn freeze(&mut self) {
         self.signal("-STOP");
     }
 
     /// Resumes a frozen process with SIGCONT.
-    pub fn resume(&self) {
+    pub fn resume(&mut self) {
         self.signal("-CONT");
     }
 
@@ -95,7 +132,8 @@
     }
 
     /// Sends a signal, written like `-TERM`, to the process; a no-op if none runs.
-    pub fn signal(&self, signal: &str) {
+    pub fn signal(&mut self, signal: &str) {
+        self.is_stop_requested |= !matches!(signal, "-STOP" | "-CONT");
         if let Some(child) = &self.child {
             let _ = Command::new("kill")
                 .args([signal, &child.id().to_string()])
--- a/crates/standins/src/faults/fault_schedule.rs
+++ b/crates/standins/src/faults/fault_schedule.rs
@@ -147,7 +147,8 @@
             FaultKind::KillFront => cluster.fronts[front].kill(),
             FaultKind::KillScheduler => cluster.schedulers[scheduler].kill(),
             FaultKind::StopFront => {
-                if !cluster.fronts[front].terminate() {
+                let status = cluster.fronts[front].terminate();
+                if !status.is_some_and(|status| status.success()) {
                     eyre::bail!("front #{front} did not exit with status 0 after a planned stop");
                 }
             }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod load;
 pub mod log;
+pub mod ports;
 pub mod server;
 pub mod target;
 pub mod worker;
--- a/crates/standins/src/link/tcp_link.rs
+++ b/crates/standins/src/link/tcp_link.rs
@@ -10,8 +10,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::watch;
 
-use crate::server::bind;
-
 const BUFFER_BYTES: usize = 16 << 10;
 
 /// The injected network conditions of a link.
@@ -33,18 +31,14 @@
 }
 
 impl TcpLink {
-    /// Listens on an address and forwards connections to `to`.
-    ///
-    /// # Errors
-    /// The listen address can't be bound.
-    pub async fn start(listen: SocketAddr, to: SocketAddr) -> eyre::Result<Arc<Self>> {
-        let listener = bind(listen).await?;
+    /// Forwards the connections of a listener to `to`.
+    pub fn start(listener: TcpListener, to: SocketAddr) -> Arc<Self> {
         let link = Arc::new(Self {
             to,
             state: watch::Sender::default(),
         });
         tokio::spawn(Arc::clone(&link).accept(listener));
-        Ok(link)
+        link
     }
 
     /// Replaces the conditions, also for open connections.
