Extend no lease on an executor until given-up runs are shown to be gone

Cause: an owner gives up the runs on a silent executor once all leases must be over. If a run lives nevertheless, because the executor's clock stood still or its timers are late, the next report set the clock reading, and the next renewal or start extended the lease: the old run went on beside the new one, and its end still counted.

Change: after runs were given up, no renewal extends the lease and no start is sent until a report that was requested afterwards lists no running run. The listed run is stopped, and would end with its lease in any case.

--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -78,6 +78,7 @@
         let views = executor.remove_all_runs();
         executor.incarnation = Some(incarnation);
         executor.clock = None;
+        executor.given_up_at = None;
         executor.applied_end = 0;
         executor.acked_end = 0;
         let (Some(previous), Some(current)) = (previous, executor.key()) else {
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -50,6 +50,9 @@
         if ticket.is_none() && Self::queue_config(&self.config, job).advice.is_some() {
             return None;
         }
+        if executor.given_up_at.is_some() {
+            return None;
+        }
         let incarnation = executor.incarnation?;
         let lease_end_ms = executor.clock?.lease_end_ms(self.settings.lease);
         executor.start_sent_at = Some(now);
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -42,9 +42,12 @@
         let executor = self.executors.get(id)?;
         let lease_end_ms = executor
             .clock
-            .filter(|_| may_renew)
+            .filter(|_| may_renew && executor.given_up_at.is_none())
             .map(|clock| clock.lease_end_ms(self.settings.lease));
-        let hold = if executor.clock.is_none() || executor.applied_end != executor.acked_end {
+        let hold = if executor.clock.is_none()
+            || executor.given_up_at.is_some()
+            || executor.applied_end != executor.acked_end
+        {
             Duration::ZERO
         } else if executor.serving_cpu_milli() > 0 && executor.filler_cpu_milli() > 0 {
             self.settings.renewal_hold.min(INTERFERENCE_HOLD_MAX)
@@ -93,6 +96,9 @@
         };
         let clock = ExecutorClock::new(report.clock_ms, now);
         executor.clock = Some(clock.later(executor.clock));
+        executor.given_up_at = executor
+            .given_up_at
+            .filter(|given_up_at| requested_at < *given_up_at || !report.running.is_empty());
         for ended in &report.ended {
             self.handle_run_end(id, ended, now);
         }
@@ -134,9 +140,11 @@
                 Some(_) => "silent for a lease",
                 None => "silent since the takeover",
             };
+            let has_runs = !executor.runs().is_empty();
             self.declare_runs_lost(&id, cause, now);
             if let Some(executor) = self.executors.get_mut(&id) {
                 executor.clock = None;
+                executor.given_up_at = has_runs.then_some(now).or(executor.given_up_at);
             }
         }
         if former_leases_are_over {
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -36,6 +36,10 @@
     /// When a start was last sent. In an incarnation that is not known yet, a start begins a lease
     /// of its own.
     pub start_sent_at: Option<Instant>,
+    /// When the runs here were given up because all leases had to be over. Until a report that was
+    /// requested later lists no run, no lease is extended: a run that lives nevertheless, for example
+    /// because the executor's clock stood still, must end with its lease.
+    pub given_up_at: Option<Instant>,
     /// The number of the last run end that was applied to its job.
     pub applied_end: u64,
     /// The number of the last run end whose effect is stored. Renewals acknowledge the run ends up
@@ -70,6 +74,7 @@
             listing: Listing::Listed,
             clock: None,
             start_sent_at: None,
+            given_up_at: None,
             applied_end: 0,
             acked_end: 0,
             health: Health::default(),
@@ -221,8 +226,8 @@
 
     /// Returns whether new runs may be placed here.
     ///
-    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, or
-    /// silent for longer than `silence_max`. On probation it accepts one run at a time.
+    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, silent
+    /// for longer than `silence_max`, or may have runs that were given up. On probation it accepts one run at a time.
     pub fn accepts_runs(&self, silence_max: Duration, now: Instant) -> bool {
         let is_heard = self
             .clock
@@ -232,6 +237,7 @@
         !self.listing.is_gone(now)
             && self.incarnation.is_some()
             && is_heard
+            && self.given_up_at.is_none()
             && !is_full
             && !self.entry.phase.is_draining()
             && !self.health.is_backing_off(now)
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -9,7 +9,9 @@
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::platform::ExecutorReport;
 use dotterelhook_jobs::platform::RunEnd;
+use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
 
 use crate::fixture::CellHarness;
@@ -17,6 +19,7 @@
 use crate::fixture::LISTED_ENDS_MAX;
 use crate::fixture::ended;
 use crate::fixture::job;
+use crate::fixture::running;
 use crate::fixture::step;
 use crate::fixture::submission;
 use crate::fixture::task;
@@ -150,6 +153,11 @@
     job.task(task(1, 0, 0)).map(|progress| progress.failures)
 }
 
+fn lease_end(harness: &CellHarness) -> Option<u64> {
+    let renewal = harness.cell.renewal(&"i-1".into(), true);
+    renewal.expect("a listed executor").lease_end_ms
+}
+
 /// Creates a cell with a job of one step whose runs on `i-1` were given up, because `i-1` fell silent.
 fn lost_runs(step: StepSpec) -> CellHarness {
     let mut harness = CellHarness::with_job(&submission(vec![step]));
@@ -286,3 +294,39 @@
     assert_eq!(count, LISTED_ENDS_MAX + 1);
     assert_eq!(next.take_orders("i-1"), []);
 }
+
+/// Guards against TWICE: a run outlives its lease because the executor's clock stood still, the owner
+/// gives it up, and then extends its lease with a reading from before.
+#[tokio::test]
+async fn no_lease_is_extended_until_a_later_report_shows_that_given_up_runs_are_gone() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(1, 1_000, &[])]));
+    harness.commit();
+    harness.accept_starts("i-1");
+    let requested_before = harness.now;
+    harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
+    harness.cell.expire_leases(harness.now);
+    let lives = || vec![running(task(1, 0, 0), 1)];
+
+    let late = ExecutorReport {
+        clock_ms: 2_000,
+        incarnation: Incarnation(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+        may_have_more_ends: false,
+    };
+    let now = harness.now;
+    let id = "i-1".into();
+    harness.cell.handle_report(&id, late, requested_before, now);
+    let after_a_report_from_before = lease_end(&harness);
+    harness.report("i-1", lives(), vec![]);
+    let while_the_run_lives = lease_end(&harness);
+    harness.commit();
+    let orders = harness.take_orders("i-1");
+    harness.report("i-1", vec![], vec![]);
+    let after_the_run = lease_end(&harness);
+
+    assert_eq!(after_a_report_from_before, None);
+    assert_eq!(while_the_run_lives, None);
+    assert_eq!(orders, [Order::Stop(task(1, 0, 0), RunNumber(1))]);
+    assert!(after_the_run.is_some());
+}
