Store which runs were given up, and count their failures after a takeover

Cause: an owner kept in memory only which runs it had given up without knowing how they ended. If such a run turned out to have failed after a takeover, the next owner acknowledged the end without counting it, and the task got one attempt more than its queue allows.

Change: the runs are stored beside the progress, in a record `lost.JOB` in the same append, and deleted once the job has ended.

--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -11,6 +11,7 @@
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
 use crate::ledger::JobProgress;
+use crate::ledger::decode;
 use crate::ledger::encode;
 use crate::model::ExecutorKey;
 use crate::model::JobId;
@@ -27,10 +28,17 @@
 
 /// The store key of the loads that an owner has learned.
 pub(crate) const LEARNED_KEY: &str = "learned-loads";
+/// The prefix of the store key of a job's lost runs; the job's id follows.
+const LOST_RUNS_KEY_PREFIX: &str = "lost.";
 /// The interval between two records of the learned loads. An interval above the time that it takes
 /// to learn a pair of images again would make the record useless.
 const LEARNED_STORE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Returns whether the record with this key holds the lost runs of a job.
+pub(crate) fn is_lost_runs_key(key: &str) -> bool {
+    key.starts_with(LOST_RUNS_KEY_PREFIX)
+}
+
 /// Batches of records for the store, and the effects of stored batches.
 impl CellState {
     /// Returns whether records or effects are pending.
@@ -50,6 +58,10 @@
                 bytes += record.key.len() + record.value.len();
                 batch.records.push(record);
             }
+            if let Some(record) = self.lost_runs_record(id) {
+                bytes += record.key.len() + record.value.len();
+                batch.records.push(record);
+            }
             if bytes >= BATCH_BYTES_MAX {
                 break;
             }
@@ -126,6 +138,44 @@
         self.interference.restore(learned, now_ms);
     }
 
+    /// Returns a record of the job's lost runs if they have changed. Without a value it deletes the
+    /// record.
+    fn lost_runs_record(&mut self, id: JobId) -> Option<KeyedRecord> {
+        let job = self.ledger.job_mut(id)?;
+        if job.is_finished() {
+            job.lost_runs_mut().clear();
+        }
+        let runs = job.lost_runs_mut().take_change()?;
+        let value = match runs.is_empty() {
+            true => Bytes::new(),
+            false => encode(&runs).ok()?,
+        };
+        let key = format!("{LOST_RUNS_KEY_PREFIX}{id}").into();
+        Some(KeyedRecord { key, value })
+    }
+
+    /// Restores the lost runs of a restored job from the record of a former owner. Returns `false` for
+    /// any other record.
+    pub fn restore_lost_runs(&mut self, record: &KeyedRecord) -> bool {
+        let Some(id) = record.key.strip_prefix(LOST_RUNS_KEY_PREFIX) else {
+            return false;
+        };
+        match (id.parse(), decode(&record.value)) {
+            (Ok(id), Ok(runs)) => {
+                if let Some(job) = self.ledger.job_mut(id) {
+                    job.lost_runs_mut().restore(runs);
+                }
+            }
+            (Err(error), _) => {
+                decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            }
+            (_, Err(error)) => {
+                decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            }
+        }
+        true
+    }
+
     fn progress_record(&self, id: JobId, batch: &mut CommitBatch) -> Option<KeyedRecord> {
         let job = self.ledger.job(id)?;
         let is_finished = job.is_finished();
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -24,3 +24,4 @@
 pub use commit_batch::CommitBatch;
 pub use commit_batch::Effect;
 pub(crate) use commits::LEARNED_KEY;
+pub(crate) use commits::is_lost_runs_key;
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -1,9 +1,9 @@
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use tokio::time::Instant;
 
 use super::JobProgress;
+use super::LostRuns;
 use super::TaskProgress;
 use super::TaskStatus;
 use crate::model::Checkpoint;
@@ -56,8 +56,8 @@
     /// Whether any executor is known to have started a task.
     has_started: bool,
     accepted_at: Instant,
-    /// Runs that were given up without knowing how they ended. Not stored.
-    lost_runs: BTreeSet<(TaskId, RunNumber)>,
+    /// Runs that were given up without knowing how they ended.
+    lost_runs: LostRuns,
 }
 
 impl Job {
@@ -92,7 +92,7 @@
             tasks_per_occurrence,
             counts: Vec::new(),
             accepted_at,
-            lost_runs: BTreeSet::new(),
+            lost_runs: LostRuns::default(),
         };
         if job.submission.spec.schedule.is_none() {
             job.create_occurrences(1);
@@ -316,14 +316,14 @@
         self.requeue(task, checkpoint, false);
         // Long-running tasks have no limit of attempts.
         if let Some(run) = run.filter(|_| !self.step(task.step).is_long_running) {
-            self.lost_runs.insert((task, run));
+            self.lost_runs.add(task, run);
         }
     }
 
     /// Counts the failure of a run that was lost. Returns `false` if the run is not a lost one, such as
     /// one whose failure was counted before.
     pub fn record_lost_failure(&mut self, task: TaskId, run: RunNumber) -> bool {
-        if !self.lost_runs.remove(&(task, run)) {
+        if !self.lost_runs.remove(task, run) {
             return false;
         }
         if let Some(index) = self.progress_index(task) {
@@ -332,6 +332,11 @@
         true
     }
 
+    /// Returns the runs that were given up without knowing how they ended.
+    pub fn lost_runs_mut(&mut self) -> &mut LostRuns {
+        &mut self.lost_runs
+    }
+
     /// Marks a task as done. For a gang, one member's completion counts for all members.
     pub fn complete_task(&mut self, task: TaskId) {
         let step_ref = StepRef::from(task);
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -17,6 +17,7 @@
 use super::topics::CANCELLATION_KEY_PREFIX;
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
+use crate::cell::is_lost_runs_key;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::model::JobId;
@@ -66,7 +67,8 @@
     let mut progress_feed =
         ChangeFeed::new(Arc::clone(&context.store), topics::progress_partition(cell));
     let mut progress = HashMap::new();
-    for record in batch_records(progress_feed.next(Duration::ZERO).await?) {
+    let progress_records = batch_records(progress_feed.next(Duration::ZERO).await?);
+    for record in &progress_records {
         if &*record.key == LEARNED_KEY {
             match decode(&record.value) {
                 Ok(learned) => state.restore_learned(learned, now),
@@ -74,7 +76,9 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
-        } else if let Some((id, value)) = decode_job_record::<JobProgress>(&record) {
+        } else if is_lost_runs_key(&record.key) {
+            // Applied once the jobs are restored.
+        } else if let Some((id, value)) = decode_job_record::<JobProgress>(record) {
             progress.insert(id, value);
         }
     }
@@ -90,6 +94,9 @@
             state.restore(id, Arc::new(submission), progress, accepted_at, now);
         }
     }
+    for record in &progress_records {
+        state.restore_lost_runs(record);
+    }
     for id in cancelled {
         state.cancel(id, now);
     }
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -23,6 +23,7 @@
 use dotterelhook_jobs::model::TaskId;
 use dotterelhook_jobs::platform::EndedRun;
 use dotterelhook_jobs::platform::ExecutorReport;
+use dotterelhook_jobs::platform::KeyedRecord;
 use dotterelhook_jobs::platform::RunEnd;
 use dotterelhook_jobs::platform::RunningRun;
 use dotterelhook_types::ids::Epoch;
@@ -48,6 +49,8 @@
     clock_ms: u64,
     /// The newest stored progress of each job.
     pub(crate) stored: HashMap<JobId, JobProgress>,
+    /// The newest stored record of each other key.
+    pub(crate) other_records: BTreeMap<Box<str>, KeyedRecord>,
 }
 
 pub(crate) fn settings() -> CellSettings {
@@ -132,6 +135,15 @@
     })
 }
 
+/// Stores a record that is no progress of a job, as a keyed topic does.
+pub(crate) fn store_other(records: &mut BTreeMap<Box<str>, KeyedRecord>, record: &KeyedRecord) {
+    if record.value.is_empty() {
+        records.remove(&record.key);
+    } else {
+        records.insert(record.key.clone(), record.clone());
+    }
+}
+
 pub(crate) fn running(task: TaskId, run: u32) -> RunningRun {
     RunningRun {
         task,
@@ -162,6 +174,7 @@
             orders: BTreeMap::new(),
             clock_ms: 1_000,
             stored: HashMap::new(),
+            other_records: BTreeMap::new(),
         }
     }
 
@@ -193,12 +206,16 @@
             orders: BTreeMap::new(),
             clock_ms: self.clock_ms,
             stored: self.stored.clone(),
+            other_records: self.other_records.clone(),
         };
         for (id, submission) in submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
             next.cell
                 .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
+        for record in self.other_records.values() {
+            next.cell.restore_lost_runs(record);
+        }
         next
     }
 
@@ -258,6 +275,7 @@
         let batch = self.cell.take_batch(self.now);
         for record in &batch.records {
             let Ok(id) = record.key.parse() else {
+                store_other(&mut self.other_records, record);
                 continue;
             };
             let progress = decode(&record.value).expect("a progress record");
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -26,6 +26,7 @@
 use dotterelhook_jobs::ownership::StartAttempts;
 use dotterelhook_jobs::ownership::StartStep;
 use dotterelhook_jobs::platform::ExecutorReport;
+use dotterelhook_jobs::platform::KeyedRecord;
 use dotterelhook_jobs::platform::OrderError;
 use dotterelhook_jobs::platform::Renewal;
 use dotterelhook_jobs::platform::StartOrder;
@@ -46,6 +47,7 @@
 use crate::fixture::job;
 use crate::fixture::settings;
 use crate::fixture::step;
+use crate::fixture::store_other;
 use crate::fixture::submission;
 use crate::generated_events::Contract;
 use crate::generated_events::Delivery;
@@ -139,6 +141,8 @@
     submissions: Vec<(JobId, Arc<Submission>)>,
     cancelled: Vec<JobId>,
     stored: HashMap<JobId, JobProgress>,
+    /// The newest stored record of each other key.
+    other_records: BTreeMap<Box<str>, KeyedRecord>,
     late_orders: Vec<DelayedOrder>,
     contract: Contract,
     settings: Arc<CellSettings>,
@@ -172,6 +176,7 @@
             submissions: Vec::new(),
             cancelled: Vec::new(),
             stored: HashMap::new(),
+            other_records: BTreeMap::new(),
             late_orders: Vec::new(),
             contract,
             settings,
@@ -275,6 +280,8 @@
             for record in &batch.records {
                 if let (Ok(id), Ok(progress)) = (record.key.parse(), decode(&record.value)) {
                     self.stored.insert(id, progress);
+                } else {
+                    store_other(&mut self.other_records, record);
                 }
             }
             self.owner.in_flight = Some(batch);
@@ -595,6 +602,9 @@
             next.cell
                 .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
+        for record in self.other_records.values() {
+            next.cell.restore_lost_runs(record);
+        }
         for id in &self.cancelled {
             next.cell.cancel(*id, self.now);
         }
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -1,5 +1,6 @@
 //! Runs that the owner gives up must have ended, and ends that are listed later must count.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhook_jobs::cell::JobLookup;
@@ -239,6 +240,45 @@
     assert_eq!(counted_failures(&next), Some(1));
 }
 
+/// Guards against BUDGET: a run that the former owner gave up turns out to have failed, and its task gets
+/// one attempt more than its queue allows.
+#[tokio::test]
+async fn the_failure_of_a_run_that_a_former_owner_gave_up_counts_once() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut harness = lost_runs(step(1, 1_000, &[]));
+    harness.commit();
+    let mut next = harness.take_over(&[(job(1), Arc::clone(&submitted))]);
+    next.list_executor("i-1", 4_000);
+    let failed = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
+
+    next.report("i-1", vec![], vec![failed.clone()]);
+    next.commit();
+    let by_the_next = counted_failures(&next);
+    let mut third = next.take_over(&[(job(1), submitted)]);
+    third.list_executor("i-1", 4_000);
+    third.report("i-1", vec![], vec![failed]);
+    third.commit();
+
+    assert_eq!(by_the_next, Some(1));
+    assert_eq!(counted_failures(&third), Some(1));
+}
+
+/// Guards against records that stay in the store for good: the lost runs of a job that has ended.
+#[tokio::test]
+async fn the_lost_runs_of_a_job_are_deleted_once_it_has_ended() {
+    let mut harness = lost_runs(step(1, 1_000, &[]));
+    harness.commit();
+    let key = format!("lost.{}", job(1));
+    let while_open = harness.other_records.contains_key(&*key);
+
+    let done = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![done]);
+    harness.commit();
+
+    assert!(while_open);
+    assert!(!harness.other_records.contains_key(&*key));
+}
+
 /// Guards against work that is done twice: a member of a gang works on although a lost run of the gang
 /// turns out to be done.
 #[tokio::test]
