Let a replaced owner stop no run of its successor

Cause: an owner orders each listed run to stop that it doesn't know. An owner that was replaced without knowing it, for example because it lost the store while it still reached the executors, also stopped the runs of its successor where executors don't enforce fences: runs with a higher number, and all runs of jobs that it had not read. It did so for as long as it was cut off.

Change: the stop of a run that a later owner may have started waits until the store has accepted an append that was sent after the run was first listed, which shows that no later owner existed then. Runs that the owner gave up itself are stopped at once, as before.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -26,6 +26,7 @@
 use crate::model::JobState;
 use crate::model::QueueConfig;
 use crate::model::QueueName;
+use crate::model::RunNumber;
 use crate::model::Submission;
 use crate::model::TaskId;
 use crate::observe::Decision;
@@ -75,6 +76,10 @@
     pub(super) waiting_since: BTreeMap<(JobId, StepRef), Instant>,
     /// The time at which all leases of former owners have expired.
     pub(super) former_leases_end: Instant,
+    /// The send time of the last append that the store accepted: no later owner existed then.
+    pub(super) confirmed_at: Instant,
+    /// Runs that a later owner may have started, and when a report first listed them.
+    pub(super) foreign_runs: BTreeMap<(TaskId, RunNumber), Instant>,
     /// Tasks placed by former owners on executors that have not been listed since the takeover.
     pub(super) unlisted_placements: BTreeMap<ExecutorKey, Vec<TaskId>>,
 }
@@ -106,6 +111,8 @@
             idle_since: BTreeMap::new(),
             waiting_since: BTreeMap::new(),
             former_leases_end,
+            confirmed_at: now,
+            foreign_runs: BTreeMap::new(),
             unlisted_placements: BTreeMap::new(),
         }
     }
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -94,13 +94,14 @@
         }
     }
 
-    /// Returns the stop order of a run, which carries the owner's epoch as fencing token.
-    pub fn stop_order(&self, task: TaskId, run: RunNumber) -> StopOrder {
-        StopOrder {
+    /// Returns the stop order of a run, which carries the owner's epoch as fencing token. Returns `None`
+    /// while a later owner may have started the run; the stop is sent again with a later report.
+    pub fn stop_order(&self, task: TaskId, run: RunNumber) -> Option<StopOrder> {
+        (!self.may_be_foreign(task, run)).then_some(StopOrder {
             token: self.epoch,
             task,
             run,
-        }
+        })
     }
 
     /// Handles an executor's answer to a start order.
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -319,6 +319,7 @@
             sent_at: now,
             answered_at: None,
         };
+        self.record_foreign_run(id, task, run, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/ownership/commit_loop.rs
+++ b/crates/jobs/src/ownership/commit_loop.rs
@@ -105,11 +105,14 @@
         let mut pause = RETRY_PAUSE;
         // A repeated append may get the answer to its first send.
         let sent_at = time_since_boot();
+        let first_sent_at = Instant::now();
         loop {
             let store = &self.owner.context().store;
             match store.append(partition, records, Some(fence)).await {
                 Ok(_) => {
                     self.owner.record_confirmation(sent_at);
+                    self.owner
+                        .with_state(|state| state.confirm_ownership(first_sent_at));
                     self.next_sequence = self.next_sequence.next();
                     return true;
                 }
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -214,6 +214,9 @@
                 return;
             }
             let order = self.owner.with_state(|state| state.stop_order(task, run));
+            let Some(order) = order else {
+                return;
+            };
             let answer = self.call(|timeout| self.link.stop(&order, timeout)).await;
             self.count("stop", outcome_label(&answer));
             if answer == Err(OrderError::Fenced) {
--- a/crates/jobs/tests/cell/double_runs.rs
+++ b/crates/jobs/tests/cell/double_runs.rs
@@ -131,3 +131,28 @@
 
     assert_eq!(next.take_orders("i-2"), []);
 }
+
+// Guards against two owners that act at once: on an executor that doesn't enforce fences, an owner that
+// was replaced without knowing it stops the runs of its successor.
+#[tokio::test]
+async fn a_run_of_a_later_owner_is_not_stopped_by_a_replaced_one() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut replaced = CellHarness::with_job(&submitted);
+    replaced.commit();
+    replaced.accept_starts("i-1");
+    let (by_successor, run) = (task(1, 0, 0), RunNumber(2));
+    let new_job = task(2, 0, 0);
+    let listed = || vec![running(by_successor, 2), running(new_job, 1)];
+
+    replaced.report("i-1", listed(), vec![]);
+    let while_unconfirmed = [
+        replaced.cell.stop_order(by_successor, run),
+        replaced.cell.stop_order(new_job, RunNumber(1)),
+    ];
+    replaced.advance(Duration::from_millis(800));
+    replaced.cell.confirm_ownership(replaced.now);
+    let confirmed = replaced.cell.stop_order(new_job, RunNumber(1));
+
+    assert!(while_unconfirmed.iter().all(Option::is_none));
+    assert!(confirmed.is_some());
+}
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -274,6 +274,7 @@
         if let Some(batch) = self.owner.in_flight.take() {
             self.owner.cell.handle_batch_stored(batch, self.now);
         }
+        self.owner.cell.confirm_ownership(self.now);
         self.owner.cell.place_waiting_tasks(self.now);
         if self.owner.cell.has_pending_batch() {
             let batch = self.owner.cell.take_batch(self.now);
@@ -407,7 +408,9 @@
         match order {
             Order::Start(task, run) => self.deliver_start(owner, index, (task, run), deliveries),
             Order::Stop(task, run) => {
-                let order = owner.cell.stop_order(task, run);
+                let Some(order) = owner.cell.stop_order(task, run) else {
+                    return;
+                };
                 let answer = match deliveries[0] {
                     Delivery::Answered | Delivery::AnsweredLate { .. } => {
                         self.executors[index].stop(&order, self.history.moment())
