Refuse jobs and records that end the owner's process

Cause: a submission with a few bytes could ask for 4,294,967,295 occurrences of 4,000 tasks. Each owner in turn created all that were due, under the lock of the cell, until its memory was used up. Records of the store were not validated at all: a submission without steps, or with an unknown predecessor, made the owner and each successor panic, and one with huge counts aborted the process. An executor's clock near the largest number overflowed the lease end.

Change: `JobSpec::validate` limits the tasks of all occurrences to 40,000, and submissions read from the store are validated as well; an invalid one is logged as `record-unreadable` and skipped. The lease end saturates.

Measured: cell malformed::extreme_figures_of_an_executor_end_no_owner and a_job_with_too_many_occurrences_is_refused failed before. All pass now.

--- a/crates/jobs/src/fleet/executor_clock.rs
+++ b/crates/jobs/src/fleet/executor_clock.rs
@@ -39,7 +39,7 @@
     /// Returns the end of a lease that starts at this reading, in milliseconds of the executor's
     /// clock.
     pub fn lease_end_ms(&self, lease: Duration) -> u64 {
-        self.executor_ms + lease.as_millis() as u64
+        self.executor_ms.saturating_add(lease.as_millis() as u64)
     }
 
     /// Returns when all leases have expired for certain, on this host's clock.
--- a/crates/jobs/src/model/job_spec.rs
+++ b/crates/jobs/src/model/job_spec.rs
@@ -11,6 +11,9 @@
 /// store.
 const TASKS_MAX: u64 = 4_000;
 const STEPS_MAX: usize = 200;
+/// Limits the tasks of all occurrences. A placed task takes about 25 bytes, so that the progress stays
+/// below 1 MiB, half of what the store accepts per call.
+const ALL_TASKS_MAX: u64 = 40_000;
 
 /// The reason why a job specification is invalid, as one sentence for the client.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +67,9 @@
 impl JobSpec {
     /// Returns the specification if its steps are consistent and within the limits of a job.
     ///
+    /// A specification that violates a rule must not reach a cell owner, whether a client sent it or a
+    /// record of the store holds it.
+    ///
     /// # Errors
     /// Names the first rule that a step or the whole job violates.
     pub fn validate(self) -> Result<Self, JobSpecError> {
@@ -91,6 +97,13 @@
             let rule = format!("a job has at most {TASKS_MAX} tasks, this one {tasks}");
             return Err(JobSpecError::new(rule));
         }
+        let occurrences = u64::from(self.occurrence_count());
+        if occurrences == 0 || tasks * occurrences > ALL_TASKS_MAX {
+            let rule = format!(
+                "all occurrences have 1 to {ALL_TASKS_MAX} tasks, {occurrences} of {tasks} are not"
+            );
+            return Err(JobSpecError::new(rule));
+        }
         Ok(self)
     }
 
--- a/crates/jobs/src/ownership/cell_feeds.rs
+++ b/crates/jobs/src/ownership/cell_feeds.rs
@@ -9,11 +9,10 @@
 use super::CellOwner;
 use super::cell_owner::RETRY_PAUSE;
 use super::executor_session::ExecutorSession;
-use super::takeover::decode_job_record;
+use super::takeover::decode_submission;
 use super::topics::CANCELLATION_KEY_PREFIX;
 use super::topics::cell_of;
 use crate::model::JobId;
-use crate::model::Submission;
 use crate::observe::Decision;
 use crate::observe::decided;
 use crate::platform::KeyedRecord;
@@ -58,7 +57,7 @@
             if let Ok(id) = JobId::from_str(id) {
                 self.lock().cancel(id, now);
             }
-        } else if let Some((id, submission)) = decode_job_record::<Submission>(record) {
+        } else if let Some((id, submission)) = decode_submission(record) {
             self.lock().accept(id, Arc::new(submission), now);
         }
     }
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -87,7 +87,7 @@
     for record in &stored {
         if let Some(id) = record.key.strip_prefix(CANCELLATION_KEY_PREFIX) {
             cancelled.extend(JobId::from_str(id).ok());
-        } else if let Some((id, submission)) = decode_job_record::<Submission>(record) {
+        } else if let Some((id, submission)) = decode_submission(record) {
             let age = age_of(&submission);
             let accepted_at = now.checked_sub(age).unwrap_or(now);
             let progress = progress.remove(&id).unwrap_or_default();
@@ -174,6 +174,31 @@
     }
 }
 
+/// Decodes the record of a submission. Logs a record that can't be decoded or whose specification is
+/// invalid, and returns `None`.
+pub(super) fn decode_submission(record: &KeyedRecord) -> Option<(JobId, Submission)> {
+    let (id, submission) = decode_job_record::<Submission>(record)?;
+    let Submission {
+        queue,
+        spec,
+        accepted_unix_ms,
+    } = submission;
+    match spec.validate() {
+        Ok(spec) => {
+            let submission = Submission {
+                queue,
+                spec,
+                accepted_unix_ms,
+            };
+            Some((id, submission))
+        }
+        Err(error) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+    }
+}
+
 /// Decodes a record that a cell owner or an entry host wrote under a job id. Logs a record that
 /// can't be decoded and returns `None`.
 pub(super) fn decode_job_record<T: serde::de::DeserializeOwned>(
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod generated_faults;
 mod given_up_runs;
 mod load;
+mod malformed;
 mod orders;
 mod outages;
 mod pending;
