Release a cell whose owner lost a task, and restart sessions that panic

Cause: a panic of a background task of an owner ended only that task. Without its commit loop or a feed, the owner went on renewing leases and kept the cell; if its host held the cell's partition, no host ever looked for a vacancy. A panic in a claim ended the candidate in the same way, and one in the session with an executor left the executor without renewals for good. An executor whose address changed kept runs whose start was lost with the former session as ordered for ever.

Change: a panic of an owner's task releases the cell, and a claim runs in its own task. A session that panics is followed by another one, so that one executor's answer ends no owner. Starts that the former session may not have sent are stopped. The jobs daemon exits if the follower of the configuration, the directory of owners or the candidate ends, so that the platform restarts it.

The exit of the daemon has no test of its own.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -38,6 +38,7 @@
 use spdlog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::task::JoinSet;
 
 use super::JobsSettings;
 use crate::settings::new_incarnation;
@@ -78,9 +79,12 @@
         let unready_for = self.settings.unready_for;
         let drain_max = self.settings.drain_max;
         let kernel = Kernel::default();
-        self.start_services(&kernel).await?;
+        let mut essential = self.start_services(&kernel).await?;
         loop {
             tokio::select! {
+                Some(ended) = essential.join_next() => {
+                    bail!("a task that must last has ended: {ended:?}");
+                }
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
                 // SIGHUP reloads nothing: addresses and limits are fixed while the process lives.
@@ -94,7 +98,9 @@
         Ok(())
     }
 
-    async fn start_services(self, kernel: &Kernel) -> eyre::Result<()> {
+    /// Returns the tasks without which the process would be half alive. None ends before the process
+    /// drains, unless it panics.
+    async fn start_services(self, kernel: &Kernel) -> eyre::Result<JoinSet<()>> {
         let settings = self.settings;
         let handover_max = settings
             .unready_for
@@ -196,9 +202,11 @@
         .await?
         .spawn(kernel);
 
-        tokio::spawn(ConfigFollower::new(platform, store, config).run());
-        tokio::spawn(directory.run());
-        kernel.spawn(Candidate::new(context, owned_cells, kernel.draining(), handover_max).run());
-        Ok(())
+        let mut essential = JoinSet::new();
+        essential.spawn(ConfigFollower::new(platform, store, config).run());
+        essential.spawn(directory.run());
+        let candidate = Candidate::new(context, owned_cells, kernel.draining(), handover_max);
+        essential.spawn(kernel.tasks().track_future(candidate.run()));
+        Ok(essential)
     }
 }
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dotterelhook_types::ids::Epoch;
@@ -221,7 +222,7 @@
             // A new incarnation takes effect with its first report, which lists its runs.
             let has_new_address = executor.entry.address != entry.address;
             executor.entry = entry;
-            return has_new_address.then(|| executor.replace_order_channel());
+            return has_new_address.then(|| executor.reopen_orders(now));
         }
         let (orders, receiver) = unbounded_channel();
         decided!(Decision::ExecutorListed, executor: entry.id, domain: entry.failure_domain);
@@ -232,6 +233,18 @@
         Some(receiver)
     }
 
+    /// Returns the receiver of an executor's orders for another session at the same address, or `None`
+    /// if the executor has left or has another address.
+    pub fn reopen_orders(
+        &mut self,
+        id: &ExecutorId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<UnboundedReceiver<Order>> {
+        let executor = self.executors.get_mut(id)?;
+        (executor.entry.address == address).then(|| executor.reopen_orders(now))
+    }
+
     /// Marks an executor whose entry is missing. While it answers, it receives new runs until it
     /// counts as gone.
     pub fn mark_executor_missing(&mut self, id: &ExecutorId, now: Instant) {
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -256,9 +256,21 @@
 
     /// Replaces the channel of orders, which ends the former session, and returns the receiving end
     /// for the next one.
-    pub fn replace_order_channel(&mut self) -> UnboundedReceiver<Order> {
+    ///
+    /// The former session may or may not have sent the starts without an answer so far. They are
+    /// stopped, so that a report can show that the runs are gone.
+    pub fn reopen_orders(&mut self, now: Instant) -> UnboundedReceiver<Order> {
         let (orders, receiver) = unbounded_channel();
         self.orders = orders;
+        let ordered: Vec<(TaskId, RunNumber)> = self
+            .runs
+            .iter()
+            .filter(|(_, view)| view.phase == RunPhase::Ordered)
+            .map(|(task, view)| (*task, view.run))
+            .collect();
+        for (task, run) in ordered {
+            self.stop(task, run, now);
+        }
         receiver
     }
 
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -40,6 +40,8 @@
     ExecutorPhase,
     /// An executor restarted under the same id.
     ExecutorRestarted,
+    /// The session with an executor panicked; another one follows.
+    SessionFailed,
     /// All leases on an executor have expired without an answer.
     ExecutorLapsed,
     /// An executor gets no new runs until its back-off ends.
--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinError;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::sync::CancellationToken;
@@ -148,7 +149,12 @@
                 return Ok(());
             }
         }
-        claim_locally(&self.context, &self.owned_cells, cell).await
+        // The claim runs in its own task: a panic must not end the candidate, whose host would hold
+        // the cell's partition and never claim the cell again.
+        let (context, owned_cells) = (Arc::clone(&self.context), Arc::clone(&self.owned_cells));
+        let claim = tokio::spawn(async move { claim_locally(&context, &owned_cells, cell).await });
+        let panicked = |error: JoinError| Err(StoreError::Unknown(error.to_string().into()));
+        claim.await.unwrap_or_else(panicked)
     }
 
     /// Hands a cell over to another host, and then releases it.
--- a/crates/jobs/src/ownership/cell_feeds.rs
+++ b/crates/jobs/src/ownership/cell_feeds.rs
@@ -1,8 +1,10 @@
+use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -12,6 +14,8 @@
 use super::takeover::decode_submission;
 use super::topics::CANCELLATION_KEY_PREFIX;
 use super::topics::cell_of;
+use crate::fleet::Order;
+use crate::model::ExecutorId;
 use crate::model::JobId;
 use crate::observe::Decision;
 use crate::observe::decided;
@@ -25,6 +29,9 @@
 /// poll would return at once.
 const EXECUTORS_PAUSE: Duration = Duration::from_millis(400);
 
+/// The pause before another session with an executor after one has panicked.
+const SESSION_PAUSE: Duration = Duration::from_millis(500);
+
 /// The feeds that an active owner follows: submissions and executor records.
 impl CellOwner {
     pub(super) async fn follow_submissions(self: Arc<Self>, index: usize, mut feed: ChangeFeed) {
@@ -123,10 +130,33 @@
         let address = entry.address;
         let orders = self.lock().upsert_executor(entry, Instant::now());
         if let Some(orders) = orders {
+            tokio::spawn(Arc::clone(self).run_sessions(id, address, orders));
+        }
+    }
+
+    /// Runs the session with an executor at one address. A panic, for example after an unexpected
+    /// answer, ends only this session, and another one follows.
+    async fn run_sessions(
+        self: Arc<Self>,
+        id: ExecutorId,
+        address: SocketAddr,
+        mut orders: UnboundedReceiver<Order>,
+    ) {
+        loop {
             let link = self.context.platform.executor_link(&id, address);
-            let session = ExecutorSession::new(Arc::clone(self), id, link);
+            let session = ExecutorSession::new(Arc::clone(&self), id.clone(), link);
             let released = self.released.clone();
-            tokio::spawn(released.run_until_cancelled_owned(session.run(orders)));
+            let ended = tokio::spawn(released.run_until_cancelled_owned(session.run(orders)));
+            let Err(error) = ended.await else {
+                return;
+            };
+            decided!(Decision::SessionFailed, executor: id, cause: error);
+            sleep(SESSION_PAUSE).await;
+            let now = Instant::now();
+            match self.with_state(|state| state.reopen_orders(&id, address, now)) {
+                Some(reopened) if self.is_active() => orders = reopened,
+                _ => return,
+            }
         }
     }
 }
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -279,8 +279,7 @@
 
     fn start(self: &Arc<Self>, submission_feeds: Vec<ChangeFeed>, next_sequence: Sequence) {
         for (index, feed) in submission_feeds.into_iter().enumerate() {
-            let task = Arc::clone(self).follow_submissions(index, feed);
-            tokio::spawn(self.released.clone().run_until_cancelled_owned(task));
+            self.spawn(Arc::clone(self).follow_submissions(index, feed));
         }
         let tasks: [std::pin::Pin<Box<dyn Future<Output = ()> + Send>>; 4] = [
             Box::pin(Arc::clone(self).request_advice()),
@@ -289,10 +288,22 @@
             Box::pin(CommitLoop::new(Arc::clone(self), next_sequence).run()),
         ];
         for task in tasks {
-            tokio::spawn(self.released.clone().run_until_cancelled_owned(task));
+            self.spawn(task);
         }
     }
 
+    /// Runs a background task until this owner is released. A panic of the task releases the owner: it
+    /// would renew leases without placing or recording anything, and nobody would replace it.
+    fn spawn(self: &Arc<Self>, task: impl Future<Output = ()> + Send + 'static) {
+        let owner = Arc::clone(self);
+        let running = tokio::spawn(self.released.clone().run_until_cancelled_owned(task));
+        tokio::spawn(async move {
+            if running.await.is_err_and(|error| error.is_panic()) {
+                owner.release("a task of the owner panicked");
+            }
+        });
+    }
+
     /// Requests tickets from the approval service, one request at a time: the service handles
     /// requests serially.
     async fn request_advice(self: Arc<Self>) {
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -7,4 +7,5 @@
 mod rights;
 mod slow_store;
 mod start_attempts;
+mod unexpected_errors;
 mod vacancies;
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -127,10 +127,13 @@
     }
 }
 
+/// The entry of an executor whose decoding panics.
+pub(crate) const PANICKING_ENTRY: &[u8] = b"panic";
+
 /// A platform with one executor.
 struct OneExecutorPlatform {
     store: Arc<dyn Store>,
-    executor: Arc<RecordingExecutor>,
+    executor: Arc<dyn ExecutorLink>,
 }
 
 impl Platform for OneExecutorPlatform {
@@ -153,7 +156,8 @@
         Ok(None)
     }
 
-    fn decode_executor(&self, id: &str, _: &Bytes) -> Result<ExecutorEntry, DecodeError> {
+    fn decode_executor(&self, id: &str, value: &Bytes) -> Result<ExecutorEntry, DecodeError> {
+        assert_ne!(&value[..], PANICKING_ENTRY, "an injected panic");
         Ok(ExecutorEntry {
             id: id.into(),
             incarnation: Some(Incarnation(1)),
@@ -171,7 +175,7 @@
     }
 
     fn executor_link(&self, _: &ExecutorId, _: SocketAddr) -> Arc<dyn ExecutorLink> {
-        Arc::clone(&self.executor) as Arc<dyn ExecutorLink>
+        Arc::clone(&self.executor)
     }
 }
 
@@ -186,10 +190,10 @@
 
 /// The context of a process whose read of the owner directory hangs, while the store answers its
 /// other calls.
-fn context(
+pub(crate) fn context(
     store: &Arc<MemoryStore>,
     host: &str,
-    executor: &Arc<RecordingExecutor>,
+    executor: &Arc<impl ExecutorLink + 'static>,
 ) -> Arc<OwnerContext> {
     let store = Arc::clone(store) as Arc<dyn Store>;
     let health = Arc::new(StoreHealth::default());
@@ -201,7 +205,7 @@
     Arc::new(OwnerContext {
         platform: Arc::new(OneExecutorPlatform {
             store: Arc::clone(&store),
-            executor: Arc::clone(executor),
+            executor: Arc::clone(executor) as Arc<dyn ExecutorLink>,
         }),
         store: Arc::clone(&store),
         health,
@@ -220,24 +224,35 @@
 }
 
 /// Stores an entry of the executor.
-async fn list_executor(store: &MemoryStore) {
+pub(crate) async fn list_executor(store: &MemoryStore) {
+    write_entry(store, b"entry").await;
+}
+
+/// Stores an entry of the executor with the given value.
+pub(crate) async fn write_entry(store: &MemoryStore, value: &'static [u8]) {
     let record = KeyedRecord {
         key: "i-1".into(),
-        value: Bytes::from_static(b"entry"),
+        value: Bytes::from_static(value),
     };
     let listed = store.append(EXECUTORS, &[record], None).await;
     listed.expect("stored");
 }
 
-/// Stores the submission of a job with the given number of tasks.
+/// Stores the submission of job 1 with the given number of tasks.
 async fn submit(store: &MemoryStore, count: u32) {
+    let value = encode(&submission(count)).expect("a record");
+    write_submission(store, "0000000000000001", value).await;
+}
+
+/// Returns a submission of a job with one step of the given number of tasks.
+pub(crate) fn submission(count: u32) -> Submission {
     let step = StepSpec {
         count,
         need: Resources::new(100, 100),
         estimate_ms: 1_000,
         ..StepSpec::default()
     };
-    let submission = Submission {
+    Submission {
         queue: QueueConfig {
             name: "plans".into(),
             service: "desk".into(),
@@ -253,11 +268,14 @@
             schedule: None,
         },
         accepted_unix_ms: 0,
-    };
-    let key = "0000000000000001";
+    }
+}
+
+/// Stores a record under the id of a job.
+pub(crate) async fn write_submission(store: &MemoryStore, key: &str, value: Bytes) {
     let record = KeyedRecord {
         key: key.into(),
-        value: encode(&submission).expect("a record"),
+        value,
     };
     let partition = job_submission_partition(key, 1);
     let stored = store.append(partition, &[record], None).await;
