Call a record that an owner may have stored not "not done"

Cause: a host that forwarded a client's record to the owner took an answer that it could not read, for example of an owner of another version, for a proof that the record is not stored. The client was told 503, not done, and its job ran nevertheless.

Change: an answer that can't be read leaves the outcome open, and so does an error after the record was stored.

--- a/crates/jobs/src/entry/owner_client.rs
+++ b/crates/jobs/src/entry/owner_client.rs
@@ -115,7 +115,8 @@
         if answer.is_err() {
             self.directory.request_refresh();
         }
-        decode(&answer?).map_err(not_run)
+        // The owner has handled the call. Whatever it did has taken effect.
+        decode(&answer?).map_err(|error| CallError::may_have_run(error.to_string()))
     }
 }
 
@@ -179,7 +180,8 @@
             true => CallError::not_run(error.to_string()),
             false => CallError::may_have_run(error.to_string()),
         })?;
-        encode_answer(&())
+        // The record is stored, so that no error may say that it is not.
+        encode(&()).map_err(|error| CallError::may_have_run(error.to_string()))
     }
 }
 
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 
 mod answer_timeout;
 mod directory;
+mod forwarded_records;
 mod hosts;
 mod memory_store;
 mod rights;
