--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -10,8 +10,10 @@
 
 use super::CellSettings;
 use super::Effect;
+use super::departures::Departure;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
+use crate::evacuation::ViewSnapshot;
 use crate::fleet::Executor;
 use crate::fleet::Listing;
 use crate::fleet::Order;
@@ -56,6 +58,12 @@
     pub(super) settings: Arc<CellSettings>,
     pub(super) epoch: Epoch,
     pub(super) config: Arc<DeploymentConfig>,
+    /// What the owner knows of the operators' requests.
+    pub(super) operator_view: ViewSnapshot,
+    /// The tasks whose runs leave an evacuated failure domain.
+    pub(super) departures: BTreeMap<TaskId, Departure>,
+    /// The run in an evacuated failure domain for which a place was searched last.
+    pub(super) last_considered: Option<(ExecutorId, TaskId)>,
     pub(super) ledger: JobLedger,
     pub(super) executors: BTreeMap<ExecutorId, Executor>,
     /// Jobs whose current progress is not stored yet.
@@ -98,6 +106,9 @@
             settings,
             epoch,
             config,
+            operator_view: ViewSnapshot::default(),
+            departures: BTreeMap::new(),
+            last_considered: None,
             ledger: JobLedger::default(),
             executors: BTreeMap::new(),
             dirty: BTreeSet::new(),
