Count the ends of attempts that were declared lost

Cause: an owner that found an ended attempt in an inventory, but not among the open ones, let the worker forget it. An attempt that had succeeded or failed while its worker could not be reached was therefore dropped once its lease was over: the task was started again, and a failure did not count against the limit.

Change: the state keeps the attempts of active runs that were declared lost, until the run ends or the worker restarts. An end that the worker reports later is recorded and counts once. A success completes the task, and a newer attempt is stopped (TaskState::Redundant); a failure counts against the limit; a checkpoint is used unless a newer attempt was opened. The metric scheduler_late_ends counts such ends.

--- a/crates/scheduler/src/placement/indexed/indexed_placer.rs
+++ b/crates/scheduler/src/placement/indexed/indexed_placer.rs
@@ -166,9 +166,14 @@
         let Some(tracked) = self.runs.get_mut(id) else {
             return;
         };
-        let Some(open) = tracked.open.remove(&attempt.task.index) else {
+        let index = attempt.task.index;
+        let is_open = |open: &&TrackedAttempt| open.number == attempt.number;
+        let Some(open) = tracked.open.get(&index).filter(is_open).cloned() else {
+            // An attempt that was declared lost before; its end may complete the task.
+            self.refresh_run(state, id);
             return;
         };
+        tracked.open.remove(&index);
         self.usage.remove(&tracked.class.job.team, &open.size);
         match state.runs().get(id) {
             Some(run) if run.status == RunStatus::Active => {
--- a/crates/scheduler/src/shard/inventories.rs
+++ b/crates/scheduler/src/shard/inventories.rs
@@ -6,7 +6,6 @@
 use dotterelhook_borders::worker::StopBody;
 use dotterelhook_state::shard::AttemptEnd;
 use dotterelhook_state::shard::OpenAttempt;
-use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::WorkerState;
 use dotterelhook_types::ids::AttemptId;
@@ -88,31 +87,15 @@
 
     fn reconcile_attempt(&mut self, report: &AttemptReport, open: &OpenAttempt) {
         let attempt = report.attempt.clone();
-        let end = match report.status {
-            AttemptStatus::Running if self.evicting.contains(&attempt) => {
-                self.send_evict(&attempt);
-                return;
-            }
-            AttemptStatus::Running if self.should_run(&attempt) => {
-                self.send_command(&open.worker, WorkerCommand::KeepLease(attempt));
-                return;
-            }
-            AttemptStatus::Running => {
-                self.send_command(&open.worker, WorkerCommand::Stop(attempt, stop_body(open)));
-                return;
-            }
-            AttemptStatus::Succeeded => AttemptEnd::Succeeded,
-            AttemptStatus::Failed => AttemptEnd::Failed {
-                cause: report
-                    .cause
-                    .clone()
-                    .unwrap_or_else(|| "no cause given".into()),
-            },
-            AttemptStatus::Stopped | AttemptStatus::Lapsed => AttemptEnd::Evicted {
-                checkpoint: report.checkpoint.clone(),
-            },
-        };
-        self.queue_end(attempt, end);
+        if let Some(end) = reported_end(report) {
+            self.queue_end(attempt, end);
+        } else if self.evicting.contains(&attempt) {
+            self.send_evict(&attempt);
+        } else if self.should_run(&attempt) {
+            self.send_command(&open.worker, WorkerCommand::KeepLease(attempt));
+        } else {
+            self.send_command(&open.worker, WorkerCommand::Stop(attempt, stop_body(open)));
+        }
     }
 
     /// Handles an open attempt that the worker does not list: the start is repeated if the attempt
@@ -128,16 +111,24 @@
 
     fn should_run(&self, attempt: &AttemptId) -> bool {
         let run = self.state.runs().get(&attempt.task.run);
-        run.is_some_and(|run| run.status == RunStatus::Active)
+        run.is_some_and(|run| run.needs_attempt(attempt))
             && !self.attempts_with_queued_end.contains(attempt)
     }
 
-    /// Stops running attempts that are not open, and lets the worker forget ended ones.
-    fn clear_unknown_attempts(&self, inventory: &Inventory) {
+    /// Stops running attempts that are not open, counts the ends of attempts that were declared lost,
+    /// and lets the worker forget the other ended ones.
+    fn clear_unknown_attempts(&mut self, inventory: &Inventory) {
         for report in &inventory.attempts {
             if self.state.open_attempts().contains_key(&report.attempt) {
                 continue;
             }
+            let lost = self.state.lost_attempts().get(&report.attempt);
+            if lost.is_some_and(|lost| lost.worker == inventory.worker)
+                && let Some(end) = reported_end(report)
+            {
+                self.queue_end(report.attempt.clone(), end);
+                continue;
+            }
             let attempt = report.attempt.clone();
             let command = match report.status {
                 AttemptStatus::Running => {
@@ -237,6 +228,23 @@
     }
 }
 
+/// Returns the end of an attempt according to its worker; `None` if it still runs.
+fn reported_end(report: &AttemptReport) -> Option<AttemptEnd> {
+    match report.status {
+        AttemptStatus::Running => None,
+        AttemptStatus::Succeeded => Some(AttemptEnd::Succeeded),
+        AttemptStatus::Failed => Some(AttemptEnd::Failed {
+            cause: report
+                .cause
+                .clone()
+                .unwrap_or_else(|| "no cause given".into()),
+        }),
+        AttemptStatus::Stopped | AttemptStatus::Lapsed => Some(AttemptEnd::Evicted {
+            checkpoint: report.checkpoint.clone(),
+        }),
+    }
+}
+
 fn stop_body(open: &OpenAttempt) -> StopBody {
     StopBody {
         start_offset: open.offset,
--- a/crates/scheduler/src/shard/log_pages.rs
+++ b/crates/scheduler/src/shard/log_pages.rs
@@ -8,6 +8,7 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::WorkerId;
+use spdlog::info;
 use spdlog::warn;
 
 use super::pending_replies::RequestKind;
@@ -112,6 +113,11 @@
         let now_unix_ms = self.context.clock.unix_ms();
         self.placer.observe(&self.state, &record.event, now_unix_ms);
         self.notify_controller(&record.event, &endings);
+        if let ShardEvent::End { attempt, end } = &record.event
+            && endings.is_empty()
+        {
+            self.handle_late_end(attempt, end);
+        }
         for ending in endings {
             self.handle_ending(&ending);
         }
@@ -155,6 +161,15 @@
         }
     }
 
+    /// Handles the end of an attempt that had been declared lost. The worker forgets the attempt
+    /// after its next inventory, and a newer attempt that is no longer needed is stopped then.
+    fn handle_late_end(&mut self, attempt: &AttemptId, end: &AttemptEnd) {
+        self.attempts_with_queued_end.remove(attempt);
+        self.context.metrics.late_ends.inc();
+        let kind: &'static str = end.into();
+        info!("shard: attempt {attempt} was declared lost, but has {kind}");
+    }
+
     /// Lets the worker forget an attempt whose end is recorded in the log.
     fn handle_ending(&mut self, ending: &AttemptEnding) {
         let AttemptEnding {
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -8,6 +8,8 @@
     pub overdue_runs: Counter,
     /// Attempts recorded as lost, because their worker restarted or was silent past its leases.
     pub lost_attempts: Counter,
+    /// Ends that workers reported of attempts recorded as lost.
+    pub late_ends: Counter,
     /// Records written by this process that the fold refused.
     pub refused_records: Counter,
     /// Appends that were begun, retries included.
@@ -36,6 +38,11 @@
                 "Attempts given up as lost",
                 &self.lost_attempts,
             ),
+            (
+                "late_ends",
+                "Ends reported of attempts that had been given up as lost",
+                &self.late_ends,
+            ),
             (
                 "refused_records",
                 "Own records refused",
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod faults;
+mod late_ends;
 mod policy;
 mod takeovers;
 mod world;
--- a/crates/state/src/shard/attempts.rs
+++ b/crates/state/src/shard/attempts.rs
@@ -4,6 +4,7 @@
 use dotterelhook_types::sizes::Resources;
 
 use super::AttemptEnd;
+use super::LostAttempt;
 use super::OpenAttempt;
 use super::Run;
 use super::RunStatus;
@@ -15,10 +16,12 @@
 /// one worker. Below that, the worker may be at fault rather than the task.
 const SAME_WORKER_LIMIT_FACTOR: u32 = 3;
 
-/// Failure counters of a task, including the failure that was just counted.
-struct TaskFailures {
-    failures: u32,
-    workers: usize,
+/// A failure that counts against a task.
+pub(super) struct CountedFailure {
+    /// Number of the task's failures, including this one.
+    pub(super) failures: u32,
+    /// Whether the failure ends the run.
+    pub(super) is_final: bool,
 }
 
 impl ShardState {
@@ -78,31 +81,31 @@
         Ok(())
     }
 
-    /// Ends an open attempt and releases its resources on the worker.
+    /// Ends an open attempt and releases its resources on the worker, or counts the end of an
+    /// attempt that was declared lost.
     pub(super) fn end_attempt(
         &mut self,
         attempt: &AttemptId,
         end: AttemptEnd,
     ) -> Result<(), ShardRefusal> {
-        let open = self.open.remove(attempt).ok_or(ShardRefusal::NotOpen)?;
-        let failures = self.release_and_count_failure(attempt, &open, &end);
-        let workers_known = self.workers.len();
+        let Some(open) = self.open.remove(attempt) else {
+            return self.end_lost_attempt(attempt, end);
+        };
+        self.release(attempt, &open);
+        let counted = self.count_result(attempt, &open.worker, &end);
+        let is_final = counted.as_ref().is_some_and(|counted| counted.is_final);
+        if end == AttemptEnd::Lost {
+            self.keep_lost_attempt(attempt, open);
+        }
         let id = &attempt.task.run;
         let Some(run) = self.runs.get_mut(id) else {
             return Ok(());
         };
-        let attempts_max = run.spec.settings.attempts_max;
-        let is_final = failures.as_ref().is_some_and(|counted| {
-            let is_worker_ruled_out = counted.workers >= 2 || workers_known < 2;
-            let is_over_same_worker_limit =
-                counted.failures >= attempts_max * SAME_WORKER_LIMIT_FACTOR;
-            is_over_same_worker_limit || (is_worker_ruled_out && counted.failures >= attempts_max)
-        });
         let is_active = run.status == RunStatus::Active;
-        let is_done = is_active && end == AttemptEnd::Succeeded;
-        let next = next_task_state(run, attempt, &end, failures.as_ref(), is_final);
+        let next = next_task_state(run, attempt, &end, counted.as_ref());
+        let was_done = run.tasks[attempt.task.index as usize].is_done();
+        run.done += u32::from(is_active && !was_done && next == TaskState::Done);
         run.set_task(attempt.task.index, next);
-        run.done += u32::from(is_done);
         let is_complete = run.done == run.spec.settings.tasks;
         match end {
             AttemptEnd::Failed { cause } if is_active && is_final => {
@@ -115,8 +118,28 @@
         Ok(())
     }
 
+    fn release(&mut self, attempt: &AttemptId, open: &OpenAttempt) {
+        if let Some(worker_state) = self.workers.get_mut(&open.worker) {
+            worker_state.release(attempt, &open.size);
+        }
+    }
+
+    /// Keeps an attempt that was declared lost, so that an end that its worker reports later still
+    /// counts. A restarted worker reports no attempt of its earlier incarnations.
+    fn keep_lost_attempt(&mut self, attempt: &AttemptId, open: OpenAttempt) {
+        let run = self.runs.get(&attempt.task.run);
+        let is_active = run.is_some_and(|run| run.status == RunStatus::Active);
+        let worker_state = self.workers.get(&open.worker);
+        let may_report = worker_state.is_some_and(|worker| worker.incarnation == open.incarnation);
+        if is_active && may_report {
+            let worker = open.worker;
+            self.lost.insert(attempt.clone(), LostAttempt { worker });
+        }
+    }
+
     /// Ends all open attempts of a worker as lost, because the worker restarted.
     pub(super) fn end_lost_attempts(&mut self, worker: &WorkerId) {
+        self.lost.retain(|_, lost| lost.worker != *worker);
         let Some(worker_state) = self.workers.get(worker) else {
             return;
         };
@@ -126,16 +149,16 @@
         }
     }
 
-    /// Releases the attempt's resources and counts a failure against the worker and, unless the
-    /// worker is quarantined, against the task.
-    fn release_and_count_failure(
+    /// Counts a result for the worker and, unless the worker is quarantined, a failure against the
+    /// task.
+    pub(super) fn count_result(
         &mut self,
         attempt: &AttemptId,
-        open: &OpenAttempt,
+        worker: &WorkerId,
         end: &AttemptEnd,
-    ) -> Option<TaskFailures> {
-        let worker_state = self.workers.get_mut(&open.worker)?;
-        worker_state.release(attempt, &open.size);
+    ) -> Option<CountedFailure> {
+        let workers_known = self.workers.len();
+        let worker_state = self.workers.get_mut(worker)?;
         let run = self.runs.get_mut(&attempt.task.run)?;
         match end {
             AttemptEnd::Succeeded => {
@@ -149,16 +172,17 @@
         if worker_state.is_quarantined() {
             return None;
         }
+        let task = run.tasks.get(attempt.task.index as usize)?;
+        let failures = task.failures()? + 1;
         let failed_on = run.failed_on.entry(attempt.task.index).or_default();
-        failed_on.insert(open.worker.clone());
-        let workers = failed_on.len();
-        let Some(TaskState::Open { failures, .. }) = run.tasks.get(attempt.task.index as usize)
-        else {
-            return None;
-        };
-        Some(TaskFailures {
-            failures: failures + 1,
-            workers,
+        failed_on.insert(worker.clone());
+        let attempts_max = run.spec.settings.attempts_max;
+        let is_worker_ruled_out = failed_on.len() >= 2 || workers_known < 2;
+        let is_over_same_worker_limit = failures >= attempts_max * SAME_WORKER_LIMIT_FACTOR;
+        Some(CountedFailure {
+            failures,
+            is_final: is_over_same_worker_limit
+                || (is_worker_ruled_out && failures >= attempts_max),
         })
     }
 }
@@ -169,17 +193,17 @@
     run: &Run,
     attempt: &AttemptId,
     end: &AttemptEnd,
-    counted: Option<&TaskFailures>,
-    is_final: bool,
+    counted: Option<&CountedFailure>,
 ) -> TaskState {
-    let task = run.tasks.get(attempt.task.index as usize);
-    let Some(TaskState::Open {
-        failures,
-        checkpoint,
-        ..
-    }) = task
-    else {
-        return TaskState::Ended;
+    let is_active = run.status == RunStatus::Active;
+    let (failures, checkpoint) = match run.tasks.get(attempt.task.index as usize) {
+        Some(TaskState::Open {
+            failures,
+            checkpoint,
+            ..
+        }) if is_active => (failures, checkpoint),
+        Some(TaskState::Redundant { .. }) if is_active => return TaskState::Done,
+        _ => return TaskState::Ended,
     };
     let waiting = |failures: u32, checkpoint: Option<Box<str>>| TaskState::Waiting {
         attempts: attempt.number,
@@ -187,14 +211,15 @@
         checkpoint,
     };
     match end {
-        _ if run.status != RunStatus::Active => TaskState::Ended,
         AttemptEnd::Succeeded => TaskState::Done,
         AttemptEnd::Cancelled => TaskState::Ended,
         AttemptEnd::Lost => waiting(*failures, checkpoint.clone()),
         AttemptEnd::Evicted { checkpoint: newer } => {
             waiting(*failures, newer.clone().or_else(|| checkpoint.clone()))
         }
-        AttemptEnd::Failed { .. } if is_final => TaskState::Ended,
+        AttemptEnd::Failed { .. } if counted.is_some_and(|counted| counted.is_final) => {
+            TaskState::Ended
+        }
         AttemptEnd::Failed { .. } => {
             let failures = counted.map_or(*failures, |counted| counted.failures);
             waiting(failures, checkpoint.clone())
--- a/crates/state/src/shard/event.rs
+++ b/crates/state/src/shard/event.rs
@@ -105,7 +105,7 @@
         /// Resources reserved for the attempt.
         size: Resources,
     },
-    /// An attempt has certainly ended.
+    /// An attempt has certainly ended, or the end of an attempt that was declared lost is now known.
     End {
         /// The ended attempt.
         attempt: AttemptId,
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod event;
+mod late_ends;
 mod refusal;
 mod run;
 mod run_summary;
@@ -15,6 +16,7 @@
 pub use event::RunSpec;
 pub use event::ShardEvent;
 pub use event::ShardRecord;
+pub use late_ends::LostAttempt;
 pub use refusal::ShardRefusal;
 pub use run::Run;
 pub use run::RunStatus;
--- a/crates/state/src/shard/refusal.rs
+++ b/crates/state/src/shard/refusal.rs
@@ -48,7 +48,7 @@
     NotNextAttempt,
     /// The worker's capacity would be exceeded.
     WorkerFull,
-    /// The attempt is not open.
+    /// The attempt is neither open nor declared lost.
     NotOpen,
 }
 
--- a/crates/state/src/shard/run.rs
+++ b/crates/state/src/shard/run.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::WorkerId;
 use serde::Deserialize;
@@ -59,12 +60,24 @@
         /// The worker that runs the attempt.
         worker: WorkerId,
     },
+    /// The task succeeded in an attempt that had been declared lost, while a newer attempt was
+    /// open. The newer attempt holds its resources until it has been stopped.
+    Redundant {
+        /// The number of the newer attempt.
+        number: u32,
+    },
     /// The task succeeded.
     Done,
     /// The task ended without a result.
     Ended,
 }
 
+impl TaskState {
+    fn has_open_attempt(&self) -> bool {
+        matches!(self, Self::Open { .. } | Self::Redundant { .. })
+    }
+}
+
 /// An accepted run and the state of its tasks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Run {
@@ -125,6 +138,13 @@
         self.open
     }
 
+    /// Returns whether an open attempt of the run is still needed: the run is active, and the task
+    /// has not succeeded in an earlier attempt.
+    pub fn needs_attempt(&self, attempt: &AttemptId) -> bool {
+        let task = self.tasks.get(attempt.task.index as usize);
+        self.status == RunStatus::Active && matches!(task, Some(TaskState::Open { .. }))
+    }
+
     /// Returns whether the run and all its attempts have ended.
     pub fn is_closed(&self) -> bool {
         self.status != RunStatus::Active && self.open == 0
@@ -133,8 +153,8 @@
     /// Sets the state of an existing task and updates the derived counters.
     pub(super) fn set_task(&mut self, index: u32, state: TaskState) {
         let task = &mut self.tasks[index as usize];
-        self.open -= u32::from(matches!(task, TaskState::Open { .. }));
-        self.open += u32::from(matches!(state, TaskState::Open { .. }));
+        self.open -= u32::from(task.has_open_attempt());
+        self.open += u32::from(state.has_open_attempt());
         if matches!(state, TaskState::Waiting { .. }) {
             self.waiting.insert(index);
         } else {
@@ -165,7 +185,7 @@
             .map(|(index, _)| index)
             .collect();
         self.open = indexed()
-            .filter(|(_, task)| matches!(task, TaskState::Open { .. }))
+            .filter(|(_, task)| task.has_open_attempt())
             .count() as u32;
     }
 }
--- a/crates/state/src/shard/runs.rs
+++ b/crates/state/src/shard/runs.rs
@@ -78,6 +78,7 @@
         self.active.remove(id);
         self.deadlines
             .remove(&(run.spec.deadline_at_unix_ms, id.clone()));
+        self.forget_lost_attempts(id);
         self.close_if_ended(id);
     }
 
--- a/crates/state/src/shard/shard_state.rs
+++ b/crates/state/src/shard/shard_state.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::LostAttempt;
 use super::Run;
 use super::ShardEvent;
 use super::ShardRecord;
@@ -52,6 +53,9 @@
     pub(super) workers: BTreeMap<WorkerId, WorkerState>,
     pub(super) runs: BTreeMap<RunId, Run>,
     pub(super) open: BTreeMap<AttemptId, OpenAttempt>,
+    /// Attempts of active runs that were declared lost and whose workers may still report an end.
+    #[serde(default)]
+    pub(super) lost: BTreeMap<AttemptId, LostAttempt>,
     /// Retained closed runs, oldest first.
     pub(super) closed: VecDeque<RunId>,
     /// Hashes of the ids of pruned runs, oldest first; retained so that these ids are not reused.
@@ -114,6 +118,11 @@
         &self.open
     }
 
+    /// Returns the attempts that were declared lost and whose end still counts if it is reported.
+    pub fn lost_attempts(&self) -> &BTreeMap<AttemptId, LostAttempt> {
+        &self.lost
+    }
+
     /// Applies the record at the given offset. A record below the next offset has no effect.
     ///
     /// # Errors
--- a/crates/state/tests/shard.rs
+++ b/crates/state/tests/shard.rs
@@ -419,3 +419,54 @@
     assert_eq!(oldest, None);
     assert_eq!(assembler.into_newest(), Some(shard.state));
 }
+
+#[test]
+fn a_success_reported_after_a_loss_counts_once_and_leaves_the_newer_attempt_to_be_stopped() {
+    let mut shard = OwnedShard::new();
+    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 2), start(0, 0, 1, 0)]);
+    shard.add_all([end(0, 0, 1, AttemptEnd::Lost), start(0, 0, 2, 1)]);
+
+    shard.add_all([end(0, 0, 1, AttemptEnd::Succeeded)]);
+    let again = shard.add(end(0, 0, 1, AttemptEnd::Succeeded));
+    let needs_newer = shard.state.runs()[&run_id(0)].needs_attempt(&attempt(0, 0, 2));
+    shard.add_all([end(0, 0, 2, AttemptEnd::Succeeded)]);
+
+    assert_eq!(again, Err(ShardRefusal::NotOpen));
+    assert!(!needs_newer);
+    let run = &shard.state.runs()[&run_id(0)];
+    assert_eq!((run.done, run.open_tasks()), (1, 0));
+    assert_eq!(run.tasks[0], TaskState::Done);
+}
+
+#[test]
+fn a_failure_reported_after_a_loss_counts_once_against_the_limit() {
+    let mut shard = OwnedShard::new();
+    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 1), start(0, 0, 1, 0)]);
+    shard.add_all([end(0, 0, 1, AttemptEnd::Lost), start(0, 0, 2, 1)]);
+
+    shard.add_all([end(0, 0, 1, failed())]);
+    let again = shard.add(end(0, 0, 1, failed()));
+    let before = shard.state.runs()[&run_id(0)].status;
+    shard.add_all([end(0, 0, 2, failed())]);
+
+    assert_eq!(again, Err(ShardRefusal::NotOpen));
+    assert_eq!(before, RunStatus::Active);
+    assert_eq!(shard.state.runs()[&run_id(0)].status, RunStatus::Failed);
+}
+
+/// A restarted worker knows nothing of its former attempts, and an ended run needs no result. Their
+/// entries must not stay, or the state would grow without a bound.
+#[test]
+fn a_loss_is_forgotten_when_its_worker_restarts_or_its_run_ends() {
+    let mut shard = OwnedShard::new();
+    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 1), submit(1, 1)]);
+    shard.add_all([start(0, 0, 1, 0), start(1, 0, 1, 1)]);
+    shard.add_all([0, 1].map(|run| end(run, 0, 1, AttemptEnd::Lost)));
+    assert_eq!(shard.state.lost_attempts().len(), 2);
+
+    shard.add_all([worker(0, 2), ShardEvent::Cancel { run: run_id(1) }]);
+
+    assert!(shard.state.lost_attempts().is_empty());
+    let late = shard.add(end(0, 0, 1, AttemptEnd::Succeeded));
+    assert_eq!(late, Err(ShardRefusal::NotOpen));
+}
