Extend the renewal right only by reads that reached the end of the log

Cause: each page of the shard's stream extended the owner's right to start and renew, also a page that ended before the end of the log. An owner with a backlog of its own records before the claim of its successor went on renewing while it read them. The successor waits only as long as the right lasts after the claim, and then starts the task again.

Change: a page extends the right only if the records applied so far are all that the log holds. A new ownership has no right until then.

--- a/crates/scheduler/src/shard/log_pages.rs
+++ b/crates/scheduler/src/shard/log_pages.rs
@@ -44,14 +44,19 @@
             let own = self.is_own(&parsed).then(|| parsed.clone());
             let endings = own.as_ref().map(|own| self.endings(own));
             let result = self.state.apply_record(record.offset, parsed);
-            self.update_ownership(requested_at_ms);
+            self.update_ownership();
             if let Some(own) = own {
                 self.handle_own_record(&own, result, endings.unwrap_or_default());
             }
         }
         self.last_log_contact_ms = self.last_log_contact_ms.max(requested_at_ms);
         self.has_caught_up = self.state.next_offset() >= page.end_offset;
-        self.update_ownership(requested_at_ms);
+        self.update_ownership();
+        // A page that ends before the end of the log, or a log that ends before the records applied so
+        // far, does not show that no other process has claimed the shard.
+        if self.state.next_offset() == page.end_offset {
+            self.extend_renewal_right(requested_at_ms);
+        }
     }
 
     fn is_own(&self, record: &ShardRecord) -> bool {
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -25,37 +25,35 @@
         })
     }
 
-    /// Extends, gains or loses ownership according to the records applied so far.
-    pub(super) fn update_ownership(&mut self, requested_at_ms: u64) {
+    /// Gains or loses ownership according to the records applied so far.
+    pub(super) fn update_ownership(&mut self) {
         let held_epoch = self.renewal_right.as_ref().map(|right| right.epoch());
         let owned_epoch = self.is_owner().then(|| self.state.epoch());
         if held_epoch == owned_epoch {
-            self.extend_renewal_right(requested_at_ms);
             return;
         }
         if held_epoch.is_some() {
             self.lose_ownership();
         }
         if owned_epoch.is_some() {
-            self.gain_ownership(requested_at_ms);
+            self.gain_ownership();
         }
     }
 
-    fn renewal_right_until_ms(&self, requested_at_ms: u64) -> u64 {
-        requested_at_ms + self.context.lease_times.renewal_right.as_millis() as u64
-    }
-
-    fn extend_renewal_right(&self, requested_at_ms: u64) {
+    /// Extends the renewal right after a read that reached the end of the log. The read was sent at
+    /// `requested_at_ms`, so no later claim existed then.
+    pub(super) fn extend_renewal_right(&self, requested_at_ms: u64) {
         if let Some(right) = &self.renewal_right {
-            right.extend(self.renewal_right_until_ms(requested_at_ms));
+            let renewal_right = self.context.lease_times.renewal_right;
+            right.extend(requested_at_ms + renewal_right.as_millis() as u64);
         }
     }
 
-    fn gain_ownership(&mut self, requested_at_ms: u64) {
+    /// Begins an ownership; nothing starts until the renewal right is extended.
+    fn gain_ownership(&mut self) {
         info!("shard: gained ownership of {}", self.context.shard);
         let clock = Arc::clone(&self.context.clock);
-        let ends_at_ms = self.renewal_right_until_ms(requested_at_ms);
-        let right = RenewalRight::new(clock, self.state.epoch(), ends_at_ms);
+        let right = RenewalRight::new(clock, self.state.epoch());
         self.renewal_right = Some(Arc::new(right));
         self.owned_since_ms = self.now_ms();
         self.workers_changed = true;
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -26,7 +26,8 @@
 pub struct LeaseTimes {
     /// How long a worker may run an attempt without a renewal.
     pub lease: Duration,
-    /// How long an owner may start and renew attempts after its last contact with the log.
+    /// How long an owner may start and renew attempts after it sent its last read that reached the
+    /// end of the log.
     ///
     /// All processes must use the same value, because a successor waits for it to pass.
     pub renewal_right: Duration,
--- a/crates/scheduler/src/worker/renewal_right.rs
+++ b/crates/scheduler/src/worker/renewal_right.rs
@@ -7,8 +7,8 @@
 
 /// Leader lease of a shard's owner: the right to start attempts and renew their leases.
 ///
-/// The right expires a fixed time after the last contact with the log, so that a successor knows
-/// when the former owner has stopped renewing.
+/// The right expires a fixed time after the last read that reached the end of the log was sent, so that
+/// a successor knows when the former owner has stopped renewing.
 pub(crate) struct RenewalRight {
     clock: Arc<dyn Clock>,
     epoch: Epoch,
@@ -16,12 +16,12 @@
 }
 
 impl RenewalRight {
-    /// Creates the right of an epoch; `valid_until_ms` is a time of the monotonic clock.
-    pub(crate) fn new(clock: Arc<dyn Clock>, epoch: Epoch, valid_until_ms: u64) -> Self {
+    /// Creates the right of an epoch; it is not valid until it is extended.
+    pub(crate) fn new(clock: Arc<dyn Clock>, epoch: Epoch) -> Self {
         Self {
             clock,
             epoch,
-            valid_until_ms: AtomicU64::new(valid_until_ms),
+            valid_until_ms: AtomicU64::new(0),
         }
     }
 
@@ -30,7 +30,7 @@
         self.epoch
     }
 
-    /// Extends the right; an earlier end is ignored.
+    /// Extends the right to a time of the monotonic clock; an earlier end is ignored.
     pub(crate) fn extend(&self, valid_until_ms: u64) {
         self.valid_until_ms
             .fetch_max(valid_until_ms, Ordering::SeqCst);
--- a/crates/scheduler/tests/shard/takeovers.rs
+++ b/crates/scheduler/tests/shard/takeovers.rs
@@ -14,13 +14,13 @@
 const LONG_MS: u64 = 60_000;
 
 /// Returns a world in which one long task runs, with the indexes of its owner and its worker.
-async fn running_world() -> (World, usize, usize) {
+async fn running_world(run_time_ms: u64) -> (World, usize, usize) {
     let mut world = World::new(safe_lease_times());
     world
         .wait_until("an owner", |state| state.workers().len() == WORKERS)
         .await;
     let run = "run".parse().expect("a name");
-    world.submit(&run, &job(1, LONG_MS, 1_000));
+    world.submit(&run, &job(1, run_time_ms, 1_000));
     world
         .wait_until("a start", |state| !state.open_attempts().is_empty())
         .await;
@@ -59,7 +59,7 @@
 /// only the former owner, which is cut off from the log, reaches the worker.
 #[tokio::test(start_paused = true)]
 async fn a_former_owner_that_still_renews_is_waited_for() {
-    let (mut world, owner, worker) = running_world().await;
+    let (mut world, owner, worker) = running_world(LONG_MS).await;
 
     cut_links_of_others(&world, owner, worker);
     replace_owner(&mut world, owner).await;
@@ -73,11 +73,44 @@
     assert_eq!(world.fleet.intervals().len(), 2);
 }
 
+/// Only a read that reached the end of the log shows that no later claim exists. A former owner with a
+/// backlog of its own records must not renew leases on the strength of pages before the claim, since
+/// its successor waits no longer than the right lasts after the claim.
+#[tokio::test(start_paused = true)]
+async fn an_owner_whose_reads_lag_behind_the_claim_of_another_stops_renewing_in_time() {
+    let (mut world, owner, worker) = running_world(400_000).await;
+    let epoch = world.state().await.epoch();
+    cut_links_of_others(&world, owner, worker);
+    world
+        .process(owner)
+        .expect("a process")
+        .set_slow_reads(true);
+    world.advance(6_000).await;
+
+    for index in 0..60 {
+        let run = format!("queued-{index}").parse().expect("a name");
+        world.submit(&run, &job(1, 500, 1_000));
+    }
+    world
+        .wait_until("the records", |state| state.runs().len() > 60)
+        .await;
+    world.views.set_live(owner, None);
+    world
+        .wait_until("a takeover", |state| state.epoch() > epoch)
+        .await;
+    world.advance(120_000).await;
+
+    let runs_of_the_task = world.fleet.intervals();
+    let runs_of_the_task = runs_of_the_task.iter();
+    let starts = runs_of_the_task.filter(|interval| interval.attempt.task.run.as_str() == "run");
+    assert_eq!(starts.count(), 2);
+}
+
 /// Once a worker has answered the successor, its attempts are lost after one lease. Waiting for the
 /// former owner's renewal right to expire would only delay the restart.
 #[tokio::test(start_paused = true)]
 async fn a_worker_that_answered_the_new_owner_refuses_the_former_one() {
-    let (mut world, owner, worker) = running_world().await;
+    let (mut world, owner, worker) = running_world(LONG_MS).await;
 
     replace_owner(&mut world, owner).await;
     world.advance(3_000).await;
@@ -147,7 +180,7 @@
 /// The release of a shard must neither stop running attempts nor lead to a second run of them.
 #[tokio::test(start_paused = true)]
 async fn a_planned_stop_hands_running_work_over() {
-    let (mut world, owner, _) = running_world().await;
+    let (mut world, owner, _) = running_world(LONG_MS).await;
 
     world.stop(owner).await;
     world
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -34,6 +34,8 @@
 
 const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
 const CLOCK_RATE_PER_MILLE: u64 = 1_009;
+/// The time for one record while reads are slow.
+const SLOW_READ: Duration = Duration::from_secs(4);
 
 /// One scheduler process, reduced to the task of a single shard.
 pub(crate) struct Process {
@@ -42,6 +44,7 @@
     pub(crate) metrics: ShardMetrics,
     frozen: Arc<watch::Sender<bool>>,
     log_cut: Arc<AtomicBool>,
+    slow_reads: Arc<AtomicBool>,
     stopping: CancellationToken,
     task: JoinHandle<()>,
 }
@@ -50,6 +53,7 @@
     pub(crate) fn spawn(world: &World, host: usize, incarnation: Incarnation) -> Self {
         let frozen = Arc::new(watch::Sender::new(false));
         let log_cut = Arc::new(AtomicBool::new(false));
+        let slow_reads = Arc::new(AtomicBool::new(false));
         let metrics = ShardMetrics::default();
         let context = ShardContext {
             shard: shard(),
@@ -62,6 +66,7 @@
                 log: Arc::clone(&world.log),
                 frozen: frozen.subscribe(),
                 log_cut: Arc::clone(&log_cut),
+                slow_reads: Arc::clone(&slow_reads),
                 appends: Arc::clone(&world.appends),
             }),
             clock: Arc::new(FastClock {
@@ -91,6 +96,7 @@
             metrics,
             frozen,
             log_cut,
+            slow_reads,
             stopping,
             task: tokio::spawn(task),
         }
@@ -110,6 +116,11 @@
         self.log_cut.store(is_cut, Ordering::SeqCst);
     }
 
+    /// Lets each read of the log take 4 s and return at most one record.
+    pub(crate) fn set_slow_reads(&self, is_slow: bool) {
+        self.slow_reads.store(is_slow, Ordering::SeqCst);
+    }
+
     /// Stops the process gracefully, so that it releases the shard.
     pub(crate) async fn stop(mut self) {
         self.stopping.cancel();
@@ -143,6 +154,7 @@
     log: Arc<MemoryLog>,
     frozen: watch::Receiver<bool>,
     log_cut: Arc<AtomicBool>,
+    slow_reads: Arc<AtomicBool>,
     appends: Arc<AtomicU64>,
 }
 
@@ -174,7 +186,13 @@
         hold: Duration,
     ) -> Result<LogPage, CallError> {
         self.pass_link().await?;
-        let result = self.log.read(stream, from, max_records, hold).await;
+        let result = if self.slow_reads.load(Ordering::SeqCst) {
+            let page = self.log.read(stream, from, 1, hold).await;
+            tokio::time::sleep(SLOW_READ).await;
+            page
+        } else {
+            self.log.read(stream, from, max_records, hold).await
+        };
         let _ = self.frozen.clone().wait_for(|frozen| !*frozen).await;
         match self.log_cut.load(Ordering::SeqCst) {
             true => Err(CallError::may_have_run("cut off from the log")),
