Start nothing in an evacuated failure domain

Cause: an operator could not take a failure domain out of use. Its schedulers went on starting attempts on its workers.

Change: a publication at operators/evacuations/DOMAIN requests the evacuation of a failure domain, and its removal ends it. The owner of a shard places nothing while the evacuation is in force, sends no start that was recorded before, and stops attempts whose start may be under way. Attempts that run are left alone: the run of a task is bound to the shards of its failure domain, so no capacity elsewhere could take it. With the setting scheduler.evacuate_ms, an owner whose last complete read of the records was sent longer ago than half of that time starts nothing. Metrics: scheduler_held_shards, scheduler_held_starts.

--- a/crates/cli/src/command/worker_capacities.rs
+++ b/crates/cli/src/command/worker_capacities.rs
@@ -71,7 +71,7 @@
         let size = match document {
             ConfigDocument::Service(_, service) => service.size,
             ConfigDocument::Job(_, job) => job.size,
-            ConfigDocument::Quota(_) => return None,
+            ConfigDocument::Quota(_) | ConfigDocument::Evacuation(..) => return None,
         };
         let fits = self.by_worker.iter().any(|capacity| size.fits_in(capacity));
         if fits || self.unanswered_count > 0 {
--- a/crates/daemon/src/settings/checks.rs
+++ b/crates/daemon/src/settings/checks.rs
@@ -17,6 +17,9 @@
 
 /// The shortest lease of a task, in worker time-outs.
 const LEASE_MIN_WORKER_TIMEOUTS: u64 = 4;
+/// The shortest bound of an evacuation: an idle log answers a read after 5 s, so the configuration is up
+/// to 10 s old in normal operation, and half of the bound must be well above that.
+const EVACUATE_MIN_MS: u64 = 30_000;
 
 /// Checks that no two listeners of the daemon share an address.
 pub(super) fn check_distinct_addresses(raw: &RawSettings) -> Result<(), FieldError> {
@@ -168,9 +171,24 @@
         lease,
         commit_interval,
         worker_timeout,
+        evacuation_bound: check_evacuation_bound(scheduler)?,
     })
 }
 
+/// Checks the bound of an evacuation. Half of it is the greatest age of the configuration at a start,
+/// and the other half must cover a start that is on its way, which the worker refuses after the lease.
+fn check_evacuation_bound(scheduler: &RawScheduler) -> Result<Option<Duration>, FieldError> {
+    let field = "scheduler.evacuate_ms";
+    let Some(evacuate_ms) = scheduler.evacuate_ms else {
+        return Ok(None);
+    };
+    if evacuate_ms < 2 * scheduler.lease_ms {
+        let rule = "must be at least twice lease_ms";
+        return Err(FieldError::new(field, rule));
+    }
+    checked_millis(field, evacuate_ms, EVACUATE_MIN_MS, 600_000).map(Some)
+}
+
 /// Checks that a value lies between `min` and `max`, both included.
 pub(crate) fn checked_number(
     field: &str,
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -87,6 +87,8 @@
     pub(super) commit_interval_ms: u64,
     #[serde(default = "defaults::worker_timeout_ms")]
     pub(super) worker_timeout_ms: u64,
+    #[serde(default)]
+    pub(super) evacuate_ms: Option<u64>,
 }
 
 /// The section `stop`: the time limits of a graceful stop.
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -100,6 +100,18 @@
             "field scheduler.shard_count: value \"two\"",
             "invalid type",
         ),
+        (
+            "\"127.0.0.1:6\"",
+            "\"127.0.0.1:6\", \"evacuate_ms\": 29999",
+            "field scheduler.evacuate_ms: value 29999",
+            "must be 30000 to 600000",
+        ),
+        (
+            "\"127.0.0.1:6\"",
+            "\"127.0.0.1:6\", \"lease_ms\": 20000, \"evacuate_ms\": 39999",
+            "field scheduler.evacuate_ms: value 39999",
+            "at least twice lease_ms",
+        ),
         ("}\n}", "}", "not JSON", ""),
     ];
     for (index, (valid, invalid, place, rule)) in table.into_iter().enumerate() {
--- a/crates/peer/src/config/config_follower.rs
+++ b/crates/peer/src/config/config_follower.rs
@@ -107,6 +107,7 @@
     } else {
         Duration::ZERO
     };
+    let sent_at_ms = store.now_ms();
     let page = log.read(CONFIG_STREAM, from, PAGE_RECORDS, wait).await?;
     store.record_log_contact(LogBounds {
         first_offset: page.first_offset,
@@ -121,9 +122,14 @@
         back_off().await;
     }
     store.apply(&page);
-    if store.current().next_offset() >= page.end_offset {
+    let next_offset = store.current().next_offset();
+    if next_offset >= page.end_offset {
         store.mark_loaded();
     }
+    // A log that ends before the records in force shows nothing about the newest records.
+    if next_offset == page.end_offset {
+        store.record_complete_read(sent_at_ms);
+    }
     Ok(())
 }
 
--- a/crates/peer/src/config/config_store.rs
+++ b/crates/peer/src/config/config_store.rs
@@ -43,6 +43,7 @@
     clock: Arc<dyn Clock>,
     is_loaded: AtomicBool,
     log_contact_at_ms: AtomicU64,
+    complete_read_at_ms: AtomicU64,
     log_bounds: Mutex<Option<LogBounds>>,
     last_failures: Mutex<LastFailures>,
     metrics: ConfigMetrics,
@@ -57,6 +58,7 @@
             clock,
             is_loaded: AtomicBool::new(false),
             log_contact_at_ms: AtomicU64::new(NEVER),
+            complete_read_at_ms: AtomicU64::new(NEVER),
             log_bounds: Mutex::default(),
             last_failures: Mutex::new(LastFailures {
                 log: "not read yet".into(),
@@ -78,6 +80,18 @@
         *lock(&self.log_bounds) = Some(log_bounds);
     }
 
+    /// Returns the monotonic time in milliseconds.
+    pub(super) fn now_ms(&self) -> u64 {
+        self.clock.monotonic_ms()
+    }
+
+    /// Records when a read was sent that reached the end of the log; call after its records have been
+    /// applied.
+    pub(super) fn record_complete_read(&self, sent_at_ms: u64) {
+        self.complete_read_at_ms
+            .store(sent_at_ms, Ordering::Release);
+    }
+
     /// Returns the bounds of the last successful read of the log, if any.
     pub(super) fn log_bounds(&self) -> Option<LogBounds> {
         *lock(&self.log_bounds)
@@ -132,6 +146,13 @@
         }
     }
 
+    fn age_ms(&self, at_ms: &AtomicU64) -> Option<u64> {
+        match at_ms.load(Ordering::Acquire) {
+            NEVER => None,
+            at_ms => Some(self.now_ms().saturating_sub(at_ms)),
+        }
+    }
+
     fn publish(&self, state: ConfigState) {
         self.metrics.set_next_offset(state.next_offset());
         self.state.store(Arc::new(state));
@@ -148,10 +169,11 @@
     }
 
     fn log_contact_age_ms(&self) -> Option<u64> {
-        match self.log_contact_at_ms.load(Ordering::Acquire) {
-            NEVER => None,
-            at_ms => Some(self.clock.monotonic_ms().saturating_sub(at_ms)),
-        }
+        self.age_ms(&self.log_contact_at_ms)
+    }
+
+    fn complete_read_age_ms(&self) -> Option<u64> {
+        self.age_ms(&self.complete_read_at_ms)
     }
 
     fn unready_reason(&self) -> Option<Box<str>> {
--- a/crates/peer/src/config/config_view.rs
+++ b/crates/peer/src/config/config_view.rs
@@ -13,6 +13,12 @@
     /// Returns the time since the log last answered, in milliseconds; `None` if it never did.
     fn log_contact_age_ms(&self) -> Option<u64>;
 
+    /// Returns how long ago the last read was sent that reached the end of the log, in milliseconds;
+    /// `None` if there was none.
+    ///
+    /// Every record that the log had accepted by then is part of the current configuration.
+    fn complete_read_age_ms(&self) -> Option<u64>;
+
     /// Returns why no configuration is loaded, as one short sentence; `None` if one is.
     fn unready_reason(&self) -> Option<Box<str>> {
         (!self.is_loaded()).then(|| "no configuration was read yet".into())
--- a/crates/peer/tests/support/network.rs
+++ b/crates/peer/tests/support/network.rs
@@ -38,6 +38,10 @@
     fn log_contact_age_ms(&self) -> Option<u64> {
         Some(0)
     }
+
+    fn complete_read_age_ms(&self) -> Option<u64> {
+        Some(0)
+    }
 }
 
 /// A one-way cut: all datagrams from one set of nodes to another are lost.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,6 +2,7 @@
 //! for every attempt.
 
 mod api;
+mod evacuation;
 pub mod interference;
 pub mod placement;
 pub mod quota;
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -53,6 +53,9 @@
     pub commit_interval: Duration,
     /// Timeout of one call to a worker.
     pub worker_timeout: Duration,
+    /// The time after the request of an evacuation from which no attempt starts any more. Half of it
+    /// limits the age of the configuration at starts; `None` for no limit.
+    pub evacuation_bound: Option<Duration>,
 }
 
 /// Service that runs one task for each shard of the failure domain, and the run API.
@@ -90,6 +93,7 @@
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             worker_agents: Arc::new(HttpWorkers::new(self.settings.worker_timeout)),
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
+            view_age_max: self.settings.evacuation_bound.map(|bound| bound / 2),
             create_placer: || Box::new(IndexedPlacer::default()),
             create_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
             eviction_policy: Arc::new(FewestVictims),
--- a/crates/scheduler/src/shard/inventories.rs
+++ b/crates/scheduler/src/shard/inventories.rs
@@ -99,9 +99,10 @@
     }
 
     /// Handles an open attempt that the worker does not list: the start is repeated if the attempt
-    /// should run; otherwise a stop makes the worker reject a start that arrives late.
+    /// should run and starts are allowed; otherwise a stop makes the worker reject a start that
+    /// arrives late, and the task waits again.
     fn reconcile_missing_attempt(&self, attempt: &AttemptId, open: &OpenAttempt) {
-        if self.should_run(attempt) {
+        if self.should_run(attempt) && self.start_gate.hold().is_none() {
             self.send_start(attempt, &open.worker);
         } else {
             let command = WorkerCommand::Stop(attempt.clone(), stop_body(open));
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -1,4 +1,5 @@
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 /// Counters over all shards of this process.
@@ -20,6 +21,11 @@
     pub snapshots: Counter,
     /// Evictions ordered because an attempt slowed down the services on its worker.
     pub interference_evictions: Counter,
+    /// Shards owned by this process in which nothing may start, because of an evacuation or of an
+    /// outdated view of the operators' records.
+    pub held_shards: Gauge,
+    /// Starts that were recorded, but not sent for one of these reasons.
+    pub held_starts: Counter,
     /// Evictions ordered to make room for urgent tasks.
     pub evictions: Counter,
 }
@@ -64,12 +70,22 @@
                 "Attempts evicted for the services beside them",
                 &self.interference_evictions,
             ),
+            (
+                "held_starts",
+                "Recorded starts not sent because of an evacuation or an outdated view",
+                &self.held_starts,
+            ),
             (
                 "evictions",
                 "Attempts evicted for urgent tasks",
                 &self.evictions,
             ),
         ];
+        registry.register(
+            "scheduler_held_shards",
+            "Owned shards in which nothing may start",
+            self.held_shards.clone(),
+        );
         for (name, help, counter) in entries {
             registry.register(format!("scheduler_{name}"), help, counter.clone());
         }
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -86,6 +86,7 @@
         self.attempts_with_queued_end.clear();
         self.evicting.clear();
         self.placement_wait_reasons.clear();
+        self.evacuation.reset(&self.context.metrics);
         self.appender.discard_batch();
         self.replies.answer_all(&Err(RunCommandError::NotOwner));
     }
--- a/crates/scheduler/src/shard/placing.rs
+++ b/crates/scheduler/src/shard/placing.rs
@@ -23,10 +23,10 @@
 const EVICTIONS_PER_BATCH_MAX: usize = 16;
 
 impl ShardTask {
-    /// Returns events for the next starts, and begins evictions for urgent tasks without room.
+    /// Returns events for the next starts, unless nothing may start in the failure domain, and begins evictions for urgent tasks without room.
     pub(super) fn place_tasks(&mut self) -> Vec<ShardEvent> {
         self.placement_wait_reasons.clear();
-        if !self.state.has_waiting_tasks() {
+        if !self.state.has_waiting_tasks() || self.start_gate.hold().is_some() {
             return Vec::new();
         }
         let usable = self.usable_workers();
--- a/crates/scheduler/src/shard/run_reports.rs
+++ b/crates/scheduler/src/shard/run_reports.rs
@@ -16,12 +16,16 @@
             return summaries;
         }
         let mut waits = self.silent_worker_waits();
+        let hold = self.start_gate.hold().map(|hold| hold.to_string());
         for summary in &mut summaries {
             summary.is_from_owner = true;
             summary.waits = waits.remove(&summary.run).unwrap_or_default();
             summary
                 .waits
                 .extend(self.placement_wait_reasons.get(&summary.run).cloned());
+            if let Some(hold) = hold.as_ref().filter(|_| summary.waiting > 0) {
+                summary.waits.push(hold.as_str().into());
+            }
         }
         summaries
     }
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -81,8 +81,10 @@
     pub membership: Arc<dyn MembershipView>,
     /// Creates the clients of worker agents.
     pub worker_agents: Arc<dyn WorkerAgents>,
-    /// Configuration in force; contains the teams' quotas.
+    /// Configuration in force; contains the teams' quotas and the evacuations.
     pub config: Arc<dyn ConfigView>,
+    /// The greatest age of the configuration at which attempts may start; `None` for no limit.
+    pub view_age_max: Option<Duration>,
     /// Creates the placer, which chooses the next starts.
     pub create_placer: fn() -> Box<dyn Placer>,
     /// Creates the controller that protects services from batch work on the same worker.
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -27,6 +27,8 @@
 use super::pending_replies::PendingReplies;
 use super::stream_reader::StreamReader;
 use super::stream_reader::StreamUpdate;
+use crate::evacuation::EvacuationMonitor;
+use crate::evacuation::StartGate;
 use crate::placement::ObservedSizes;
 use crate::placement::Placer;
 use crate::run_commands::ShardCommand;
@@ -75,6 +77,8 @@
     pub(super) evicting: BTreeSet<AttemptId>,
     pub(super) interference: InterferenceMonitor,
     pub(super) placement_wait_reasons: BTreeMap<RunId, Box<str>>,
+    pub(super) start_gate: Arc<StartGate>,
+    pub(super) evacuation: EvacuationMonitor,
     results: mpsc::Sender<AppendResult>,
 }
 
@@ -91,6 +95,11 @@
     let (results, received_results) = mpsc::channel(APPEND_RESULT_QUEUE_MAX);
     let placer = (context.create_placer)();
     let controller = (context.create_controller)();
+    let start_gate = StartGate::new(
+        Arc::clone(&context.config),
+        context.shard.failure_domain.clone(),
+        context.view_age_max,
+    );
     let task = ShardTask {
         appender: Appender::new(context.host.clone(), context.incarnation),
         context,
@@ -123,6 +132,8 @@
         evicting: BTreeSet::new(),
         interference: InterferenceMonitor::new(controller),
         placement_wait_reasons: BTreeMap::new(),
+        start_gate: Arc::new(start_gate),
+        evacuation: EvacuationMonitor::default(),
         results,
     };
     let inputs = Inputs {
@@ -223,6 +234,7 @@
             self.sync_worker_tasks();
             self.queue_lost_attempts();
             self.apply_interference_actions();
+            self.observe_evacuation();
         }
         if !self.appender.has_batch() {
             self.assemble_batch();
@@ -230,6 +242,16 @@
         self.append_if_due();
     }
 
+    fn observe_evacuation(&mut self) {
+        let context = &self.context;
+        self.evacuation.observe(
+            &context.shard,
+            &self.start_gate,
+            &self.state,
+            &context.metrics,
+        );
+    }
+
     /// Appends the batch if an append is due: the first one, or a retry.
     pub(super) fn append_if_due(&mut self) {
         let now_ms = self.now_ms();
--- a/crates/scheduler/src/shard/workers.rs
+++ b/crates/scheduler/src/shard/workers.rs
@@ -8,6 +8,7 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::WorkerId;
 use rapidhash::v3::rapidhash_v3;
+use spdlog::info;
 
 use super::shard_task::ShardTask;
 use crate::worker::WorkerCommand;
@@ -83,6 +84,7 @@
             lease: self.context.lease_times.lease,
             clock: Arc::clone(&self.context.clock),
             renewal_right,
+            start_gate: Arc::clone(&self.start_gate),
             latest_answer: Arc::clone(latest_answer),
             reports: self.reports.clone(),
         }))
@@ -116,11 +118,16 @@
     }
 
     /// Sends a recorded attempt to its worker, if the recorded incarnation of the worker has
-    /// answered this owner.
+    /// answered this owner and starts are allowed in the failure domain.
     pub(super) fn send_start(&self, attempt: &AttemptId, worker: &WorkerId) {
         let Some(handle) = self.workers.get(worker) else {
             return;
         };
+        if let Some(hold) = self.start_gate.hold() {
+            info!("shard: attempt {attempt} is not started on {worker}: {hold}");
+            self.context.metrics.held_starts.inc();
+            return;
+        }
         if let Some(body) = self.start_body(attempt, worker) {
             handle.send(WorkerCommand::Start(attempt.clone(), body));
         }
--- a/crates/scheduler/src/worker/worker_task.rs
+++ b/crates/scheduler/src/worker/worker_task.rs
@@ -22,6 +22,7 @@
 use super::LatestAnswer;
 use super::RenewalRight;
 use super::latest_answer::WorkerAnswer;
+use crate::evacuation::StartGate;
 
 const COMMAND_QUEUE_MAX: usize = 4_096;
 const CONCURRENT_CALLS_MAX: usize = 32;
@@ -67,6 +68,8 @@
     pub(crate) clock: Arc<dyn Clock>,
     /// The owner's right to start and renew, checked before each start and renewal.
     pub(crate) renewal_right: Arc<RenewalRight>,
+    /// Whether attempts may start in the failure domain, checked before each start.
+    pub(crate) start_gate: Arc<StartGate>,
     /// The worker's newest answer, shared with the shard's task.
     pub(crate) latest_answer: Arc<LatestAnswer>,
     /// Receives the result of each renewal.
@@ -219,7 +222,8 @@
     }
 
     fn start(&mut self, agent: Arc<dyn WorkerAgent>, attempt: AttemptId, body: StartBody) {
-        if !self.context.renewal_right.is_valid() {
+        let is_allowed = self.context.start_gate.hold().is_none();
+        if !is_allowed || !self.context.renewal_right.is_valid() {
             return;
         }
         let expected_end = Instant::now() + Duration::from_millis(body.run_time_ms);
--- a/crates/scheduler/tests/shard/faults.rs
+++ b/crates/scheduler/tests/shard/faults.rs
@@ -1,4 +1,4 @@
-//! Random fault schedules: kills, freezes, cut links, late and duplicate messages.
+//! Random fault schedules: kills, freezes, cut links, late and duplicate messages, evacuations.
 
 use dotterelhook_borders::log::LogFault;
 use dotterelhook_types::ids::RunId;
@@ -44,6 +44,9 @@
     RestartWorker(usize),
     SetFailsAll(usize, bool),
     SetLeaving(usize, bool),
+    SetEvacuated(bool),
+    SetConfigCut(usize, bool),
+    SetSlowReads(usize, bool),
     Advance(u64),
 }
 
@@ -107,6 +110,9 @@
             1 => w().prop_map(Step::RestartWorker),
             1 => (w(), any::<bool>()).prop_map(|(w, on)| Step::SetFailsAll(w, on)),
             1 => (w(), any::<bool>()).prop_map(|(w, on)| Step::SetLeaving(w, on)),
+            2 => any::<bool>().prop_map(Step::SetEvacuated),
+            1 => (h(), any::<bool>()).prop_map(|(h, on)| Step::SetConfigCut(h, on)),
+            1 => (h(), any::<bool>()).prop_map(|(h, on)| Step::SetSlowReads(h, on)),
             12 => (200_u64..6_000).prop_map(Step::Advance),
         ]
         .boxed()
@@ -206,6 +212,15 @@
         Step::RestartWorker(worker) => world.fleet.restart(worker),
         Step::SetFailsAll(worker, on) => world.fleet.set_fails_all(worker, on),
         Step::SetLeaving(worker, on) => world.views.set_leaving(worker, on),
+        Step::SetEvacuated(on) => world.set_evacuated(on),
+        Step::SetConfigCut(host, on) => world
+            .process(host)
+            .into_iter()
+            .for_each(|p| p.set_config_cut(on)),
+        Step::SetSlowReads(host, on) => world
+            .process(host)
+            .into_iter()
+            .for_each(|p| p.set_slow_reads(on)),
         Step::Advance(ms) => world.advance(ms).await,
     }
     world.fleet.check();
--- a/crates/scheduler/tests/shard/world/agents.rs
+++ b/crates/scheduler/tests/shard/world/agents.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         self.started_at.elapsed().as_millis() as u64
     }
 
--- a/crates/scheduler/tests/shard/world/mod.rs
+++ b/crates/scheduler/tests/shard/world/mod.rs
@@ -31,6 +31,7 @@
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::RunId;
 use process::Process;
+pub(crate) use process::VIEW_AGE_MAX;
 use tokio::sync::oneshot;
 use views::Views;
 
@@ -69,6 +70,8 @@
     times: LeaseTimes,
     processes: Vec<Option<Process>>,
     incarnation: u64,
+    /// The evacuations of the failure domain: when each was requested and when it ended.
+    evacuations: Vec<(u64, Option<u64>)>,
     replies: BTreeMap<RunId, Vec<oneshot::Receiver<Result<(), RunCommandError>>>>,
 }
 
@@ -82,6 +85,7 @@
             times,
             processes: (0..HOSTS).map(|_| None).collect(),
             incarnation: 0,
+            evacuations: Vec::new(),
             replies: BTreeMap::new(),
         };
         (0..HOSTS).for_each(|host| world.start(host));
@@ -213,12 +217,39 @@
         panic!("never came: {what}");
     }
 
+    /// Requests the evacuation of the failure domain, or ends it.
+    pub(crate) fn set_evacuated(&mut self, is_evacuated: bool) {
+        let now_ms = self.fleet.now_ms();
+        let in_force = self.evacuations.last_mut().filter(|(_, to)| to.is_none());
+        match (is_evacuated, in_force) {
+            (true, None) => self.evacuations.push((now_ms, None)),
+            (false, Some((_, to_ms))) => *to_ms = Some(now_ms),
+            _ => {}
+        }
+        self.views.set_evacuated(is_evacuated);
+    }
+
+    /// Checks that no attempt started later after the request of an evacuation than an outdated view
+    /// and a start on its way explain.
+    pub(crate) fn check_evacuations(&self) {
+        let bound_ms = (VIEW_AGE_MAX + LEASE).as_millis() as u64;
+        for interval in self.fleet.intervals() {
+            let at_ms = interval.from_ms;
+            let is_late = |(from_ms, to_ms): &(u64, Option<u64>)| {
+                at_ms > from_ms + bound_ms && to_ms.is_none_or(|to_ms| at_ms < to_ms)
+            };
+            let broken = self.evacuations.iter().find(|window| is_late(window));
+            assert_eq!(broken, None, "started during an evacuation: {interval:?}");
+        }
+    }
+
     /// Advances time and checks the workers at every step.
     pub(crate) async fn advance(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(CHECK_STEP_MS) {
             tokio::time::sleep(Duration::from_millis(CHECK_STEP_MS)).await;
             self.fleet.check();
         }
+        self.check_evacuations();
     }
 
     /// Ends all faults and waits until no run is active and no attempt is open.
@@ -226,10 +257,13 @@
         self.log.set_fault(Default::default());
         self.fleet.heal();
         self.views.heal();
+        self.set_evacuated(false);
         for host in 0..HOSTS {
             if let Some(process) = &self.processes[host] {
                 process.thaw();
                 process.set_log_cut(false);
+                process.set_slow_reads(false);
+                process.set_config_cut(false);
                 self.views.set_live(host, Some(process.incarnation));
             } else {
                 self.start(host);
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -30,10 +30,13 @@
 use super::agents::FakeAgents;
 use super::shard;
 use super::views::FakeMembership;
+use super::views::ProcessConfig;
 use super::views::host_id;
 
 const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
 const CLOCK_RATE_PER_MILLE: u64 = 1_009;
+/// The greatest age of the configuration at which a process starts attempts.
+pub(crate) const VIEW_AGE_MAX: Duration = Duration::from_secs(3);
 /// The time for one record while reads are slow.
 const SLOW_READ: Duration = Duration::from_secs(4);
 
@@ -45,6 +48,7 @@
     frozen: Arc<watch::Sender<bool>>,
     log_cut: Arc<AtomicBool>,
     slow_reads: Arc<AtomicBool>,
+    config_cut: Arc<AtomicBool>,
     stopping: CancellationToken,
     task: JoinHandle<()>,
 }
@@ -54,6 +58,7 @@
         let frozen = Arc::new(watch::Sender::new(false));
         let log_cut = Arc::new(AtomicBool::new(false));
         let slow_reads = Arc::new(AtomicBool::new(false));
+        let config_cut = Arc::new(AtomicBool::new(false));
         let metrics = ShardMetrics::default();
         let context = ShardContext {
             shard: shard(),
@@ -82,7 +87,12 @@
                 host,
                 frozen: frozen.subscribe(),
             }),
-            config: Arc::clone(&world.views) as _,
+            config: Arc::new(ProcessConfig::new(
+                Arc::clone(&world.views),
+                Arc::clone(&config_cut),
+                frozen.subscribe(),
+            )),
+            view_age_max: Some(VIEW_AGE_MAX),
             create_placer: || Box::new(IndexedPlacer::default()),
             create_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
             eviction_policy: Arc::new(FewestVictims),
@@ -97,6 +107,7 @@
             frozen,
             log_cut,
             slow_reads,
+            config_cut,
             stopping,
             task: tokio::spawn(task),
         }
@@ -116,6 +127,11 @@
         self.log_cut.store(is_cut, Ordering::SeqCst);
     }
 
+    /// Cuts the process off from new configurations.
+    pub(crate) fn set_config_cut(&self, is_cut: bool) {
+        self.config_cut.store(is_cut, Ordering::SeqCst);
+    }
+
     /// Lets each read of the log take 4 s and return at most one record.
     pub(crate) fn set_slow_reads(&self, is_slow: bool) {
         self.slow_reads.store(is_slow, Ordering::SeqCst);
--- a/crates/scheduler/tests/shard/world/views.rs
+++ b/crates/scheduler/tests/shard/world/views.rs
@@ -2,6 +2,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use dotterelhook_borders::hosts::HostSnapshot;
 use dotterelhook_borders::hosts::HostState;
@@ -15,12 +17,17 @@
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
 use dotterelhook_state::config::ConfigState;
+use dotterelhook_state::config::Evacuation;
+use dotterelhook_types::ids::ConfigPath;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TargetId;
 use dotterelhook_types::sizes::Resources;
+use serde_json::Value;
 use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::agents::worker_address;
 
@@ -65,12 +72,31 @@
 
     /// Sets the quota of the team `night`.
     pub(crate) fn set_quota(&self, batch: &Resources) {
+        let path = "night/quota".parse().expect("a path");
+        self.publish(&path, Some(json!({ "batch": batch })));
+    }
+
+    /// Requests the evacuation of the failure domain, or ends it.
+    pub(crate) fn set_evacuated(&self, is_evacuated: bool) {
+        let path = Evacuation::path(&"laguna".parse().expect("a name"));
+        if self.config().version(&path).is_some() != is_evacuated {
+            let body = json!({ "requested_at_unix_ms": 1 });
+            self.publish(&path, is_evacuated.then_some(body));
+        }
+    }
+
+    fn config(&self) -> Arc<ConfigState> {
+        Arc::clone(&self.config.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn publish(&self, path: &ConfigPath, body: Option<Value>) {
+        let mut state = ConfigState::clone(&self.config());
+        let offset = state.next_offset();
         let publication = json!({
-            "writer": "test", "sequence": 1, "team": "night", "path": "night/quota",
-            "base_offset": null, "body": { "batch": batch }
+            "writer": "test", "sequence": offset.0 + 1, "team": path.team(), "path": path,
+            "base_offset": state.base_offset(path), "body": body
         });
-        let mut state = ConfigState::default();
-        let applied = state.apply(Offset(0), &publication.to_string());
+        let applied = state.apply(offset, &publication.to_string());
         applied.expect("a valid publication");
         *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(state);
     }
@@ -157,9 +183,41 @@
     }
 }
 
-impl ConfigView for Views {
+/// The configuration as one process sees it: as it is, or as it was when the process was cut off.
+pub(crate) struct ProcessConfig {
+    views: Arc<Views>,
+    is_cut: Arc<AtomicBool>,
+    frozen: watch::Receiver<bool>,
+    seen: Mutex<(Arc<ConfigState>, Instant)>,
+}
+
+impl ProcessConfig {
+    pub(crate) fn new(
+        views: Arc<Views>,
+        is_cut: Arc<AtomicBool>,
+        frozen: watch::Receiver<bool>,
+    ) -> Self {
+        let seen = Mutex::new((views.config(), Instant::now()));
+        Self {
+            views,
+            is_cut,
+            frozen,
+            seen,
+        }
+    }
+
+    fn seen(&self) -> (Arc<ConfigState>, Instant) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        if !self.is_cut.load(Ordering::SeqCst) && !*self.frozen.borrow() {
+            *seen = (self.views.config(), Instant::now());
+        }
+        seen.clone()
+    }
+}
+
+impl ConfigView for ProcessConfig {
     fn current(&self) -> Arc<ConfigState> {
-        Arc::clone(&self.config.lock().unwrap_or_else(PoisonError::into_inner))
+        self.seen().0
     }
 
     fn is_loaded(&self) -> bool {
@@ -169,4 +227,8 @@
     fn log_contact_age_ms(&self) -> Option<u64> {
         None
     }
+
+    fn complete_read_age_ms(&self) -> Option<u64> {
+        Some(self.seen().1.elapsed().as_millis() as u64)
+    }
 }
--- a/crates/state/src/config/config_state.rs
+++ b/crates/state/src/config/config_state.rs
@@ -28,6 +28,9 @@
 const RETAINED_OUTCOMES_MAX: usize = 1_000;
 const RETAINED_WRITERS_MAX: usize = 1_000;
 const PATHS_MAX: usize = 10_000;
+/// Evacuations are exempt from the limit of the other paths, so that a full configuration does not keep
+/// an operator from requesting one.
+const EVACUATIONS_MAX: usize = 100;
 
 /// The document in force at one path.
 #[derive(Clone, Debug, PartialEq)]
@@ -185,8 +188,11 @@
             self.services
                 .check_conflicts(path, name, &settings.path_prefix)?;
         }
-        if self.versions.len() >= PATHS_MAX && !self.versions.contains_key(path) {
-            let paths_max = PATHS_MAX;
+        let paths_max = match &document {
+            ConfigDocument::Evacuation(..) => PATHS_MAX + EVACUATIONS_MAX,
+            _ => PATHS_MAX,
+        };
+        if self.versions.len() >= paths_max && !self.versions.contains_key(path) {
             return Err(Refusal::TooManyPaths { paths_max });
         }
         let body = Arc::new(body.clone());
--- a/crates/state/src/config/document_kind.rs
+++ b/crates/state/src/config/document_kind.rs
@@ -1,17 +1,22 @@
 use dotterelhook_types::document::FieldError;
 use dotterelhook_types::document::decode_value;
 use dotterelhook_types::ids::ConfigPath;
+use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::JobName;
 use dotterelhook_types::ids::ServiceName;
 use dotterelhook_types::ids::TeamName;
 use serde_json::Value;
 
 use super::BatchJob;
+use super::Evacuation;
 use super::Quota;
 use super::ServiceSettings;
 use super::batch_job::RawBatchJob;
 use super::service::RawService;
 
+/// The first segment of the paths that belong to the operators of the system.
+const OPERATORS: &str = "operators";
+
 /// The kind of document that a path holds, derived from the path alone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DocumentKind {
@@ -21,6 +26,8 @@
     Job(TeamName, JobName),
     /// A team's quota, at `TEAM/quota`.
     Quota(TeamName),
+    /// The evacuation of a failure domain, at `operators/evacuations/DOMAIN`.
+    Evacuation(FailureDomain),
 }
 
 impl TryFrom<&ConfigPath> for DocumentKind {
@@ -33,6 +40,9 @@
             ["services", name] => Ok(Self::Service(team, parse_segment(name)?)),
             ["jobs", name] => Ok(Self::Job(team, parse_segment(name)?)),
             ["quota"] => Ok(Self::Quota(team)),
+            ["evacuations", domain] if team.as_str() == OPERATORS => {
+                Ok(Self::Evacuation(parse_segment(domain)?))
+            }
             _ => {
                 let rule = "a path is TEAM/services/NAME, TEAM/jobs/NAME or TEAM/quota";
                 Err(FieldError::new("path", rule))
@@ -59,6 +69,8 @@
     Job(JobName, BatchJob),
     /// Quota of the team that owns the path.
     Quota(Quota),
+    /// The evacuation of a failure domain.
+    Evacuation(FailureDomain, Evacuation),
 }
 
 impl ConfigDocument {
@@ -77,6 +89,7 @@
                 Ok(Self::Job(name, raw.try_into()?))
             }
             DocumentKind::Quota(_) => Ok(Self::Quota(decode_value(body)?)),
+            DocumentKind::Evacuation(domain) => Ok(Self::Evacuation(domain, decode_value(body)?)),
         }
     }
 }
--- a/crates/state/src/config/quota_rules.rs
+++ b/crates/state/src/config/quota_rules.rs
@@ -36,6 +36,6 @@
             }
             Ok(())
         }
-        ConfigDocument::Service(..) => Ok(()),
+        ConfigDocument::Service(..) | ConfigDocument::Evacuation(..) => Ok(()),
     }
 }
--- a/crates/state/src/shard/run_summary.rs
+++ b/crates/state/src/shard/run_summary.rs
@@ -26,6 +26,9 @@
     pub done: u32,
     /// Number of tasks with an open attempt.
     pub running: u32,
+    /// Whether the tasks can write checkpoints.
+    #[serde(default)]
+    pub is_checkpointable: bool,
     /// Number of tasks that wait for a worker.
     pub waiting: u32,
     /// The run's deadline, as Unix time in milliseconds.
@@ -52,6 +55,7 @@
             tasks: run.spec.settings.tasks,
             done: run.done,
             running: run.open_tasks(),
+            is_checkpointable: run.spec.settings.checkpointable,
             waiting: run.waiting_tasks().len() as u32,
             deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
             cause: run.cause.clone(),
