Let operators evacuate a failure domain by the command line

Cause: the fold knows evacuations, but operators had no command to request, end or see them.

Change: `dotterelhook evacuate DOMAIN` appends the request and `--end` its removal, by the code that publishes: one append, then the outcome is read from the log. `dotterelhook status` prints the evacuations with their state, version, age and running attempts; the numbers come from the new query /evacuations of a scheduler in the failure domain. A directory of settings can't contain an evacuation. The simulated log of the tests of publish is shared with those of evacuate; the tests themselves are unchanged.

--- a/crates/cli/src/cli/arguments.rs
+++ b/crates/cli/src/cli/arguments.rs
@@ -100,6 +100,15 @@
         Ok(JsonClient::new(address, self.timeout))
     }
 
+    /// Returns a client of the daemon whose admin address `--daemon` names, if given.
+    pub(crate) fn optional_daemon(&mut self) -> Result<Option<JsonClient>, Failure> {
+        let address: Option<SocketAddr> = self
+            .inner
+            .opt_value_from_str("--daemon")
+            .map_err(Failure::usage)?;
+        Ok(address.map(|address| JsonClient::new(address, self.timeout)))
+    }
+
     /// Returns the address of the host list that `--hosts` names, if given.
     pub(crate) fn hosts(&mut self) -> Result<Option<SocketAddr>, Failure> {
         let address = self.inner.opt_value_from_str("--hosts");
--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -9,7 +9,8 @@
     publish   publish the changed documents of a directory of settings
     get       print the configuration in force
     history   print the outcomes of the newest publications
-    status    print the daemons and the offset that each has in force
+    status    print the daemons, the offset that each has in force, and evacuations
+    evacuate  request that nothing starts in a failure domain, or end that
     jobs      print the runs and their progress
     explain   print the timeline of one job, or an overview, from log files
     report    print error budgets, or runs that failed, are overdue or wait
@@ -75,10 +76,31 @@
 the age of its last contact with the platform's log. Exits with 4 if a failure
 domain can't be reached from that daemon.
 
+Evacuations follow, if there are any: requested, emptying (attempts still run),
+empty or ended, with the version of the record, the time since the request, and
+the number of running attempts with checkpoints and without. The numbers come
+from a scheduler of the failure domain and are unknown if none answers.
+
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
 ";
 
+const EVACUATE: &str = "\
+USAGE:
+    dotterelhook evacuate DOMAIN --log ADDRESS [--end] [--timeout-ms N]
+        [--daemon ADDRESS [--wait]]
+
+Requests that no attempt starts on a worker of the failure domain, until the
+same command with --end. Attempts that run go on to their end; waiting tasks
+wait. status shows what still runs. With --daemon, a failure domain without a
+daemon is an error; with --wait, returns once every live daemon has the change
+in force.
+
+EXAMPLE:
+    dotterelhook evacuate laguna --log 127.0.0.1:7000 --daemon 127.0.0.1:7101
+    dotterelhook evacuate laguna --log 127.0.0.1:7000 --end
+";
+
 const JOBS: &str = "\
 USAGE:
     dotterelhook jobs --daemon ADDRESS
@@ -135,6 +157,7 @@
         Some("get") => GET,
         Some("history") => HISTORY,
         Some("status") => STATUS,
+        Some("evacuate") => EVACUATE,
         Some("jobs") => JOBS,
         Some("explain") => EXPLAIN,
         Some("report") => REPORT,
--- a/crates/cli/src/cli/mod.rs
+++ b/crates/cli/src/cli/mod.rs
@@ -36,6 +36,7 @@
         Some("jobs") => command::jobs(arguments).await,
         Some("report") => report(arguments).await,
         Some("status") => command::status(arguments).await,
+        Some("evacuate") => command::evacuate(arguments).await,
         Some("get") => command::get(arguments).await,
         Some("history") => command::history(arguments).await,
         Some("explain") => command::explain(arguments).await,
--- a/crates/cli/src/command/config_tree.rs
+++ b/crates/cli/src/command/config_tree.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use dotterelhook_state::config::ConfigDocument;
+use dotterelhook_state::config::DocumentKind;
 use dotterelhook_state::config::PublicationOutcome;
 use dotterelhook_types::document::Document;
 use dotterelhook_types::document::DocumentError;
@@ -85,6 +86,13 @@
         .to_string_lossy()
         .parse()
         .map_err(|error| file_error(file, &format!("{error}")))?;
+    if matches!(
+        DocumentKind::try_from(&path),
+        Ok(DocumentKind::Evacuation(_))
+    ) {
+        let rule = "an evacuation is no setting; request it with dotterelhook evacuate";
+        return Err(file_error(file, rule));
+    }
     let text = fs::read_to_string(file)
         .map_err(|error| file_error(file, &format!("can't read: {error}")))?;
     let document = Document::parse(&file.display().to_string(), &text)?;
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,8 +1,10 @@
 //! The commands of the command line, one file each, and the helpers that several of them share.
 
 mod check;
+mod collected_evacuations;
 mod collected_runs;
 mod config_tree;
+mod evacuate;
 mod explain;
 mod get;
 mod history;
@@ -18,6 +20,7 @@
 mod worker_capacities;
 
 pub(crate) use check::check;
+pub(crate) use evacuate::evacuate;
 pub(crate) use explain::explain;
 pub(crate) use get::get;
 pub(crate) use history::history;
--- a/crates/cli/src/command/publish.rs
+++ b/crates/cli/src/command/publish.rs
@@ -106,7 +106,7 @@
 
 /// Turns a failed call after the append into `Refused`: the change was accepted, so the exit code
 /// must not say that nothing was changed.
-fn report_as_accepted(failure: Failure) -> Failure {
+pub(super) fn report_as_accepted(failure: Failure) -> Failure {
     match failure {
         Failure::Call(error) => Failure::Refused(format!(
             "accepted, but the daemon could not be queried for the rollout: {error}"
@@ -115,7 +115,8 @@
     }
 }
 
-async fn wait_until_in_force(
+/// Waits until every live member has the records below `end` in force.
+pub(super) async fn wait_until_in_force(
     daemon: &JsonClient,
     end: Offset,
     timeout: Duration,
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -2,15 +2,29 @@
 
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::Rollout;
+use dotterelhook_state::config::EvacuationPhase;
+use dotterelhook_state::config::EvacuationReport;
 use dotterelhook_types::ids::Offset;
+use serde_json::json;
 
+use super::collected_evacuations::collect_evacuations;
+use super::evacuate::unix_ms;
 use super::table::new_table;
 use crate::cli::CommonArguments;
 use crate::cli::Failure;
 
+const EVACUATION_COLUMNS: [&str; 6] = [
+    "EVACUATION",
+    "STATE",
+    "VERSION",
+    "SINCE",
+    "CHECKPOINTED",
+    "OTHER",
+];
 const COLUMNS: [&str; 7] = ["DOMAIN", "HOST", "ROLE", "STATE", "OFFSET", "HEARD", "LOG"];
 
-/// Prints the members that the daemon lists, with the offset that each has in force.
+/// Prints the members that the daemon lists, with the offset that each has in force, and the
+/// evacuations.
 ///
 /// # Errors
 /// The daemon can't be queried, or a failure domain can't be reached from it.
@@ -18,16 +32,18 @@
     let mut arguments = CommonArguments::parse(arguments)?;
     let daemon = arguments.daemon()?;
     let is_json = arguments.is_json;
+    let timeout = arguments.timeout;
     arguments.finish()?;
     let mut members: Vec<Member> = daemon.get("/members").await?.check_status()?.decode()?;
     members.sort_by(|a, b| a.heartbeat.failure_domain.cmp(&b.heartbeat.failure_domain));
+    let evacuations = collect_evacuations(&daemon, &members, timeout).await?;
     if is_json {
-        println!(
-            "{}",
-            serde_json::to_string_pretty(&members).map_err(Failure::usage)?
-        );
+        let report = json!({ "members": members, "evacuations": evacuations });
+        let text = serde_json::to_string_pretty(&report).map_err(Failure::usage)?;
+        println!("{text}");
     } else {
         print_table(&members);
+        print_evacuations(&evacuations);
     }
     check_reachable(&members)
 }
@@ -53,6 +69,33 @@
     println!("{table}");
 }
 
+fn print_evacuations(evacuations: &[EvacuationReport]) {
+    if evacuations.is_empty() {
+        return;
+    }
+    let mut table = new_table(&EVACUATION_COLUMNS);
+    for report in evacuations {
+        let count = |count: Option<u32>| match count {
+            Some(count) => count.to_string(),
+            None if report.phase == EvacuationPhase::Ended => "-".to_owned(),
+            None => "unknown".to_owned(),
+        };
+        let since = report.requested_at_unix_ms.map_or_else(
+            || "-".to_owned(),
+            |at_unix_ms| format_seconds(unix_ms().saturating_sub(at_unix_ms)),
+        );
+        table.add_row([
+            report.failure_domain.to_string(),
+            report.phase.to_string(),
+            report.offset.to_string(),
+            since,
+            count(report.running.map(|running| running.checkpointable)),
+            count(report.running.map(|running| running.other)),
+        ]);
+    }
+    println!("\n{table}");
+}
+
 /// Fails if the daemon can't reach a whole failure domain.
 fn check_reachable(members: &[Member]) -> Result<(), Failure> {
     let rollout = Rollout::from_members(members, Offset::default());
--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -2,17 +2,15 @@
 //! Guards against a plan that is appended twice, against exit codes that claim more than is known
 //! when the log fails, and against refusals that are found only after something was published.
 
+mod scripted_log;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
-use std::process::Output;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use bytes::Bytes;
 use dotterelhook_borders::hosts::HostSnapshot;
 use dotterelhook_borders::hosts::HostState;
 use dotterelhook_borders::hosts::WorkerEntry;
@@ -21,21 +19,20 @@
 use dotterelhook_standins::hosts::HostListServer;
 use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::log::LogServer;
-use dotterelhook_standins::server::Answer;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
-use dotterelhook_standins::server::FaultSwitch;
 use dotterelhook_standins::server::Handler;
-use dotterelhook_standins::server::bind;
-use dotterelhook_standins::server::serve;
 use dotterelhook_standins::worker::WorkerModel;
 use dotterelhook_standins::worker::WorkerServer;
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::sizes::Resources;
-use hyper::Method;
-use tokio::process::Command;
+use scripted_log::AppendBehavior;
+use scripted_log::exit_and_text;
+use scripted_log::run;
+use scripted_log::start;
+use scripted_log::start_log;
 
 const JOB: &str = r#"{ "tasks": 1, "size": { "cpu_milli": 4000, "memory_mb": 1000 },
     "run_time_ms": 1000, "deadline_ms": 60000 }"#;
@@ -43,96 +40,6 @@
 const SMALL_QUOTA: &str = r#"{ "batch": { "cpu_milli": 1000, "memory_mb": 8000 } }"#;
 const RECORDS_MAX: usize = 10_000;
 
-/// The behavior of the log at an operator's append.
-#[derive(Clone, Debug, PartialEq)]
-enum AppendBehavior {
-    /// Appends and answers.
-    Succeed,
-    /// Appends and loses the answer.
-    LoseAnswer,
-    /// Stops answering before the append.
-    FreezeBefore,
-    /// Appends and then stops answering.
-    FreezeAfter,
-    /// Appends a record of another writer first.
-    AppendRivalFirst(Box<str>),
-}
-
-struct ScriptedLog {
-    inner: LogServer,
-    faults: FaultSwitch,
-    append_behavior: Mutex<AppendBehavior>,
-}
-
-impl ScriptedLog {
-    fn set_fault(&self, fault: Fault) {
-        self.faults.set(FaultBody { fault, delay_ms: 0 });
-    }
-
-    fn append_behavior(&self) -> AppendBehavior {
-        self.append_behavior.lock().unwrap().clone()
-    }
-
-    /// Sets the fault for the append one request ahead, because the server reads the fault switch
-    /// before it handles a request.
-    fn arm_fault(&self) {
-        match self.append_behavior() {
-            AppendBehavior::LoseAnswer => self.set_fault(Fault::LoseAnswers),
-            AppendBehavior::FreezeBefore => self.set_fault(Fault::Frozen),
-            _ => {}
-        }
-    }
-}
-
-#[async_trait]
-impl Handler for ScriptedLog {
-    fn faults(&self) -> &FaultSwitch {
-        &self.faults
-    }
-
-    async fn handle(&self, method: &Method, path: &str, query: &str, body: Bytes) -> Answer {
-        if *method == Method::GET {
-            let answer = self.inner.handle(method, path, query, body).await;
-            self.arm_fault();
-            return answer;
-        }
-        let append_behavior = std::mem::replace(
-            &mut *self.append_behavior.lock().unwrap(),
-            AppendBehavior::Succeed,
-        );
-        if let AppendBehavior::AppendRivalFirst(payload) = &append_behavior {
-            let text = format!("{{\"payloads\":[{}]}}", serde_json::json!(payload));
-            self.inner.handle(method, path, query, text.into()).await;
-        }
-        let answer = self.inner.handle(method, path, query, body).await;
-        match append_behavior {
-            AppendBehavior::LoseAnswer => self.set_fault(Fault::None),
-            AppendBehavior::FreezeAfter => {
-                self.set_fault(Fault::Frozen);
-                std::future::pending::<()>().await;
-            }
-            _ => {}
-        }
-        answer
-    }
-}
-
-async fn start(handler: Arc<dyn Handler>) -> SocketAddr {
-    let listener = bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(serve(listener, handler));
-    address
-}
-
-async fn start_log(append_behavior: AppendBehavior) -> SocketAddr {
-    let log = ScriptedLog {
-        inner: LogServer::new(RECORDS_MAX),
-        faults: FaultSwitch::default(),
-        append_behavior: Mutex::new(append_behavior),
-    };
-    start(Arc::new(log)).await
-}
-
 /// Starts a host list with one worker of 2 cores and 8000 MB.
 async fn start_hosts() -> SocketAddr {
     let worker: dotterelhook_types::ids::WorkerId = "w0".parse().unwrap();
@@ -166,11 +73,6 @@
     root
 }
 
-async fn run(arguments: &[&str]) -> Output {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhook"));
-    command.args(arguments).output().await.unwrap()
-}
-
 async fn publish(directory: &Path, log: SocketAddr, more: &[&str]) -> (Option<i32>, String) {
     let log = log.to_string();
     let mut arguments = vec!["publish", directory.to_str().unwrap(), "--log", &log];
@@ -178,12 +80,6 @@
     exit_and_text(&run(&arguments).await)
 }
 
-fn exit_and_text(output: &Output) -> (Option<i32>, String) {
-    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
-    text.push_str(&String::from_utf8_lossy(&output.stderr));
-    (output.status.code(), text)
-}
-
 async fn record_count(log: SocketAddr) -> u64 {
     let log = HttpLog::new(log, Duration::from_secs(5));
     let page = log.read(CONFIG_STREAM, Offset(0), 1, Duration::ZERO).await;
--- /dev/null
+++ b/crates/cli/tests/scripted_log/mod.rs
@@ -0,0 +1,123 @@
+//! A simulated log whose behavior at an operator's append is given, and runs of the command line.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::process::Output;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use dotterelhook_standins::log::LogServer;
+use dotterelhook_standins::server::Answer;
+use dotterelhook_standins::server::Fault;
+use dotterelhook_standins::server::FaultBody;
+use dotterelhook_standins::server::FaultSwitch;
+use dotterelhook_standins::server::Handler;
+use dotterelhook_standins::server::bind;
+use dotterelhook_standins::server::serve;
+use hyper::Method;
+use tokio::process::Command;
+
+const RECORDS_MAX: usize = 10_000;
+
+/// The behavior of the log at an operator's append.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum AppendBehavior {
+    /// Appends and answers.
+    Succeed,
+    /// Appends and loses the answer.
+    LoseAnswer,
+    /// Stops answering before the append.
+    FreezeBefore,
+    /// Appends and then stops answering.
+    FreezeAfter,
+    /// Appends a record of another writer first.
+    AppendRivalFirst(Box<str>),
+}
+
+pub(crate) struct ScriptedLog {
+    inner: LogServer,
+    faults: FaultSwitch,
+    append_behavior: Mutex<AppendBehavior>,
+}
+
+impl ScriptedLog {
+    fn set_fault(&self, fault: Fault) {
+        self.faults.set(FaultBody { fault, delay_ms: 0 });
+    }
+
+    fn append_behavior(&self) -> AppendBehavior {
+        self.append_behavior.lock().unwrap().clone()
+    }
+
+    /// Sets the fault for the append one request ahead, because the server reads the fault switch
+    /// before it handles a request.
+    fn arm_fault(&self) {
+        match self.append_behavior() {
+            AppendBehavior::LoseAnswer => self.set_fault(Fault::LoseAnswers),
+            AppendBehavior::FreezeBefore => self.set_fault(Fault::Frozen),
+            _ => {}
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for ScriptedLog {
+    fn faults(&self) -> &FaultSwitch {
+        &self.faults
+    }
+
+    async fn handle(&self, method: &Method, path: &str, query: &str, body: Bytes) -> Answer {
+        if *method == Method::GET {
+            let answer = self.inner.handle(method, path, query, body).await;
+            self.arm_fault();
+            return answer;
+        }
+        let append_behavior = std::mem::replace(
+            &mut *self.append_behavior.lock().unwrap(),
+            AppendBehavior::Succeed,
+        );
+        if let AppendBehavior::AppendRivalFirst(payload) = &append_behavior {
+            let text = format!("{{\"payloads\":[{}]}}", serde_json::json!(payload));
+            self.inner.handle(method, path, query, text.into()).await;
+        }
+        let answer = self.inner.handle(method, path, query, body).await;
+        match append_behavior {
+            AppendBehavior::LoseAnswer => self.set_fault(Fault::None),
+            AppendBehavior::FreezeAfter => {
+                self.set_fault(Fault::Frozen);
+                std::future::pending::<()>().await;
+            }
+            _ => {}
+        }
+        answer
+    }
+}
+
+pub(crate) async fn start(handler: Arc<dyn Handler>) -> SocketAddr {
+    let listener = bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, handler));
+    address
+}
+
+pub(crate) async fn start_log(append_behavior: AppendBehavior) -> SocketAddr {
+    let log = ScriptedLog {
+        inner: LogServer::new(RECORDS_MAX),
+        faults: FaultSwitch::default(),
+        append_behavior: Mutex::new(append_behavior),
+    };
+    start(Arc::new(log)).await
+}
+
+pub(crate) async fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dotterelhook"));
+    command.args(arguments).output().await.unwrap()
+}
+
+pub(crate) fn exit_and_text(output: &Output) -> (Option<i32>, String) {
+    let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.push_str(&String::from_utf8_lossy(&output.stderr));
+    (output.status.code(), text)
+}
--- a/crates/cli/tests/status.rs
+++ b/crates/cli/tests/status.rs
@@ -23,12 +23,15 @@
 use dotterelhook_types::ids::Offset;
 use hyper::Method;
 use hyper::StatusCode;
+use serde_json::Value;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::process::Command;
 
-/// The admin API of a daemon, with a fixed list of members.
+/// The admin API of a daemon, with a fixed list of members and of evacuations.
 struct Daemon {
     members: Vec<Member>,
+    evacuations: Value,
     faults: FaultSwitch,
 }
 
@@ -38,8 +41,12 @@
         &self.faults
     }
 
-    async fn handle(&self, _: &Method, _: &str, _: &str, _: Bytes) -> Answer {
-        json_answer(StatusCode::OK, &self.members)
+    async fn handle(&self, _: &Method, path: &str, _: &str, _: Bytes) -> Answer {
+        match path {
+            "/members" => json_answer(StatusCode::OK, &self.members),
+            "/evacuations" => json_answer(StatusCode::OK, &self.evacuations),
+            _ => json_answer(StatusCode::NOT_FOUND, &"no such path"),
+        }
     }
 }
 
@@ -75,8 +82,23 @@
 }
 
 async fn start_daemon(members: Vec<Member>) -> SocketAddr {
-    let faults = FaultSwitch::default();
-    start(Arc::new(Daemon { members, faults })).await
+    start_evacuating_daemon(members, json!([])).await
+}
+
+async fn start_evacuating_daemon(members: Vec<Member>, evacuations: Value) -> SocketAddr {
+    let daemon = Daemon {
+        members,
+        evacuations,
+        faults: FaultSwitch::default(),
+    };
+    start(Arc::new(daemon)).await
+}
+
+fn evacuation(domain: &str, phase: &str, running: Value) -> Value {
+    json!({
+        "failure_domain": domain, "offset": 4, "requested_at_unix_ms": 1, "phase": phase,
+        "running": running,
+    })
 }
 
 async fn run(arguments: &[&str]) -> Output {
@@ -175,6 +197,43 @@
     }
 }
 
+/// The daemon that is asked may be in another failure domain and then can't tell what runs there.
+#[tokio::test]
+async fn status_shows_evacuations_with_the_numbers_of_their_own_schedulers() {
+    let running = json!({ "checkpointable": 3, "other": 1 });
+    let own = json!([evacuation("laguna", "emptying", running)]);
+    let scheduler = start_evacuating_daemon(Vec::new(), own).await;
+    let mut in_laguna = member("laguna", "l-1", MemberState::Alive, 8);
+    in_laguna.heartbeat.admin_address = scheduler;
+    let members = vec![in_laguna, member("pampanga", "p-1", MemberState::Alive, 8)];
+    let known = json!([
+        evacuation("laguna", "requested", Value::Null),
+        evacuation("pampanga", "requested", Value::Null),
+        evacuation("quezon", "ended", Value::Null),
+    ]);
+    let daemon = start_evacuating_daemon(members, known).await.to_string();
+
+    let output = run(&["status", "--daemon", &daemon]).await;
+
+    let lines = text(&output.stdout);
+    let words: Vec<Vec<&str>> = lines
+        .lines()
+        .skip_while(|line| !line.trim_start().starts_with("EVACUATION"))
+        .map(|line| line.split_whitespace().collect())
+        .collect();
+    assert_eq!(output.status.code(), Some(0), "{lines}");
+    let ends = |row: usize| {
+        [
+            words[row][0],
+            words[row][1],
+            words[row][words[row].len() - 2],
+        ]
+    };
+    assert_eq!(ends(1), ["laguna", "emptying", "3"], "{lines}");
+    assert_eq!(ends(2), ["pampanga", "requested", "unknown"], "{lines}");
+    assert_eq!(ends(3), ["quezon", "ended", "-"], "{lines}");
+}
+
 #[tokio::test]
 async fn publish_waits_for_every_member_that_may_be_alive() {
     let table = [
@@ -220,3 +279,18 @@
         assert!(!all.contains("l-1"), "{state}: {all}");
     }
 }
+
+/// A misspelled failure domain would evacuate nothing, unnoticed.
+#[tokio::test]
+async fn evacuate_refuses_a_domain_that_the_daemon_does_not_know() {
+    let log = start(Arc::new(LogServer::new(1_000))).await.to_string();
+    let members = vec![member("laguna", "l-1", MemberState::Alive, 8)];
+    let daemon = start_daemon(members).await.to_string();
+
+    for (domain, code) in [("lagunaa", 2), ("laguna", 0)] {
+        let output = run(&["evacuate", domain, "--log", &log, "--daemon", &daemon]).await;
+
+        let all = text(&[output.stdout, output.stderr].concat());
+        assert_eq!(output.status.code(), Some(code), "{domain}: {all}");
+    }
+}
--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -14,6 +14,9 @@
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_scheduler::RunLister;
+use dotterelhook_state::config::EvacuationReport;
+use dotterelhook_state::config::RunningAttempts;
+use dotterelhook_types::ids::FailureDomain;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
@@ -28,16 +31,21 @@
 /// Serves health checks, metrics and operators' queries over HTTP.
 pub(crate) struct AdminService {
     address: SocketAddr,
+    failure_domain: FailureDomain,
 }
 
 impl AdminService {
-    /// Creates the service; `start` binds the address.
-    pub(crate) fn new(address: SocketAddr) -> Self {
-        Self { address }
+    /// Creates the service of a daemon in the failure domain; `start` binds the address.
+    pub(crate) fn new(address: SocketAddr, failure_domain: FailureDomain) -> Self {
+        Self {
+            address,
+            failure_domain,
+        }
     }
 }
 
 struct Admin {
+    failure_domain: FailureDomain,
     config: Arc<dyn ConfigView>,
     membership: Arc<dyn MembershipView>,
     runs: Option<Arc<dyn RunLister>>,
@@ -74,6 +82,25 @@
         }
     }
 
+    /// Returns the evacuations; a scheduler adds what runs in its failure domain.
+    async fn evacuations(&self) -> Response<AnswerBody> {
+        let mut reports = EvacuationReport::all(&self.config.current());
+        if let Some(runs) = &self.runs {
+            let mut running = RunningAttempts::default();
+            for run in runs.list_runs().await {
+                match run.is_checkpointable {
+                    true => running.checkpointable += run.running,
+                    false => running.other += run.running,
+                }
+            }
+            let own = reports
+                .iter_mut()
+                .filter(|report| report.failure_domain == self.failure_domain);
+            own.for_each(|report| report.set_running(running));
+        }
+        json_response(&reports)
+    }
+
     async fn runs(&self) -> Response<AnswerBody> {
         match &self.runs {
             Some(runs) => json_response(&runs.list_runs().await),
@@ -91,6 +118,7 @@
             "/metrics" => self.metrics(),
             "/members" => json_response(&self.membership.members()),
             "/runs" => self.runs().await,
+            "/evacuations" => self.evacuations().await,
             "/burn" => self.burn(),
             _ => text_response(StatusCode::NOT_FOUND, "no such path\n"),
         }
@@ -123,6 +151,7 @@
     async fn start(self: Box<Self>, kernel: &Kernel) -> eyre::Result<()> {
         let registry = kernel.registry();
         let admin = Arc::new(Admin {
+            failure_domain: self.failure_domain,
             config: registry.find::<dyn ConfigView>(names::CONFIG)?,
             membership: registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
             runs: registry.find::<dyn RunLister>(names::RUNS).ok(),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -77,7 +77,7 @@
         kernel.start(Box::new(ConfigFollower)).await?;
         let failure_domain = self.settings.membership.failure_domain.clone();
         let host_list = HttpHostList::new(platform.host_list_address, platform.call_timeout)
-            .for_failure_domain(failure_domain);
+            .for_failure_domain(failure_domain.clone());
         let hosts = HostFollower::new(Arc::new(host_list), platform.host_poll);
         kernel.start(Box::new(hosts)).await?;
         let seed_addresses = self.settings.membership.seed_addresses.clone();
@@ -96,7 +96,10 @@
             kernel.start(Box::new(FrontService::new(front))).await?;
         }
         kernel
-            .start(Box::new(AdminService::new(self.settings.admin_address)))
+            .start(Box::new(AdminService::new(
+                self.settings.admin_address,
+                failure_domain,
+            )))
             .await
     }
 }
