--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -26,7 +26,8 @@
 pub struct LeaseTimes {
     /// How long a worker may run an attempt without a renewal.
     pub lease: Duration,
-    /// How long an owner may start and renew attempts after its last contact with the log.
+    /// How long an owner may start and renew attempts after it sent its last read that reached the
+    /// end of the log.
     ///
     /// All processes must use the same value, because a successor waits for it to pass.
     pub renewal_right: Duration,
@@ -80,8 +81,10 @@
     pub membership: Arc<dyn MembershipView>,
     /// Creates the clients of worker agents.
     pub worker_agents: Arc<dyn WorkerAgents>,
-    /// Configuration in force; contains the teams' quotas.
+    /// Configuration in force; contains the teams' quotas and the evacuations.
     pub config: Arc<dyn ConfigView>,
+    /// The greatest age of the configuration at which attempts may start; `None` for no limit.
+    pub view_age_max: Option<Duration>,
     /// Creates the placer, which chooses the next starts.
     pub create_placer: fn() -> Box<dyn Placer>,
     /// Creates the controller that protects services from batch work on the same worker.
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -1,7 +1,9 @@
 //! Tests of complete shard owners in simulated time, with an in-memory log and simulated workers.
 
 mod accounts;
+mod evacuations;
 mod faults;
+mod late_ends;
 mod policy;
 mod takeovers;
 mod world;
