--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -204,7 +204,7 @@
 fn context_with(
     store: &Arc<MemoryStore>,
     host: &str,
-    executor: &Arc<RecordingExecutor>,
+    executor: &Arc<impl ExecutorLink + 'static>,
     operators: OperatorView,
 ) -> Arc<OwnerContext> {
     let store = Arc::clone(store) as Arc<dyn Store>;
