--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -5,11 +5,12 @@
     dotterelhook COMMAND [OPTIONS]
 
 COMMANDS:
-    check     check a directory of settings without a network
+    check     check settings, and compare them with a version
     publish   publish the changed documents of a directory of settings
     get       print the configuration in force
     history   print the outcomes of the newest publications
-    status    print the daemons and the offset that each has in force
+    status    print the daemons, the offset that each has in force, and evacuations
+    evacuate  request that nothing starts in a failure domain, or end that
     jobs      print the runs and their progress
     explain   print the timeline of one job, or an overview, from log files
     report    print error budgets, or runs that failed, are overdue or wait
@@ -22,18 +23,27 @@
     2  the command line or a file is invalid
     3  unknown; the change may still take effect
     4  refused, not in force everywhere, or a failure domain can't be reached
+    5  valid, but with findings (check --strict)
 ";
 
 const CHECK: &str = "\
 USAGE:
-    dotterelhook check DIRECTORY [--hosts ADDRESS]
+    dotterelhook check DIRECTORY|FILE [--hosts ADDRESS] [--strict]
+        [--against VERSION|in-force --log ADDRESS]
 
 The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
-TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
-With --hosts, the platform's host list, sizes that fit no worker are faults too.
+TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed,
+and entries that can never match or that contradict each other. These are no
+faults: the exit code is 0, or 5 with --strict.
+With --hosts, the platform's host list, sizes that fit no worker are faults, and
+services without targets and quotas above the capacity are findings.
+With --against, the settings are checked together with the rest of that version,
+and the differences from it are printed.
 
 EXAMPLE:
     dotterelhook check examples/config/habagat
+    dotterelhook check booking/quota.jsonc --against in-force \\
+        --log 127.0.0.1:7000
 ";
 
 const PUBLISH: &str = "\
@@ -75,10 +85,31 @@
 the age of its last contact with the platform's log. Exits with 4 if a failure
 domain can't be reached from that daemon.
 
+Evacuations follow, if there are any: requested, emptying (attempts still run),
+empty or ended, with the version of the record, the time since the request, and
+the number of running attempts with checkpoints and without. The numbers come
+from a scheduler of the failure domain and are unknown if none answers.
+
 EXAMPLE:
     dotterelhook status --daemon 127.0.0.1:7101
 ";
 
+const EVACUATE: &str = "\
+USAGE:
+    dotterelhook evacuate DOMAIN --log ADDRESS [--end] [--timeout-ms N]
+        [--daemon ADDRESS [--wait]]
+
+Requests that no attempt starts on a worker of the failure domain, until the
+same command with --end. Attempts that run go on to their end; waiting tasks
+wait. status shows what still runs. With --daemon, a failure domain without a
+daemon is an error; with --wait, returns once every live daemon has the change
+in force.
+
+EXAMPLE:
+    dotterelhook evacuate laguna --log 127.0.0.1:7000 --daemon 127.0.0.1:7101
+    dotterelhook evacuate laguna --log 127.0.0.1:7000 --end
+";
+
 const JOBS: &str = "\
 USAGE:
     dotterelhook jobs --daemon ADDRESS
@@ -135,6 +166,7 @@
         Some("get") => GET,
         Some("history") => HISTORY,
         Some("status") => STATUS,
+        Some("evacuate") => EVACUATE,
         Some("jobs") => JOBS,
         Some("explain") => EXPLAIN,
         Some("report") => REPORT,
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use dotterelhook_types::ids::Epoch;
@@ -28,6 +29,7 @@
 use crate::model::JobState;
 use crate::model::QueueConfig;
 use crate::model::QueueName;
+use crate::model::RunNumber;
 use crate::model::ServiceId;
 use crate::model::Submission;
 use crate::model::TaskId;
@@ -94,6 +96,10 @@
     pub(super) waiting_since: BTreeMap<(JobId, StepRef), Instant>,
     /// The time at which all leases of former owners have expired.
     pub(super) former_leases_end: Instant,
+    /// The send time of the last append that the store accepted: no later owner existed then.
+    pub(super) confirmed_at: Instant,
+    /// Runs that a later owner may have started, and when a report first listed them.
+    pub(super) foreign_runs: BTreeMap<(TaskId, RunNumber), Instant>,
     /// Tasks placed by former owners on executors that have not been listed since the takeover.
     pub(super) unlisted_placements: BTreeMap<ExecutorKey, Vec<TaskId>>,
 }
@@ -133,6 +139,8 @@
             idle_since: BTreeMap::new(),
             waiting_since: BTreeMap::new(),
             former_leases_end,
+            confirmed_at: now,
+            foreign_runs: BTreeMap::new(),
             unlisted_placements: BTreeMap::new(),
         }
     }
@@ -246,7 +254,7 @@
             // A new incarnation takes effect with its first report, which lists its runs.
             let has_new_address = executor.entry.address != entry.address;
             executor.entry = entry;
-            return has_new_address.then(|| executor.replace_order_channel());
+            return has_new_address.then(|| executor.reopen_orders(now));
         }
         let (orders, receiver) = unbounded_channel();
         decided!(Decision::ExecutorListed, executor: entry.id, domain: entry.failure_domain);
@@ -259,6 +267,18 @@
         Some(receiver)
     }
 
+    /// Returns the receiver of an executor's orders for another session at the same address, or `None`
+    /// if the executor has left or has another address.
+    pub fn reopen_orders(
+        &mut self,
+        id: &ExecutorId,
+        address: SocketAddr,
+        now: Instant,
+    ) -> Option<UnboundedReceiver<Order>> {
+        let executor = self.executors.get_mut(id)?;
+        (executor.entry.address == address).then(|| executor.reopen_orders(now))
+    }
+
     /// Marks an executor whose entry is missing. While it answers, it receives new runs until it
     /// counts as gone.
     pub fn mark_executor_missing(&mut self, id: &ExecutorId, now: Instant) {
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -55,6 +55,9 @@
         if ticket.is_none() && Self::queue_config(&self.config, job).advice.is_some() {
             return None;
         }
+        if executor.given_up_at.is_some() {
+            return None;
+        }
         let incarnation = executor.incarnation?;
         let clock = executor.clock?;
         let lease_end_ms = clock.lease_end_ms(self.settings.lease);
@@ -101,13 +104,14 @@
         }
     }
 
-    /// Returns the stop order of a run, which carries the owner's epoch as fencing token.
-    pub fn stop_order(&self, task: TaskId, run: RunNumber) -> StopOrder {
-        StopOrder {
+    /// Returns the stop order of a run, which carries the owner's epoch as fencing token. Returns `None`
+    /// while a later owner may have started the run; the stop is sent again with a later report.
+    pub fn stop_order(&self, task: TaskId, run: RunNumber) -> Option<StopOrder> {
+        (!self.may_be_foreign(task, run)).then_some(StopOrder {
             token: self.epoch,
             task,
             run,
-        }
+        })
     }
 
     /// Handles an executor's answer to a start order.
--- a/crates/jobs/src/cell/ramp_up.rs
+++ b/crates/jobs/src/cell/ramp_up.rs
@@ -112,6 +112,7 @@
         if step.is_long_running
             || view.pace_percent < 100
             || view.progress_percent <= 0.0
+            || !gained.is_finite()
             || gained <= 0.0
             || elapsed < SPEED_SAMPLE_MIN
         {
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -37,6 +37,10 @@
     /// When a start was last sent. In an incarnation that is not known yet, a start begins a lease
     /// of its own.
     pub start_sent_at: Option<Instant>,
+    /// When the runs here were given up because all leases had to be over. Until a report that was
+    /// requested later lists no run, no lease is extended: a run that lives nevertheless, for example
+    /// because the executor's clock stood still, must end with its lease.
+    pub given_up_at: Option<Instant>,
     /// The number of the last run end that was applied to its job.
     pub applied_end: u64,
     /// The number of the last run end whose effect is stored. Renewals acknowledge the run ends up
@@ -73,6 +77,7 @@
             listing: Listing::Listed,
             clock: None,
             start_sent_at: None,
+            given_up_at: None,
             applied_end: 0,
             acked_end: 0,
             health: Health::default(),
@@ -225,8 +230,8 @@
 
     /// Returns whether new runs may be placed here.
     ///
-    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, or
-    /// silent for longer than `silence_max`. On probation it accepts one run at a time.
+    /// An executor accepts none while it is gone from the list, full, draining, in a back-off, silent
+    /// for longer than `silence_max`, or may have runs that were given up. On probation it accepts one run at a time.
     pub fn accepts_runs(&self, silence_max: Duration, now: Instant) -> bool {
         let is_heard = self
             .clock
@@ -236,6 +241,7 @@
         !self.listing.is_gone(now)
             && self.incarnation.is_some()
             && is_heard
+            && self.given_up_at.is_none()
             && !is_full
             && !self.entry.phase.is_draining()
             && !self.health.is_backing_off(now)
@@ -254,9 +260,21 @@
 
     /// Replaces the channel of orders, which ends the former session, and returns the receiving end
     /// for the next one.
-    pub fn replace_order_channel(&mut self) -> UnboundedReceiver<Order> {
+    ///
+    /// The former session may or may not have sent the starts without an answer so far. They are
+    /// stopped, so that a report can show that the runs are gone.
+    pub fn reopen_orders(&mut self, now: Instant) -> UnboundedReceiver<Order> {
         let (orders, receiver) = unbounded_channel();
         self.orders = orders;
+        let ordered: Vec<(TaskId, RunNumber)> = self
+            .runs
+            .iter()
+            .filter(|(_, view)| view.phase == RunPhase::Ordered)
+            .map(|(task, view)| (*task, view.run))
+            .collect();
+        for (task, run) in ordered {
+            self.stop(task, run, now);
+        }
         receiver
     }
 
--- a/crates/jobs/src/fleet/executor_clock.rs
+++ b/crates/jobs/src/fleet/executor_clock.rs
@@ -39,14 +39,15 @@
     /// Returns the end of a lease that starts at this reading, in milliseconds of the executor's
     /// clock.
     pub fn lease_end_ms(&self, lease: Duration) -> u64 {
-        self.executor_ms + lease.as_millis() as u64
+        self.executor_ms.saturating_add(lease.as_millis() as u64)
     }
 
     /// Returns the reading that the executor's clock has reached for certain at a time of this host's
     /// clock.
     pub fn earliest_ms_at(&self, time: Instant) -> u64 {
         let elapsed = time.saturating_duration_since(self.seen_at);
-        self.executor_ms + elapsed.mul_f64(1.0 - DRIFT_MAX).as_millis() as u64
+        let elapsed_ms = elapsed.mul_f64(1.0 - DRIFT_MAX).as_millis() as u64;
+        self.executor_ms.saturating_add(elapsed_ms)
     }
 
     /// Returns when all leases have expired for certain, on this host's clock.
--- a/crates/jobs/src/fleet/ramp_up.rs
+++ b/crates/jobs/src/fleet/ramp_up.rs
@@ -11,6 +11,8 @@
 ];
 /// The share of the capacity that new load may reserve in the last step.
 const LAST_STEP_SHARE: f64 = 0.75;
+/// The longest time for which an executor counts as cold, whatever its entry says.
+const COLD_MAX: Duration = Duration::from_secs(600);
 /// The weight of the latest sample in the moving average of the slowdown.
 const SLOWDOWN_SMOOTHING: f64 = 0.3;
 /// Bounds the slowdown: a larger one is a fault of the executor or of the estimate.
@@ -46,7 +48,7 @@
     /// Applies the time for which the executor says that it is cold. `is_new` tells whether its entry
     /// is the first one of an incarnation; later entries never extend the time.
     pub fn update_cold(&mut self, left: Duration, is_new: bool, pool_starts: u64, now: Instant) {
-        let until = now + left;
+        let until = now + left.min(COLD_MAX);
         let known = self.cold_until.filter(|_| !is_new);
         if left.is_zero() {
             self.cold_until = None;
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -17,6 +17,7 @@
 use super::topics::CANCELLATION_KEY_PREFIX;
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
+use crate::cell::is_lost_runs_key;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::model::JobId;
@@ -66,7 +67,8 @@
     let mut progress_feed =
         ChangeFeed::new(Arc::clone(&context.store), topics::progress_partition(cell));
     let mut progress = HashMap::new();
-    for record in batch_records(progress_feed.next(Duration::ZERO).await?) {
+    let progress_records = batch_records(progress_feed.next(Duration::ZERO).await?);
+    for record in &progress_records {
         if &*record.key == LEARNED_KEY {
             match decode(&record.value) {
                 Ok(learned) => state.restore_learned(learned, now),
@@ -74,7 +76,9 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
-        } else if let Some((id, value)) = decode_job_record::<JobProgress>(&record) {
+        } else if is_lost_runs_key(&record.key) {
+            // Applied once the jobs are restored.
+        } else if let Some((id, value)) = decode_job_record::<JobProgress>(record) {
             progress.insert(id, value);
         }
     }
@@ -83,13 +87,16 @@
     for record in &stored {
         if let Some(id) = record.key.strip_prefix(CANCELLATION_KEY_PREFIX) {
             cancelled.extend(JobId::from_str(id).ok());
-        } else if let Some((id, submission)) = decode_job_record::<Submission>(record) {
+        } else if let Some((id, submission)) = decode_submission(record) {
             let age = age_of(&submission);
             let accepted_at = now.checked_sub(age).unwrap_or(now);
             let progress = progress.remove(&id).unwrap_or_default();
             state.restore(id, Arc::new(submission), progress, accepted_at, now);
         }
     }
+    for record in &progress_records {
+        state.restore_lost_runs(record);
+    }
     for id in cancelled {
         state.cancel(id, now);
     }
@@ -167,6 +174,31 @@
     }
 }
 
+/// Decodes the record of a submission. Logs a record that can't be decoded or whose specification is
+/// invalid, and returns `None`.
+pub(super) fn decode_submission(record: &KeyedRecord) -> Option<(JobId, Submission)> {
+    let (id, submission) = decode_job_record::<Submission>(record)?;
+    let Submission {
+        queue,
+        spec,
+        accepted_unix_ms,
+    } = submission;
+    match spec.validate() {
+        Ok(spec) => {
+            let submission = Submission {
+                queue,
+                spec,
+                accepted_unix_ms,
+            };
+            Some((id, submission))
+        }
+        Err(error) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+    }
+}
+
 /// Decodes a record that a cell owner or an entry host wrote under a job id. Logs a record that
 /// can't be decoded and returns `None`.
 pub(super) fn decode_job_record<T: serde::de::DeserializeOwned>(
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -28,6 +28,7 @@
 use dotterelhook_jobs::ownership::StartAttempts;
 use dotterelhook_jobs::ownership::StartStep;
 use dotterelhook_jobs::platform::ExecutorReport;
+use dotterelhook_jobs::platform::KeyedRecord;
 use dotterelhook_jobs::platform::OrderError;
 use dotterelhook_jobs::platform::Renewal;
 use dotterelhook_jobs::platform::StartOrder;
@@ -48,6 +49,7 @@
 use crate::fixture::job;
 use crate::fixture::settings;
 use crate::fixture::step;
+use crate::fixture::store_other;
 use crate::fixture::submission;
 use crate::generated_evacuations::OperatorRecords;
 use crate::generated_evacuations::OwnerView;
@@ -145,6 +147,8 @@
     submissions: Vec<(JobId, Arc<Submission>)>,
     cancelled: Vec<JobId>,
     stored: HashMap<JobId, JobProgress>,
+    /// The newest stored record of each other key.
+    other_records: BTreeMap<Box<str>, KeyedRecord>,
     late_orders: Vec<DelayedOrder>,
     contract: Contract,
     settings: Arc<CellSettings>,
@@ -179,6 +183,7 @@
             submissions: Vec::new(),
             cancelled: Vec::new(),
             stored: HashMap::new(),
+            other_records: BTreeMap::new(),
             late_orders: Vec::new(),
             contract,
             settings,
@@ -296,12 +301,15 @@
         if let Some(batch) = self.owner.in_flight.take() {
             self.owner.cell.handle_batch_stored(batch, self.now);
         }
+        self.owner.cell.confirm_ownership(self.now);
         self.owner.cell.place_waiting_tasks(self.now);
         if self.owner.cell.has_pending_batch() {
             let batch = self.owner.cell.take_batch(self.now);
             for record in &batch.records {
                 if let (Ok(id), Ok(progress)) = (record.key.parse(), decode(&record.value)) {
                     self.stored.insert(id, progress);
+                } else {
+                    store_other(&mut self.other_records, record);
                 }
             }
             self.owner.in_flight = Some(batch);
@@ -427,7 +435,9 @@
         match order {
             Order::Start(task, run) => self.deliver_start(owner, index, (task, run), deliveries),
             Order::Stop(task, run) => {
-                let order = owner.cell.stop_order(task, run);
+                let Some(order) = owner.cell.stop_order(task, run) else {
+                    return;
+                };
                 let answer = match deliveries[0] {
                     Delivery::Answered | Delivery::AnsweredLate { .. } => {
                         self.executors[index].stop(&order, self.history.moment())
@@ -626,6 +636,9 @@
             next.cell
                 .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
+        for record in self.other_records.values() {
+            next.cell.restore_lost_runs(record);
+        }
         for id in &self.cancelled {
             next.cell.cancel(*id, self.now);
         }
--- a/crates/jobs/tests/cell/given_up_runs.rs
+++ b/crates/jobs/tests/cell/given_up_runs.rs
@@ -1,5 +1,6 @@
 //! Runs that the owner gives up must have ended, and ends that are listed later must count.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhook_jobs::cell::JobLookup;
@@ -9,7 +10,9 @@
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::platform::ExecutorReport;
 use dotterelhook_jobs::platform::RunEnd;
+use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::Resources;
 
 use crate::fixture::CellHarness;
@@ -17,6 +20,7 @@
 use crate::fixture::LISTED_ENDS_MAX;
 use crate::fixture::ended;
 use crate::fixture::job;
+use crate::fixture::running;
 use crate::fixture::step;
 use crate::fixture::submission;
 use crate::fixture::task;
@@ -150,6 +154,11 @@
     job.task(task(1, 0, 0)).map(|progress| progress.failures)
 }
 
+fn lease_end(harness: &CellHarness) -> Option<u64> {
+    let renewal = harness.cell.renewal(&"i-1".into(), true);
+    renewal.expect("a listed executor").lease_end_ms
+}
+
 /// Creates a cell with a job of one step whose runs on `i-1` were given up, because `i-1` fell silent.
 fn lost_runs(step: StepSpec) -> CellHarness {
     let mut harness = CellHarness::with_job(&submission(vec![step]));
@@ -231,6 +240,45 @@
     assert_eq!(counted_failures(&next), Some(1));
 }
 
+/// Guards against BUDGET: a run that the former owner gave up turns out to have failed, and its task gets
+/// one attempt more than its queue allows.
+#[tokio::test]
+async fn the_failure_of_a_run_that_a_former_owner_gave_up_counts_once() {
+    let submitted = submission(vec![step(1, 1_000, &[])]);
+    let mut harness = lost_runs(step(1, 1_000, &[]));
+    harness.commit();
+    let mut next = harness.take_over(&[(job(1), Arc::clone(&submitted))]);
+    next.list_executor("i-1", 4_000);
+    let failed = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
+
+    next.report("i-1", vec![], vec![failed.clone()]);
+    next.commit();
+    let by_the_next = counted_failures(&next);
+    let mut third = next.take_over(&[(job(1), submitted)]);
+    third.list_executor("i-1", 4_000);
+    third.report("i-1", vec![], vec![failed]);
+    third.commit();
+
+    assert_eq!(by_the_next, Some(1));
+    assert_eq!(counted_failures(&third), Some(1));
+}
+
+/// Guards against records that stay in the store for good: the lost runs of a job that has ended.
+#[tokio::test]
+async fn the_lost_runs_of_a_job_are_deleted_once_it_has_ended() {
+    let mut harness = lost_runs(step(1, 1_000, &[]));
+    harness.commit();
+    let key = format!("lost.{}", job(1));
+    let while_open = harness.other_records.contains_key(&*key);
+
+    let done = ended(1, task(1, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![done]);
+    harness.commit();
+
+    assert!(while_open);
+    assert!(!harness.other_records.contains_key(&*key));
+}
+
 /// Guards against work that is done twice: a member of a gang works on although a lost run of the gang
 /// turns out to be done.
 #[tokio::test]
@@ -286,3 +334,39 @@
     assert_eq!(count, LISTED_ENDS_MAX + 1);
     assert_eq!(next.take_orders("i-1"), []);
 }
+
+/// Guards against TWICE: a run outlives its lease because the executor's clock stood still, the owner
+/// gives it up, and then extends its lease with a reading from before.
+#[tokio::test]
+async fn no_lease_is_extended_until_a_later_report_shows_that_given_up_runs_are_gone() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(1, 1_000, &[])]));
+    harness.commit();
+    harness.accept_starts("i-1");
+    let requested_before = harness.now;
+    harness.advance(ExecutorClock::lapse_after(LEASE) + Duration::from_millis(10));
+    harness.cell.expire_leases(harness.now);
+    let lives = || vec![running(task(1, 0, 0), 1)];
+
+    let late = ExecutorReport {
+        clock_ms: 2_000,
+        incarnation: Incarnation(1),
+        running: Vec::new(),
+        ended: Vec::new(),
+        may_have_more_ends: false,
+    };
+    let now = harness.now;
+    let id = "i-1".into();
+    harness.cell.handle_report(&id, late, requested_before, now);
+    let after_a_report_from_before = lease_end(&harness);
+    harness.report("i-1", lives(), vec![]);
+    let while_the_run_lives = lease_end(&harness);
+    harness.commit();
+    let orders = harness.take_orders("i-1");
+    harness.report("i-1", vec![], vec![]);
+    let after_the_run = lease_end(&harness);
+
+    assert_eq!(after_a_report_from_before, None);
+    assert_eq!(while_the_run_lives, None);
+    assert_eq!(orders, [Order::Stop(task(1, 0, 0), RunNumber(1))]);
+    assert!(after_the_run.is_some());
+}
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -2,9 +2,11 @@
 
 mod answer_timeout;
 mod directory;
+mod forwarded_records;
 mod hosts;
 mod memory_store;
 mod rights;
 mod slow_store;
 mod start_attempts;
+mod unexpected_errors;
 mod vacancies;
--- a/crates/scheduler/src/shard/log_pages.rs
+++ b/crates/scheduler/src/shard/log_pages.rs
@@ -8,6 +8,7 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::WorkerId;
+use spdlog::info;
 use spdlog::warn;
 
 use super::pending_replies::RequestKind;
@@ -43,14 +44,19 @@
             let own = self.is_own(&parsed).then(|| parsed.clone());
             let endings = own.as_ref().map(|own| self.endings(own));
             let result = self.state.apply_record(record.offset, parsed);
-            self.update_ownership(requested_at_ms);
+            self.update_ownership();
             if let Some(own) = own {
                 self.handle_own_record(&own, result, endings.unwrap_or_default());
             }
         }
         self.last_log_contact_ms = self.last_log_contact_ms.max(requested_at_ms);
         self.has_caught_up = self.state.next_offset() >= page.end_offset;
-        self.update_ownership(requested_at_ms);
+        self.update_ownership();
+        // A page that ends before the end of the log, or a log that ends before the records applied so
+        // far, does not show that no other process has claimed the shard.
+        if self.state.next_offset() == page.end_offset {
+            self.extend_renewal_right(requested_at_ms);
+        }
     }
 
     fn is_own(&self, record: &ShardRecord) -> bool {
@@ -112,6 +118,11 @@
         let now_unix_ms = self.context.clock.unix_ms();
         self.placer.observe(&self.state, &record.event, now_unix_ms);
         self.notify_controller(&record.event, &endings);
+        if let ShardEvent::End { attempt, end } = &record.event
+            && endings.is_empty()
+        {
+            self.handle_late_end(attempt, end);
+        }
         for ending in endings {
             self.handle_ending(&ending);
         }
@@ -155,6 +166,15 @@
         }
     }
 
+    /// Handles the end of an attempt that had been declared lost. The worker forgets the attempt
+    /// after its next inventory, and a newer attempt that is no longer needed is stopped then.
+    fn handle_late_end(&mut self, attempt: &AttemptId, end: &AttemptEnd) {
+        self.attempts_with_queued_end.remove(attempt);
+        self.context.metrics.late_ends.inc();
+        let kind: &'static str = end.into();
+        info!("shard: attempt {attempt} was declared lost, but has {kind}");
+    }
+
     /// Lets the worker forget an attempt whose end is recorded in the log.
     fn handle_ending(&mut self, ending: &AttemptEnding) {
         let AttemptEnding {
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -1,4 +1,5 @@
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
 /// Counters over all shards of this process.
@@ -8,6 +9,8 @@
     pub overdue_runs: Counter,
     /// Attempts recorded as lost, because their worker restarted or was silent past its leases.
     pub lost_attempts: Counter,
+    /// Ends that workers reported of attempts recorded as lost.
+    pub late_ends: Counter,
     /// Records written by this process that the fold refused.
     pub refused_records: Counter,
     /// Appends that were begun, retries included.
@@ -18,6 +21,11 @@
     pub snapshots: Counter,
     /// Evictions ordered because an attempt slowed down the services on its worker.
     pub interference_evictions: Counter,
+    /// Shards owned by this process in which nothing may start, because of an evacuation or of an
+    /// outdated view of the operators' records.
+    pub held_shards: Gauge,
+    /// Starts that were recorded, but not sent for one of these reasons.
+    pub held_starts: Counter,
     /// Evictions ordered to make room for urgent tasks.
     pub evictions: Counter,
 }
@@ -36,6 +44,11 @@
                 "Attempts given up as lost",
                 &self.lost_attempts,
             ),
+            (
+                "late_ends",
+                "Ends reported of attempts that had been given up as lost",
+                &self.late_ends,
+            ),
             (
                 "refused_records",
                 "Own records refused",
@@ -57,12 +70,22 @@
                 "Attempts evicted for the services beside them",
                 &self.interference_evictions,
             ),
+            (
+                "held_starts",
+                "Recorded starts not sent because of an evacuation or an outdated view",
+                &self.held_starts,
+            ),
             (
                 "evictions",
                 "Attempts evicted for urgent tasks",
                 &self.evictions,
             ),
         ];
+        registry.register(
+            "scheduler_held_shards",
+            "Owned shards in which nothing may start",
+            self.held_shards.clone(),
+        );
         for (name, help, counter) in entries {
             registry.register(format!("scheduler_{name}"), help, counter.clone());
         }
