--- a/crates/jobs/src/cell/departures.rs
+++ b/crates/jobs/src/cell/departures.rs
@@ -67,7 +67,7 @@
                 without_place.insert(step);
                 continue;
             };
-            decided!(Decision::RunLeaving, task: task, executor: executor, target: targets[0], tasks: tasks.len(), remaining_ms: facts.remaining.as_millis(), unavailable: facts.unavailable, unavailable_max: facts.unavailable_max);
+            decided!(Decision::RunLeaving, task: task, executor: executor, target: targets[0], tasks: tasks.len(), heard_ms: self.heard_ms(&executor, now), remaining_ms: facts.remaining.as_millis(), unavailable: facts.unavailable, unavailable_max: facts.unavailable_max);
             for (task, target) in tasks.iter().zip(targets) {
                 let held_until = now + PLACE_HELD_MAX;
                 self.departures
--- a/crates/jobs/src/cell/held_starts.rs
+++ b/crates/jobs/src/cell/held_starts.rs
@@ -26,6 +26,12 @@
         }
     }
 
+    /// Returns the age of an executor's last answer, in milliseconds, for log lines.
+    pub(super) fn heard_ms(&self, id: &ExecutorId, now: Instant) -> u128 {
+        let clock = self.executors.get(id).and_then(|executor| executor.clock);
+        clock.map_or(0, |clock| now.duration_since(clock.seen_at()).as_millis())
+    }
+
     /// Returns whether the view of the operators' requests is too old for any start.
     pub fn is_operator_view_stale(&self, now: Instant) -> bool {
         self.operator_view.is_stale(now)
@@ -67,7 +73,7 @@
             })
             .collect();
         for (executor, task) in held {
-            decided!(Decision::StartHeldBack, task: task, executor: executor);
+            decided!(Decision::StartHeldBack, task: task, executor: executor, heard_ms: self.heard_ms(&executor, now));
             self.held_back_starts += 1;
             self.stop_task_and_gang(task, now);
         }
