--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -711,6 +711,11 @@
                 executor.id
             );
         }
+        for executor in self.owner.cell.executors() {
+            let used = executor.used();
+            let id = &executor.entry.id;
+            assert_eq!(used, Resources::default(), "{id} holds places for nothing");
+        }
         for (task, runs) in self.history.runs() {
             let rises = runs.windows(2).all(|pair| pair[0] < pair[1]);
             assert!(rises, "the runs of {task} don't rise: {runs:?}");
