Check settings for entries without effect, contradictions and differences

Cause: `dotterelhook check` told only whether settings are valid. A method in lower case, a deadline that the quota rules out or a service without targets were published without a word, and what a publication would change was seen only document by document.

Change: `check` takes a directory or one file of it. It also prints entries that can never match and limits that contradict each other, with file, line and key. The checks are functions without I/O in crates/cli/src/config_check.

--- a/crates/cli/src/cli/arguments.rs
+++ b/crates/cli/src/cli/arguments.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::time::Duration;
 
 use dotterelhook_borders::http::JsonClient;
@@ -19,6 +20,8 @@
     Call(CallError),
     /// The change was refused or is not in force everywhere, or a report is incomplete.
     Refused(String),
+    /// The configuration is valid, but has findings.
+    Findings(String),
     /// Nothing matches the query, such as a job id without a log line.
     NotFound(String),
 }
@@ -29,13 +32,14 @@
         Self::Usage(error.to_string())
     }
 
-    /// Returns the exit code of the process, 1 to 4.
+    /// Returns the exit code of the process, 1 to 5.
     pub(crate) fn exit_code(&self) -> i32 {
         match self {
             Self::Call(error) if error.verdict == Verdict::MayHaveRun => 3,
             Self::Call(_) | Self::NotFound(_) => 1,
             Self::Usage(_) => 2,
             Self::Refused(_) => 4,
+            Self::Findings(_) => 5,
         }
     }
 }
@@ -43,7 +47,10 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Usage(text) | Self::Refused(text) | Self::NotFound(text) => f.write_str(text),
+            Self::Usage(text)
+            | Self::Refused(text)
+            | Self::Findings(text)
+            | Self::NotFound(text) => f.write_str(text),
             Self::Call(error) => error.fmt(f),
         }
     }
@@ -85,6 +92,17 @@
         self.inner.contains(key)
     }
 
+    /// Returns the value of an option, if given.
+    pub(crate) fn optional_value<T: FromStr>(
+        &mut self,
+        key: &'static str,
+    ) -> Result<Option<T>, Failure>
+    where
+        T::Err: fmt::Display,
+    {
+        self.inner.opt_value_from_str(key).map_err(Failure::usage)
+    }
+
     /// Returns a client of the log that `--log` names.
     pub(crate) fn log(&mut self) -> Result<HttpLog, Failure> {
         let address = self.inner.value_from_str("--log").map_err(Failure::usage)?;
--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -5,7 +5,7 @@
     dotterelhook COMMAND [OPTIONS]
 
 COMMANDS:
-    check     check a directory of settings without a network
+    check     check settings, and compare them with a version
     publish   publish the changed documents of a directory of settings
     get       print the configuration in force
     history   print the outcomes of the newest publications
@@ -23,18 +23,27 @@
     2  the command line or a file is invalid
     3  unknown; the change may still take effect
     4  refused, not in force everywhere, or a failure domain can't be reached
+    5  valid, but with findings (check --strict)
 ";
 
 const CHECK: &str = "\
 USAGE:
-    dotterelhook check DIRECTORY [--hosts ADDRESS]
+    dotterelhook check DIRECTORY|FILE [--hosts ADDRESS] [--strict]
+        [--against VERSION|in-force --log ADDRESS]
 
 The directory mirrors the tree of paths: TEAM/services/NAME.jsonc,
-TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed.
-With --hosts, the platform's host list, sizes that fit no worker are faults too.
+TEAM/jobs/NAME.jsonc and TEAM/quota.jsonc. All faults of all files are printed,
+and entries that can never match or that contradict each other. These are no
+faults: the exit code is 0, or 5 with --strict.
+With --hosts, the platform's host list, sizes that fit no worker are faults, and
+services without targets and quotas above the capacity are findings.
+With --against, the settings are checked together with the rest of that version,
+and the differences from it are printed.
 
 EXAMPLE:
     dotterelhook check examples/config/habagat
+    dotterelhook check booking/quota.jsonc --against in-force \\
+        --log 127.0.0.1:7000
 ";
 
 const PUBLISH: &str = "\
--- a/crates/cli/src/command/config_tree.rs
+++ b/crates/cli/src/command/config_tree.rs
@@ -13,6 +13,8 @@
 use serde_json::Value;
 
 const FILE_EXTENSION: &str = "jsonc";
+/// The largest number of segments of a document's path.
+const DOCUMENT_SEGMENTS_MAX: usize = 3;
 
 /// The documents of a directory of settings, with the errors in its files.
 #[derive(Debug, Default)]
@@ -46,6 +48,31 @@
         tree
     }
 
+    /// Reads and checks one file of a directory of settings.
+    pub(super) fn read_file(file: &Path) -> Self {
+        let mut tree = Self::default();
+        match root_of(file).and_then(|root| read_document(&root, file)) {
+            Ok((path, source)) => {
+                tree.documents.insert(path.clone(), source.value().clone());
+                tree.sources.insert(path, source);
+            }
+            Err(error) => tree.errors.push(error),
+        }
+        tree
+    }
+
+    /// Adds file, line and column to an error in a document; a document without a file is named by its
+    /// path.
+    pub(super) fn locate(&self, path: &ConfigPath, error: &FieldError) -> DocumentError {
+        match self.sources.get(path) {
+            Some(source) => source.locate(error),
+            None => DocumentError {
+                field: error.field.clone(),
+                ..file_error(Path::new(path.as_str()), &error.rule)
+            },
+        }
+    }
+
     /// Adds an error in one field, with its place in the file of the document.
     pub(super) fn add_field_error(&mut self, path: &ConfigPath, error: &FieldError) {
         if let Some(source) = self.sources.get(path) {
@@ -62,6 +89,21 @@
     }
 }
 
+/// Returns the directory that mirrors the tree of paths, from the place of one file in it.
+fn root_of(file: &Path) -> Result<PathBuf, DocumentError> {
+    let file = std::path::absolute(file).unwrap_or_else(|_| file.to_owned());
+    let roots = file.ancestors().skip(2).take(DOCUMENT_SEGMENTS_MAX - 1);
+    let mut roots = roots.filter(|root| {
+        let relative = file.strip_prefix(root).unwrap_or(&file).with_extension("");
+        let path: Option<ConfigPath> = relative.to_string_lossy().parse().ok();
+        path.is_some_and(|path| DocumentKind::try_from(&path).is_ok())
+    });
+    roots.next().map(Path::to_owned).ok_or_else(|| {
+        let rule = "a file of settings is TEAM/services/NAME, TEAM/jobs/NAME or TEAM/quota";
+        file_error(&file, rule)
+    })
+}
+
 fn list_files(directory: &Path, files: &mut Vec<PathBuf>) -> std::io::Result<()> {
     for entry in fs::read_dir(directory)? {
         let path = entry?.path();
@@ -78,8 +120,10 @@
 }
 
 fn read_document(directory: &Path, file: &Path) -> Result<(ConfigPath, Document), DocumentError> {
+    let absolute = std::path::absolute(file).unwrap_or_else(|_| file.to_owned());
     let relative = file
         .strip_prefix(directory)
+        .or_else(|_| absolute.strip_prefix(directory))
         .unwrap_or(file)
         .with_extension("");
     let path: ConfigPath = relative
--- a/crates/cli/src/command/read_config.rs
+++ b/crates/cli/src/command/read_config.rs
@@ -28,6 +28,54 @@
     }
 }
 
+/// Reads the configuration that was in force after the record of a version, within a time limit.
+///
+/// # Errors
+/// The log failed or did not answer in time, has no such record, or has no record or snapshot as old.
+pub(super) async fn read_config_through(
+    log: &dyn Log,
+    version: Offset,
+    timeout: Duration,
+) -> Result<ConfigState, CallError> {
+    let read = read_through(log, version);
+    match tokio::time::timeout(timeout, read).await {
+        Ok(result) => result.map_err(|error| CallError::not_run(error.cause)),
+        Err(_) => Err(CallError::not_run("the log did not answer in time")),
+    }
+}
+
+async fn read_through(log: &dyn Log, version: Offset) -> Result<ConfigState, CallError> {
+    let mut state = ConfigState::default();
+    loop {
+        let from = state.next_offset();
+        let page = log
+            .read(CONFIG_STREAM, from, PAGE_RECORDS_MAX, Duration::ZERO)
+            .await?;
+        let first = page.records.first().map(|record| record.offset);
+        let first = first.unwrap_or(page.first_offset);
+        if first > from {
+            state = read_covering_snapshot(log, from, first).await?;
+        }
+        for record in &page.records {
+            if state.next_offset() <= version {
+                // The state records a refusal as the outcome of the record.
+                let _ = state.apply(record.offset, &record.payload);
+            }
+        }
+        let next_offset = state.next_offset();
+        if next_offset == version.next() {
+            return Ok(state);
+        }
+        if next_offset > version {
+            let cause = format!("the log has no configuration as old as version {version}");
+            return Err(CallError::not_run(cause));
+        }
+        if next_offset >= page.end_offset {
+            return Err(CallError::not_run(format!("there is no version {version}")));
+        }
+    }
+}
+
 async fn read_config(log: &dyn Log) -> Result<ConfigState, CallError> {
     let mut state = ConfigState::default();
     while read_page(log, &mut state).await? == Progress::More {}
--- a/crates/cli/src/command/worker_capacities.rs
+++ b/crates/cli/src/command/worker_capacities.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use dotterelhook_borders::hosts::HostList;
+use dotterelhook_borders::hosts::HostSnapshot;
 use dotterelhook_borders::hosts::HostState;
 use dotterelhook_borders::hosts::HttpHostList;
 use dotterelhook_borders::worker::HttpWorkers;
@@ -9,15 +11,19 @@
 use dotterelhook_state::config::ConfigDocument;
 use dotterelhook_types::CallError;
 use dotterelhook_types::document::FieldError;
+use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::sizes::Resources;
 use tokio::task::JoinSet;
 
 use super::config_tree::ConfigTree;
+use crate::config_check::PlatformFacts;
 
 /// The capacities of the live workers in the host list.
 #[derive(Debug, Default)]
 pub(super) struct WorkerCapacities {
     by_worker: Vec<Resources>,
+    by_domain: BTreeMap<FailureDomain, Resources>,
+    hosts: HostSnapshot,
     unanswered_count: usize,
 }
 
@@ -31,21 +37,37 @@
         let hosts = hosts.map_err(|error| CallError::not_run(error.cause))?;
         let agents = HttpWorkers::new(timeout);
         let mut calls = JoinSet::new();
-        let workers = hosts.workers.into_iter();
+        let workers = hosts.workers.iter();
         for worker in workers.filter(|worker| worker.state == HostState::Live) {
             let agent = agents.agent(worker.address);
-            calls.spawn(async move { agent.inventory().await });
+            let domain = worker.failure_domain.clone();
+            calls.spawn(async move { (domain, agent.inventory().await) });
         }
-        let mut capacities = Self::default();
+        let mut capacities = Self {
+            hosts,
+            ..Self::default()
+        };
         while let Some(answer) = calls.join_next().await {
             match answer {
-                Ok(Ok(inventory)) => capacities.by_worker.push(inventory.capacity),
+                Ok((domain, Ok(inventory))) => {
+                    capacities.by_worker.push(inventory.capacity);
+                    let sum = capacities.by_domain.entry(domain).or_default();
+                    *sum = sum.saturating_add(&inventory.capacity);
+                }
                 _ => capacities.unanswered_count += 1,
             }
         }
         Ok(capacities)
     }
 
+    /// Returns what the host list and the workers told. Without the answers of all workers, the
+    /// capacities of failure domains are unknown.
+    pub(super) fn to_facts(&self) -> PlatformFacts {
+        let is_complete = self.unanswered_count == 0;
+        let capacities = is_complete.then(|| self.by_domain.clone());
+        PlatformFacts::new(&self.hosts, capacities)
+    }
+
     /// Adds an error for each service and job that fits no worker.
     pub(super) fn check_sizes(&self, tree: &mut ConfigTree) {
         if self.unanswered_count > 0 {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod command;
+mod config_check;
 mod explain;
 
 fn main() -> eyre::Result<()> {
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -8,8 +8,8 @@
 use std::process::Command;
 use std::process::Output;
 
-const COMMANDS: [&str; 8] = [
-    "explain", "check", "publish", "get", "history", "status", "jobs", "report",
+const COMMANDS: [&str; 9] = [
+    "explain", "check", "publish", "get", "history", "status", "jobs", "report", "evacuate",
 ];
 const TABLE_WIDTH_MAX: usize = 80;
 
@@ -57,7 +57,7 @@
     for wanted in COMMANDS
         .iter()
         .copied()
-        .chain(["0  ", "1  ", "2  ", "3  ", "4  "])
+        .chain(["0  ", "1  ", "2  ", "3  ", "4  ", "5  "])
     {
         assert!(overview.contains(wanted), "{wanted}: {overview}");
     }
--- a/crates/cli/tests/evacuate.rs
+++ b/crates/cli/tests/evacuate.rs
@@ -2,7 +2,7 @@
 //! Guards against a request that is appended twice, against one operator who undoes another's change
 //! unseen, and against exit codes that claim more than is known when the log fails.
 
-mod scripted_log;
+mod simulated_platform;
 
 use std::fs;
 use std::net::SocketAddr;
@@ -14,11 +14,11 @@
 use dotterelhook_state::config::CONFIG_STREAM;
 use dotterelhook_state::config::ConfigState;
 use dotterelhook_types::ids::Offset;
-use scripted_log::AppendBehavior;
-use scripted_log::exit_and_text;
-use scripted_log::run;
-use scripted_log::start_log;
 use serde_json::json;
+use simulated_platform::AppendBehavior;
+use simulated_platform::exit_and_text;
+use simulated_platform::run;
+use simulated_platform::start_log;
 
 async fn evacuate(log: SocketAddr, more: &[&str]) -> (Option<i32>, String) {
     let log = log.to_string();
--- a/crates/cli/tests/publish.rs
+++ b/crates/cli/tests/publish.rs
@@ -2,37 +2,28 @@
 //! Guards against a plan that is appended twice, against exit codes that claim more than is known
 //! when the log fails, and against refusals that are found only after something was published.
 
-mod scripted_log;
+mod simulated_platform;
 
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
-use dotterelhook_borders::hosts::HostSnapshot;
-use dotterelhook_borders::hosts::HostState;
-use dotterelhook_borders::hosts::WorkerEntry;
 use dotterelhook_borders::log::HttpLog;
 use dotterelhook_borders::log::Log;
-use dotterelhook_standins::hosts::HostListServer;
-use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::log::LogServer;
 use dotterelhook_standins::server::Fault;
 use dotterelhook_standins::server::FaultBody;
 use dotterelhook_standins::server::Handler;
-use dotterelhook_standins::worker::WorkerModel;
-use dotterelhook_standins::worker::WorkerServer;
 use dotterelhook_state::config::CONFIG_STREAM;
-use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::Offset;
-use dotterelhook_types::sizes::Resources;
-use scripted_log::AppendBehavior;
-use scripted_log::exit_and_text;
-use scripted_log::run;
-use scripted_log::start;
-use scripted_log::start_log;
+use simulated_platform::AppendBehavior;
+use simulated_platform::exit_and_text;
+use simulated_platform::run;
+use simulated_platform::start;
+use simulated_platform::start_hosts;
+use simulated_platform::start_log;
+use simulated_platform::write_tree;
 
 const JOB: &str = r#"{ "tasks": 1, "size": { "cpu_milli": 4000, "memory_mb": 1000 },
     "run_time_ms": 1000, "deadline_ms": 60000 }"#;
@@ -40,39 +31,6 @@
 const SMALL_QUOTA: &str = r#"{ "batch": { "cpu_milli": 1000, "memory_mb": 8000 } }"#;
 const RECORDS_MAX: usize = 10_000;
 
-/// Starts a host list with one worker of 2 cores and 8000 MB.
-async fn start_hosts() -> SocketAddr {
-    let worker: dotterelhook_types::ids::WorkerId = "w0".parse().unwrap();
-    let model = WorkerModel::new(worker.clone(), Incarnation(1), Resources::new(2_000, 8_000));
-    let address = start(Arc::new(WorkerServer::new(model))).await;
-    let hosts = start(Arc::new(HostListServer::new(Duration::ZERO))).await;
-    let entry = WorkerEntry {
-        worker,
-        address,
-        failure_domain: "laguna".parse().unwrap(),
-        rack: "r0".parse().unwrap(),
-        state: HostState::Live,
-    };
-    let entries = HostSnapshot {
-        targets: Vec::new(),
-        workers: vec![entry],
-    };
-    register(hosts, &entries).await.unwrap();
-    hosts
-}
-
-fn write_tree(name: &str, files: &[(&str, &str)]) -> PathBuf {
-    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("publish-{name}"));
-    let _ = fs::remove_dir_all(&root);
-    fs::create_dir_all(&root).unwrap();
-    for (file, content) in files {
-        let path = root.join(file);
-        fs::create_dir_all(path.parent().unwrap()).unwrap();
-        fs::write(path, content).unwrap();
-    }
-    root
-}
-
 async fn publish(directory: &Path, log: SocketAddr, more: &[&str]) -> (Option<i32>, String) {
     let log = log.to_string();
     let mut arguments = vec!["publish", directory.to_str().unwrap(), "--log", &log];
--- a/crates/cli/tests/scripted_log/mod.rs
+++ b/crates/cli/tests/simulated_platform/mod.rs
@@ -1,13 +1,23 @@
-//! A simulated log whose behavior at an operator's append is given, and runs of the command line.
+//! A simulated log whose behavior at an operator's append is given, a host list with a worker, and
+//! runs of the command line.
 #![allow(dead_code)]
 
+use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::Output;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dotterelhook_borders::hosts::HostSnapshot;
+use dotterelhook_borders::hosts::HostState;
+use dotterelhook_borders::hosts::WorkerEntry;
+use dotterelhook_standins::hosts::HostListServer;
+use dotterelhook_standins::hosts::register;
 use dotterelhook_standins::log::LogServer;
 use dotterelhook_standins::server::Answer;
 use dotterelhook_standins::server::Fault;
@@ -16,6 +26,10 @@
 use dotterelhook_standins::server::Handler;
 use dotterelhook_standins::server::bind;
 use dotterelhook_standins::server::serve;
+use dotterelhook_standins::worker::WorkerModel;
+use dotterelhook_standins::worker::WorkerServer;
+use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::sizes::Resources;
 use hyper::Method;
 use tokio::process::Command;
 
@@ -121,3 +135,36 @@
     text.push_str(&String::from_utf8_lossy(&output.stderr));
     (output.status.code(), text)
 }
+
+/// Starts a host list with one worker of 2 cores and 8000 MB in failure domain laguna.
+pub(crate) async fn start_hosts() -> SocketAddr {
+    let worker: dotterelhook_types::ids::WorkerId = "w0".parse().unwrap();
+    let model = WorkerModel::new(worker.clone(), Incarnation(1), Resources::new(2_000, 8_000));
+    let address = start(Arc::new(WorkerServer::new(model))).await;
+    let hosts = start(Arc::new(HostListServer::new(Duration::ZERO))).await;
+    let entry = WorkerEntry {
+        worker,
+        address,
+        failure_domain: "laguna".parse().unwrap(),
+        rack: "r0".parse().unwrap(),
+        state: HostState::Live,
+    };
+    let entries = HostSnapshot {
+        targets: Vec::new(),
+        workers: vec![entry],
+    };
+    register(hosts, &entries).await.unwrap();
+    hosts
+}
+
+pub(crate) fn write_tree(name: &str, files: &[(&str, &str)]) -> PathBuf {
+    let root = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("tree-{name}"));
+    let _ = fs::remove_dir_all(&root);
+    fs::create_dir_all(&root).unwrap();
+    for (file, content) in files {
+        let path = root.join(file);
+        fs::create_dir_all(path.parent().unwrap()).unwrap();
+        fs::write(path, content).unwrap();
+    }
+    root
+}
