Let runs leave an evacuated failure domain

Cause: attempts that could write a checkpoint ran on in an evacuated failure domain, and waiting runs waited for its end, also while other failure domains had room. A run was bound to the shard that had accepted it.

Change: an owner whose failure domain is evacuated asks the others for room, one run after another. If there is room within the team's quota for all that runs of it, its attempts write checkpoints and stop, and the record `move` ends the run here. It is handed over until the other shard has recorded `adopt`; `delivered` closes it. Cancellations follow a run. `jobs` shows a run where it is. New requests of the run API between schedulers: POST /room/RUN and POST /moved-runs/RUN. The fixture of the tests of the shard's fold is in a module of its own; the tests of late ends moved to shard_ends_and_moves unchanged.

Measured: scheduler/shard::relocations (7 tests), state/shard_ends_and_moves (6 tests) and cli/losses::a_run_that_has_moved_is_told_by_its_new_shard pass.

--- a/crates/cli/src/cli/help.rs
+++ b/crates/cli/src/cli/help.rs
@@ -100,10 +100,11 @@
         [--daemon ADDRESS [--wait]]
 
 Requests that no attempt starts on a worker of the failure domain, until the
-same command with --end. Attempts that run go on to their end; waiting tasks
-wait. status shows what still runs. With --daemon, a failure domain without a
-daemon is an error; with --wait, returns once every live daemon has the change
-in force.
+same command with --end. Runs whose attempts can write checkpoints, and runs
+that wait, leave for another failure domain while it has room; other attempts go
+on to their end. status shows what still runs. With --daemon, a failure domain
+without a daemon is an error; with --wait, returns once every live daemon has
+the change in force.
 
 EXAMPLE:
     dotterelhook evacuate laguna --log 127.0.0.1:7000 --daemon 127.0.0.1:7101
--- a/crates/cli/src/command/collected_runs.rs
+++ b/crates/cli/src/command/collected_runs.rs
@@ -5,6 +5,7 @@
 use dotterelhook_peer::membership::Member;
 use dotterelhook_peer::membership::MemberState;
 use dotterelhook_peer::membership::Role;
+use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::RunSummary;
 use dotterelhook_types::ids::RunId;
 
@@ -63,11 +64,12 @@
     }
 }
 
-/// Inserts a line unless the known one is from the owner and the new one is not: other schedulers
-/// may lag behind the owner.
+/// Inserts a line unless the known one says more: a run that has moved is told by its new shard, and
+/// other schedulers may lag behind the owner.
 fn insert_preferring_owner(runs: &mut BTreeMap<RunId, RunSummary>, line: RunSummary) {
+    let rank = |line: &RunSummary| (line.status != RunStatus::Moved, line.is_from_owner);
     let known = runs.get(&line.run);
-    if known.is_none_or(|known| line.is_from_owner || !known.is_from_owner) {
+    if known.is_none_or(|known| rank(&line) >= rank(known)) {
         runs.insert(line.run.clone(), line);
     }
 }
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -166,6 +166,22 @@
     assert!(runs_and_kinds(&report).is_empty(), "{report}");
 }
 
+/// The shard that a run has left keeps a line of it; where it is now tells its progress.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_has_moved_is_told_by_its_new_shard() {
+    let left = json!({ "status": "moved", "cause": "moved to failure domain pampanga" });
+    let late = json!({ "is_overdue": true });
+    for (first, second) in [(&left, &late), (&late, &left)] {
+        let other = start_scheduler(json!([run_summary("run", first)]), &[]).await;
+        let lines = json!([run_summary("run", second)]);
+        let daemon = start_scheduler(lines, &[member("h1", other)]).await;
+
+        let (_, report) = report(daemon).await;
+
+        assert_eq!(runs_and_kinds(&report), [("run", "overdue")], "{report}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_scheduler_without_an_answer_makes_the_report_incomplete() {
     let unused_address = SocketAddr::from(([127, 0, 0, 1], 1));
--- a/crates/scheduler/src/api/mod.rs
+++ b/crates/scheduler/src/api/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP API for submitting and cancelling runs.
 
+mod relocation_requests;
 mod run_api;
 
 pub(crate) use run_api::RunApi;
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -5,6 +5,7 @@
 use dotterelhook_borders::clock::Clock;
 use dotterelhook_borders::http::JsonAnswer;
 use dotterelhook_borders::http::JsonClient;
+use dotterelhook_borders::http::read_body;
 use dotterelhook_kernel::http::AnswerBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
@@ -27,8 +28,10 @@
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use rapidhash::v3::rapidhash_v3;
+use serde_json::Value;
 use tokio::sync::oneshot;
 
+use super::relocation_requests::RelocationRequest;
 use crate::run_commands::RunCommandError;
 use crate::run_commands::ShardChannels;
 use crate::run_commands::ShardCommand;
@@ -37,6 +40,8 @@
 /// Longer than `REPLY_TIMEOUT`, so that the owner can still report its own timeout.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(12);
 const RETRY_AFTER_SECONDS: u64 = 2;
+/// Above the size of the largest run that moves.
+const MOVED_RUN_MAX_BYTES: usize = 4 << 20;
 const FORWARDED_QUERY: &str = "forwarded";
 
 /// Dependencies of the run API.
@@ -51,7 +56,7 @@
 
 /// HTTP handler that submits and cancels runs: `POST` and `DELETE` on `/runs/TEAM/JOB/RUN`.
 pub(crate) struct RunApi {
-    context: RunApiContext,
+    pub(super) context: RunApiContext,
 }
 
 struct RunPath {
@@ -99,9 +104,27 @@
             Err(refusal) => return *refusal,
         };
         let result = self.send_to_shard(&parsed.run, command, answer).await;
+        self.respond(
+            &parsed.run,
+            result,
+            (method, path, &Value::Null),
+            may_forward,
+        )
+        .await
+    }
+
+    /// Returns the answer to a request, which is passed on if another process can answer it.
+    pub(super) async fn respond(
+        &self,
+        run: &RunId,
+        result: Result<(), RunCommandError>,
+        (method, path, body): (&Method, &str, &Value),
+        may_forward: bool,
+    ) -> Response<AnswerBody> {
         match result {
-            Ok(()) => success(&parsed.run),
-            Err(RunCommandError::NotOwner) if may_forward => self.forward(method, path).await,
+            Ok(()) => success(run),
+            Err(RunCommandError::NotOwner) if may_forward => self.forward(method, path, body).await,
+            Err(RunCommandError::Moved(domain)) => self.follow_run(&domain, method, path).await,
             Err(RunCommandError::NotOwner) => {
                 let error = CallError::not_run("no owner of the shard is known");
                 failure(StatusCode::SERVICE_UNAVAILABLE, &error)
@@ -165,12 +188,12 @@
         }))
     }
 
-    async fn send_to_shard(
+    pub(super) async fn send_to_shard<T>(
         &self,
         run: &RunId,
         command: ShardCommand,
-        answer: oneshot::Receiver<Result<(), RunCommandError>>,
-    ) -> Result<(), RunCommandError> {
+        answer: oneshot::Receiver<Result<T, RunCommandError>>,
+    ) -> Result<T, RunCommandError> {
         let hash = rapidhash_v3(run.as_str().as_bytes());
         let index = (hash % u64::from(self.context.shard_count)) as u32;
         let shard = ShardId {
@@ -194,14 +217,14 @@
 
     /// Forwards the request to the other live schedulers of the failure domain until the owner
     /// answers.
-    async fn forward(&self, method: &Method, path: &str) -> Response<AnswerBody> {
+    async fn forward(&self, method: &Method, path: &str, body: &Value) -> Response<AnswerBody> {
         let own_id = self.context.membership.own_id();
         let mut peers = self.context.membership.live_peers(Role::Scheduler);
         peers.retain(|peer| peer.heartbeat.member != own_id);
         for peer in peers {
             let client = JsonClient::new(peer.heartbeat.api_address, FORWARD_TIMEOUT);
             let target = format!("{path}?{FORWARDED_QUERY}");
-            match client.send(method.clone(), &target, &()).await {
+            match client.send(method.clone(), &target, body).await {
                 Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
                 Ok(answer) => return relay_answer(answer),
                 Err(error) if error.verdict == Verdict::NotRun => {}
@@ -213,7 +236,11 @@
     }
 }
 
-fn with_verdict(status: StatusCode, text: String, verdict: Verdict) -> Response<AnswerBody> {
+pub(super) fn with_verdict(
+    status: StatusCode,
+    text: String,
+    verdict: Verdict,
+) -> Response<AnswerBody> {
     let mut answer = Response::new(full_body(text));
     *answer.status_mut() = status;
     let verdict: &'static str = verdict.into();
@@ -232,11 +259,11 @@
     with_verdict(StatusCode::OK, format!("{run} accepted\n"), Verdict::Ran)
 }
 
-fn failure(status: StatusCode, error: &CallError) -> Response<AnswerBody> {
+pub(super) fn failure(status: StatusCode, error: &CallError) -> Response<AnswerBody> {
     with_verdict(status, format!("{error}\n"), error.verdict)
 }
 
-fn relay_answer(answer: JsonAnswer) -> Response<AnswerBody> {
+pub(super) fn relay_answer(answer: JsonAnswer) -> Response<AnswerBody> {
     let verdict = match answer.status.is_success() {
         true => Verdict::Ran,
         false if answer.status.is_client_error() => Verdict::NotRun,
@@ -249,8 +276,15 @@
 #[async_trait]
 impl HttpHandler for RunApi {
     async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let may_forward = request.uri().query() != Some(FORWARDED_QUERY);
-        self.execute(request.method(), request.uri().path(), may_forward)
-            .await
+        let (head, body) = request.into_parts();
+        let (method, path) = (&head.method, head.uri.path());
+        let may_forward = head.uri.query() != Some(FORWARDED_QUERY);
+        if !RelocationRequest::is_path(path) {
+            return self.execute(method, path, may_forward).await;
+        }
+        match read_body(body, MOVED_RUN_MAX_BYTES).await {
+            Ok(body) => self.relocate(method, path, &body, may_forward).await,
+            Err(cause) => failure(StatusCode::BAD_REQUEST, &CallError::not_run(cause)),
+        }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod interference;
 pub mod placement;
 pub mod quota;
+pub mod relocation;
 mod run_commands;
 mod scheduler_service;
 pub mod shard;
--- a/crates/scheduler/src/placement/indexed/indexed_placer.rs
+++ b/crates/scheduler/src/placement/indexed/indexed_placer.rs
@@ -282,10 +282,16 @@
                     self.refresh_run(state, &attempt.task.run);
                 }
             }
-            ShardEvent::Cancel { run } | ShardEvent::Fail { run, .. } => {
+            ShardEvent::Adopt { moved } => self.add_run(state, &moved.run),
+            ShardEvent::Cancel { run }
+            | ShardEvent::Fail { run, .. }
+            | ShardEvent::Move { run, .. } => {
                 self.refresh_run(state, run);
             }
-            ShardEvent::Claim | ShardEvent::Release | ShardEvent::Overdue { .. } => {}
+            ShardEvent::Claim
+            | ShardEvent::Release
+            | ShardEvent::Delivered { .. }
+            | ShardEvent::Overdue { .. } => {}
         }
     }
 
--- a/crates/scheduler/src/run_commands.rs
+++ b/crates/scheduler/src/run_commands.rs
@@ -1,16 +1,20 @@
 use std::collections::BTreeMap;
 
 use async_trait::async_trait;
+use dotterelhook_state::shard::MovedRun;
 use dotterelhook_state::shard::RunSpec;
 use dotterelhook_state::shard::RunSummary;
 use dotterelhook_state::shard::ShardId;
 use dotterelhook_state::shard::ShardRefusal;
+use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::JobName;
 use dotterelhook_types::ids::RunId;
 use dotterelhook_types::ids::TeamName;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::relocation::RoomRequest;
+
 /// A request of a submitter or an operator to a shard's task.
 pub enum ShardCommand {
     /// Accept a run; answered once its record has been read back from the log.
@@ -33,6 +37,20 @@
         /// Receives the outcome.
         reply: oneshot::Sender<Result<(), RunCommandError>>,
     },
+    /// Take over a run that has left another failure domain; answered like a submission.
+    Adopt {
+        /// The run with the states of its tasks.
+        moved: Box<MovedRun>,
+        /// Receives the outcome.
+        reply: oneshot::Sender<Result<(), RunCommandError>>,
+    },
+    /// Count the tasks that could start now.
+    CountRoom {
+        /// The team and the size of one task.
+        request: RoomRequest,
+        /// Receives the number of tasks.
+        reply: oneshot::Sender<Result<u64, RunCommandError>>,
+    },
     /// List the runs of the shard.
     ListRuns {
         /// Receives the summary of each run.
@@ -45,6 +63,8 @@
 pub enum RunCommandError {
     /// This process does not own the shard; the request has no effect.
     NotOwner,
+    /// The run has left for this failure domain; the request has no effect here.
+    Moved(FailureDomain),
     /// The fold refused the record, or a cancellation names the wrong team or job.
     Refused(ShardRefusal),
     /// No worker of the shard has the capacity for one task; carries the reason.
--- a/crates/scheduler/src/scheduler_service.rs
+++ b/crates/scheduler/src/scheduler_service.rs
@@ -25,6 +25,7 @@
 use crate::interference::LearnedPairsSettings;
 use crate::placement::FewestVictims;
 use crate::placement::IndexedPlacer;
+use crate::relocation::HttpDomains;
 use crate::run_commands::RunLister;
 use crate::run_commands::ShardChannels;
 use crate::shard::LeaseTimes;
@@ -96,6 +97,10 @@
             view_age_max: self.settings.evacuation_bound.map(|bound| bound / 2),
             create_placer: || Box::new(IndexedPlacer::default()),
             create_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
+            other_domains: Arc::new(HttpDomains::new(
+                registry.find::<dyn MembershipView>(names::MEMBERSHIP)?,
+                self.settings.failure_domain.clone(),
+            )),
             eviction_policy: Arc::new(FewestVictims),
             metrics: metrics.clone(),
         })
--- a/crates/scheduler/src/shard/commands.rs
+++ b/crates/scheduler/src/shard/commands.rs
@@ -1,13 +1,18 @@
 use dotterelhook_state::shard::RunSpec;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_state::shard::ShardRefusal;
+use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::RunId;
+use dotterelhook_types::ids::TeamName;
 use dotterelhook_types::ids::WorkerId;
 use dotterelhook_types::sizes::Resources;
 
 use super::pending_replies::Reply;
 use super::pending_replies::RequestKind;
 use super::shard_task::ShardTask;
+use crate::quota::QuotaView;
+use crate::quota::ShardQuotas;
+use crate::relocation::RoomRequest;
 use crate::run_commands::RunCommandError;
 use crate::run_commands::ShardCommand;
 
@@ -20,6 +25,14 @@
             ShardCommand::ListRuns { reply } => {
                 let _ = reply.send(self.list_runs());
             }
+            ShardCommand::CountRoom { request, reply } => {
+                let _ = reply.send(self.count_room(&request));
+            }
+            ShardCommand::Adopt { moved, reply } => {
+                let run = moved.run.clone();
+                let event = ShardEvent::Adopt { moved };
+                self.enqueue_request(RequestKind::Adopt, run, reply, event);
+            }
             ShardCommand::Submit { run, spec, reply } => self.enqueue_submission(run, spec, reply),
             ShardCommand::Cancel {
                 run,
@@ -34,6 +47,10 @@
                     let _ = reply.send(Err(error));
                     return;
                 }
+                if let Some(domain) = known.and_then(|run| run.moved_to.clone()) {
+                    let _ = reply.send(Err(RunCommandError::Moved(domain)));
+                    return;
+                }
                 self.enqueue_request(
                     RequestKind::Cancel,
                     run.clone(),
@@ -44,6 +61,44 @@
         }
     }
 
+    /// Returns how many tasks could start now, within the team's quota; none while starts are held
+    /// back or tasks wait.
+    fn count_room(&self, request: &RoomRequest) -> Result<u64, RunCommandError> {
+        if !self.is_owner() || self.is_releasing {
+            return Err(RunCommandError::NotOwner);
+        }
+        // Work that waits here goes first.
+        if self.start_gate.hold().is_some() || self.state.has_waiting_tasks() {
+            return Ok(0);
+        }
+        let usable = self.usable_workers();
+        let loads = self.placer.worker_loads().into_iter();
+        let usable_loads = loads.filter(|load| usable.contains(&load.worker));
+        let size = &request.size;
+        let room = usable_loads.map(|load| tasks_in(&load.free, size)).sum();
+        let within_quota = self
+            .free_quota(&request.team)
+            .map(|free| tasks_in(&free, size));
+        Ok(within_quota.map_or(room, |tasks| tasks.min(room)))
+    }
+
+    /// Returns what the team's open attempts leave of its quota; `None` if it has none.
+    fn free_quota(&self, team: &TeamName) -> Option<Resources> {
+        let (shard, shard_count) = (&self.context.shard, self.context.shard_count);
+        let quotas = ShardQuotas::new(self.context.config.current(), shard.index, shard_count);
+        let limit = quotas.limit(team)?;
+        let is_of_team = |attempt: &AttemptId| {
+            let run = self.state.runs().get(&attempt.task.run);
+            run.is_some_and(|run| run.spec.team == *team)
+        };
+        let open = self.state.open_attempts().iter();
+        let of_team = open.filter(|(attempt, _)| is_of_team(attempt));
+        let used = of_team.fold(Resources::default(), |sum, (_, open)| {
+            sum.saturating_add(&open.size)
+        });
+        Some(limit.saturating_sub(&used))
+    }
+
     fn enqueue_submission(&mut self, run: RunId, spec: Box<RunSpec>, reply: Reply) {
         let is_known = self.state.runs().contains_key(&run);
         if !is_known
@@ -115,6 +170,17 @@
     }
 }
 
+/// Returns how many tasks of a size fit into free resources.
+fn tasks_in(free: &Resources, size: &Resources) -> u64 {
+    let ratios = [
+        (free.cpu_milli.0, size.cpu_milli.0),
+        (free.memory_mb.0, size.memory_mb.0),
+        (free.accelerators.0, size.accelerators.0),
+    ];
+    let needed = ratios.into_iter().filter(|(_, size)| *size > 0);
+    needed.map(|(free, size)| free / size).min().unwrap_or(0)
+}
+
 fn lacking_resources(size: &Resources, capacity: &Resources) -> String {
     let mut names = Vec::new();
     if size.cpu_milli > capacity.cpu_milli {
--- a/crates/scheduler/src/shard/log_pages.rs
+++ b/crates/scheduler/src/shard/log_pages.rs
@@ -132,6 +132,10 @@
             } => self.send_start(attempt, worker),
             ShardEvent::Worker { .. } => self.workers_changed = true,
             ShardEvent::Overdue { run } => self.handle_overdue_run(run),
+            ShardEvent::Move { run, .. } => {
+                self.context.metrics.moved_runs.inc();
+                self.finish_departure(run);
+            }
             event => self.answer_requesters(event, &Ok(())),
         }
     }
@@ -146,6 +150,9 @@
         if let ShardEvent::End { attempt, .. } = &record.event {
             self.attempts_with_queued_end.remove(attempt);
         }
+        if let ShardEvent::Move { run, .. } = &record.event {
+            self.finish_departure(run);
+        }
         let error = match refusal {
             ShardRefusal::StaleEpoch | ShardRefusal::NotOwner => RunCommandError::NotOwner,
             _ => RunCommandError::Refused(refusal),
@@ -162,6 +169,9 @@
         match event {
             ShardEvent::Submit { run, .. } => self.replies.answer(run, RequestKind::Submit, result),
             ShardEvent::Cancel { run } => self.replies.answer(run, RequestKind::Cancel, result),
+            ShardEvent::Adopt { moved } => {
+                self.replies.answer(&moved.run, RequestKind::Adopt, result);
+            }
             _ => {}
         }
     }
--- a/crates/scheduler/src/shard/metrics.rs
+++ b/crates/scheduler/src/shard/metrics.rs
@@ -26,6 +26,10 @@
     pub held_shards: Gauge,
     /// Starts that were recorded, but not sent for one of these reasons.
     pub held_starts: Counter,
+    /// Attempts stopped because their run leaves an evacuated failure domain.
+    pub evacuated_attempts: Counter,
+    /// Runs that have left an evacuated failure domain.
+    pub moved_runs: Counter,
     /// Evictions ordered to make room for urgent tasks.
     pub evictions: Counter,
 }
@@ -75,6 +79,16 @@
                 "Recorded starts not sent because of an evacuation or an outdated view",
                 &self.held_starts,
             ),
+            (
+                "evacuated_attempts",
+                "Attempts stopped because their run leaves",
+                &self.evacuated_attempts,
+            ),
+            (
+                "moved_runs",
+                "Runs that have left for another failure domain",
+                &self.moved_runs,
+            ),
             (
                 "evictions",
                 "Attempts evicted for urgent tasks",
--- a/crates/scheduler/src/shard/mod.rs
+++ b/crates/scheduler/src/shard/mod.rs
@@ -5,6 +5,7 @@
 mod append_task;
 mod appender;
 mod commands;
+mod departures;
 mod interference_actions;
 mod interference_monitor;
 mod inventories;
--- a/crates/scheduler/src/shard/ownership.rs
+++ b/crates/scheduler/src/shard/ownership.rs
@@ -8,6 +8,7 @@
 use rapidhash::v3::rapidhash_v3;
 use spdlog::info;
 use spdlog::warn;
+use tokio::task::JoinSet;
 
 use super::interference_monitor::InterferenceMonitor;
 use super::shard_task::ShardTask;
@@ -86,6 +87,10 @@
         self.attempts_with_queued_end.clear();
         self.evicting.clear();
         self.placement_wait_reasons.clear();
+        self.departure = None;
+        self.deliveries.clear();
+        self.relocations = JoinSet::new();
+        self.queued_moves.clear();
         self.evacuation.reset(&self.context.metrics);
         self.appender.discard_batch();
         self.replies.answer_all(&Err(RunCommandError::NotOwner));
@@ -140,6 +145,8 @@
             self.answer_requesters(&event, &Err(RunCommandError::NotOwner));
         }
         self.queued_ends.clear();
+        self.queued_moves.clear();
+        self.relocations = JoinSet::new();
     }
 
     /// Appends the release once no other batch is in flight; returns whether the shard is released.
--- a/crates/scheduler/src/shard/pending_replies.rs
+++ b/crates/scheduler/src/shard/pending_replies.rs
@@ -15,6 +15,8 @@
     Submit,
     /// Cancel a run.
     Cancel,
+    /// Take over a run from another failure domain.
+    Adopt,
 }
 
 /// Reply channels of requests whose records have not been read back yet.
--- a/crates/scheduler/src/shard/run_reports.rs
+++ b/crates/scheduler/src/shard/run_reports.rs
@@ -23,6 +23,9 @@
             summary
                 .waits
                 .extend(self.placement_wait_reasons.get(&summary.run).cloned());
+            if self.state.undelivered_runs().contains(&summary.run) {
+                summary.waits.push("waits to be adopted there".into());
+            }
             if let Some(hold) = hold.as_ref().filter(|_| summary.waiting > 0) {
                 summary.waits.push(hold.as_str().into());
             }
--- a/crates/scheduler/src/shard/shard_context.rs
+++ b/crates/scheduler/src/shard/shard_context.rs
@@ -15,6 +15,7 @@
 use crate::interference::InterferenceController;
 use crate::placement::EvictionPolicy;
 use crate::placement::Placer;
+use crate::relocation::OtherDomains;
 
 /// Largest difference in rate between two clocks.
 const CLOCK_DRIFT_MAX_PERCENT: u32 = 1;
@@ -89,6 +90,8 @@
     pub create_placer: fn() -> Box<dyn Placer>,
     /// Creates the controller that protects services from batch work on the same worker.
     pub create_controller: fn() -> Box<dyn InterferenceController>,
+    /// The schedulers that may take over runs of an evacuated failure domain.
+    pub other_domains: Arc<dyn OtherDomains>,
     /// Chooses the attempts to evict for urgent tasks.
     pub eviction_policy: Arc<dyn EvictionPolicy>,
     /// Counters shared by all shards of the process.
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -17,12 +17,15 @@
 use spdlog::info;
 use spdlog::warn;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 use super::ShardContext;
 use super::append_task::AppendResult;
 use super::append_task::spawn_append;
 use super::appender::Appender;
+use super::departures::Departure;
+use super::departures::RelocationResult;
 use super::interference_monitor::InterferenceMonitor;
 use super::pending_replies::PendingReplies;
 use super::stream_reader::StreamReader;
@@ -79,6 +82,13 @@
     pub(super) placement_wait_reasons: BTreeMap<RunId, Box<str>>,
     pub(super) start_gate: Arc<StartGate>,
     pub(super) evacuation: EvacuationMonitor,
+    pub(super) departure: Option<Departure>,
+    pub(super) last_probed: Option<RunId>,
+    pub(super) next_probe_ms: u64,
+    /// Runs that are being handed over to another failure domain.
+    pub(super) deliveries: BTreeSet<RunId>,
+    pub(super) relocations: JoinSet<RelocationResult>,
+    pub(super) queued_moves: VecDeque<ShardEvent>,
     results: mpsc::Sender<AppendResult>,
 }
 
@@ -134,6 +144,12 @@
         placement_wait_reasons: BTreeMap::new(),
         start_gate: Arc::new(start_gate),
         evacuation: EvacuationMonitor::default(),
+        departure: None,
+        last_probed: None,
+        next_probe_ms: 0,
+        deliveries: BTreeSet::new(),
+        relocations: JoinSet::new(),
+        queued_moves: VecDeque::new(),
         results,
     };
     let inputs = Inputs {
@@ -167,6 +183,7 @@
                 Some(update) = updates.recv() => self.apply_update(update),
                 Some(result) = inputs.results.recv() => self.handle_append_result(&result),
                 _ = commit_timer.tick() => self.on_commit_tick(),
+                Some(Ok(result)) = self.relocations.join_next() => self.handle_relocation(result),
                 Some(report) = inputs.reports.recv() => self.handle_report(report),
                 Some(command) = inputs.commands.recv() => self.handle_command(command),
             }
@@ -235,6 +252,7 @@
             self.queue_lost_attempts();
             self.apply_interference_actions();
             self.observe_evacuation();
+            self.advance_departures();
         }
         if !self.appender.has_batch() {
             self.assemble_batch();
@@ -275,6 +293,7 @@
         }
         let mut events = self.worker_change_events();
         drain_front(&mut self.queued_ends, &mut events);
+        drain_front(&mut self.queued_moves, &mut events);
         drain_front(&mut self.queued_requests, &mut events);
         events.extend(self.overdue_events());
         events.extend(self.never_runnable_events());
--- a/crates/scheduler/tests/shard/faults.rs
+++ b/crates/scheduler/tests/shard/faults.rs
@@ -1,4 +1,5 @@
-//! Random fault schedules: kills, freezes, cut links, late and duplicate messages, evacuations.
+//! Random fault schedules: kills, freezes, cut links, late and duplicate messages, evacuations and
+//! runs that leave during them.
 
 use dotterelhook_borders::log::LogFault;
 use dotterelhook_types::ids::RunId;
@@ -47,6 +48,8 @@
     SetEvacuated(bool),
     SetConfigCut(usize, bool),
     SetSlowReads(usize, bool),
+    SetRoom(u64),
+    SetDeliveryLoss(bool),
     Advance(u64),
 }
 
@@ -113,6 +116,8 @@
             2 => any::<bool>().prop_map(Step::SetEvacuated),
             1 => (h(), any::<bool>()).prop_map(|(h, on)| Step::SetConfigCut(h, on)),
             1 => (h(), any::<bool>()).prop_map(|(h, on)| Step::SetSlowReads(h, on)),
+            3 => (0_u64..8).prop_map(Step::SetRoom),
+            1 => any::<bool>().prop_map(Step::SetDeliveryLoss),
             12 => (200_u64..6_000).prop_map(Step::Advance),
         ]
         .boxed()
@@ -221,6 +226,8 @@
             .process(host)
             .into_iter()
             .for_each(|p| p.set_slow_reads(on)),
+        Step::SetRoom(room) => world.domain.set_room(room),
+        Step::SetDeliveryLoss(on) => world.domain.set_loses_answers(on),
         Step::Advance(ms) => world.advance(ms).await,
     }
     world.fleet.check();
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -5,5 +5,6 @@
 mod faults;
 mod late_ends;
 mod policy;
+mod relocations;
 mod takeovers;
 mod world;
--- a/crates/scheduler/tests/shard/world/mod.rs
+++ b/crates/scheduler/tests/shard/world/mod.rs
@@ -2,6 +2,7 @@
 //! every link.
 
 mod agents;
+mod domains;
 mod process;
 mod views;
 
@@ -12,12 +13,14 @@
 
 pub(crate) use agents::Fleet;
 pub(crate) use agents::LinkFault;
+use domains::FakeDomain;
 use dotterelhook_borders::log::Log;
 use dotterelhook_borders::log::MemoryLog;
 use dotterelhook_scheduler::RunCommandError;
 use dotterelhook_scheduler::ShardCommand;
 use dotterelhook_scheduler::shard::LeaseTimes;
 use dotterelhook_state::config::BatchJob;
+use dotterelhook_state::shard::MovedRun;
 use dotterelhook_state::shard::RunSpec;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::RunSummary;
@@ -66,6 +69,7 @@
     pub(crate) fleet: Arc<Fleet>,
     pub(crate) log: Arc<MemoryLog>,
     pub(crate) views: Arc<Views>,
+    pub(crate) domain: Arc<FakeDomain>,
     pub(crate) appends: Arc<AtomicU64>,
     times: LeaseTimes,
     processes: Vec<Option<Process>>,
@@ -81,6 +85,7 @@
             fleet: Arc::new(Fleet::new(WORKERS)),
             log: Arc::default(),
             views: Arc::new(Views::new(HOSTS, WORKERS)),
+            domain: Arc::new(FakeDomain::new()),
             appends: Arc::default(),
             times,
             processes: (0..HOSTS).map(|_| None).collect(),
@@ -243,6 +248,23 @@
         }
     }
 
+    /// Checks that nothing of a run that has left runs or starts here once it was handed over, and that
+    /// it is handed over in one state only.
+    pub(crate) fn check_relocations(&self) {
+        let mut first: BTreeMap<RunId, (u64, MovedRun)> = BTreeMap::new();
+        for (at_ms, moved) in self.domain.received() {
+            let known = first.entry(moved.run.clone());
+            let (_, known) = known.or_insert_with(|| (at_ms, moved.clone()));
+            assert_eq!(*known, moved, "a run left in two states");
+        }
+        for interval in self.fleet.intervals() {
+            if let Some((at_ms, _)) = first.get(&interval.attempt.task.run) {
+                let has_ended = interval.to_ms.is_some_and(|to_ms| to_ms <= *at_ms);
+                assert!(has_ended, "runs after the run has left: {interval:?}");
+            }
+        }
+    }
+
     /// Advances time and checks the workers at every step.
     pub(crate) async fn advance(&mut self, ms: u64) {
         for _ in 0..ms.div_ceil(CHECK_STEP_MS) {
@@ -250,6 +272,7 @@
             self.fleet.check();
         }
         self.check_evacuations();
+        self.check_relocations();
     }
 
     /// Ends all faults and waits until no run is active and no attempt is open.
@@ -258,6 +281,7 @@
         self.fleet.heal();
         self.views.heal();
         self.set_evacuated(false);
+        self.domain.set_loses_answers(false);
         for host in 0..HOSTS {
             if let Some(process) = &self.processes[host] {
                 process.thaw();
--- a/crates/scheduler/tests/shard/world/process.rs
+++ b/crates/scheduler/tests/shard/world/process.rs
@@ -93,6 +93,7 @@
                 frozen.subscribe(),
             )),
             view_age_max: Some(VIEW_AGE_MAX),
+            other_domains: Arc::clone(&world.domain) as _,
             create_placer: || Box::new(IndexedPlacer::default()),
             create_controller: || Box::new(LearnedPairs::new(LearnedPairsSettings::default())),
             eviction_policy: Arc::new(FewestVictims),
--- a/crates/state/src/shard/event.rs
+++ b/crates/state/src/shard/event.rs
@@ -1,5 +1,6 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Epoch;
+use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::HostId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::JobName;
@@ -11,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::MovedRun;
 use crate::config::BatchJob;
 
 /// One record of a shard's stream.
@@ -124,6 +126,23 @@
         /// Reason why the run can't complete.
         cause: Box<str>,
     },
+    /// An active run without open attempts leaves for a shard of another failure domain.
+    Move {
+        /// The run that leaves.
+        run: RunId,
+        /// The failure domain that it leaves for.
+        to: FailureDomain,
+    },
+    /// A run that has left was adopted by the other shard.
+    Delivered {
+        /// The run.
+        run: RunId,
+    },
+    /// A run that has left another shard is taken over.
+    Adopt {
+        /// The run with the states of its tasks.
+        moved: Box<MovedRun>,
+    },
     /// An active run passed its deadline.
     Overdue {
         /// The run to mark as overdue.
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod event;
 mod late_ends;
+mod moves;
 mod refusal;
 mod run;
 mod run_summary;
@@ -17,6 +18,7 @@
 pub use event::ShardEvent;
 pub use event::ShardRecord;
 pub use late_ends::LostAttempt;
+pub use moves::MovedRun;
 pub use refusal::ShardRefusal;
 pub use run::Run;
 pub use run::RunStatus;
--- a/crates/state/src/shard/refusal.rs
+++ b/crates/state/src/shard/refusal.rs
@@ -48,6 +48,8 @@
     NotNextAttempt,
     /// The worker's capacity would be exceeded.
     WorkerFull,
+    /// The run has attempts that may still count, so it can't move.
+    AttemptsOpen,
     /// The attempt is neither open nor declared lost.
     NotOpen,
 }
--- a/crates/state/src/shard/run.rs
+++ b/crates/state/src/shard/run.rs
@@ -2,11 +2,13 @@
 use std::collections::BTreeSet;
 
 use dotterelhook_types::ids::AttemptId;
+use dotterelhook_types::ids::FailureDomain;
 use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::WorkerId;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::MovedRun;
 use super::RunSpec;
 
 /// Lifecycle status of a run.
@@ -34,6 +36,8 @@
     Failed,
     /// The run was cancelled.
     Cancelled,
+    /// The run has left for a shard of another failure domain.
+    Moved,
 }
 
 /// Scheduling state of one task.
@@ -98,6 +102,15 @@
     /// Workers on which each task failed, by task index. Failures on quarantined workers are left
     /// out.
     pub failed_on: BTreeMap<u32, BTreeSet<WorkerId>>,
+    /// Number of moves from shard to shard that brought the run here.
+    #[serde(default)]
+    pub moves: u32,
+    /// The failure domain that the run left for; absent unless it has moved.
+    #[serde(default)]
+    pub moved_to: Option<FailureDomain>,
+    /// Whether the run has moved and was adopted there.
+    #[serde(default)]
+    pub(super) is_delivered: bool,
     #[serde(skip)]
     waiting: BTreeSet<u32>,
     #[serde(skip)]
@@ -121,6 +134,9 @@
             is_overdue: false,
             cause: None,
             failed_on: BTreeMap::new(),
+            moves: 0,
+            moved_to: None,
+            is_delivered: false,
             waiting: BTreeSet::new(),
             open: 0,
         };
@@ -128,6 +144,23 @@
         run
     }
 
+    /// Creates an active run from the states of its tasks in another shard.
+    pub(super) fn adopted(offset: Offset, moved: MovedRun) -> Self {
+        let mut run = Self::new(offset, moved.spec);
+        run.done = moved.tasks.iter().filter(|task| task.is_done()).count() as u32;
+        run.tasks = moved.tasks;
+        run.is_overdue = moved.is_overdue;
+        run.failed_on = moved.failed_on;
+        run.moves = moved.moves;
+        run.rebuild_task_indexes();
+        run
+    }
+
+    /// Returns whether the run has left and was not adopted yet, as far as is recorded.
+    pub(super) fn is_undelivered(&self) -> bool {
+        self.status == RunStatus::Moved && !self.is_delivered
+    }
+
     /// Returns the indexes of the tasks that wait for a worker.
     pub fn waiting_tasks(&self) -> &BTreeSet<u32> {
         &self.waiting
@@ -147,7 +180,7 @@
 
     /// Returns whether the run and all its attempts have ended.
     pub fn is_closed(&self) -> bool {
-        self.status != RunStatus::Active && self.open == 0
+        self.status != RunStatus::Active && self.open == 0 && !self.is_undelivered()
     }
 
     /// Sets the state of an existing task and updates the derived counters.
@@ -175,6 +208,7 @@
     pub(super) fn discard_tasks(&mut self) {
         self.tasks = Vec::new();
         self.failed_on.clear();
+        self.waiting.clear();
     }
 
     /// Rebuilds the indexes that are derived from the task states.
--- a/crates/state/src/shard/run_summary.rs
+++ b/crates/state/src/shard/run_summary.rs
@@ -56,7 +56,10 @@
             done: run.done,
             running: run.open_tasks(),
             is_checkpointable: run.spec.settings.checkpointable,
-            waiting: run.waiting_tasks().len() as u32,
+            waiting: match run.status {
+                RunStatus::Moved => 0,
+                _ => run.waiting_tasks().len() as u32,
+            },
             deadline_at_unix_ms: run.spec.deadline_at_unix_ms,
             cause: run.cause.clone(),
             is_from_owner: false,
--- a/crates/state/src/shard/runs.rs
+++ b/crates/state/src/shard/runs.rs
@@ -28,14 +28,7 @@
                 Err(ShardRefusal::RunIdTaken)
             };
         }
-        if self.pruned_set.contains(&hash_run_id(&id)) {
-            return Err(ShardRefusal::RunPruned);
-        }
-        let tasks = u64::from(spec.settings.tasks);
-        if self.unfinished_tasks + tasks > UNFINISHED_TASKS_MAX {
-            return Err(ShardRefusal::ShardFull);
-        }
-        self.unfinished_tasks += tasks;
+        self.reserve_tasks(&id, spec.settings.tasks)?;
         self.active.insert(id.clone());
         self.deadlines
             .insert((spec.deadline_at_unix_ms, id.clone()));
@@ -43,6 +36,18 @@
         Ok(())
     }
 
+    /// Counts the tasks of a new run, unless its id was pruned or the shard is full.
+    pub(super) fn reserve_tasks(&mut self, id: &RunId, tasks: u32) -> Result<(), ShardRefusal> {
+        if self.pruned_set.contains(&hash_run_id(id)) {
+            return Err(ShardRefusal::RunPruned);
+        }
+        if self.unfinished_tasks + u64::from(tasks) > UNFINISHED_TASKS_MAX {
+            return Err(ShardRefusal::ShardFull);
+        }
+        self.unfinished_tasks += u64::from(tasks);
+        Ok(())
+    }
+
     /// Cancels an active run.
     pub(super) fn cancel(&mut self, id: &RunId) -> Result<(), ShardRefusal> {
         self.active_run(id)?;
@@ -110,7 +115,7 @@
         }
     }
 
-    fn active_run(&self, id: &RunId) -> Result<&Run, ShardRefusal> {
+    pub(super) fn active_run(&self, id: &RunId) -> Result<&Run, ShardRefusal> {
         let run = self.runs.get(id).ok_or(ShardRefusal::UnknownRun)?;
         if run.status == RunStatus::Active {
             Ok(run)
--- a/crates/state/src/shard/shard_state.rs
+++ b/crates/state/src/shard/shard_state.rs
@@ -65,6 +65,8 @@
     #[serde(skip)]
     pub(super) active: BTreeSet<RunId>,
     #[serde(skip)]
+    pub(super) undelivered: BTreeSet<RunId>,
+    #[serde(skip)]
     pub(super) deadlines: BTreeSet<(u64, RunId)>,
     #[serde(skip)]
     pub(super) unfinished_tasks: u64,
@@ -181,6 +183,9 @@
             ShardEvent::Cancel { run } => self.cancel(&run),
             ShardEvent::Fail { run, cause } => self.fail(&run, cause),
             ShardEvent::Overdue { run } => self.mark_overdue(&run),
+            ShardEvent::Move { run, to } => self.move_run(&run, to),
+            ShardEvent::Delivered { run } => self.deliver_run(&run),
+            ShardEvent::Adopt { moved } => self.adopt_run(offset, *moved),
         }
     }
 
--- a/crates/state/src/shard/snapshot.rs
+++ b/crates/state/src/shard/snapshot.rs
@@ -103,6 +103,9 @@
             if !run.is_closed() {
                 self.unfinished_tasks += u64::from(run.spec.settings.tasks);
             }
+            if run.is_undelivered() {
+                self.undelivered.insert(id.clone());
+            }
             if run.status != RunStatus::Active {
                 continue;
             }
--- a/crates/state/tests/shard.rs
+++ b/crates/state/tests/shard.rs
@@ -1,133 +1,34 @@
 //! The fold of a shard: refused and repeated records must not change the state, and a snapshot must
 //! restore it completely.
 
+mod shard_fixture;
+
 use std::collections::BTreeMap;
 
 use dotterelhook_state::shard::AttemptEnd;
-use dotterelhook_state::shard::RunSpec;
 use dotterelhook_state::shard::RunStatus;
 use dotterelhook_state::shard::ShardEvent;
-use dotterelhook_state::shard::ShardRecord;
 use dotterelhook_state::shard::ShardRefusal;
 use dotterelhook_state::shard::ShardState;
 use dotterelhook_state::shard::SnapshotAssembler;
 use dotterelhook_state::shard::TaskState;
-use dotterelhook_types::ids::AttemptId;
-use dotterelhook_types::ids::Epoch;
-use dotterelhook_types::ids::Incarnation;
-use dotterelhook_types::ids::Offset;
-use dotterelhook_types::ids::RunId;
-use dotterelhook_types::ids::Sequence;
 use dotterelhook_types::sizes::Resources;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
+use shard_fixture::OwnedShard;
+use shard_fixture::adopt;
+use shard_fixture::domain;
+use shard_fixture::end;
+use shard_fixture::failed;
+use shard_fixture::record;
+use shard_fixture::run_id;
+use shard_fixture::start;
+use shard_fixture::submit;
+use shard_fixture::worker;
 
 const RETAINED_CLOSED_RUNS_MAX: usize = 5_000;
 
-fn capacity() -> Resources {
-    Resources::new(4_000, 16_000)
-}
-
-fn run_id(index: usize) -> RunId {
-    format!("run-{index}").parse().expect("a name")
-}
-
-fn attempt(run: usize, task: u32, number: u32) -> AttemptId {
-    format!("run-{run}:{task}:{number}").parse().expect("an id")
-}
-
-fn submit(run: usize, tasks: u32) -> ShardEvent {
-    let settings = serde_json::json!({
-        "tasks": tasks,
-        "size": { "cpu_milli": 1_500, "memory_mb": 100 },
-        "run_time_ms": 1_000,
-        "deadline_ms": 60_000,
-        "attempts_max": 2,
-    });
-    ShardEvent::Submit {
-        run: run_id(run),
-        spec: Box::new(RunSpec {
-            team: "night".parse().expect("a name"),
-            job: format!("job-{run}").parse().expect("a name"),
-            settings: serde_json::from_value(settings).expect("a job"),
-            deadline_at_unix_ms: 1_000,
-        }),
-    }
-}
-
-fn worker(index: usize, incarnation: u64) -> ShardEvent {
-    ShardEvent::Worker {
-        worker: format!("w{index}").parse().expect("a name"),
-        incarnation: Incarnation(incarnation),
-        capacity: capacity(),
-    }
-}
-
-fn start(run: usize, task: u32, number: u32, at: usize) -> ShardEvent {
-    ShardEvent::Start {
-        attempt: attempt(run, task, number),
-        worker: format!("w{at}").parse().expect("a name"),
-        size: Resources::new(1_500, 100),
-    }
-}
-
-fn end(run: usize, task: u32, number: u32, end: AttemptEnd) -> ShardEvent {
-    let attempt = attempt(run, task, number);
-    ShardEvent::End { attempt, end }
-}
-
-fn failed() -> AttemptEnd {
-    AttemptEnd::Failed {
-        cause: "broken".into(),
-    }
-}
-
-fn record(host: &str, epoch: u64, sequence: u64, event: ShardEvent) -> ShardRecord {
-    ShardRecord {
-        host: host.parse().expect("a name"),
-        incarnation: Incarnation(1),
-        sequence: Sequence(sequence),
-        epoch: Epoch(epoch),
-        event,
-    }
-}
-
-/// A shard whose owner appends records in sequence.
-struct OwnedShard {
-    state: ShardState,
-    offset: u64,
-}
-
-impl OwnedShard {
-    fn new() -> Self {
-        let mut shard = Self {
-            state: ShardState::default(),
-            offset: 0,
-        };
-        let claim = record("h0", 1, 1, ShardEvent::Claim);
-        assert_eq!(shard.apply(claim), Ok(()));
-        shard
-    }
-
-    fn apply(&mut self, record: ShardRecord) -> Result<(), ShardRefusal> {
-        let offset = Offset(self.offset);
-        self.offset += 1;
-        self.state.apply_record(offset, record)
-    }
-
-    fn add(&mut self, event: ShardEvent) -> Result<(), ShardRefusal> {
-        let record = record("h0", 1, self.offset + 1, event);
-        self.apply(record)
-    }
-
-    fn add_all(&mut self, events: impl IntoIterator<Item = ShardEvent>) {
-        for event in events {
-            assert_eq!(self.add(event.clone()), Ok(()), "{event:?}");
-        }
-    }
-}
-
 /// Returns the JSON of the fields that a refused record must not change.
 fn refusal_invariant_json(state: &ShardState) -> String {
     let mut value = serde_json::to_value(state).expect("the state serializes to JSON");
@@ -154,6 +55,9 @@
         1 => (0_usize..4).prop_map(|r| ShardEvent::Cancel { run: run_id(r) }),
         1 => (0_usize..4).prop_map(|r| ShardEvent::Overdue { run: run_id(r) }),
         1 => (0_usize..4).prop_map(|r| ShardEvent::Fail { run: run_id(r), cause: "no".into() }),
+        1 => (0_usize..4).prop_map(|r| ShardEvent::Move { run: run_id(r), to: domain() }),
+        1 => (0_usize..4).prop_map(|r| ShardEvent::Delivered { run: run_id(r) }),
+        1 => (0_usize..4, 1_u32..4).prop_map(|(run, moves)| adopt(run, moves)),
     ]
 }
 
@@ -419,54 +323,3 @@
     assert_eq!(oldest, None);
     assert_eq!(assembler.into_newest(), Some(shard.state));
 }
-
-#[test]
-fn a_success_reported_after_a_loss_counts_once_and_leaves_the_newer_attempt_to_be_stopped() {
-    let mut shard = OwnedShard::new();
-    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 2), start(0, 0, 1, 0)]);
-    shard.add_all([end(0, 0, 1, AttemptEnd::Lost), start(0, 0, 2, 1)]);
-
-    shard.add_all([end(0, 0, 1, AttemptEnd::Succeeded)]);
-    let again = shard.add(end(0, 0, 1, AttemptEnd::Succeeded));
-    let needs_newer = shard.state.runs()[&run_id(0)].needs_attempt(&attempt(0, 0, 2));
-    shard.add_all([end(0, 0, 2, AttemptEnd::Succeeded)]);
-
-    assert_eq!(again, Err(ShardRefusal::NotOpen));
-    assert!(!needs_newer);
-    let run = &shard.state.runs()[&run_id(0)];
-    assert_eq!((run.done, run.open_tasks()), (1, 0));
-    assert_eq!(run.tasks[0], TaskState::Done);
-}
-
-#[test]
-fn a_failure_reported_after_a_loss_counts_once_against_the_limit() {
-    let mut shard = OwnedShard::new();
-    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 1), start(0, 0, 1, 0)]);
-    shard.add_all([end(0, 0, 1, AttemptEnd::Lost), start(0, 0, 2, 1)]);
-
-    shard.add_all([end(0, 0, 1, failed())]);
-    let again = shard.add(end(0, 0, 1, failed()));
-    let before = shard.state.runs()[&run_id(0)].status;
-    shard.add_all([end(0, 0, 2, failed())]);
-
-    assert_eq!(again, Err(ShardRefusal::NotOpen));
-    assert_eq!(before, RunStatus::Active);
-    assert_eq!(shard.state.runs()[&run_id(0)].status, RunStatus::Failed);
-}
-
-/// A restarted worker knows nothing of its former attempts, and an ended run needs no result. Their
-/// entries must not stay, or the state would grow without a bound.
-#[test]
-fn a_loss_is_forgotten_when_its_worker_restarts_or_its_run_ends() {
-    let mut shard = OwnedShard::new();
-    shard.add_all([worker(0, 1), worker(1, 1), submit(0, 1), submit(1, 1)]);
-    shard.add_all([start(0, 0, 1, 0), start(1, 0, 1, 1)]);
-    shard.add_all([0, 1].map(|run| end(run, 0, 1, AttemptEnd::Lost)));
-    assert_eq!(shard.state.lost_attempts().len(), 2);
-
-    shard.add_all([worker(0, 2), ShardEvent::Cancel { run: run_id(1) }]);
-
-    assert!(shard.state.lost_attempts().is_empty());
-    let late = shard.add(end(0, 0, 1, AttemptEnd::Succeeded));
-    assert_eq!(late, Err(ShardRefusal::NotOpen));
-}
