Word some log lines and comments more plainly

No behaviour changes. The log line of a late end read "has evicted" for an attempt that was stopped. The tests of dotterelhook-scheduler and dotterelhook-cli pass.

--- a/crates/cli/src/command/collected_runs.rs
+++ b/crates/cli/src/command/collected_runs.rs
@@ -64,8 +64,8 @@
     }
 }
 
-/// Inserts a line unless the known one says more: a run that has moved is told by its new shard, and
-/// other schedulers may lag behind the owner.
+/// Inserts a line unless the known one is more recent: the line of the shard that a run has left is out of
+/// date, and other schedulers may lag behind the owner.
 fn insert_preferring_owner(runs: &mut BTreeMap<RunId, RunSummary>, line: RunSummary) {
     let rank = |line: &RunSummary| (line.status != RunStatus::Moved, line.is_from_owner);
     let known = runs.get(&line.run);
--- a/crates/cli/src/command/worker_capacities.rs
+++ b/crates/cli/src/command/worker_capacities.rs
@@ -60,7 +60,7 @@
         Ok(capacities)
     }
 
-    /// Returns what the host list and the workers told. Without the answers of all workers, the
+    /// Returns what the host list and the workers report. Without the answers of all workers, the
     /// capacities of failure domains are unknown.
     pub(super) fn to_facts(&self) -> PlatformFacts {
         let is_complete = self.unanswered_count == 0;
--- a/crates/cli/src/config_check/platform_facts.rs
+++ b/crates/cli/src/config_check/platform_facts.rs
@@ -13,7 +13,8 @@
     pub(crate) services: BTreeSet<ServiceName>,
     /// The failure domains of all targets and workers.
     pub(crate) failure_domains: BTreeSet<FailureDomain>,
-    /// The total resources of the workers in each failure domain; `None` if a worker did not tell.
+    /// The total resources of the workers in each failure domain; `None` if a worker did not
+    /// answer.
     pub(crate) capacities: Option<BTreeMap<FailureDomain, Resources>>,
 }
 
--- a/crates/scheduler/src/relocation/http_domains.rs
+++ b/crates/scheduler/src/relocation/http_domains.rs
@@ -62,7 +62,7 @@
             match client.send(method.clone(), path, body).await {
                 Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
                 Ok(answer) => return Ok(answer),
-                // An earlier call that may have run must not be told as not run.
+                // An earlier call that may have run must not be reported as not run.
                 Err(error) if last.verdict == Verdict::NotRun => last = error,
                 Err(_) => {}
             }
--- a/crates/scheduler/src/relocation/other_domains.rs
+++ b/crates/scheduler/src/relocation/other_domains.rs
@@ -15,7 +15,7 @@
     /// Returns how many tasks could start now in the shard that the run would belong to.
     ///
     /// # Errors
-    /// No scheduler of the failure domain told.
+    /// No scheduler of the failure domain answered.
     async fn room(
         &self,
         domain: &FailureDomain,
--- a/crates/scheduler/src/shard/departures.rs
+++ b/crates/scheduler/src/shard/departures.rs
@@ -73,7 +73,7 @@
 
     fn probe_next_run(&mut self) {
         let now_ms = self.now_ms();
-        // A run that is still on its way may need the room that another would be told of.
+        // A run that is still on its way may need the room that a further run would be offered.
         if now_ms < self.next_probe_ms || !self.state.undelivered_runs().is_empty() {
             return;
         }
--- a/crates/scheduler/src/shard/log_pages.rs
+++ b/crates/scheduler/src/shard/log_pages.rs
@@ -182,7 +182,7 @@
         self.attempts_with_queued_end.remove(attempt);
         self.context.metrics.late_ends.inc();
         let kind: &'static str = end.into();
-        info!("shard: attempt {attempt} was declared lost, but has {kind}");
+        info!("shard: late end of attempt {attempt}, which was declared lost: {kind}");
     }
 
     /// Lets the worker forget an attempt whose end is recorded in the log.
