Hand a cell over past hosts that have left, and after a late claim

Cause: a stopping owner asked only the eight registered hosts of the highest priority whether they can claim its cell. Hosts that have left for good stay registered, so eight of them hid all others, and the owner stopped without a successor. A process that began to stop while it claimed a cell had nothing to hand over yet, left, and the cell ended with it.

Change: the search goes on in steps of eight hosts, and a stopping process waits for its claims in progress and hands them over as well.

--- a/crates/jobs/src/ownership/candidate.rs
+++ b/crates/jobs/src/ownership/candidate.rs
@@ -14,6 +14,7 @@
 use super::claim_calls::group_members;
 use super::claim_calls::query_ownership;
 use super::claim_calls::request_claim;
+use super::host_registry::QUERIED_HOSTS_MAX;
 use super::host_registry::hosts_ready_to_claim;
 use super::host_registry::register;
 use super::host_registry::registered_hosts;
@@ -24,6 +25,8 @@
 const FLUSH_MAX: Duration = Duration::from_millis(800);
 /// The pause of a stopping owner between two searches for a successor.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(150);
+/// The pause between two checks for a claim in progress.
+const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// The largest number of claim requests in one search of a stopping owner for a successor.
 const SUCCESSORS_MAX: usize = 2;
 
@@ -75,8 +78,12 @@
             let _ = self.claim_vacant_cells().await;
         }
         let deadline = Instant::now() + self.handover_max;
-        for owner in self.owned_cells.all() {
-            self.hand_over(&owner, deadline).await;
+        // A claim that began before the drain may end after it.
+        while self.owned_cells.has_any() && Instant::now() < deadline {
+            for owner in self.owned_cells.all() {
+                self.hand_over(&owner, deadline).await;
+            }
+            sleep(CLAIM_POLL_INTERVAL).await;
         }
         self.membership.leave().await;
     }
@@ -176,10 +183,17 @@
     /// Requests a claim of the cell from other hosts. Returns whether one of them has claimed it.
     async fn request_successor(&self, cell: u32) -> bool {
         let hosts = registered_hosts(&self.context).await.unwrap_or_default();
-        let ready = hosts_ready_to_claim(&self.context, &hosts).await;
-        for host in ready.iter().take(SUCCESSORS_MAX) {
-            if request_claim(&self.context, host, cell).await.is_ok() {
-                return true;
+        // Hosts that have left for good stay registered, and may come first.
+        let mut requests = 0;
+        for hosts in hosts.chunks(QUERIED_HOSTS_MAX) {
+            for host in hosts_ready_to_claim(&self.context, hosts).await {
+                if request_claim(&self.context, &host, cell).await.is_ok() {
+                    return true;
+                }
+                requests += 1;
+                if requests >= SUCCESSORS_MAX {
+                    return false;
+                }
             }
         }
         false
--- a/crates/jobs/src/ownership/host_registry.rs
+++ b/crates/jobs/src/ownership/host_registry.rs
@@ -21,7 +21,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// The number of hosts that are queried concurrently whether they may claim a cell; those with the
 /// highest election priority are queried.
-const QUERIED_HOSTS_MAX: usize = 8;
+pub(super) const QUERIED_HOSTS_MAX: usize = 8;
 
 /// Registers this process as the one that runs on its host; retries until the store accepts.
 ///
--- a/crates/jobs/src/ownership/owned_cells.rs
+++ b/crates/jobs/src/ownership/owned_cells.rs
@@ -41,6 +41,13 @@
         owned.values().cloned().collect()
     }
 
+    /// Returns whether this process owns a cell or is claiming one.
+    pub(super) fn has_any(&self) -> bool {
+        // In this order, since a claim ends after its owner is added.
+        let is_claiming = !self.claiming().is_empty();
+        is_claiming || !self.all().is_empty()
+    }
+
     /// Marks a cell as being claimed. Returns `None` if a claim is already in progress.
     pub(super) fn try_begin_claim(self: &Arc<Self>, cell: u32) -> Option<ClaimGuard> {
         self.claiming().insert(cell).then(|| ClaimGuard {
--- a/crates/jobs/tests/ownership/vacancies.rs
+++ b/crates/jobs/tests/ownership/vacancies.rs
@@ -1,6 +1,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dotterelhook_jobs::platform::KeyedRecord;
+use dotterelhook_jobs::platform::Partition;
+use dotterelhook_jobs::platform::Store;
 use dotterelhook_types::sizes::CpuMilli;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -129,3 +132,57 @@
     .await;
     assert!(strong.owns());
 }
+
+/// Guards against a stopping owner that finds no successor, because hosts that have left for good are
+/// still registered and would be preferred.
+#[tokio::test]
+async fn a_stopping_owner_finds_a_successor_behind_hosts_that_have_left() {
+    let store = Arc::new(MemoryStore::default());
+    let first = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || first.owns()).await;
+    let second = Process::start(&store, "b", 1).await;
+    let left = (0..12).map(|number| KeyedRecord {
+        key: format!("left-{number}").into(),
+        value: format!("left-{number}/1@127.0.0.1:1#900").into(),
+    });
+    let registry = Partition {
+        topic: "keyed.hosts",
+        number: 0,
+    };
+    let left: Vec<_> = left.collect();
+    let registered = store.append(registry, &left, None).await;
+    registered.expect("registered");
+    eventually("all hosts are known", || store.len_of("keyed.hosts") >= 14).await;
+
+    first.drain();
+
+    eventually("the other host owns the cell", || second.owns()).await;
+    first.wait_for_handover().await;
+}
+
+/// Guards against a cell that ends with its process: the process begins to stop while its claim is in
+/// progress, and has nothing to hand over yet.
+#[tokio::test]
+async fn a_claim_that_ends_while_the_process_stops_is_handed_over() {
+    let store = Arc::new(MemoryStore::default());
+    let first = Process::start(&store, "a", 1).await;
+    eventually("a cell gets an owner", || first.owns()).await;
+    let second = Process::start(&store, "b", 1).await;
+    eventually("all hosts are known", || store.len_of("keyed.hosts") >= 2).await;
+    let epoch = store.newest_epoch();
+    store.set_latency(Duration::from_millis(100));
+    let owned_by_second = Arc::clone(&second.owned_cells);
+
+    let claim = tokio::spawn(request_claim(second.address));
+    eventually("the claim is in progress", || store.newest_epoch() > epoch).await;
+    second.drain();
+    second.wait_for_handover().await;
+    claim.await.expect("no panic");
+    sleep(Duration::from_millis(500)).await;
+
+    assert!(
+        owned_by_second.find(0).is_none(),
+        "an owner in an ended process"
+    );
+    eventually("the other host owns the cell", || first.owns()).await;
+}
