Bear executors that list ends out of order or hold no answer

Cause: an end that an executor lists behind a later one was taken for an applied one and acknowledged without its effect. An executor that answers renewals at once, for example because it lists an end that can't be read and is never acknowledged, was called again without a pause: 47,680 renewals in a second, more than the processor of an entry host.

Change: ends are applied in the order of their numbers, and two renewals of an executor are at least 20 ms apart.

--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -73,10 +73,12 @@
     pub fn handle_report(
         &mut self,
         id: &ExecutorId,
-        report: ExecutorReport,
+        mut report: ExecutorReport,
         requested_at: Instant,
         now: Instant,
     ) {
+        // An end below an applied one would count as applied, and be acknowledged.
+        report.ended.sort_by_key(|ended| ended.number);
         let Some(known) = self.executors.get(id).map(|executor| executor.incarnation) else {
             return;
         };
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -6,6 +6,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::timeout;
 
 use super::CellOwner;
@@ -32,6 +33,9 @@
 const STORED_WAIT_MAX: Duration = Duration::from_millis(500);
 /// The first pause after a failed renewal.
 const RENEWAL_PAUSE: Duration = Duration::from_millis(100);
+/// The shortest time between two renewals. An executor that holds no answer, for example because it
+/// lists an end that can't be read and is never acknowledged, would be called without a pause.
+const RENEWAL_INTERVAL_MIN: Duration = Duration::from_millis(20);
 /// The longest pause after failed renewals.
 const RENEWAL_PAUSE_MAX: Duration = Duration::from_millis(800);
 
@@ -95,6 +99,7 @@
                         .with_state(|state| state.handle_report(&self.id, report, sent_at, now));
                     self.owner.wake.notify_one();
                     self.wait_until_stored().await;
+                    sleep_until(sent_at + RENEWAL_INTERVAL_MIN).await;
                 }
                 Err(OrderError::Fenced) => {
                     self.owner
--- a/crates/jobs/tests/cell/malformed.rs
+++ b/crates/jobs/tests/cell/malformed.rs
@@ -3,10 +3,12 @@
 
 use std::time::Duration;
 
+use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::ExecutorClock;
 use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::JobSpec;
+use dotterelhook_jobs::model::JobState;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::Schedule;
 use dotterelhook_jobs::model::StepSpec;
@@ -145,3 +147,21 @@
     assert!(spec(1, 0).validate().is_err());
     assert!(spec(4_000, 10).validate().is_ok());
 }
+
+/// Guards against TWICE: an end that is listed behind a later one is acknowledged without its effect.
+#[tokio::test]
+async fn ends_count_in_whatever_order_they_are_listed() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(2, 1, &[])]));
+    harness.commit();
+    harness.accept_starts("i-1");
+    let ends = vec![
+        ended(2, task(1, 0, 1), 1, RunEnd::Done),
+        ended(1, task(1, 0, 0), 1, RunEnd::Done),
+    ];
+
+    harness.report("i-1", vec![], ends);
+    harness.commit();
+
+    let state = harness.cell.lookup_job_state(job(1));
+    assert_eq!(state, JobLookup::Known(JobState::Completed));
+}
--- a/crates/jobs/tests/ownership/unexpected_errors.rs
+++ b/crates/jobs/tests/ownership/unexpected_errors.rs
@@ -20,6 +20,7 @@
 use dotterelhook_jobs::platform::Renewal;
 use dotterelhook_jobs::platform::StartOrder;
 use dotterelhook_jobs::platform::StopOrder;
+use dotterelhook_types::ids::Incarnation;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -141,3 +142,55 @@
     assert!(owner.is_active());
     owner.release("the test is over");
 }
+
+/// An executor that lists an end which is never acknowledged, and therefore holds no answer.
+#[derive(Default)]
+struct PromptExecutor {
+    renewals: AtomicU32,
+}
+
+#[async_trait]
+impl ExecutorLink for PromptExecutor {
+    async fn renew(&self, _: &Renewal, _: Duration) -> Result<ExecutorReport, OrderError> {
+        self.renewals.fetch_add(1, Ordering::Relaxed);
+        tokio::task::yield_now().await;
+        Ok(ExecutorReport {
+            clock_ms: 1_000,
+            incarnation: Incarnation(1),
+            running: Vec::new(),
+            ended: Vec::new(),
+            may_have_more_ends: false,
+        })
+    }
+
+    async fn start(&self, _: &StartOrder, _: Duration) -> Result<(), OrderError> {
+        Ok(())
+    }
+
+    async fn stop(&self, _: &StopOrder, _: Duration) -> Result<(), OrderError> {
+        Ok(())
+    }
+
+    async fn pace(&self, _: &PaceOrder, _: Duration) -> Result<(), OrderError> {
+        Ok(())
+    }
+}
+
+/// Guards against a host whose processor an executor takes with answers that it doesn't hold.
+#[tokio::test]
+async fn an_executor_that_holds_no_answer_is_not_called_without_a_pause() {
+    let store = Arc::new(MemoryStore::default());
+    list_executor(&store).await;
+    let executor = Arc::new(PromptExecutor::default());
+    let owner = CellOwner::claim(context(&store, "a", &executor), 0).await;
+    let owner = owner.expect("a claim");
+    let renewals = || executor.renewals.load(Ordering::Relaxed);
+    eventually("the session renews", || renewals() > 0).await;
+
+    let before = renewals();
+    sleep(Duration::from_millis(1_000)).await;
+
+    let in_a_second = renewals() - before;
+    assert!((2..=51).contains(&in_a_second), "{in_a_second} renewals");
+    owner.release("the test is over");
+}
