Exit or recover when a task of a daemon panics

Cause: a panic of a service's task, such as the follower of the host list or a shard, ended only that task, and the daemon lived on without it. A call to a worker that panicked ended the renewals of this worker for good, because the task waited for the renewal's outcome; all attempts there were lost.

Change: `Kernel::failed` is cancelled when a task of `Kernel::spawn` panics, and both daemons exit then with an error, so that the platform restarts them. A shard whose reader of the log panics fails as well. Renewals go on after a call that panicked, and a worker whose task panicked gets another one. The jobs daemon watches its tasks in the same way as the other one.

The exit of a daemon and the replacement of a worker's task have no test of their own.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -55,6 +55,9 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = kernel.failed().cancelled_owned() => {
+                bail!("a task that the daemon can't do without has panicked");
+            }
         }
         if !kernel.stop(unready_for, drain_max).await {
             bail!("requests in flight did not finish within the drain limit of {drain_max:?}");
--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -38,7 +38,7 @@
 use spdlog::info;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
 
 use super::JobsSettings;
 use crate::settings::new_incarnation;
@@ -79,11 +79,12 @@
         let unready_for = self.settings.unready_for;
         let drain_max = self.settings.drain_max;
         let kernel = Kernel::default();
-        let mut essential = self.start_services(&kernel).await?;
+        self.start_services(&kernel).await?;
+        let failed = kernel.failed();
         loop {
             tokio::select! {
-                Some(ended) = essential.join_next() => {
-                    bail!("a task that must last has ended: {ended:?}");
+                () = failed.cancelled() => {
+                    bail!("a task that the daemon can't do without has panicked");
                 }
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
@@ -98,9 +99,7 @@
         Ok(())
     }
 
-    /// Returns the tasks without which the process would be half alive. None ends before the process
-    /// drains, unless it panics.
-    async fn start_services(self, kernel: &Kernel) -> eyre::Result<JoinSet<()>> {
+    async fn start_services(self, kernel: &Kernel) -> eyre::Result<()> {
         let settings = self.settings;
         let handover_max = settings
             .unready_for
@@ -202,11 +201,15 @@
         .await?
         .spawn(kernel);
 
-        let mut essential = JoinSet::new();
-        essential.spawn(ConfigFollower::new(platform, store, config).run());
-        essential.spawn(directory.run());
-        let candidate = Candidate::new(context, owned_cells, kernel.draining(), handover_max);
-        essential.spawn(kernel.tasks().track_future(candidate.run()));
-        Ok(essential)
+        let stopping = kernel.stopping();
+        let follower = ConfigFollower::new(platform, store, config).run();
+        kernel.spawn(until_cancelled(stopping.clone(), follower));
+        kernel.spawn(until_cancelled(stopping, directory.run()));
+        kernel.spawn(Candidate::new(context, owned_cells, kernel.draining(), handover_max).run());
+        Ok(())
     }
 }
+
+async fn until_cancelled(token: CancellationToken, task: impl Future<Output = ()>) {
+    let _ = token.run_until_cancelled(task).await;
+}
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use spdlog::error;
 use spdlog::info;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -17,6 +18,7 @@
     tasks: TaskTracker,
     draining: CancellationToken,
     stopping: CancellationToken,
+    failed: CancellationToken,
 }
 
 impl Kernel {
@@ -36,6 +38,12 @@
         self.stopping.clone()
     }
 
+    /// Returns a token that is cancelled when a task of [`Self::spawn`] has panicked. The process then
+    /// lacks one of its parts and should exit, so that it is restarted or replaced.
+    pub fn failed(&self) -> CancellationToken {
+        self.failed.clone()
+    }
+
     /// Starts one service and returns once its start has completed.
     ///
     /// # Errors
@@ -50,9 +58,18 @@
         Ok(())
     }
 
-    /// Spawns a task that a graceful stop waits for.
+    /// Spawns a task that the process can't do without and that a graceful stop waits for.
     pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.tasks.spawn(task);
+        let running = self.tasks.spawn(task);
+        let failed = self.failed.clone();
+        tokio::spawn(async move {
+            if let Err(error) = running.await
+                && error.is_panic()
+            {
+                error!("kernel: a task panicked: {error}");
+                failed.cancel();
+            }
+        });
     }
 
     /// Returns the tracker of the tasks that a graceful stop waits for.
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -146,13 +146,17 @@
             clock: Arc::clone(&self.context.clock),
             stream: self.context.shard.stream().into(),
         };
-        let (mut updates, reader) = reader.spawn();
+        let (mut updates, mut reader) = reader.spawn();
         let mut commit_timer = tokio::time::interval(self.context.commit_interval);
         commit_timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 biased;
                 () = stopping.cancelled() => break,
+                Err(error) = &mut reader => {
+                    // Without its reader this task would wait for the log for good.
+                    panic!("the reader of {} ended: {error}", self.context.shard);
+                }
                 Some(update) = updates.recv() => self.apply_update(update),
                 Some(result) = inputs.results.recv() => self.handle_append_result(&result),
                 _ = commit_timer.tick() => self.on_commit_tick(),
--- a/crates/scheduler/src/shard/workers.rs
+++ b/crates/scheduler/src/shard/workers.rs
@@ -21,6 +21,11 @@
     /// A worker that was removed from the list keeps its task while it has open attempts.
     pub(super) fn sync_worker_tasks(&mut self) {
         let hosts = self.context.hosts.current();
+        if self.workers.values().any(WorkerHandle::has_panicked) {
+            // One worker's unexpected answer must not leave its attempts without renewals.
+            self.workers.retain(|_, handle| !handle.has_panicked());
+            self.applied_hosts = None;
+        }
         let is_same = self
             .applied_hosts
             .as_ref()
--- a/crates/scheduler/src/worker/worker_task.rs
+++ b/crates/scheduler/src/worker/worker_task.rs
@@ -87,6 +87,11 @@
         self.address
     }
 
+    /// Returns whether the task has ended although its handle is held, which only a panic causes.
+    pub(crate) fn has_panicked(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Sends a command and returns `true`, or drops it if the queue is full.
     ///
     /// The shard's task repeats dropped starts, stops and evictions after the next inventory.
@@ -160,7 +165,11 @@
                     Ok(CallOutcome::Throttle(attempt, cpu_percent, result)) => {
                         self.handle_throttle_result(&attempt, cpu_percent, result);
                     }
-                    Err(error) => warn!("worker: call to {} aborted: {error}", self.context.worker),
+                    Err(error) => {
+                        warn!("worker: call to {} aborted: {error}", self.context.worker);
+                        // It may have been the renewal. A second one beside it does no harm.
+                        is_renewing = false;
+                    }
                 },
                 command = commands.recv(), if may_call => match command {
                     Some(command) => self.execute(command),
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod faults;
+mod panics;
 mod policy;
 mod takeovers;
 mod world;
--- a/crates/scheduler/tests/shard/takeovers.rs
+++ b/crates/scheduler/tests/shard/takeovers.rs
@@ -14,7 +14,7 @@
 const LONG_MS: u64 = 60_000;
 
 /// Returns a world in which one long task runs, with the indexes of its owner and its worker.
-async fn running_world() -> (World, usize, usize) {
+pub(crate) async fn running_world() -> (World, usize, usize) {
     let mut world = World::new(safe_lease_times());
     world
         .wait_until("an owner", |state| state.workers().len() == WORKERS)
--- a/crates/scheduler/tests/shard/world/agents.rs
+++ b/crates/scheduler/tests/shard/world/agents.rs
@@ -48,6 +48,8 @@
     Delay(u64),
     /// Calls arrive at once, and again after this many milliseconds.
     Repeat(u64),
+    /// Calls panic in the caller's process, as after an unexpected answer.
+    Panic,
 }
 
 struct SimulatedWorker {
@@ -262,6 +264,7 @@
                 tokio::time::sleep(CALL_TIMEOUT).await;
                 return Err(CallError::not_run("the link is cut"));
             }
+            LinkFault::Panic => panic!("an injected panic"),
             LinkFault::Delay(delay_ms) => deliver_after(delay_ms, call),
             LinkFault::Repeat(delay_ms) => {
                 deliver_after(delay_ms, Arc::clone(&call));
