Store the progress of a job without checkpoints that exceed the store's limit

Cause: checkpoints are texts that executors report, and their size was not limited. A job whose record exceeds the 2 MiB that the store accepts per call held up its whole cell: the owner repeats a refused append for good, and so does each successor.

Its tasks start from the beginning after a takeover.

--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -10,6 +10,7 @@
 use crate::fleet::Executor;
 use crate::fleet::Order;
 use crate::fleet::RunPhase;
+use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::ledger::encode;
@@ -39,6 +40,21 @@
     key.starts_with(LOST_RUNS_KEY_PREFIX)
 }
 
+/// Encodes the progress of a job, without its checkpoints if it is too large for the store. An append
+/// that the store refuses each time would hold up the whole cell, at every owner.
+fn encode_progress(id: JobId, progress: &JobProgress) -> Result<Bytes, CodecError> {
+    let encoded = encode(progress)?;
+    if encoded.len() <= BATCH_BYTES_MAX {
+        return Ok(encoded);
+    }
+    spdlog::warn!("cell: the progress of job {id} is stored without its checkpoints, for its size");
+    let mut reduced = progress.clone();
+    for task in &mut reduced.tasks {
+        task.checkpoint = None;
+    }
+    encode(&reduced)
+}
+
 /// Batches of records for the store, and the effects of stored batches.
 impl CellState {
     /// Returns whether records or effects are pending.
@@ -190,7 +206,7 @@
                 tasks: Vec::new(),
             })
         } else {
-            encode(job.progress())
+            encode_progress(id, job.progress())
         };
         match encoded {
             Ok(value) => Some(KeyedRecord {
--- a/crates/jobs/tests/cell/malformed.rs
+++ b/crates/jobs/tests/cell/malformed.rs
@@ -12,6 +12,7 @@
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::Schedule;
 use dotterelhook_jobs::model::StepSpec;
+use dotterelhook_jobs::platform::EndedRun;
 use dotterelhook_jobs::platform::ExecutorReport;
 use dotterelhook_jobs::platform::RunEnd;
 use dotterelhook_jobs::platform::RunningRun;
@@ -165,3 +166,22 @@
     let state = harness.cell.lookup_job_state(job(1));
     assert_eq!(state, JobLookup::Known(JobState::Completed));
 }
+
+/// Guards against a record that the store refuses each time, which would hold up the whole cell.
+#[tokio::test]
+async fn the_record_of_a_job_with_huge_checkpoints_stays_below_the_limit_of_the_store() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(2, 1, &[])]));
+    harness.commit();
+    harness.accept_starts("i-1");
+    let huge = EndedRun {
+        checkpoint: Some("x".repeat(3 << 20).as_str().into()),
+        ..ended(1, task(1, 0, 0), 1, RunEnd::Lapsed)
+    };
+
+    harness.report("i-1", vec![], vec![huge]);
+    let batch = harness.store_next_batch();
+
+    let sizes = batch.records.iter().map(|record| record.value.len());
+    assert!(sizes.sum::<usize>() < 2 << 20);
+    assert!(harness.stored.contains_key(&job(1)));
+}
