--- a/crates/jobs/src/store_access/change_feed.rs
+++ b/crates/jobs/src/store_access/change_feed.rs
@@ -45,6 +45,7 @@
             return self.read_snapshot().await;
         };
         match self.store.read(self.partition, from, hold).await {
+            Ok(page) if page.next_offset < from => Err(older_state(page.next_offset, from)),
             Ok(page) => {
                 self.next_offset = Some(page.next_offset);
                 Ok(FeedBatch::Changes(page.records))
@@ -54,11 +55,17 @@
         }
     }
 
-    /// Reads all pages of a snapshot. The feed continues at the end offset of the first page, so
+    /// Reads all pages of a snapshot. A snapshot that is older than what was read is an error: it would
+    /// bring back what has been deleted since. The feed continues at the end offset of the first page, so
     /// that changes made between two pages are read as well.
     async fn read_snapshot(&mut self) -> Result<FeedBatch, StoreError> {
         let first = self.store.newest(self.partition, None).await?;
         let next_offset = first.end_offset;
+        if let Some(read) = self.next_offset
+            && next_offset < read
+        {
+            return Err(older_state(next_offset, read));
+        }
         let mut records = first.records;
         let mut has_more = first.has_more;
         while has_more {
@@ -71,3 +78,7 @@
         Ok(FeedBatch::Snapshot(records))
     }
 }
+
+fn older_state(end: Offset, read: Offset) -> StoreError {
+    StoreError::NotDone(format!("the store answers up to {end}, after {read} was read").into())
+}
--- a/crates/jobs/tests/entry/fake_store.rs
+++ b/crates/jobs/tests/entry/fake_store.rs
@@ -38,6 +38,8 @@
     appends: Mutex<Vec<Vec<Box<str>>>>,
     /// The present and the largest number of concurrent appends.
     in_flight: Mutex<(usize, usize)>,
+    reads: Mutex<VecDeque<Result<ReadPage, StoreError>>>,
+    snapshots: Mutex<VecDeque<NewestPage>>,
 }
 
 impl FakeStore {
@@ -47,6 +49,17 @@
         Arc::new(store)
     }
 
+    /// Creates a store whose first reads and snapshots have the given results.
+    pub(crate) fn with_reads(
+        snapshots: Vec<NewestPage>,
+        reads: Vec<Result<ReadPage, StoreError>>,
+    ) -> Arc<Self> {
+        let store = Self::default();
+        *store.snapshots.lock().expect("no panic") = snapshots.into();
+        *store.reads.lock().expect("no panic") = reads.into();
+        Arc::new(store)
+    }
+
     /// Returns the keys of each stored append.
     pub(crate) fn appends(&self) -> Vec<Vec<Box<str>>> {
         self.appends.lock().expect("no panic").clone()
@@ -95,14 +108,16 @@
     }
 
     async fn read(&self, _: Partition, from: Offset, _: Duration) -> Result<ReadPage, StoreError> {
-        Ok(ReadPage {
+        let scripted = self.reads.lock().expect("no panic").pop_front();
+        scripted.unwrap_or(Ok(ReadPage {
             records: Vec::new(),
             next_offset: from,
-        })
+        }))
     }
 
     async fn newest(&self, _: Partition, _: Option<&str>) -> Result<NewestPage, StoreError> {
-        Ok(NewestPage::default())
+        let scripted = self.snapshots.lock().expect("no panic").pop_front();
+        Ok(scripted.unwrap_or_default())
     }
 
     async fn join(
--- a/crates/jobs/tests/entry/feeds.rs
+++ b/crates/jobs/tests/entry/feeds.rs
@@ -9,14 +9,24 @@
 use dotterelhook_jobs::model::JobState;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::Submission;
+use dotterelhook_jobs::ownership::submission_partition_at;
+use dotterelhook_jobs::platform::KeyedRecord;
+use dotterelhook_jobs::platform::NewestPage;
+use dotterelhook_jobs::platform::ReadPage;
+use dotterelhook_jobs::platform::StoreError;
+use dotterelhook_jobs::store_access::ChangeFeed;
+use dotterelhook_jobs::store_access::FeedBatch;
 use dotterelhook_jobs::store_access::StoreHealth;
 use dotterelhook_jobs::store_access::time_since_boot;
 use dotterelhook_types::ids::Incarnation;
+use dotterelhook_types::ids::Offset;
 use proptest::prelude::any;
 use proptest::proptest;
 use proptest::test_runner::Config as ProptestConfig;
 use proptest::test_runner::RngSeed;
 
+use crate::fake_store::FakeStore;
+
 #[test]
 fn the_store_is_slow_while_its_small_calls_take_many_times_as_long() {
     let health = StoreHealth::default();
@@ -116,3 +126,61 @@
         let _ = decode::<Submission>(&bytes);
     }
 }
+
+fn snapshot(end: u64, keys: &[&str]) -> NewestPage {
+    let records = keys.iter().map(|key| KeyedRecord {
+        key: (*key).into(),
+        value: "entry".into(),
+    });
+    NewestPage {
+        records: records.collect(),
+        has_more: false,
+        end_offset: Offset(end),
+    }
+}
+
+/// Guards against a server that has left and is in use again: a store that has deleted its history
+/// answers with an older state.
+#[tokio::test]
+async fn a_feed_takes_no_snapshot_that_is_older_than_what_it_has_read() {
+    let left = ReadPage {
+        records: vec![KeyedRecord {
+            key: "i-1".into(),
+            value: "".into(),
+        }],
+        next_offset: Offset(11),
+    };
+    let snapshots = vec![
+        snapshot(10, &["i-1", "i-2"]),
+        snapshot(10, &["i-1", "i-2"]),
+        snapshot(12, &["i-2"]),
+    ];
+    let reads = vec![
+        Ok(left),
+        Err(StoreError::Expired),
+        Err(StoreError::Expired),
+        Ok(ReadPage {
+            records: Vec::new(),
+            next_offset: Offset(3),
+        }),
+        Err(StoreError::Expired),
+    ];
+    let store = FakeStore::with_reads(snapshots, reads);
+    let partition = submission_partition_at(0);
+    let mut feed = ChangeFeed::new(store, partition);
+
+    let mut batches = Vec::new();
+    for _ in 0..4 {
+        batches.push(feed.next(Duration::ZERO).await);
+    }
+    let after_an_older_page = feed.next(Duration::ZERO).await;
+
+    assert!(matches!(batches[0], Ok(FeedBatch::Snapshot(_))));
+    assert!(matches!(batches[1], Ok(FeedBatch::Changes(_))));
+    assert!(batches[2].is_err(), "{:?}", batches[2]);
+    let Ok(FeedBatch::Snapshot(newer)) = &batches[3] else {
+        panic!("{:?}", batches[3]);
+    };
+    assert_eq!(newer.len(), 1);
+    assert!(after_an_older_page.is_err(), "{after_an_older_page:?}");
+}
