--- a/crates/borders/src/clock/system_clock.rs
+++ b/crates/borders/src/clock/system_clock.rs
@@ -9,10 +9,11 @@
 
 /// The operating system's clocks.
 ///
-/// The monotonic time includes the time for which the host was suspended: a right that expires by it
-/// must not be valid again on a host that resumes.
+/// The monotonic time includes the time for which the host was suspended: permissions that other
+/// processes rely on, such as the renewal right of a shard's owner, must expire meanwhile.
 #[derive(Clone, Copy, Debug)]
 pub struct SystemClock {
+    /// The time since the host booted.
     started_at: Duration,
 }
 
--- a/crates/jobs/src/store_access/change_feed.rs
+++ b/crates/jobs/src/store_access/change_feed.rs
@@ -70,7 +70,8 @@
         }
     }
 
-    /// Reads all pages of a snapshot. The feed continues at the end offset of the first page, so
+    /// Reads all pages of a snapshot. A snapshot that is older than what was read is an error: it would
+    /// bring back what has been deleted since. The feed continues at the end offset of the first page, so
     /// that changes made between two pages are read as well.
     async fn read_snapshot(&mut self) -> Result<FeedBatch, StoreError> {
         let sent_at = time_since_boot();
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod evacuations;
 mod faults;
 mod late_ends;
+mod panics;
 mod policy;
 mod relocations;
 mod takeovers;
