Model interference as a sum of utilizations, and place fillers where they do least harm

Cause: what a filler adds to a serving task was learned as a multiple of the task's load. Recorded reports show a sum: for one pair, the extra utilization per share is the same in troughs and at peaks, and as a multiple of the load it differs by a factor of 2.4. Jobs that had waited for 1.5 s were put beside serving tasks with all their tasks at once.

Change: pressures of pairs are estimated by a Kalman filter with their variance, the load of a step by one over all its tasks, and shares of the past count by their age, since tails follow with a delay. Fillers go where they fit at peak load, least extra utilization first; unknown pairs are tried in one or two places on an executor; the rest waits, for 6 s while the pool is short. Fillers that add little are not paced, and only those that fit at no usual load move. Serving tasks go beside images that tolerate the same fillers. cell-load tells the mix of images, the executors over target and those overcommitted.

--- a/crates/jobs/src/cell/cell_load.rs
+++ b/crates/jobs/src/cell/cell_load.rs
@@ -25,6 +25,16 @@
     pub reserved_cpu: CpuMilli,
     /// The processor time that is free on the executors that accept new runs.
     pub free_cpu: CpuMilli,
+    /// The number of executors that run tasks of one serving image only.
+    pub single_image_executors: u64,
+    /// The number of executors that run tasks of several serving images.
+    pub mixed_image_executors: u64,
+    /// The number of executors where a serving task is over its target.
+    pub over_target_executors: u64,
+    /// The number of running fillers.
+    pub running_fillers: u64,
+    /// The number of executors whose fillers add more than their serving tasks tolerate at peak load.
+    pub overcommitted_executors: u64,
 }
 
 impl CellState {
@@ -49,6 +59,19 @@
         }
         for executor in self.executors.values() {
             load.reserved_cpu.0 += executor.used().cpu_milli.0;
+            match executor.serving_image_count() {
+                0 => {}
+                1 => load.single_image_executors += 1,
+                _ => load.mixed_image_executors += 1,
+            }
+            load.over_target_executors += u64::from(executor.over_target_since.is_some());
+            let fillers = executor.runs().values();
+            load.running_fillers += fillers.filter(|view| view.is_filler()).count() as u64;
+            let is_overcommitted = executor
+                .headroom
+                .iter()
+                .any(|headroom| headroom.at_peak_load < 0.0);
+            load.overcommitted_executors += u64::from(is_overcommitted);
             let paused = executor
                 .runs()
                 .values()
@@ -75,6 +98,11 @@
             open_executors: load.open_executors,
             reserved_cpu: load.reserved_cpu,
             free_cpu: load.free_cpu,
+            single_image_executors: load.single_image_executors,
+            mixed_image_executors: load.mixed_image_executors,
+            over_target_executors: load.over_target_executors,
+            running_fillers: load.running_fillers,
+            overcommitted_executors: load.overcommitted_executors,
         );
     }
 }
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -28,7 +28,7 @@
 const BATCH_BYTES_MAX: usize = 1 << 20;
 
 /// The store key of the loads that an owner has learned.
-pub(crate) const LEARNED_KEY: &str = "learned-loads";
+pub(crate) const LEARNED_KEY: &str = "learned-pressures";
 /// The prefix of the store key of a job's lost runs; the job's id follows.
 const LOST_RUNS_KEY_PREFIX: &str = "lost.";
 /// The interval between two records of the learned loads. An interval above the time that it takes
--- a/crates/jobs/src/cell/departures.rs
+++ b/crates/jobs/src/cell/departures.rs
@@ -220,12 +220,14 @@
                 step,
                 service: &queue.service,
                 pressures: &pressures,
+                dissimilarities: &[],
                 rack,
                 needs_ticket: queue.advice.is_some(),
                 // Long-running tasks keep their place for good, so as much is left for others.
                 ignores_ramp_up: false,
                 requires_spare_room: step.is_long_running,
                 may_interfere: false,
+                may_be_interrupted: false,
             };
             let targets = self.hold_places_on(&search, tasks, now);
             if targets.is_some() {
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -31,10 +31,16 @@
 /// second, the limit is above the start rate of the largest deployment.
 const PLACEMENTS_PER_ROUND_MAX: usize = 256;
 
-/// How long a job without a placed task waits until its tasks may run where they interfere with
-/// serving tasks. The requirements allow 3 s.
+/// How long a job without a placed task waits until one of its tasks may run where it interferes with
+/// serving tasks. The requirements allow 3 s while less than half of a pool is in use.
 const IDLE_WAIT_MAX: Duration = Duration::from_millis(1_500);
 
+/// The same while more of the pool is in use: harm would spread, and other jobs end soon.
+const IDLE_WAIT_IN_SHORTAGE_MAX: Duration = Duration::from_millis(6_000);
+
+/// The part of a pool's processors in use from which capacity counts as short.
+const SHORTAGE_USE: f64 = 0.6;
+
 /// The waiting time after which long-running tasks are placed before other tasks, on executors with
 /// ample room. The requirements allow 6 s.
 const LONG_RUNNING_WAIT_MAX: Duration = Duration::from_millis(3_000);
@@ -55,6 +61,8 @@
     pub(super) step: &'a StepSpec,
     pub(super) service: &'a ServiceId,
     pub(super) pressures: &'a [(ImageName, f64)],
+    /// How much other serving images differ from that of the step.
+    pub(super) dissimilarities: &'a [(ImageName, f64)],
     /// The only rack to search, if any.
     pub(super) rack: Option<&'a Label>,
     /// Whether a start needs a valid ticket.
@@ -65,6 +73,8 @@
     pub(super) ignores_ramp_up: bool,
     /// Whether the tasks may run where they interfere with serving tasks.
     pub(super) may_interfere: bool,
+    /// Whether the tasks may run where they must stop when the load of serving tasks rises.
+    pub(super) may_be_interrupted: bool,
 }
 
 impl StepSearch<'_> {
@@ -146,9 +156,24 @@
         }
     }
 
-    fn has_been_idle(&self, id: JobId, now: Instant) -> bool {
-        let since = self.idle_since.get(&id);
-        since.is_some_and(|since| now.duration_since(*since) >= IDLE_WAIT_MAX)
+    fn has_been_idle(&self, id: JobId, service: &ServiceId, now: Instant) -> bool {
+        let Some(since) = self.idle_since.get(&id) else {
+            return false;
+        };
+        let idle = now.duration_since(*since);
+        idle >= IDLE_WAIT_IN_SHORTAGE_MAX
+            || idle >= IDLE_WAIT_MAX && self.cpu_use(service) < SHORTAGE_USE
+    }
+
+    /// Returns the part of a pool's processors that is reserved, 0 to 1.
+    fn cpu_use(&self, service: &ServiceId) -> f64 {
+        let executors = self.executors.values();
+        let pool = executors.filter(|executor| executor.entry.service == *service);
+        let (used, total) = pool.fold((0, 0), |(used, total), executor| {
+            let capacity_milli = executor.entry.capacity.cpu_milli.0;
+            (used + executor.used().cpu_milli.0, total + capacity_milli)
+        });
+        used as f64 / total.max(1) as f64
     }
 
     pub(super) fn waiting_steps(&self, now: Instant) -> Vec<WaitingStep> {
@@ -187,17 +212,26 @@
             .collect();
         let step = &submission.spec.steps[waiting.step_ref.step as usize];
         let pressures = self.interference_pressures(step, now);
-        let search = StepSearch {
+        let dissimilarities = match &step.image {
+            Some(image) if step.tail_target_ms.is_some() => {
+                let now_ms = self.elapsed_ms(now);
+                self.interference.dissimilarities(image, now_ms)
+            }
+            _ => Vec::new(),
+        };
+        let mut search = StepSearch {
             job: waiting.job,
             step_ref: waiting.step_ref,
             step,
             service: &queue.service,
             pressures: &pressures,
+            dissimilarities: &dissimilarities,
             rack: None,
             needs_ticket: queue.advice.is_some(),
             requires_spare_room,
             ignores_ramp_up: requires_spare_room,
-            may_interfere: self.has_been_idle(waiting.job, now),
+            may_interfere: self.has_been_idle(waiting.job, &queue.service, now),
+            may_be_interrupted: self.has_been_idle(waiting.job, &queue.service, now),
         };
         if step.is_gang {
             return self.place_gang(&search, &tasks, now);
@@ -212,10 +246,18 @@
                 continue;
             }
             placed += 1;
+            let is_first_to_interfere = search.may_interfere;
+            if is_first_to_interfere {
+                // One task is enough for the job to have work in progress.
+                search.may_interfere = false;
+                search.may_be_interrupted = false;
+            }
             if let Some(executor) = self.executors.get_mut(&best.executor) {
                 executor.consume_headroom(&pressures, step.need.cpu_milli.0);
             }
-            if let Some(executor) = self.executors.get(&best.executor) {
+            if is_first_to_interfere {
+                candidates = self.score_executors(&search, now);
+            } else if let Some(executor) = self.executors.get(&best.executor) {
                 candidates.extend(self.score_executor(&search, executor, now));
             }
         }
@@ -345,7 +387,9 @@
         let request = PlacementRequest {
             step,
             pressures: search.pressures,
+            dissimilarities: search.dissimilarities,
             may_interfere: search.may_interfere,
+            may_be_interrupted: search.may_be_interrupted,
         };
         let score = self.placement.score(&request, executor)?;
         let reserved = step.reserved();
--- a/crates/jobs/src/cell/tail_latency.rs
+++ b/crates/jobs/src/cell/tail_latency.rs
@@ -24,6 +24,11 @@
 /// The time span of the measurements in an executor's report.
 const MEASUREMENT_WINDOW: Duration = Duration::from_millis(500);
 
+/// The time constant with which tails follow the load of an executor.
+const TAIL_TIME_CONSTANT: Duration = Duration::from_millis(450);
+/// The time from the record of a new pace until it has taken effect on the executor.
+const PACE_LATENCY: Duration = Duration::from_millis(200);
+
 /// Control of the tail latency of serving tasks through the fillers beside them.
 impl CellState {
     /// Evaluates the tails of an executor's serving tasks, and paces or moves the fillers there.
@@ -44,13 +49,20 @@
             .over_target_since
             .map_or(Duration::ZERO, |since| now.duration_since(since));
         executor.record_filler_shares(now);
-        let filler_shares = executor.filler_history.mean(measured_from, now);
+        let filler_shares = executor
+            .filler_history
+            .weighted_mean(now, TAIL_TIME_CONSTANT);
+        let settled_from = measured_from
+            .checked_sub(PACE_LATENCY)
+            .unwrap_or(measured_from);
+        let is_settled = executor.paced_at.is_none_or(|at| at <= settled_from);
         let Some(executor) = self.executors.get(id) else {
             return;
         };
         let sample = TailSample {
             tails,
             filler_shares,
+            is_settled,
             over_target_for,
             fillers: self.filler_samples(executor),
         };
@@ -145,6 +157,7 @@
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
         view.progressed_at = now;
+        executor.paced_at = Some(now);
         executor.send(Order::Pace(task, run, percent));
         false
     }
@@ -160,7 +173,9 @@
         let request = PlacementRequest {
             step,
             pressures: &pressures,
+            dissimilarities: &[],
             may_interfere: false,
+            may_be_interrupted: false,
         };
         self.available_executors(service, now).any(|executor| {
             request.fit_on(executor) == Fit::AtPeakLoad
--- a/crates/jobs/src/cell/tickets.rs
+++ b/crates/jobs/src/cell/tickets.rs
@@ -131,7 +131,9 @@
         let request = PlacementRequest {
             step,
             pressures: &[],
+            dissimilarities: &[],
             may_interfere: true,
+            may_be_interrupted: false,
         };
         let tickets = self.tickets.get(&(job, step_ref));
         let is_decided = |executor: &Executor| {
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -52,6 +52,8 @@
     pub over_target_since: Option<Instant>,
     /// The recent processor use of fillers.
     pub filler_history: FillerHistory,
+    /// When a filler was last paced.
+    pub paced_at: Option<Instant>,
     /// The headroom of the serving images as of the last report.
     pub headroom: Vec<Headroom>,
     /// The executor gets no new run before this time, because a start was refused for lack of room
@@ -83,6 +85,7 @@
             health: Health::default(),
             over_target_since: None,
             filler_history: FillerHistory::default(),
+            paced_at: None,
             headroom: Vec::new(),
             full_until: None,
             ramp_up: RampUp::default(),
@@ -253,9 +256,14 @@
         self.serving_images.contains_key(image)
     }
 
-    /// Returns whether tasks of another serving image run here.
-    pub fn serves_others_than(&self, image: &ImageName) -> bool {
-        self.serving_images.keys().any(|other| other != image)
+    /// Returns the number of serving images whose tasks run here.
+    pub fn serving_image_count(&self) -> usize {
+        self.serving_images.len()
+    }
+
+    /// Returns the serving images whose tasks run here.
+    pub fn serving_images(&self) -> impl Iterator<Item = &ImageName> {
+        self.serving_images.keys()
     }
 
     /// Replaces the channel of orders, which ends the former session, and returns the receiving end
--- a/crates/jobs/src/fleet/headroom.rs
+++ b/crates/jobs/src/fleet/headroom.rs
@@ -1,6 +1,6 @@
 use crate::model::ImageName;
 
-/// The extra load that the tasks of a serving image can tolerate, as multiples of their own load.
+/// The extra utilization that the tasks of a serving image can tolerate.
 ///
 /// Negative values mean that the fillers cause more than the tasks tolerate.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/jobs/src/policy/filler_pacer.rs
+++ b/crates/jobs/src/policy/filler_pacer.rs
@@ -1,8 +1,7 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use dotterelhook_scheduler::interference::PairTable;
-
 use super::FillerAction;
 use super::FillerSample;
 use super::ImageLoad;
@@ -11,12 +10,14 @@
 use super::LearnedPressure;
 use super::TailSample;
 use super::load_forecast::LoadForecast;
+use super::pressure_estimates::Pressure;
+use super::pressure_estimates::PressureEstimates;
 use crate::fleet::Headroom;
+use crate::ledger::StepRef;
 use crate::model::ImageName;
+use crate::model::JobId;
 use crate::model::TaskId;
 
-/// The largest number of pairs of images with a learned weight.
-const PAIRS_MAX: usize = 4_096;
 /// The largest number of serving images with a learned load; clients choose the names.
 const IMAGES_MAX: usize = 1_024;
 /// The largest size of the learned state that is exported, below the store's limit for a record.
@@ -25,27 +26,21 @@
 const LEARNED_ENTRY_BYTES: usize = 32;
 /// The number of load forecasts above which outdated ones are removed.
 const FORECASTS_MAX: usize = 65_536;
-/// The half-life of a pair's weight without further samples.
-const WEIGHT_HALF_LIFE_MS: u64 = 300_000;
-/// The smallest load and the smallest budget that are used as a divisor.
-const DIVISOR_MIN: f64 = 0.05;
-/// The extra load from which a sample counts as a peak.
-const PEAK_EXTRA_LOAD: f64 = 0.6;
-/// How much faster weights are learned from a peak: a single peak is enough to miss a target.
-const PEAK_LEARNING_SPEED: f64 = 4.0;
-/// The range to which the extra load of one sample is limited.
-const EXTRA_LOAD_RANGE: (f64, f64) = (-0.7, 2.0);
 /// The highest tail ratio that fillers may cause.
-const TAIL_RATIO_MAX: f64 = 0.8;
+const TAIL_RATIO_MAX: f64 = 1.1;
+/// The highest tail ratio that fillers may cause at the peak load of a serving image.
+const PEAK_RATIO_MAX: f64 = 1.25;
 /// The expected tail ratio up to which fillers are sped up.
-const SPEED_UP_RATIO_MAX: f64 = 0.6;
-/// The highest load that users alone cause, as a multiple of the mean load; fillers cause the rest.
-const LOAD_SWING_MAX: f64 = 1.5;
-/// Smaller weights are noise: a pair either interferes strongly or not at all.
-const WEIGHT_MIN: f64 = 1.2;
-/// The share of the forecast in the expected load when weights are learned, beside the mean load.
-/// With the forecast alone, forecast and weight would each absorb the other's error.
-const FORECAST_SHARE: f64 = 0.5;
+const SPEED_UP_RATIO_MAX: f64 = 0.95;
+/// The number of standard deviations by which an expected load is raised, to allow for its error.
+const LOAD_MARGIN_DEVIATIONS: f64 = 0.5;
+/// The number of standard deviations by which a pressure is raised for a placement, so that pairs
+/// that are not known yet are tried where little harm can be done.
+const PLACEMENT_MARGIN_DEVIATIONS: f64 = 1.0;
+/// The utilization from which a tail no longer tells how far a task is overloaded.
+const SATURATED_UTILIZATION: f64 = 0.95;
+/// The variance of what fillers add to a utilization while a change of their pace takes effect.
+const UNSETTLED_VARIANCE: f64 = 0.1 * 0.1;
 /// How far ahead loads are forecast: the time of a report, an order and the order's effect.
 const HORIZON_MS: u64 = 600;
 /// The age beyond which a forecast is outdated.
@@ -54,37 +49,35 @@
 const PACE_MIN_PERCENT: u32 = 30;
 /// The smallest change of a pace that is worth an order.
 const PACE_CHANGE_MIN_PERCENT: u32 = 20;
-/// The number of samples from which a small weight proves a pair harmless.
-const HARMLESS_SAMPLES_MIN: u32 = 30;
-/// The weight up to which a pair counts as harmless.
-const HARMLESS_WEIGHT_MAX: f64 = 0.5;
+/// The extra utilization below which a filler is not paced by forecasts: its pause would hardly help.
+const PACED_EXTRA_LOAD_MIN: f64 = 0.045;
+/// The smallest load budget that is used as a divisor.
+const DIVISOR_MIN: f64 = 0.02;
+/// The pressure up to which a filler counts as harmless to a serving image.
+const HARMLESS_PRESSURE_MAX: f64 = 0.4;
+/// The deviation up to which a pressure counts as known.
+const KNOWN_DEVIATION_MAX: f64 = 0.2;
 /// The time over the target after which fillers stop, except those that are known to be harmless.
 const SUSPECTS_STOP_AFTER: Duration = Duration::from_millis(1_400);
 /// The time over the target after which all fillers stop. The platform's rule tolerates 4 s or
 /// more.
 const ALL_STOP_AFTER: Duration = Duration::from_millis(2_400);
 
-/// Paces fillers by the load that the serving tasks beside them can tolerate.
+/// Paces fillers by the utilization that the serving tasks beside them can tolerate.
 ///
-/// Interference is learned for pairs of images: a filler image adds much load to some serving
-/// images and none to others. The load that users put on a serving task swings, so a filler that
-/// stops at a peak can continue in a trough.
-#[derive(Clone, Debug)]
+/// The utilization of a serving task is the load from its own users plus the sum of what the fillers
+/// beside it add. What a filler adds depends on the pair of images and not on the load: a filler that
+/// must stop at a peak can continue in a trough. The load is that of the whole step, since the tasks of
+/// a step share its users.
+#[derive(Clone, Debug, Default)]
 pub struct FillerPacer {
-    pressures: PairTable<(ImageName, ImageName)>,
+    pressures: PressureEstimates,
     images: BTreeMap<ImageName, LearnedImage>,
-    forecasts: BTreeMap<TaskId, LoadForecast>,
+    forecasts: BTreeMap<ServingStep, LoadForecast>,
 }
 
-impl Default for FillerPacer {
-    fn default() -> Self {
-        Self {
-            pressures: PairTable::new(PAIRS_MAX, WEIGHT_HALF_LIFE_MS),
-            images: BTreeMap::new(),
-            forecasts: BTreeMap::new(),
-        }
-    }
-}
+/// The step of a serving task, whose tasks share their users.
+type ServingStep = (JobId, StepRef);
 
 /// The learned load of a serving image, and when it was last updated.
 #[derive(Clone, Copy, Debug)]
@@ -93,7 +86,7 @@
     updated_ms: u64,
 }
 
-/// The extra load that the tasks of one serving image still tolerate, as a multiple of their own.
+/// The extra utilization that the tasks of one serving image still tolerate.
 struct LoadBudget<'a> {
     image: &'a ImageName,
     left: f64,
@@ -107,10 +100,17 @@
     cost: f64,
     /// The share of its full speed that the filler lacks now, in percent.
     slowdown: u32,
-    /// The extra load at full pace, for each budget.
+    /// The extra utilization at full pace, for each budget.
     extra_loads: Vec<f64>,
 }
 
+/// The mean and the variance of the utilization that fillers add to a serving task.
+#[derive(Clone, Copy, Debug, Default)]
+struct ExtraLoad {
+    mean: f64,
+    variance: f64,
+}
+
 impl FillerPacer {
     fn image_load(&self, image: &ImageName) -> ImageLoad {
         let learned = self.images.get(image);
@@ -131,23 +131,47 @@
             .insert(image.clone(), LearnedImage { load, updated_ms });
     }
 
-    fn weight(&self, serving: &ImageName, filler: &ImageName, now_ms: u64) -> f64 {
-        let pair = (serving.clone(), filler.clone());
-        let weight = self.pressures.weight(&pair, now_ms);
-        if weight < WEIGHT_MIN { 0.0 } else { weight }
-    }
-
-    /// Returns the extra load that fillers cause with their shares of the processors.
-    fn extra_load(&self, serving: &ImageName, shares: &[(ImageName, f64)], now_ms: u64) -> f64 {
-        let extra_loads = shares
-            .iter()
-            .map(|(filler, share)| self.weight(serving, filler, now_ms) * share);
-        extra_loads.sum()
+    /// Returns the extra utilization by fillers with their shares of the processors.
+    fn extra_load(
+        &self,
+        serving: &ImageName,
+        shares: &[(ImageName, f64)],
+        now_ms: u64,
+    ) -> ExtraLoad {
+        let extra_loads = shares.iter().map(|(filler, share)| {
+            let pressure = self.pressures.get(serving, filler, now_ms);
+            (pressure.mean * share, pressure.variance * share * share)
+        });
+        extra_loads.fold(ExtraLoad::default(), |sum, (mean, variance)| ExtraLoad {
+            mean: sum.mean + mean,
+            variance: sum.variance + variance,
+        })
     }
 
     fn full_pace_extra_load(&self, serving: &ImageName, filler: &FillerSample, now_ms: u64) -> f64 {
         let image = filler.image.as_ref();
-        image.map_or(0.0, |image| self.weight(serving, image, now_ms)) * filler.cpu_share
+        let pressure = image.map(|image| self.pressures.get(serving, image, now_ms));
+        pressure.map_or(0.0, |pressure| pressure.mean) * filler.cpu_share
+    }
+
+    /// Returns the extra utilization by a filler at full pace, with a margin for the error of its
+    /// pressure.
+    fn extra_load_at_most(&self, serving: &ImageName, filler: &FillerSample, now_ms: u64) -> f64 {
+        let Some(image) = &filler.image else {
+            return filler.cpu_share;
+        };
+        let pressure = self.pressures.get(serving, image, now_ms);
+        (pressure.mean + pressure.deviation()) * filler.cpu_share
+    }
+
+    /// Returns whether a filler alone adds more than some serving image tolerates at its mean load, so
+    /// that it would be paused most of the time.
+    fn is_misplaced(&self, filler: &FillerSample, sample: &TailSample, now_ms: u64) -> bool {
+        sample.tails.iter().any(|tail| {
+            let image = self.image_load(&tail.image);
+            let extra_load = self.full_pace_extra_load(&tail.image, filler, now_ms);
+            image.usual + extra_load > image.utilization_at(TAIL_RATIO_MAX)
+        })
     }
 
     /// Returns whether a filler is not known to be harmless to each serving image of the sample.
@@ -156,18 +180,21 @@
             return true;
         };
         sample.tails.iter().any(|tail| {
-            let pair = (tail.image.clone(), image.clone());
-            self.pressures.samples(&pair) < HARMLESS_SAMPLES_MIN
-                || self.pressures.weight(&pair, now_ms) > HARMLESS_WEIGHT_MAX
+            let pressure = self.pressures.get(&tail.image, image, now_ms);
+            pressure.deviation() > KNOWN_DEVIATION_MAX || pressure.mean > HARMLESS_PRESSURE_MAX
         })
     }
 
-    /// Returns the expected load of a task at the time when an order takes effect; the peak load of
-    /// its image without a current forecast.
+    /// Returns the expected load of a task at the time when an order takes effect, with a margin for
+    /// its error; the peak load of its image without a current forecast.
     fn expected_load(&self, task: TaskId, image: &ImageLoad, now_ms: u64) -> f64 {
-        match self.forecasts.get(&task) {
-            Some(load) if load.age_ms(now_ms) <= LOAD_AGE_MAX_MS => load.at(now_ms + HORIZON_MS),
-            _ => image.peak,
+        match self.forecasts.get(&serving_step(task)) {
+            Some(load) if load.age_ms(now_ms) <= LOAD_AGE_MAX_MS => {
+                let effective_ms = now_ms + HORIZON_MS;
+                let deviation = load.variance_at(effective_ms).max(0.0).sqrt();
+                load.at(effective_ms) + LOAD_MARGIN_DEVIATIONS * deviation
+            }
+            _ => image.peak(),
         }
     }
 
@@ -178,7 +205,7 @@
         for tail in &sample.tails {
             let image = self.image_load(&tail.image);
             let load = self.expected_load(tail.task, &image, now_ms);
-            let left = tolerated_extra_load(&image, load, ratio);
+            let left = (image.utilization_at(ratio) - load).max(0.0);
             match budgets
                 .iter_mut()
                 .find(|budget| *budget.image == tail.image)
@@ -222,7 +249,14 @@
                     }
                 });
             let fraction = fractions.fold(1.0, f64::min).max(0.0);
-            let percent = (fraction * 10.0) as u32 * 10;
+            let filler = &sample.fillers[index];
+            let is_light = budgets.iter().all(|budget| {
+                self.extra_load_at_most(budget.image, filler, now_ms) < PACED_EXTRA_LOAD_MIN
+            });
+            let percent = match is_light {
+                true => 100,
+                false => (fraction * 10.0) as u32 * 10,
+            };
             if percent < PACE_MIN_PERCENT {
                 continue;
             }
@@ -256,9 +290,20 @@
     }
 }
 
-/// Returns the extra load that a task tolerates up to a tail ratio, as a multiple of its own load.
-fn tolerated_extra_load(image: &ImageLoad, load: f64, ratio: f64) -> f64 {
-    (image.utilization_at(ratio) / load.max(DIVISOR_MIN) - 1.0).max(0.0)
+fn serving_step(task: TaskId) -> ServingStep {
+    (task.job, task.into())
+}
+
+/// Returns the median, or 0 without values. Unlike the mean, it bears a single tail that was measured
+/// far too high.
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    let middle = values.len() / 2;
+    match values.len() % 2 {
+        0 if middle > 0 => (values[middle - 1] + values[middle]) / 2.0,
+        0 => 0.0,
+        _ => values[middle],
+    }
 }
 
 fn tails_by_image(sample: &TailSample) -> BTreeMap<&ImageName, Vec<(TaskId, f64)>> {
@@ -278,50 +323,49 @@
         }
         for (name, tails) in tails_by_image(sample) {
             let extra_load = self.extra_load(name, &sample.filler_shares, now_ms);
+            let is_undisturbed = sample.filler_shares.is_empty();
             let mut image = self.image_load(name);
-            let mut observed = 0.0;
+            let mut observed = Vec::new();
+            let mut load_variance = 0.0;
             for (task, ratio) in &tails {
-                if sample.filler_shares.is_empty() {
-                    image.update_undisturbed(*ratio);
+                if is_undisturbed {
+                    image.update_idle_ratio(*ratio);
                 }
                 let utilization = image.utilization_at(*ratio);
-                let load_max = image.usual * LOAD_SWING_MAX;
-                let load = (utilization / (1.0 + extra_load)).min(load_max);
                 let forecast = self
                     .forecasts
-                    .entry(*task)
+                    .entry(serving_step(*task))
                     .or_insert_with(|| LoadForecast::new(image.usual, now_ms));
-                let expected = match forecast.age_ms(now_ms) <= LOAD_AGE_MAX_MS {
-                    true => forecast.at(now_ms).clamp(DIVISOR_MIN, load_max),
-                    false => image.usual,
-                };
-                let expected = image.usual + FORECAST_SHARE * (expected - image.usual);
-                observed += utilization / expected - 1.0;
-                forecast.update(load, now_ms);
-                if sample.filler_shares.is_empty() {
-                    image.update_peak(forecast.at(now_ms));
+                let expected = forecast.at(now_ms);
+                observed.push(utilization - expected);
+                load_variance += forecast.variance_at(now_ms);
+                if utilization < SATURATED_UTILIZATION {
+                    let load = utilization - extra_load.mean;
+                    let variance = match sample.is_settled {
+                        true => extra_load.variance,
+                        false => extra_load.variance + UNSETTLED_VARIANCE,
+                    };
+                    forecast.update(load, variance, now_ms);
+                }
+                if is_undisturbed {
+                    image.update_load(forecast.at(now_ms));
                 }
             }
             self.set_image_load(name, image, now_ms);
-            let pairs: Vec<((ImageName, ImageName), f64)> = sample
-                .filler_shares
-                .iter()
-                .map(|(filler, share)| ((name.clone(), filler.clone()), *share))
-                .collect();
-            if !pairs.is_empty() {
-                let (least, most) = EXTRA_LOAD_RANGE;
-                let observed = (observed / tails.len() as f64).clamp(least, most);
-                let speed = if observed > PEAK_EXTRA_LOAD {
-                    PEAK_LEARNING_SPEED
-                } else {
-                    1.0
-                };
-                self.pressures.learn_scaled(&pairs, observed, speed, now_ms);
+            load_variance /= tails.len() as f64;
+            if !is_undisturbed && sample.is_settled {
+                self.pressures.learn(
+                    name,
+                    &sample.filler_shares,
+                    median(observed),
+                    load_variance,
+                    now_ms,
+                );
             }
         }
     }
 
-    /// Exports the images that were updated last and the pairs with the most samples, as many as fit
+    /// Exports the images that were updated last and the pairs with the least error, as many as fit
     /// into a record.
     fn learned(&self, now_ms: u64) -> LearnedInterference {
         let mut left_bytes = LEARNED_BYTES_MAX;
@@ -339,17 +383,17 @@
             .map(|(name, image)| (name.clone(), image.load))
             .collect();
         let mut pressures: Vec<_> = self.pressures.entries(now_ms).collect();
-        pressures.sort_by_key(|(_, _, samples)| std::cmp::Reverse(*samples));
+        pressures.sort_by(|(_, a), (_, b)| a.variance.total_cmp(&b.variance));
         let pressures = pressures
             .into_iter()
-            .take_while(|((serving, filler), ..)| {
+            .take_while(|((serving, filler), _)| {
                 fits(serving.as_str().len() + filler.as_str().len())
             })
-            .map(|((serving, filler), weight, samples)| LearnedPressure {
+            .map(|((serving, filler), pressure)| LearnedPressure {
                 serving: serving.clone(),
                 filler: filler.clone(),
-                weight,
-                samples,
+                mean: pressure.mean,
+                variance: pressure.variance,
             })
             .collect();
         LearnedInterference { images, pressures }
@@ -361,8 +405,11 @@
         }
         for pressure in learned.pressures {
             let pair = (pressure.serving, pressure.filler);
-            self.pressures
-                .restore(pair, pressure.weight, pressure.samples, now_ms);
+            let estimate = Pressure {
+                mean: pressure.mean,
+                variance: pressure.variance,
+            };
+            self.pressures.restore(pair, estimate, now_ms);
         }
     }
 
@@ -386,7 +433,11 @@
                 percent = 0;
             }
             let is_small = percent.abs_diff(present) < PACE_CHANGE_MIN_PERCENT;
-            if percent == 0 && filler.can_move && pace_max == 0 {
+            if percent == 0
+                && filler.can_move
+                && pace_max == 0
+                && self.is_misplaced(filler, sample, now_ms)
+            {
                 actions.push(FillerAction::Move(filler.task, filler.run));
             } else if percent == 0 || percent == 100 || !is_small {
                 actions.push(FillerAction::Pace(filler.task, filler.run, percent));
@@ -411,17 +462,46 @@
             Headroom {
                 image: budget.image.clone(),
                 at_current_load: budget.left - present,
-                at_peak_load: tolerated_extra_load(&image, image.peak, TAIL_RATIO_MAX) - full,
+                at_peak_load: image.utilization_at(PEAK_RATIO_MAX) - image.peak() - full,
             }
         });
         headrooms.collect()
     }
 
     fn pressures(&self, filler: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)> {
-        let weights = self
-            .images
-            .keys()
-            .map(|serving| (serving.clone(), self.weight(serving, filler, now_ms)));
-        weights.filter(|(_, weight)| *weight > 0.0).collect()
+        let pressures = self.images.keys().map(|serving| {
+            let pressure = self.pressures.get(serving, filler, now_ms);
+            let with_margin = pressure.mean + PLACEMENT_MARGIN_DEVIATIONS * pressure.deviation();
+            (serving.clone(), with_margin)
+        });
+        pressures.filter(|(_, pressure)| *pressure > 0.0).collect()
+    }
+
+    fn dissimilarities(&self, serving: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)> {
+        let fillers: BTreeSet<&ImageName> = self
+            .pressures
+            .entries(now_ms)
+            .map(|((_, filler), _)| filler)
+            .collect();
+        let others = self.images.keys().filter(|other| *other != serving);
+        let compared = others.map(|other| {
+            let sums = fillers
+                .iter()
+                .fold((0.0, 0.0), |(difference, larger), filler| {
+                    let own = self.pressures.get(serving, filler, now_ms);
+                    let of_other = self.pressures.get(other, filler, now_ms);
+                    let doubt = (own.deviation() + of_other.deviation()) / 2.0;
+                    (
+                        difference + (own.mean - of_other.mean).abs() + doubt,
+                        larger + own.mean.max(of_other.mean),
+                    )
+                });
+            let dissimilarity = match fillers.is_empty() {
+                true => 1.0,
+                false => (sums.0 / sums.1.max(DIVISOR_MIN)).min(1.0),
+            };
+            (other.clone(), dissimilarity)
+        });
+        compared.collect()
     }
 }
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::ImageLoad;
 use crate::fleet::Headroom;
 use crate::model::ImageName;
 use crate::model::RunNumber;
@@ -44,6 +45,8 @@
     /// The mean part of the executor's processors that fillers of each image used while the tails
     /// were measured, 0 to 1.
     pub filler_shares: Vec<(ImageName, f64)>,
+    /// Whether no filler was paced shortly before or while the tails were measured.
+    pub is_settled: bool,
     /// The time for which some tail has been over its target.
     pub over_target_for: Duration,
     /// The fillers that run on the executor now.
@@ -72,33 +75,21 @@
 pub struct LearnedInterference {
     /// The loads of serving images.
     pub images: Vec<(ImageName, ImageLoad)>,
-    /// The interference weights of pairs of images.
+    /// The interference of pairs of images.
     pub pressures: Vec<LearnedPressure>,
 }
 
-/// The load that their own users put on the tasks of a serving image, 0 to 1.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct ImageLoad {
-    /// The mean load.
-    pub usual: f64,
-    /// The recent peak load; it decays towards the mean.
-    pub peak: f64,
-    /// The tail latency of an idle task, as a multiple of its target.
-    pub idle_ratio: f64,
-}
-
-/// The interference weight of a filler image on a serving image.
+/// The interference of a filler image with a serving image.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LearnedPressure {
     /// The serving image.
     pub serving: ImageName,
     /// The filler image.
     pub filler: ImageName,
-    /// The extra load that the filler would cause with all processors of an executor, as a
-    /// multiple of the serving task's own load.
-    pub weight: f64,
-    /// The number of samples behind the weight.
-    pub samples: u32,
+    /// The extra utilization that the filler would cause with all processors of an executor.
+    pub mean: f64,
+    /// The variance of the estimate.
+    pub variance: f64,
 }
 
 /// Keeps serving tasks within their tail latency targets by slowing down or moving fillers.
@@ -120,10 +111,13 @@
     /// Returns the headroom of each serving image of the sample.
     fn headroom(&self, sample: &TailSample, now_ms: u64) -> Vec<Headroom>;
 
-    /// Returns the interference weights of a filler image by serving image, without those that are
-    /// zero.
+    /// Returns the interference of a filler image by serving image, without those that are zero.
     ///
-    /// A weight is the extra load that the filler would cause with all processors of an executor,
-    /// as a multiple of the serving image's own load.
+    /// It is the extra utilization that the filler would cause with all processors of an executor,
+    /// with a margin for the error of the estimate.
     fn pressures(&self, filler: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)>;
+
+    /// Returns how much other serving images differ from one in the fillers that they tolerate: from 0,
+    /// if the same fillers disturb both, to 1.
+    fn dissimilarities(&self, serving: &ImageName, now_ms: u64) -> Vec<(ImageName, f64)>;
 }
--- a/crates/jobs/src/policy/interference_aware_placement.rs
+++ b/crates/jobs/src/policy/interference_aware_placement.rs
@@ -7,20 +7,19 @@
 const SERVING_CPU_USE: f64 = 0.45;
 /// The smallest share of a filler's processor need that must be available to it.
 const FILLER_CPU_SHARE_MIN: f64 = 0.6;
-/// A filler counts as harmless if its extra load stays within this multiple of the load of any
-/// serving image.
-const HARMLESS_LOAD_MAX: f64 = 0.15;
+/// A filler counts as harmless if it adds no more than this to the utilization of any serving image.
+const HARMLESS_LOAD_MAX: f64 = 0.06;
 /// Penalty of a filler on an executor where it must stop when the serving load rises.
 const CURRENT_LOAD_PENALTY: f64 = 1.0;
 /// Penalty of a filler on an executor where its extra load exceeds the headroom.
 const HARMFUL_PENALTY: f64 = 2.0;
-/// Further penalty for each unit of extra load, where the extra load exceeds the headroom.
-const EXTRA_PENALTY: f64 = 4.0;
+/// Further penalty for each unit of utilization that a filler adds to a serving image.
+const EXTRA_PENALTY: f64 = 6.0;
 /// Penalty of a harmless filler on an executor without serving tasks: harmful fillers need the
 /// room there.
 const SERVING_FREE_PENALTY: f64 = 0.5;
-/// Penalty of a serving task beside another serving image. The penalty exceeds the gain of packing,
-/// because each further image keeps other fillers away.
+/// Penalty of a serving task beside another serving image that tolerates none of the same fillers. The
+/// penalty exceeds the gain of packing, because such an image keeps other fillers away.
 const OTHER_IMAGES_PENALTY: f64 = 1.5;
 /// Bonus of the rack that holds the step's data.
 const RACK_BONUS: f64 = 10.0;
@@ -62,7 +61,8 @@
             let is_serving_free = executor.serving_cpu_milli() == 0;
             let penalty = match request.fit_on(executor) {
                 Fit::Harmful if !request.may_interfere => return None,
-                Fit::Harmful => HARMFUL_PENALTY + EXTRA_PENALTY * request.extra_load_on(executor),
+                Fit::Harmful => HARMFUL_PENALTY,
+                Fit::AtCurrentLoad if !request.may_be_interrupted => return None,
                 Fit::AtCurrentLoad => CURRENT_LOAD_PENALTY,
                 Fit::AtPeakLoad
                     if is_serving_free
@@ -72,12 +72,10 @@
                 }
                 Fit::AtPeakLoad => 0.0,
             };
-            reclaimable_milli / capacity_milli - penalty
+            let extra_load = request.extra_load_on(executor);
+            reclaimable_milli / capacity_milli - penalty - EXTRA_PENALTY * extra_load
         } else if step.is_long_running {
-            let others = match &step.image {
-                Some(image) if executor.serves_others_than(image) => OTHER_IMAGES_PENALTY,
-                _ => 0.0,
-            };
+            let others = OTHER_IMAGES_PENALTY * request.dissimilarity_on(executor);
             executor.used().cpu_milli.0 as f64 / capacity_milli - others
         } else {
             -(free.cpu_milli.0 as f64) / capacity_milli
--- a/crates/jobs/src/policy/load_forecast.rs
+++ b/crates/jobs/src/policy/load_forecast.rs
@@ -1,81 +1,58 @@
-use super::ImageLoad;
-
-/// The mean load of an image before its first sample.
-const INITIAL_MEAN_LOAD: f64 = 0.42;
-/// The peak load of an image before its first sample.
-const INITIAL_PEAK_LOAD: f64 = 0.62;
-/// The tail ratio of an idle task before the first sample of its image.
-const INITIAL_IDLE_RATIO: f64 = 0.22;
-/// The weight of one sample in the mean load of an image.
-const MEAN_SMOOTHING: f64 = 0.02;
-/// The share of the distance to the mean load by which the peak load decays with each sample.
-const PEAK_DECAY: f64 = 0.002;
-/// The highest load that is estimated from a tail; tails can't distinguish higher loads.
-const LOAD_MAX: f64 = 0.98;
-/// The weight of a sample above the forecast.
-const RISE_GAIN: f64 = 1.0;
-/// The weight of a sample below the forecast; it is smaller because measured tails are noisy.
-const FALL_GAIN: f64 = 0.4;
-/// The weight of one sample in the trend.
-const TREND_GAIN: f64 = 0.25;
+/// The variance of the load of a step before its first sample.
+const INITIAL_LOAD_VARIANCE: f64 = 0.04;
+/// The variance of the trend of a load before its first sample, per second squared.
+const INITIAL_TREND_VARIANCE: f64 = 0.01;
+/// The variance that the trend gains per second.
+const TREND_DRIFT_VARIANCE_PER_S: f64 = 0.005;
+/// The variance of one measured utilization, as a figure for the step's load.
+const MEASUREMENT_VARIANCE: f64 = 0.04 * 0.04;
 /// The steepest plausible change of a load, per second.
-const TREND_MAX_PER_S: f64 = 0.15;
-/// The shortest time between samples from which a trend is computed, in seconds.
-const TREND_SPAN_MIN_S: f64 = 0.25;
+const TREND_MAX_PER_S: f64 = 0.2;
+/// The highest load; tails can't distinguish higher ones.
+pub(super) const LOAD_MAX: f64 = 0.98;
 
-impl Default for ImageLoad {
-    fn default() -> Self {
-        Self {
-            usual: INITIAL_MEAN_LOAD,
-            peak: INITIAL_PEAK_LOAD,
-            idle_ratio: INITIAL_IDLE_RATIO,
-        }
-    }
-}
-
-impl ImageLoad {
-    /// Estimates the utilization of a task from its tail ratio, 0 to 1.
-    ///
-    /// Assumes a single-server queue, whose tail latency grows with the reciprocal of the idle
-    /// capacity.
-    pub(super) fn utilization_at(&self, ratio: f64) -> f64 {
-        (1.0 - self.idle_ratio / ratio).clamp(0.0, LOAD_MAX)
-    }
-
-    /// Updates the mean load and the idle ratio from a tail ratio measured without fillers.
-    pub(super) fn update_undisturbed(&mut self, ratio: f64) {
-        self.idle_ratio = self.idle_ratio.min(ratio);
-        self.usual += MEAN_SMOOTHING * (self.utilization_at(ratio) - self.usual);
-    }
-
-    /// Raises the peak load to the load of one task, or lets it decay towards the mean.
-    pub(super) fn update_peak(&mut self, load: f64) {
-        self.peak = load.max(self.peak - PEAK_DECAY * (self.peak - self.usual));
-    }
-}
-
-/// The load that its own users put on a serving task: an exponentially smoothed level with a
-/// linear trend.
+/// The load that their own users put on the tasks of a serving step, 0 to 1: a Kalman filter with a
+/// level and a linear trend.
+///
+/// The tasks of a step share its users. Those with no or little interference beside them tell the load
+/// of all.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LoadForecast {
     load: f64,
     trend_per_s: f64,
+    load_variance: f64,
+    covariance: f64,
+    trend_variance: f64,
     updated_ms: u64,
 }
 
 impl LoadForecast {
+    /// Creates a forecast for a step without samples.
     pub(super) fn new(load: f64, now_ms: u64) -> Self {
         Self {
             load,
             trend_per_s: 0.0,
+            load_variance: INITIAL_LOAD_VARIANCE,
+            covariance: 0.0,
+            trend_variance: INITIAL_TREND_VARIANCE,
             updated_ms: now_ms,
         }
     }
 
     /// Returns the expected load at a time.
     pub(super) fn at(&self, time_ms: u64) -> f64 {
-        let ahead_s = time_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
-        (self.load + self.trend_per_s * ahead_s).clamp(0.0, LOAD_MAX)
+        let load = self.load + self.trend_per_s * self.age_s(time_ms);
+        load.clamp(0.0, LOAD_MAX)
+    }
+
+    /// Returns the variance of the expected load at a time.
+    pub(super) fn variance_at(&self, time_ms: u64) -> f64 {
+        let ahead_s = self.age_s(time_ms);
+        let drift = TREND_DRIFT_VARIANCE_PER_S * ahead_s.powi(3) / 3.0;
+        self.load_variance
+            + 2.0 * ahead_s * self.covariance
+            + ahead_s * ahead_s * self.trend_variance
+            + drift
     }
 
     /// Returns the time since the last sample, in milliseconds.
@@ -83,13 +60,30 @@
         now_ms.saturating_sub(self.updated_ms)
     }
 
-    pub(super) fn update(&mut self, load: f64, now_ms: u64) {
-        let span_s = (self.age_ms(now_ms) as f64 / 1_000.0).max(TREND_SPAN_MIN_S);
-        let error = load - self.at(now_ms);
-        let trend_per_s = self.trend_per_s + TREND_GAIN * error / span_s;
-        let gain = if error > 0.0 { RISE_GAIN } else { FALL_GAIN };
-        self.load = self.at(now_ms) + gain * error;
+    /// Updates the forecast with the load of one task, from which the extra utilization by fillers
+    /// is subtracted; `extra_variance` is the variance of that extra utilization.
+    pub(super) fn update(&mut self, load: f64, extra_variance: f64, now_ms: u64) {
+        let span_s = self.age_s(now_ms);
+        self.load_variance = self.variance_at(now_ms);
+        self.covariance +=
+            span_s * self.trend_variance + TREND_DRIFT_VARIANCE_PER_S * span_s * span_s / 2.0;
+        self.trend_variance =
+            (self.trend_variance + TREND_DRIFT_VARIANCE_PER_S * span_s).min(INITIAL_TREND_VARIANCE);
+        let expected = self.load + self.trend_per_s * span_s;
+        let total_variance = self.load_variance + MEASUREMENT_VARIANCE + extra_variance;
+        let load_gain = self.load_variance / total_variance;
+        let trend_gain = self.covariance / total_variance;
+        let error = load - expected;
+        self.load = (expected + load_gain * error).clamp(0.0, LOAD_MAX);
+        let trend_per_s = self.trend_per_s + trend_gain * error;
         self.trend_per_s = trend_per_s.clamp(-TREND_MAX_PER_S, TREND_MAX_PER_S);
+        self.trend_variance -= trend_gain * self.covariance;
+        self.covariance *= 1.0 - load_gain;
+        self.load_variance *= 1.0 - load_gain;
         self.updated_ms = now_ms;
     }
+
+    fn age_s(&self, time_ms: u64) -> f64 {
+        self.age_ms(time_ms) as f64 / 1_000.0
+    }
 }
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -1,17 +1,19 @@
 //! Policies of a cell: the order of the queue, the placement of tasks, and interference control.
 
 mod filler_pacer;
+mod image_load;
 mod interference;
 mod interference_aware_placement;
 mod least_slack_first;
 mod load_forecast;
 mod placement;
+mod pressure_estimates;
 mod queue_policy;
 
 pub use filler_pacer::FillerPacer;
+pub use image_load::ImageLoad;
 pub use interference::FillerAction;
 pub use interference::FillerSample;
-pub use interference::ImageLoad;
 pub use interference::InterferenceController;
 pub use interference::LearnedInterference;
 pub use interference::LearnedPressure;
--- a/crates/jobs/src/policy/placement.rs
+++ b/crates/jobs/src/policy/placement.rs
@@ -2,21 +2,26 @@
 use crate::model::ImageName;
 use crate::model::StepSpec;
 
-/// The extra load that a serving image tolerates before its first report, as a multiple of its own
-/// load.
-const UNREPORTED_HEADROOM: f64 = 0.15;
+/// The extra utilization that a serving image tolerates before its first report.
+const UNREPORTED_HEADROOM: f64 = 0.06;
 
 /// A task that needs an executor.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
     /// The step of the task.
     pub step: &'a StepSpec,
-    /// The interference weights of the task by serving image: the extra load that the task would
-    /// cause with all processors of an executor, as a multiple of the image's own load.
+    /// The interference of the task by serving image: the extra utilization that the task would
+    /// cause with all processors of an executor.
     pub pressures: &'a [(ImageName, f64)],
+    /// For a serving task, how much other serving images differ from its own in the fillers that they
+    /// tolerate, 0 to 1; images that are not listed differ as much as possible.
+    pub dissimilarities: &'a [(ImageName, f64)],
     /// Whether the task may be placed where its extra load exceeds the headroom, because it has
     /// waited long enough for a better place.
     pub may_interfere: bool,
+    /// Whether the task may be placed where its extra load fits only until the load of the serving
+    /// tasks rises.
+    pub may_be_interrupted: bool,
 }
 
 /// Whether a filler's extra load fits the headroom of the serving tasks on an executor.
@@ -57,19 +62,35 @@
         fits.min().unwrap_or(Fit::AtPeakLoad)
     }
 
+    /// Returns the largest dissimilarity between the serving images on an executor and that of the task;
+    /// 0 if no other image is served there.
+    pub fn dissimilarity_on(&self, executor: &Executor) -> f64 {
+        let others = executor
+            .serving_images()
+            .filter(|other| self.step.image.as_ref() != Some(*other));
+        let values = others.map(|other| {
+            let known = self
+                .dissimilarities
+                .iter()
+                .find(|(image, _)| image == other);
+            known.map_or(1.0, |(_, dissimilarity)| *dissimilarity)
+        });
+        values.fold(0.0, f64::max)
+    }
+
     fn cpu_share_of(&self, executor: &Executor) -> f64 {
         let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
         self.step.need.cpu_milli.0 as f64 / capacity_milli
     }
 
-    /// Returns the largest extra load that the task would cause to a serving image on an executor,
-    /// as a multiple of the image's own load.
+    /// Returns the largest extra utilization that the task would cause to a serving image on an
+    /// executor.
     pub fn extra_load_on(&self, executor: &Executor) -> f64 {
         self.extra_load(executor, |image| executor.serves(image))
     }
 
-    /// Returns the largest extra load that the task would cause to any known serving image on an
-    /// executor of this size, as a multiple of the image's own load.
+    /// Returns the largest extra utilization that the task would cause to any known serving image on
+    /// an executor of this size.
     pub fn worst_extra_load(&self, executor: &Executor) -> f64 {
         self.extra_load(executor, |_| true)
     }
--- a/crates/jobs/tests/cell/load.rs
+++ b/crates/jobs/tests/cell/load.rs
@@ -34,6 +34,11 @@
         open_executors: 1,
         reserved_cpu: CpuMilli(3_000),
         free_cpu: CpuMilli(1_000),
+        single_image_executors: 0,
+        mixed_image_executors: 0,
+        over_target_executors: 0,
+        running_fillers: 0,
+        overcommitted_executors: 0,
     };
     assert_eq!(load, expected);
 }
--- a/crates/jobs/tests/entry/feeds.rs
+++ b/crates/jobs/tests/entry/feeds.rs
@@ -149,6 +149,7 @@
             value: "".into(),
         }],
         next_offset: Offset(11),
+        end_offset: Offset(11),
     };
     let snapshots = vec![
         snapshot(10, &["i-1", "i-2"]),
@@ -162,6 +163,7 @@
         Ok(ReadPage {
             records: Vec::new(),
             next_offset: Offset(3),
+            end_offset: Offset(3),
         }),
         Err(StoreError::Expired),
     ];
--- a/crates/jobs/tests/policies/fixture.rs
+++ b/crates/jobs/tests/policies/fixture.rs
@@ -96,7 +96,9 @@
     let request = PlacementRequest {
         step,
         pressures,
+        dissimilarities: &[],
         may_interfere: false,
+        may_be_interrupted: false,
     };
     InterferenceAwarePlacement.score(&request, executor)
 }
