Learn the ratio of measured to estimated run time for each queue

Change: RunTimeRatios learns the mean logarithm of the ratio and its deviation for each queue, over the last 200 runs. A run counts if this owner saw its start, if it did the whole work of its task without a checkpoint, at full pace throughout and near its data, and if it ended done; gangs and long-running tasks don't count. Below 20 samples the estimates apply. LeastSlackFirst scales the critical path and the remaining time with the ratio. The figures are stored beside the learned loads under the key learned-run-times, so that the layout of learned-loads stays as it is, and a takeover restores them.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -36,6 +36,7 @@
 use crate::policy::LeastSlackFirst;
 use crate::policy::PlacementPolicy;
 use crate::policy::QueuePolicy;
+use crate::policy::RunTimeRatios;
 
 /// The result of a job look-up at the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,6 +65,8 @@
     pub(super) queue_policy: Box<dyn QueuePolicy>,
     pub(super) placement: Box<dyn PlacementPolicy>,
     pub(super) interference: Box<dyn InterferenceController>,
+    /// The run times of queues in relation to their estimates.
+    pub(super) run_times: RunTimeRatios,
     started_at: Instant,
     /// Tickets by step, for queues with an approval service.
     pub(super) tickets: BTreeMap<(JobId, StepRef), StepTickets>,
@@ -100,6 +103,7 @@
             queue_policy: Box::new(LeastSlackFirst),
             placement: Box::new(InterferenceAwarePlacement),
             interference: Box::new(FillerPacer::default()),
+            run_times: RunTimeRatios::default(),
             started_at: now,
             tickets: BTreeMap::new(),
             learned_stored_at: None,
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -60,7 +60,7 @@
                 value: Bytes::new(),
             });
         }
-        batch.records.extend(self.learned_record(now));
+        batch.records.extend(self.learned_records(now));
         if self.dirty.is_empty() {
             batch.effects = std::mem::take(&mut self.effects);
         }
@@ -105,19 +105,21 @@
         self.progress_to_delete.extend(jobs);
     }
 
-    /// Returns a record of the learned loads if the store interval has passed.
-    fn learned_record(&mut self, now: Instant) -> Option<KeyedRecord> {
+    /// Returns the records of the learned loads and run times if the store interval has passed.
+    fn learned_records(&mut self, now: Instant) -> Vec<KeyedRecord> {
         if self
             .learned_stored_at
             .is_some_and(|at| now.duration_since(at) < LEARNED_STORE_INTERVAL)
         {
-            return None;
+            return Vec::new();
         }
         self.learned_stored_at = Some(now);
         let learned = self.interference.learned(self.elapsed_ms(now));
-        let value = encode(&learned).ok()?;
-        let key = LEARNED_KEY.into();
-        Some(KeyedRecord { key, value })
+        let loads = encode(&learned).ok().map(|value| KeyedRecord {
+            key: LEARNED_KEY.into(),
+            value,
+        });
+        loads.into_iter().chain(self.run_times_record()).collect()
     }
 
     /// Restores the loads that a former owner learned.
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -123,6 +123,7 @@
                 if view.phase == RunPhase::Ordered {
                     view.phase = RunPhase::Running { since: now };
                     view.progressed_at = now;
+                    view.full_pace_since = Some(now);
                     executor.record_filler_shares(now);
                     decided!(Decision::RunStarted, task: task, run: run, executor: id);
                 }
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -26,6 +26,7 @@
 use crate::observe::decided;
 use crate::policy::PlacementRequest;
 use crate::policy::Rank;
+use crate::policy::RankContext;
 
 /// Limits the runs placed in one round, so that a round does not delay answers. At 20 rounds per
 /// second, the limit is above the start rate of the largest deployment.
@@ -154,8 +155,13 @@
             let mut queue = None;
             for step_ref in job.ready_steps() {
                 let queue = queue.get_or_insert_with(|| Self::queue_config(&self.config, job));
+                let context = RankContext {
+                    queue,
+                    run_time: self.run_times.ratio(&queue.name),
+                    now,
+                };
                 waiting.push(WaitingStep {
-                    rank: self.queue_policy.rank(job, step_ref, queue, now),
+                    rank: self.queue_policy.rank(job, step_ref, &context),
                     job: job.id(),
                     step_ref,
                 });
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -174,11 +174,14 @@
         }
         executor.applied_end = ended.number;
         self.ledger.mark_started(ended.task.job);
-        executor.remove_run(ended.task, ended.run);
+        let view = executor.remove_run(ended.task, ended.run);
         self.effects.push(Effect::AckEnds {
             executor: key.clone(),
             end: ended.number,
         });
+        if let (RunEnd::Done, Some(view)) = (ended.end, view) {
+            self.learn_run_time(id, ended.task, &view, now);
+        }
         self.apply_run_end(&key, ended, now);
     }
 
--- a/crates/jobs/src/cell/tail_latency.rs
+++ b/crates/jobs/src/cell/tail_latency.rs
@@ -144,6 +144,7 @@
         }
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
         view.pace_percent = percent;
+        view.full_pace_since = None;
         view.progressed_at = now;
         executor.send(Order::Pace(task, run, percent));
         false
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -62,6 +62,9 @@
     pub recent_measurement: Option<f64>,
     /// The share of its full speed at which the run may work, 0 to 100.
     pub pace_percent: u32,
+    /// Since when the run has worked at full pace, if this owner saw its start and the pace was never
+    /// lowered.
+    pub full_pace_since: Option<Instant>,
     /// The number of consecutive reports that did not list the run although it should be running.
     pub missed_reports: u32,
 }
@@ -84,6 +87,7 @@
             progressed_at: now,
             recent_measurement: None,
             pace_percent: 100,
+            full_pace_since: None,
             missed_reports: 0,
         }
     }
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -17,6 +17,7 @@
 use super::topics::CANCELLATION_KEY_PREFIX;
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
+use crate::cell::RUN_TIMES_KEY;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::model::JobId;
@@ -74,6 +75,13 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
+        } else if &*record.key == RUN_TIMES_KEY {
+            match decode(&record.value) {
+                Ok(learned) => state.restore_run_times(learned),
+                Err(error) => {
+                    decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+                }
+            }
         } else if let Some((id, value)) = decode_job_record::<JobProgress>(&record) {
             progress.insert(id, value);
         }
--- a/crates/jobs/src/policy/least_slack_first.rs
+++ b/crates/jobs/src/policy/least_slack_first.rs
@@ -1,10 +1,8 @@
-use tokio::time::Instant;
-
 use super::QueuePolicy;
 use super::Rank;
+use super::RankContext;
 use crate::ledger::Job;
 use crate::ledger::StepRef;
-use crate::model::QueueConfig;
 
 /// A job that takes longer than this multiple of its objective has no value for its client.
 const EXPIRY_FACTOR: f64 = 3.0;
@@ -17,7 +15,12 @@
 pub struct LeastSlackFirst;
 
 impl QueuePolicy for LeastSlackFirst {
-    fn rank(&self, job: &Job, step_ref: StepRef, queue: &QueueConfig, now: Instant) -> Rank {
+    fn rank(&self, job: &Job, step_ref: StepRef, context: &RankContext<'_>) -> Rank {
+        let RankContext {
+            queue,
+            run_time,
+            now,
+        } = *context;
         let spec = &job.submission().spec;
         if job.step(step_ref.step).is_long_running {
             let age_ms = now.duration_since(job.accepted_at()).as_millis() as i64;
@@ -28,17 +31,18 @@
                 slack_ms,
             };
         }
-        let critical_path_ms = critical_path_ms(job, |_| true);
-        let remaining_ms = remaining_critical_path_ms(job, step_ref);
-        let objective_ms = queue.stretch * critical_path_ms as f64 + queue.target_latency_ms as f64;
+        // The objective follows from the actual run times, as the remaining time does.
+        let critical_path_ms = run_time.expected_ms(critical_path_ms(job, |_| true) as f64);
+        let remaining_ms = run_time.expected_ms(remaining_critical_path_ms(job, step_ref) as f64);
+        let objective_ms = queue.stretch * critical_path_ms + queue.target_latency_ms as f64;
         let age_ms = match spec.schedule {
             // Each occurrence has a due time of its own, so the age of the job says nothing about
             // the newest occurrence.
             Some(_) => 0.0,
             None => now.duration_since(job.accepted_at()).as_millis() as f64,
         };
-        let slack_ms = objective_ms - age_ms - remaining_ms as f64;
-        let expiry_slack_ms = objective_ms * EXPIRY_FACTOR - age_ms - remaining_ms as f64;
+        let slack_ms = objective_ms - age_ms - remaining_ms;
+        let expiry_slack_ms = objective_ms * EXPIRY_FACTOR - age_ms - remaining_ms;
         let class = if slack_ms >= 0.0 {
             0
         } else if expiry_slack_ms >= 0.0 {
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod load_forecast;
 mod placement;
 mod queue_policy;
+mod run_time_ratios;
 
 pub use filler_pacer::FillerPacer;
 pub use interference::FillerAction;
@@ -24,3 +25,7 @@
 pub use placement::PlacementRequest;
 pub use queue_policy::QueuePolicy;
 pub use queue_policy::Rank;
+pub use queue_policy::RankContext;
+pub use run_time_ratios::LearnedRunTime;
+pub use run_time_ratios::RunTimeRatio;
+pub use run_time_ratios::RunTimeRatios;
--- a/crates/jobs/src/policy/queue_policy.rs
+++ b/crates/jobs/src/policy/queue_policy.rs
@@ -1,5 +1,6 @@
 use tokio::time::Instant;
 
+use super::RunTimeRatio;
 use crate::ledger::Job;
 use crate::ledger::StepRef;
 use crate::model::QueueConfig;
@@ -15,8 +16,19 @@
     pub slack_ms: i64,
 }
 
+/// What the rank of a step depends on beside its job.
+#[derive(Clone, Copy, Debug)]
+pub struct RankContext<'a> {
+    /// The current configuration of the job's queue.
+    pub queue: &'a QueueConfig,
+    /// How the run times of the queue relate to the clients' estimates.
+    pub run_time: RunTimeRatio,
+    /// The current time.
+    pub now: Instant,
+}
+
 /// Orders the steps that compete for room in a cell.
 pub trait QueuePolicy: Send + Sync {
-    /// Ranks a step that has tasks to start, by the configuration of its queue.
-    fn rank(&self, job: &Job, step_ref: StepRef, queue: &QueueConfig, now: Instant) -> Rank;
+    /// Ranks a step that has tasks to start.
+    fn rank(&self, job: &Job, step_ref: StepRef, context: &RankContext<'_>) -> Rank;
 }
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -12,6 +12,7 @@
 mod outages;
 mod pending;
 mod probation;
+mod run_times;
 mod simulated_executor;
 mod tails;
 mod takeovers;
--- a/crates/jobs/tests/policies/order.rs
+++ b/crates/jobs/tests/policies/order.rs
@@ -10,6 +10,8 @@
 use dotterelhook_jobs::policy::LeastSlackFirst;
 use dotterelhook_jobs::policy::QueuePolicy;
 use dotterelhook_jobs::policy::Rank;
+use dotterelhook_jobs::policy::RankContext;
+use dotterelhook_jobs::policy::RunTimeRatio;
 use tokio::time::Instant;
 
 use crate::fixture::queue_config;
@@ -17,6 +19,10 @@
 use crate::fixture::step;
 
 fn rank(steps: Vec<StepSpec>, age: Duration, priority: u32) -> Rank {
+    rank_with(steps, age, priority, RunTimeRatio::default())
+}
+
+fn rank_with(steps: Vec<StepSpec>, age: Duration, priority: u32, run_time: RunTimeRatio) -> Rank {
     let now = Instant::now() + Duration::from_secs(1_000);
     let spec = JobSpec {
         payload: "work".into(),
@@ -34,7 +40,12 @@
         occurrence: 0,
         step: 0,
     };
-    LeastSlackFirst.rank(&job, step_ref, &queue_config(priority), now)
+    let context = RankContext {
+        queue: &queue_config(priority),
+        run_time,
+        now,
+    };
+    LeastSlackFirst.rank(&job, step_ref, &context)
 }
 
 /// Guards against fresh serving jobs that delay quick jobs, and against serving jobs that wait past
@@ -103,3 +114,28 @@
     assert_eq!(short.slack_ms, 2_000 + 1_000 - 500 - 1_000);
     assert_eq!(long.slack_ms, 8_000 + 1_000 - 500 - 4_000);
 }
+
+/// Guards against jobs that keep their place among those in time although, by the run times of their
+/// queue, they can't end in time any more.
+#[test]
+fn estimates_too_low_by_half_count_with_the_learned_run_times() {
+    let twice = RunTimeRatio {
+        typical: 2.0,
+        spread: 1.2,
+    };
+    let quarter = RunTimeRatio {
+        typical: 0.25,
+        spread: 1.2,
+    };
+    let age = Duration::from_millis(1_900);
+    let estimated = rank(vec![step(1_000)], age, 2);
+    let longer = rank_with(vec![step(1_000)], age, 2, twice);
+    let shorter = rank_with(vec![step(1_000)], age, 2, quarter);
+
+    assert_eq!(estimated.slack_ms, 2_000 + 1_000 - 1_900 - 1_000);
+    assert_eq!(longer.slack_ms, 4_000 + 1_000 - 1_900 - 2_000);
+    assert_eq!(
+        (shorter.class, shorter.slack_ms),
+        (1, 500 + 1_000 - 1_900 - 250)
+    );
+}
