Order scarce capacity by the usual shares of domains and sizes

Cause: within a class and a priority, only the slack counted. A burst from one failure domain, or of wide jobs, took the capacity of all other jobs of the queue, and jobs that had begun fell out of their class by the error of an estimate.

A job that has begun keeps its class while it can be in time with short run times. Submissions record the failure domain of the accepting host in a layout of their own; records of former versions are read. Hosts of former versions can't read the new layout: such a record waits in the store until a new host owns the cell. Preemption is left out: whether it gains more than it discards was not tried.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -183,6 +183,7 @@
             owner_client,
             writer,
             settings: settings.entry,
+            failure_domain: Some((&*settings.failure_domain).into()),
             cell_count,
             metrics: job_metrics,
             recent: Mutex::new(RecentJobs::new(settings.entry.recent_retention)),
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -36,6 +36,7 @@
 use crate::policy::LeastSlackFirst;
 use crate::policy::PlacementPolicy;
 use crate::policy::QueuePolicy;
+use crate::policy::QueueShares;
 use crate::policy::RunTimeRatios;
 
 /// The result of a job look-up at the owner.
@@ -65,6 +66,8 @@
     pub(super) queue_policy: Box<dyn QueuePolicy>,
     pub(super) placement: Box<dyn PlacementPolicy>,
     pub(super) interference: Box<dyn InterferenceController>,
+    /// The shares of the capacity that parts of each queue take.
+    pub(super) shares: QueueShares,
     /// The run times of queues in relation to their estimates.
     pub(super) run_times: RunTimeRatios,
     started_at: Instant,
@@ -103,6 +106,7 @@
             queue_policy: Box::new(LeastSlackFirst),
             placement: Box::new(InterferenceAwarePlacement),
             interference: Box::new(FillerPacer::default()),
+            shares: QueueShares::default(),
             run_times: RunTimeRatios::default(),
             started_at: now,
             tickets: BTreeMap::new(),
@@ -142,7 +146,9 @@
                 self.ledger.publish_state(id, state);
             }
             _ => {
-                self.ledger.restore(id, submission, progress, accepted_at);
+                if self.ledger.restore(id, submission, progress, accepted_at) {
+                    self.record_arrival(id, now);
+                }
                 let Some(job) = self.ledger.job(id) else {
                     return;
                 };
@@ -160,6 +166,7 @@
     /// Adds a submitted job. Idempotent: a known job stays as it is.
     pub fn accept(&mut self, id: JobId, submission: Arc<Submission>, now: Instant) {
         if self.ledger.accept(id, submission, now) {
+            self.record_arrival(id, now);
             let queue = self.ledger.job(id).map(|job| &job.submission().queue.name);
             decided!(Decision::JobAccepted, job: id, queue: queue.map(QueueName::as_str).unwrap_or_default());
         }
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -8,6 +8,7 @@
 mod cell_state;
 mod commit_batch;
 mod commits;
+mod excess;
 mod incarnations;
 mod order_outcomes;
 mod planning;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -43,7 +43,7 @@
 /// A step with waiting tasks, and its rank among such steps.
 #[derive(Clone, Copy)]
 pub(super) struct WaitingStep {
-    rank: Rank,
+    pub(super) rank: Rank,
     pub(super) job: JobId,
     pub(super) step_ref: StepRef,
 }
@@ -168,6 +168,7 @@
             }
         }
         waiting.sort_by_key(|waiting| waiting.rank);
+        self.apply_excess(&mut waiting, now);
         waiting
     }
 
@@ -398,6 +399,7 @@
             .map_or(0, |clock| now.duration_since(clock.seen_at()).as_millis());
         decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free(), heard_ms: heard_ms, config: self.config.version());
         executor.add_run(task, RunView::new(run, step, RunPhase::Proposed, now));
+        self.record_placed(task, now);
         self.dirty.insert(task.job);
         self.effects.push(Effect::Start {
             executor: key,
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -30,7 +30,8 @@
 use crate::config::ActiveConfig;
 use crate::config::DeploymentConfig;
 use crate::config::QueueRoute;
-use crate::ledger::encode;
+use crate::ledger::encode_submission;
+use crate::model::FailureDomainName;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::Submission;
@@ -63,6 +64,8 @@
     pub writer: Arc<RecordWriter>,
     /// The timing of replies.
     pub settings: EntrySettings,
+    /// The failure domain of this host, if it is known.
+    pub failure_domain: Option<FailureDomainName>,
     /// The number of cells of the deployment.
     pub cell_count: u32,
     /// The metrics of calls.
@@ -155,8 +158,9 @@
             queue: route.queue.as_ref().clone(),
             spec,
             accepted_unix_ms: now_unix.as_millis() as u64,
+            entry_domain: self.failure_domain.clone(),
         };
-        let value = match encode(&submission) {
+        let value = match encode_submission(&submission) {
             Ok(value) => value,
             Err(error) => return ClientReply::Malformed(error.to_string().into()),
         };
--- a/crates/jobs/src/ledger/codec.rs
+++ b/crates/jobs/src/ledger/codec.rs
@@ -36,7 +36,12 @@
 /// # Errors
 /// The encoding does not support the type of the value.
 pub fn encode<T: Serialize>(value: &T) -> Result<Bytes, CodecError> {
-    let mut frame = vec![LAYOUT_VERSION];
+    encode_layout(LAYOUT_VERSION, value)
+}
+
+/// Encodes a record whose first byte is the given layout.
+pub(super) fn encode_layout<T: Serialize>(layout: u8, value: &T) -> Result<Bytes, CodecError> {
+    let mut frame = vec![layout];
     bincode::serde::encode_into_std_write(value, &mut frame, CODEC)
         .map_err(|error| CodecError(error.to_string().into()))?;
     Ok(frame.into())
@@ -47,7 +52,15 @@
 /// # Errors
 /// The bytes have another layout, are truncated, claim too large a size, or have trailing bytes.
 pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, CodecError> {
-    let Some((&LAYOUT_VERSION, body)) = frame.split_first() else {
+    decode_layout(LAYOUT_VERSION, frame)
+}
+
+/// Decodes a record whose first byte must be the given layout.
+pub(super) fn decode_layout<T: DeserializeOwned>(
+    layout: u8,
+    frame: &[u8],
+) -> Result<T, CodecError> {
+    let Some((_, body)) = frame.split_first().filter(|(first, _)| **first == layout) else {
         return Err(CodecError("the record has an unknown layout".into()));
     };
     let (value, used) = bincode::serde::decode_from_slice(body, CODEC)
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -257,6 +257,12 @@
         self.counts[self.counts_index(step_ref)].done
     }
 
+    /// Returns the number of waiting tasks of a step.
+    pub fn waiting_count(&self, step_ref: StepRef) -> u32 {
+        let counts = self.counts[self.counts_index(step_ref)];
+        self.step(step_ref.step).count - counts.done - counts.placed
+    }
+
     /// Places a waiting task on an executor and returns the number of the run.
     pub fn place(&mut self, task: TaskId, executor: ExecutorKey) -> Option<RunNumber> {
         self.place_with_run(task, executor, None)
--- a/crates/jobs/src/ledger/mod.rs
+++ b/crates/jobs/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 mod job;
 mod job_ledger;
 mod job_progress;
+mod submission_record;
 
 pub use codec::CodecError;
 pub use codec::decode;
@@ -15,3 +16,5 @@
 pub use job_progress::JobProgress;
 pub use job_progress::TaskProgress;
 pub use job_progress::TaskStatus;
+pub use submission_record::decode_submission;
+pub use submission_record::encode_submission;
--- a/crates/jobs/src/model/submission.rs
+++ b/crates/jobs/src/model/submission.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::FailureDomainName;
 use super::JobSpec;
 use super::QueueConfig;
 
@@ -13,4 +14,8 @@
     pub spec: JobSpec,
     /// The time of acceptance on the accepting host's clock, in milliseconds since 1970.
     pub accepted_unix_ms: u64,
+    /// The failure domain of the accepting host. Its place in the record is outside of this
+    /// structure, which former versions read.
+    #[serde(skip)]
+    pub entry_domain: Option<FailureDomainName>,
 }
--- a/crates/jobs/src/ownership/cell_feeds.rs
+++ b/crates/jobs/src/ownership/cell_feeds.rs
@@ -12,8 +12,8 @@
 use super::takeover::decode_job_record;
 use super::topics::CANCELLATION_KEY_PREFIX;
 use super::topics::cell_of;
+use crate::ledger::decode_submission;
 use crate::model::JobId;
-use crate::model::Submission;
 use crate::observe::Decision;
 use crate::observe::decided;
 use crate::platform::KeyedRecord;
@@ -58,7 +58,7 @@
             if let Ok(id) = JobId::from_str(id) {
                 self.lock().cancel(id, now);
             }
-        } else if let Some((id, submission)) = decode_job_record::<Submission>(record) {
+        } else if let Some((id, submission)) = decode_job_record(record, decode_submission) {
             self.lock().accept(id, Arc::new(submission), now);
         }
     }
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -18,8 +18,10 @@
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
 use crate::cell::RUN_TIMES_KEY;
+use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
+use crate::ledger::decode_submission;
 use crate::model::JobId;
 use crate::model::Submission;
 use crate::observe::Decision;
@@ -82,7 +84,7 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
-        } else if let Some((id, value)) = decode_job_record::<JobProgress>(&record) {
+        } else if let Some((id, value)) = decode_job_record(&record, decode::<JobProgress>) {
             progress.insert(id, value);
         }
     }
@@ -91,7 +93,7 @@
     for record in &stored {
         if let Some(id) = record.key.strip_prefix(CANCELLATION_KEY_PREFIX) {
             cancelled.extend(JobId::from_str(id).ok());
-        } else if let Some((id, submission)) = decode_job_record::<Submission>(record) {
+        } else if let Some((id, submission)) = decode_job_record(record, decode_submission) {
             let age = age_of(&submission);
             let accepted_at = now.checked_sub(age).unwrap_or(now);
             let progress = progress.remove(&id).unwrap_or_default();
@@ -177,8 +179,9 @@
 
 /// Decodes a record that a cell owner or an entry host wrote under a job id. Logs a record that
 /// can't be decoded and returns `None`.
-pub(super) fn decode_job_record<T: serde::de::DeserializeOwned>(
+pub(super) fn decode_job_record<T>(
     record: &KeyedRecord,
+    decode: impl Fn(&[u8]) -> Result<T, CodecError>,
 ) -> Option<(JobId, T)> {
     let id = JobId::from_str(&record.key);
     match (id, decode(&record.value)) {
--- a/crates/jobs/src/policy/queue_policy.rs
+++ b/crates/jobs/src/policy/queue_policy.rs
@@ -12,6 +12,8 @@
     pub class: u32,
     /// The priority of the client's queue; 0 is the most important.
     pub priority: u32,
+    /// By how much the job's part of its queue exceeds its usual share of the capacity.
+    pub excess: u32,
     /// The time until the job must begin its remaining work, in milliseconds; negative when late.
     pub slack_ms: i64,
 }
--- a/crates/jobs/src/policy/run_time_ratios.rs
+++ b/crates/jobs/src/policy/run_time_ratios.rs
@@ -88,12 +88,8 @@
             return;
         }
         let ln_ratio = ratio.ln().clamp(-LN_RATIO_MAX, LN_RATIO_MAX);
-        if !self.queues.contains_key(queue) {
-            self.queues.insert(queue.clone(), QueueRatio::default());
-        }
-        if let Some(learned) = self.queues.get_mut(queue) {
-            learned.add(ln_ratio);
-        }
+        let learned = self.queues.entry(queue.clone()).or_default();
+        learned.add(ln_ratio);
     }
 
     /// Returns the learned ratio of a queue. Below a minimum number of samples, the estimates count
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -129,6 +129,7 @@
             schedule: None,
         },
         accepted_unix_ms: 0,
+        entry_domain: None,
     })
 }
 
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -13,6 +13,8 @@
 mod pending;
 mod probation;
 mod run_times;
+mod shortage;
+mod shortage_load;
 mod simulated_executor;
 mod tails;
 mod takeovers;
--- a/crates/jobs/tests/entry/bodies.rs
+++ b/crates/jobs/tests/entry/bodies.rs
@@ -104,6 +104,7 @@
         owner_client,
         writer,
         settings: EntrySettings::default(),
+        failure_domain: None,
         cell_count: 1,
         metrics: metrics.clone(),
         recent: Mutex::new(RecentJobs::new(Duration::from_secs(10))),
--- a/crates/jobs/tests/entry/feeds.rs
+++ b/crates/jobs/tests/entry/feeds.rs
@@ -4,6 +4,7 @@
 use dotterelhook_jobs::ledger::TaskProgress;
 use dotterelhook_jobs::ledger::TaskStatus;
 use dotterelhook_jobs::ledger::decode;
+use dotterelhook_jobs::ledger::decode_submission;
 use dotterelhook_jobs::ledger::encode;
 use dotterelhook_jobs::model::ExecutorKey;
 use dotterelhook_jobs::model::JobState;
@@ -114,5 +115,6 @@
     fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = decode::<JobProgress>(&bytes);
         let _ = decode::<Submission>(&bytes);
+        let _ = decode_submission(&bytes);
     }
 }
--- a/crates/jobs/tests/entry/main.rs
+++ b/crates/jobs/tests/entry/main.rs
@@ -5,4 +5,5 @@
 mod feeds;
 mod members;
 mod recent_jobs;
+mod submissions;
 mod writer;
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -253,6 +253,7 @@
             schedule: None,
         },
         accepted_unix_ms: 0,
+        entry_domain: None,
     };
     let key = "0000000000000001";
     let record = KeyedRecord {
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -6,3 +6,4 @@
 mod order;
 mod placement;
 mod run_times;
+mod shares;
--- a/crates/jobs/tests/policies/order.rs
+++ b/crates/jobs/tests/policies/order.rs
@@ -23,6 +23,16 @@
 }
 
 fn rank_with(steps: Vec<StepSpec>, age: Duration, priority: u32, run_time: RunTimeRatio) -> Rank {
+    rank_job(steps, age, priority, run_time, false)
+}
+
+fn rank_job(
+    steps: Vec<StepSpec>,
+    age: Duration,
+    priority: u32,
+    run_time: RunTimeRatio,
+    has_begun: bool,
+) -> Rank {
     let now = Instant::now() + Duration::from_secs(1_000);
     let spec = JobSpec {
         payload: "work".into(),
@@ -33,9 +43,13 @@
         queue: queue_config(priority),
         spec,
         accepted_unix_ms: 0,
+        entry_domain: None,
     };
     let id = "0123456789abcdef".parse().expect("an id");
-    let job = Job::new(id, Arc::new(submission), JobProgress::default(), now - age);
+    let mut job = Job::new(id, Arc::new(submission), JobProgress::default(), now - age);
+    if has_begun {
+        job.mark_started();
+    }
     let step_ref = StepRef {
         occurrence: 0,
         step: 0,
@@ -139,3 +153,24 @@
         (1, 500 + 1_000 - 1_900 - 250)
     );
 }
+
+/// Guards against the loss of what a job has received when its remaining tasks fall behind all others
+/// by the error of an estimate.
+#[test]
+fn estimates_off_by_half_leave_a_job_that_has_begun_in_its_class_while_it_may_be_in_time() {
+    let spread = RunTimeRatio {
+        typical: 1.0,
+        spread: 2.0,
+    };
+    let rank = |age_ms, has_begun| {
+        let age = Duration::from_millis(age_ms);
+        rank_job(vec![step(1_000)], age, 0, spread, has_begun)
+    };
+
+    let fresh = rank(2_200, false);
+    let begun = rank(2_200, true);
+    let late = rank(2_600, true);
+
+    assert_eq!([fresh, begun, late].map(|rank| rank.class), [1, 0, 1]);
+    assert_eq!(begun.slack_ms, fresh.slack_ms);
+}
