Test that paced runs teach no run times

Removing the reset of full_pace_since in apply_filler_action went unnoticed by the tests; with this test it fails (cell/run_times::fillers_that_were_paced_teach_nothing).

--- a/crates/jobs/tests/cell/run_times.rs
+++ b/crates/jobs/tests/cell/run_times.rs
@@ -132,3 +132,38 @@
 
     assert_eq!(ratio(&harness), RunTimeRatio::default());
 }
+
+/// Guards against run times that include the time for which a filler was paused.
+#[tokio::test]
+async fn fillers_that_were_paced_teach_nothing() {
+    let filler = StepSpec {
+        is_filler: true,
+        image: Some("nesting".into()),
+        ..step(1, 500, &[])
+    };
+    let serving = StepSpec {
+        is_long_running: true,
+        image: Some("web".into()),
+        tail_target_ms: Some(100),
+        ..step(1, 1_000, &[])
+    };
+    let mut harness = running_harness(filler);
+    harness
+        .cell
+        .accept(job(2), submission(vec![serving]), harness.now);
+    harness.commit();
+    harness.accept_starts("i-1");
+
+    for _ in 0..8 {
+        let fillers = (0..RUNS).map(|index| running(task(1, 0, index), 1));
+        let over = RunningRun {
+            recent_measurement: Some(300.0),
+            ..running(task(2, 0, 0), 1)
+        };
+        harness.report("i-1", fillers.chain([over]).collect(), vec![]);
+        harness.advance(Duration::from_millis(500));
+    }
+    end_all(&mut harness, 1);
+
+    assert_eq!(ratio(&harness), RunTimeRatio::default());
+}
