Refuse submissions that capacity can't serve in three objectives

Cause: a submission was accepted whatever waited ahead of it. Its caller learned after three times the objective, if at all, that the job had no value.

Change: the owner reports for each queue the time that the work ahead of a new job takes at the rate of the processors held by tasks that will end (cell/capacity.rs), and the most that is free on any executor. Ahead is what has a better rank: class, priority, and the excess of the host's failure domain. Entry hosts ask for it in the background by the call that asks owners for states, once a second while work waits. A host refuses by 503 where the work ahead takes 1.25 times the limit, no job ahead leaves a chance to be in time, no task fits on any executor, and the report is at most 2 s old. Retry-After lies in the second half of the expected wait. Fillers, long-running and recurring jobs are never refused, nor anything by an owner in its first 10 s, by one without the right to start, or by a host or an owner whose store is slow or away. A job id that this host has begun to store, or that the owner knows 150 ms later, is never refused.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -6,6 +6,8 @@
 use dotterelhook_adapter::UsersPlatform;
 use dotterelhook_jobs::config::ActiveConfig;
 use dotterelhook_jobs::config::ConfigFollower;
+use dotterelhook_jobs::entry::CapacityAdmission;
+use dotterelhook_jobs::entry::CapacitySource;
 use dotterelhook_jobs::entry::EntryHandler;
 use dotterelhook_jobs::entry::OwnerClient;
 use dotterelhook_jobs::entry::ReadinessHandler;
@@ -176,6 +178,13 @@
             cell_count,
         ));
         let forwarder = Arc::clone(&owner_client) as Arc<dyn RecordForwarder>;
+        let capacity = CapacityAdmission::new(
+            Arc::clone(&owner_client) as Arc<dyn CapacitySource>,
+            Arc::clone(&writer),
+            Some((&*settings.failure_domain).into()),
+            cell_count,
+            settings.entry.query_timeout,
+        );
         let entry = Arc::new(EntryHandler {
             protocol: Arc::new(JobApi),
             config: Arc::clone(&config),
@@ -183,7 +192,7 @@
             owner_client,
             writer,
             settings: settings.entry,
-            failure_domain: Some((&*settings.failure_domain).into()),
+            capacity,
             cell_count,
             metrics: job_metrics,
             recent: Mutex::new(RecentJobs::new(settings.entry.recent_retention)),
--- a/crates/jobs/src/admission/mod.rs
+++ b/crates/jobs/src/admission/mod.rs
@@ -2,11 +2,17 @@
 //! refused may return. Performs no input or output.
 
 mod append_queue;
+mod capacity_report;
 mod refusal;
 mod return_time;
 
 pub use append_queue::AppendBatch;
 pub use append_queue::AppendQueue;
 pub use append_queue::Ticket;
+pub use capacity_report::CapacityRefusal;
+pub use capacity_report::CapacityReport;
+pub use capacity_report::PoolCapacity;
+pub use capacity_report::QueueBacklog;
+pub use capacity_report::REPORT_AGE_MAX;
 pub use refusal::Refusal;
 pub use return_time::return_time;
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -3,6 +3,7 @@
 //! A cell consists of the jobs of some submission partitions and the executors that run them. It
 //! has one owner among the hosts at a time.
 
+mod capacity;
 mod cell_load;
 mod cell_settings;
 mod cell_state;
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout_at;
 
+use super::CapacityAdmission;
 use super::EntrySettings;
 use super::OwnerClient;
 use super::RecentJobs;
@@ -31,7 +32,6 @@
 use crate::config::DeploymentConfig;
 use crate::config::QueueRoute;
 use crate::ledger::encode_submission;
-use crate::model::FailureDomainName;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::Submission;
@@ -64,8 +64,8 @@
     pub writer: Arc<RecordWriter>,
     /// The timing of replies.
     pub settings: EntrySettings,
-    /// The failure domain of this host, if it is known.
-    pub failure_domain: Option<FailureDomainName>,
+    /// Refuses submissions for lack of capacity.
+    pub capacity: CapacityAdmission,
     /// The number of cells of the deployment.
     pub cell_count: u32,
     /// The metrics of calls.
@@ -158,8 +158,19 @@
             queue: route.queue.as_ref().clone(),
             spec,
             accepted_unix_ms: now_unix.as_millis() as u64,
-            entry_domain: self.failure_domain.clone(),
+            entry_domain: self.capacity.failure_domain().cloned(),
         };
+        let admitted = self
+            .capacity
+            .admit(id, &submission.spec, &submission.queue, deadline)
+            .await;
+        if let Err(refusal) = admitted {
+            self.metrics.capacity_refusals.inc();
+            return ClientReply::NotDone {
+                cause: refusal.to_string().into(),
+                retry_after: refusal.return_time(self.settings.retry_after),
+            };
+        }
         let value = match encode_submission(&submission) {
             Ok(value) => value,
             Err(error) => return ClientReply::Malformed(error.to_string().into()),
--- a/crates/jobs/src/entry/mod.rs
+++ b/crates/jobs/src/entry/mod.rs
@@ -1,5 +1,8 @@
 //! The entry point of clients' calls: submissions, cancellations and queries.
 
+mod capacity_admission;
+mod capacity_source;
+mod capacity_view;
 mod entry_handler;
 mod entry_settings;
 mod owner_client;
@@ -9,6 +12,9 @@
 mod record_router;
 mod record_writer;
 
+pub use capacity_admission::CapacityAdmission;
+pub use capacity_source::CapacitySource;
+pub use capacity_view::CapacityView;
 pub use entry_handler::EntryHandler;
 pub use entry_settings::EntrySettings;
 pub use owner_client::OwnerClient;
--- a/crates/jobs/src/entry/owner_client.rs
+++ b/crates/jobs/src/entry/owner_client.rs
@@ -11,10 +11,13 @@
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
+use super::CapacitySource;
 use super::RecordForwarder;
 use super::RecordWriter;
+use crate::admission::CapacityReport;
 use crate::ledger::decode;
 use crate::ledger::encode;
+use crate::model::FailureDomainName;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::QueueName;
@@ -26,6 +29,7 @@
 use crate::platform::Partition;
 
 const JOB_STATE: &str = "job-state";
+const CAPACITY: &str = "capacity";
 const PENDING_COUNT: &str = "pending-count";
 const STORE_RECORD: &str = "store-record";
 
@@ -119,6 +123,26 @@
     }
 }
 
+#[async_trait]
+impl CapacitySource for OwnerClient {
+    async fn capacity(
+        &self,
+        cell: u32,
+        domain: Option<&FailureDomainName>,
+        timeout: Duration,
+    ) -> Result<CapacityReport, CallError> {
+        match self.owned_cells.find(cell) {
+            Some(owner) => Ok(owner.capacity_report(domain)),
+            None => self.call(cell, CAPACITY, &(cell, domain), timeout).await,
+        }
+    }
+
+    async fn is_known(&self, id: JobId, timeout: Duration) -> Result<bool, CallError> {
+        let state = self.job_state(id, timeout).await?;
+        Ok(state.is_some())
+    }
+}
+
 #[async_trait]
 impl RecordForwarder for OwnerClient {
     async fn forward(
@@ -156,12 +180,15 @@
         PENDING_COUNT,
         Arc::new(PendingCountHandler(Arc::clone(owned_cells))),
     );
+    handlers.add(CAPACITY, Arc::new(CapacityHandler(Arc::clone(owned_cells))));
 }
 
 struct JobStateHandler(Arc<OwnedCells>);
 
 struct PendingCountHandler(Arc<OwnedCells>);
 
+struct CapacityHandler(Arc<OwnedCells>);
+
 struct StoreRecordHandler(Arc<RecordWriter>);
 
 #[async_trait]
@@ -201,6 +228,15 @@
     }
 }
 
+#[async_trait]
+impl PeerHandler for CapacityHandler {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        let (cell, domain): (u32, Option<FailureDomainName>) = decode_request(&frame)?;
+        let owner = self.0.find(cell).ok_or_else(|| not_owner(cell))?;
+        encode_answer(&owner.capacity_report(domain.as_ref()))
+    }
+}
+
 fn not_owner(cell: u32) -> CallError {
     CallError::not_run(format!("this host does not own cell {cell}"))
 }
--- a/crates/jobs/src/model/job_spec.rs
+++ b/crates/jobs/src/model/job_spec.rs
@@ -99,6 +99,23 @@
         self.steps.iter().map(|step| u64::from(step.count)).sum()
     }
 
+    /// Returns the sum of estimates along the critical path, in milliseconds; steps that are not
+    /// included count as 0 ms.
+    pub fn critical_path_ms(&self, is_included: impl Fn(u32) -> bool) -> u64 {
+        let mut ends_ms = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let predecessors = step.after.iter().map(|other| ends_ms[*other as usize]);
+            let start_ms: u64 = predecessors.max().unwrap_or(0);
+            let own_ms = if is_included(number as u32) {
+                step.estimate_ms
+            } else {
+                0
+            };
+            ends_ms.push(start_ms + own_ms);
+        }
+        ends_ms.into_iter().max().unwrap_or(0)
+    }
+
     /// Returns the number of occurrences; 1 without a schedule.
     pub fn occurrence_count(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.occurrences)
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -7,6 +7,8 @@
 pub enum Decision {
     /// A client's call was answered.
     CallAnswered,
+    /// A submission was refused because it can't be served within three times its objective.
+    CapacityRefused,
     /// A submission was read from the store.
     JobAccepted,
     /// A cancellation was read from the store.
--- a/crates/jobs/src/observe/job_metrics.rs
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -24,6 +24,8 @@
 pub struct JobMetrics {
     /// The number of clients' calls by kind and outcome.
     pub calls: Family<OutcomeLabels, Counter>,
+    /// The number of submissions that were refused for lack of capacity.
+    pub capacity_refusals: Counter,
     /// The number of calls to the store by kind and outcome.
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// The number of orders to executors by kind and outcome.
@@ -43,6 +45,7 @@
         let histogram = || Histogram::new(LATENCY_BUCKETS_S);
         Self {
             calls: Family::default(),
+            capacity_refusals: Counter::default(),
             store_calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
@@ -58,6 +61,11 @@
     pub fn register(&self, metrics: &Metrics) {
         metrics.register(|registry| {
             registry.register("calls", "Clients' calls", self.calls.clone());
+            registry.register(
+                "capacity_refusals",
+                "Submissions refused for lack of capacity",
+                self.capacity_refusals.clone(),
+            );
             registry.register(
                 "store_calls",
                 "Calls to the store",
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -24,10 +25,12 @@
 use super::takeover::take_over;
 use super::topics::CANCELLATION_KEY_PREFIX;
 use super::topics::job_submission_partition;
+use crate::admission::CapacityReport;
 use crate::cell::CellSettings;
 use crate::cell::CellState;
 use crate::cell::JobLookup;
 use crate::config::ActiveConfig;
+use crate::model::FailureDomainName;
 use crate::model::JobId;
 use crate::model::JobState;
 use crate::model::QueueName;
@@ -45,6 +48,9 @@
 
 /// The greatest age of the last read of submissions at which an unknown job counts as nonexistent.
 const SUBMISSIONS_AGE_MAX: Duration = Duration::from_millis(2_500);
+/// The interval in which all hosts of a failure domain get the same capacity report, since each report
+/// takes as long as the order of a round.
+const CAPACITY_REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// The pause after a failed read.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// The interval between two log lines about the load of a cell.
@@ -80,6 +86,8 @@
     pub(super) context: Arc<OwnerContext>,
     state: Mutex<CellState>,
     answer_timeout: Mutex<AnswerTimeout>,
+    /// The newest capacity reports by failure domain of entry, each with its time.
+    capacity_reports: Mutex<BTreeMap<Option<FailureDomainName>, (Instant, CapacityReport)>>,
     /// The send time of the latest append that the store accepted from this owner, since boot. No other
     /// owner had claimed the cell then.
     confirmed_at: Mutex<Duration>,
@@ -115,6 +123,7 @@
             cell,
             state: Mutex::new(state),
             answer_timeout: Mutex::new(answer_timeout),
+            capacity_reports: Mutex::default(),
             confirmed_at: Mutex::new(started_since_boot),
             wake: Notify::new(),
             batch_stored: Notify::new(),
@@ -194,6 +203,28 @@
         self.lock().pending_count(queue)
     }
 
+    /// Returns the capacity for new jobs that enter through a failure domain. Reports no backlog if
+    /// the backlog may come from the store: while it is slow, or the owner may not start runs.
+    pub fn capacity_report(&self, domain: Option<&FailureDomainName>) -> CapacityReport {
+        let health = &self.context.health;
+        if !self.may_renew() || health.is_slow() || health.is_unreachable() {
+            return CapacityReport::default();
+        }
+        let now = Instant::now();
+        let mut reports = self
+            .capacity_reports
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some((reported_at, report)) = reports.get(&domain.cloned())
+            && now.duration_since(*reported_at) < CAPACITY_REPORT_INTERVAL
+        {
+            return report.clone();
+        }
+        let report = self.lock().capacity_report(domain, now);
+        reports.insert(domain.cloned(), (now, report.clone()));
+        report
+    }
+
     /// Runs `act` on the state under its lock.
     pub(super) fn with_state<T>(&self, act: impl FnOnce(&mut CellState) -> T) -> T {
         act(&mut self.lock())
--- a/crates/jobs/src/policy/least_slack_first.rs
+++ b/crates/jobs/src/policy/least_slack_first.rs
@@ -5,7 +5,7 @@
 use crate::ledger::StepRef;
 
 /// A job that takes longer than this multiple of its objective has no value for its client.
-const EXPIRY_FACTOR: f64 = 3.0;
+pub const EXPIRY_FACTOR: f64 = 3.0;
 
 /// Ranks by the chance to meet the objective, then by priority, then by slack, least first. The
 /// excess of a step, which goes before the slack, depends on other jobs and is left at 0.
@@ -34,7 +34,7 @@
             };
         }
         // The objective follows from the actual run times, as the remaining time does.
-        let critical_path_ms = run_time.expected_ms(critical_path_ms(job, |_| true) as f64);
+        let critical_path_ms = run_time.expected_ms(spec.critical_path_ms(|_| true) as f64);
         let remaining_estimate_ms = remaining_critical_path_ms(job, step_ref) as f64;
         let remaining_ms = run_time.expected_ms(remaining_estimate_ms);
         let objective_ms = queue.stretch * critical_path_ms + queue.target_latency_ms as f64;
@@ -68,27 +68,9 @@
     }
 }
 
-/// Returns the sum of estimates along the critical path, in milliseconds; steps that are not
-/// included count as 0 ms.
-fn critical_path_ms(job: &Job, is_included: impl Fn(u32) -> bool) -> u64 {
-    let steps = &job.submission().spec.steps;
-    let mut ends_ms = Vec::with_capacity(steps.len());
-    for (number, step) in steps.iter().enumerate() {
-        let predecessors = step.after.iter().map(|other| ends_ms[*other as usize]);
-        let start_ms: u64 = predecessors.max().unwrap_or(0);
-        let own_ms = if is_included(number as u32) {
-            step.estimate_ms
-        } else {
-            0
-        };
-        ends_ms.push(start_ms + own_ms);
-    }
-    ends_ms.into_iter().max().unwrap_or(0)
-}
-
 /// Returns the critical path over the unfinished steps of an occurrence, in milliseconds.
 fn remaining_critical_path_ms(job: &Job, step_ref: StepRef) -> u64 {
-    critical_path_ms(job, |step| {
+    job.submission().spec.critical_path_ms(|step| {
         let other = StepRef { step, ..step_ref };
         job.done_count(other) < job.step(step).count
     })
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -25,6 +25,7 @@
 pub use interference_aware_placement::InterferenceAwarePlacement;
 pub use job_sizes::JobSizes;
 pub use job_sizes::SizeClass;
+pub use least_slack_first::EXPIRY_FACTOR;
 pub use least_slack_first::LeastSlackFirst;
 pub use placement::Fit;
 pub use placement::PlacementPolicy;
--- a/crates/jobs/src/policy/queue_shares.rs
+++ b/crates/jobs/src/policy/queue_shares.rs
@@ -58,6 +58,22 @@
         queue.by_size.record_served(&size, work, now_ms);
     }
 
+    /// Returns the excess level of a failure domain of entry, if `ahead` is its waiting work in
+    /// thousandths of a core times milliseconds.
+    pub fn domain_excess(
+        &self,
+        queue: &QueueName,
+        domain: Option<&FailureDomainName>,
+        ahead: f64,
+        now_ms: u64,
+    ) -> u32 {
+        let queue = self.queues.get(queue);
+        queue.map_or(0, |queue| {
+            let domain = domain.cloned();
+            queue.by_domain.excess_level(&domain, ahead, now_ms)
+        })
+    }
+
     /// Returns the excess level of each step, for steps in the order in which they would be placed.
     ///
     /// The level of a step is the higher one of its failure domain and its size.
--- a/crates/jobs/src/policy/run_time_ratios.rs
+++ b/crates/jobs/src/policy/run_time_ratios.rs
@@ -45,6 +45,11 @@
         estimate_ms * self.typical
     }
 
+    /// Returns a run time that few runs exceed, in milliseconds.
+    pub fn long_ms(&self, estimate_ms: f64) -> f64 {
+        estimate_ms * self.typical * self.spread
+    }
+
     /// Returns a run time that most runs exceed, in milliseconds.
     pub fn short_ms(&self, estimate_ms: f64) -> f64 {
         estimate_ms * self.typical / self.spread
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell's state machine, without a network.
 
 mod bursts;
+mod capacity;
 mod double_runs;
 mod fixture;
 mod gangs;
--- a/crates/jobs/tests/entry/main.rs
+++ b/crates/jobs/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of accepting clients' records while the store fails, and of stored records and names.
 
 mod bodies;
+mod capacity;
 mod fake_store;
 mod feeds;
 mod members;
--- a/crates/jobs/tests/ownership/main.rs
+++ b/crates/jobs/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! Leader election of cells among several processes that share an in-memory store.
 
 mod answer_timeout;
+mod capacity;
 mod directory;
 mod hosts;
 mod memory_store;
