Learn the relative speed of executors and prefer the faster ones

Cause: the choice between executors on which a task fits ignored how fast they run tasks, and the best fit even preferred a slow executor, which is full for longer.

Change: each run that counts for the run times is compared with the runs of its step on other executors, where the error of the estimate cancels out, or else with its estimate and the learned ratio of its queue. The speeds are not stored: a new owner learns them again, and a restarted executor begins anew.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -38,6 +38,7 @@
 use crate::policy::QueuePolicy;
 use crate::policy::QueueShares;
 use crate::policy::RunTimeRatios;
+use crate::policy::StepRunTimes;
 
 /// The result of a job look-up at the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +71,8 @@
     pub(super) shares: QueueShares,
     /// The run times of queues in relation to their estimates.
     pub(super) run_times: RunTimeRatios,
+    /// The run times of the steps of active jobs.
+    pub(super) step_run_times: StepRunTimes,
     started_at: Instant,
     /// Tickets by step, for queues with an approval service.
     pub(super) tickets: BTreeMap<(JobId, StepRef), StepTickets>,
@@ -108,6 +111,7 @@
             interference: Box::new(FillerPacer::default()),
             shares: QueueShares::default(),
             run_times: RunTimeRatios::default(),
+            step_run_times: StepRunTimes::default(),
             started_at: now,
             tickets: BTreeMap::new(),
             learned_stored_at: None,
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -75,6 +75,7 @@
             self.ledger.publish_state(id, state);
             if published.is_finished {
                 self.ledger.finalize(id, state, now);
+                self.step_run_times.remove_job(id);
             }
             if state.is_final() && previous != Some(state) {
                 decided!(Decision::JobEnded, job: id, state: state);
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -2,6 +2,7 @@
 
 use super::CellState;
 use crate::fleet::Executor;
+use crate::fleet::RelativeSpeed;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
 use crate::model::Checkpoint;
@@ -78,6 +79,7 @@
         let views = executor.remove_all_runs();
         executor.incarnation = Some(incarnation);
         executor.clock = None;
+        executor.speed = RelativeSpeed::default();
         executor.applied_end = 0;
         executor.acked_end = 0;
         let (Some(previous), Some(current)) = (previous, executor.key()) else {
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -7,6 +7,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::run_times::speed_penalty;
 use super::scored_executor::ScoredExecutor;
 use super::tickets::TICKET_VALIDITY_MIN;
 use crate::fleet::Executor;
@@ -348,7 +349,7 @@
             pressures: search.pressures,
             may_interfere: search.may_interfere,
         };
-        let score = self.placement.score(&request, executor)?;
+        let score = self.placement.score(&request, executor)? - speed_penalty(step, executor, now);
         let reserved = step.reserved();
         if search.requires_spare_room
             && !reserved.saturating_add(&reserved).fits_in(&executor.free())
--- a/crates/jobs/src/cell/run_times.rs
+++ b/crates/jobs/src/cell/run_times.rs
@@ -1,10 +1,12 @@
 use tokio::time::Instant;
 
 use super::CellState;
+use crate::fleet::Executor;
 use crate::fleet::RunView;
 use crate::ledger::encode;
 use crate::model::ExecutorId;
 use crate::model::QueueName;
+use crate::model::StepSpec;
 use crate::model::TaskId;
 use crate::platform::KeyedRecord;
 use crate::policy::LearnedRunTime;
@@ -13,6 +15,19 @@
 /// The store key of the run time ratios that an owner has learned.
 pub(crate) const RUN_TIMES_KEY: &str = "learned-run-times";
 
+/// The penalty of an executor for each unit of slowdown. The best fit is worth 1 at most, so that an
+/// executor of half the usual speed comes after all others on which a task fits.
+const SLOWDOWN_PENALTY: f64 = 2.0;
+
+/// Returns how much worse an executor is for a task because of its speed. Fillers and long-running tasks
+/// have criteria of their own.
+pub(super) fn speed_penalty(step: &StepSpec, executor: &Executor, now: Instant) -> f64 {
+    match step.is_filler || step.is_long_running {
+        true => 0.0,
+        false => SLOWDOWN_PENALTY * executor.speed.slowdown(now),
+    }
+}
+
 /// What the ends of runs teach about run times.
 impl CellState {
     /// Learns from a run that is done, before its job is told.
@@ -51,8 +66,19 @@
             return;
         }
         let queue = &job.submission().queue.name;
-        self.run_times
-            .record(queue, step.estimate_ms, now.duration_since(since));
+        let measured = now.duration_since(since);
+        let slowdown = self.step_run_times.record(
+            task,
+            id,
+            measured.as_secs_f64() * 1_000.0,
+            step.estimate_ms,
+            self.run_times.ratio(queue),
+        );
+        self.run_times.record(queue, step.estimate_ms, measured);
+        if let (Some((slowdown, variance)), Some(executor)) = (slowdown, self.executors.get_mut(id))
+        {
+            executor.speed.record(slowdown, variance, now);
+        }
     }
 
     /// Returns how the run times of a queue relate to the clients' estimates.
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -14,6 +14,7 @@
 use super::Health;
 use super::Listing;
 use super::Order;
+use super::RelativeSpeed;
 use super::RunPhase;
 use super::RunView;
 use crate::model::ExecutorEntry;
@@ -43,6 +44,8 @@
     pub acked_end: u64,
     /// The recent failures, and the back-off that follows from them.
     pub health: Health,
+    /// How fast the executor runs tasks, compared with others.
+    pub speed: RelativeSpeed,
     /// Since when the tail latency of some serving task has been over its target.
     pub over_target_since: Option<Instant>,
     /// The recent processor use of fillers.
@@ -73,6 +76,7 @@
             applied_end: 0,
             acked_end: 0,
             health: Health::default(),
+            speed: RelativeSpeed::default(),
             over_target_since: None,
             filler_history: FillerHistory::default(),
             headroom: Vec::new(),
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod listing;
 mod order;
 mod order_queue;
+mod relative_speed;
 mod run_view;
 
 pub use executor::Executor;
@@ -18,5 +19,6 @@
 pub use listing::Listing;
 pub use order::Order;
 pub use order_queue::OrderQueue;
+pub use relative_speed::RelativeSpeed;
 pub use run_view::RunPhase;
 pub use run_view::RunView;
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod queue_policy;
 mod queue_shares;
 mod run_time_ratios;
+mod step_run_times;
 
 pub use fair_shares::FairShares;
 pub use filler_pacer::FillerPacer;
@@ -37,3 +38,4 @@
 pub use run_time_ratios::LearnedRunTime;
 pub use run_time_ratios::RunTimeRatio;
 pub use run_time_ratios::RunTimeRatios;
+pub use step_run_times::StepRunTimes;
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -17,6 +17,7 @@
 mod shortage;
 mod shortage_load;
 mod simulated_executor;
+mod speeds;
 mod tails;
 mod takeovers;
 mod tickets;
--- a/crates/jobs/tests/cell/shortage.rs
+++ b/crates/jobs/tests/cell/shortage.rs
@@ -16,10 +16,10 @@
 /// The seeds of each load.
 const SEEDS: std::ops::Range<u64> = 0..5;
 /// The cores of the cell's executors: 80 in all.
-const CORES: [u64; 10] = [8; 10];
+pub(crate) const CORES: [u64; 10] = [8; 10];
 /// The jobs per second of the quick queue that take all executors: each has 4 tasks of 2 cores for
 /// 0.7 s.
-const QUICK_CAPACITY_PER_S: f64 = 80.0 / (4.0 * 2.0 * 0.7);
+pub(crate) const QUICK_CAPACITY_PER_S: f64 = 80.0 / (4.0 * 2.0 * 0.7);
 
 fn quick_queue() -> QueueConfig {
     QueueConfig {
@@ -38,7 +38,12 @@
     }
 }
 
-fn quick_job(at_ms: u64, group: &'static str, domain: &'static str, tasks: u32) -> PlannedJob {
+pub(crate) fn quick_job(
+    at_ms: u64,
+    group: &'static str,
+    domain: &'static str,
+    tasks: u32,
+) -> PlannedJob {
     PlannedJob {
         at_ms,
         group,
--- a/crates/jobs/tests/cell/shortage_load.rs
+++ b/crates/jobs/tests/cell/shortage_load.rs
@@ -93,6 +93,8 @@
     refused: BTreeMap<&'static str, u32>,
     /// Whether submissions are refused for lack of capacity.
     refuses: bool,
+    /// The factor by which the tasks of each slow executor take longer, and until when.
+    slow: BTreeMap<String, (f64, Duration)>,
 }
 
 impl ShortageLoad {
@@ -113,9 +115,22 @@
             jobs: BTreeMap::new(),
             refused: BTreeMap::new(),
             refuses,
+            slow: BTreeMap::new(),
         }
     }
 
+    /// Lets an executor run tasks more slowly by a factor, until a time after the beginning.
+    pub(crate) fn with_slow_executor(
+        mut self,
+        number: usize,
+        factor: f64,
+        until: Duration,
+    ) -> Self {
+        let id = self.executors[number].clone();
+        self.slow.insert(id, (factor, until));
+        self
+    }
+
     /// Plays a load until all its jobs are complete, at most for two minutes. Each group has a result.
     pub(crate) fn play(
         mut self,
@@ -268,7 +283,14 @@
             cell.handle_start_result(&id.into(), task, run, Ok(()), now);
             let submitted = &self.jobs[&task.job];
             let step = &submitted.submission.spec.steps[task.step as usize];
-            let run_time = Duration::from_millis(step.estimate_ms).mul_f64(submitted.run_factor);
+            let slowdown = self.slow.get(id).map_or(1.0, |(factor, until)| {
+                match now.duration_since(self.began) < *until {
+                    true => *factor,
+                    false => 1.0,
+                }
+            });
+            let run_time =
+                Duration::from_millis(step.estimate_ms).mul_f64(submitted.run_factor * slowdown);
             let runs = self.runs.entry(id.into()).or_default();
             runs.push(FakeRun {
                 task,
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -7,3 +7,4 @@
 mod placement;
 mod run_times;
 mod shares;
+mod speeds;
