Store the shares of domains and sizes for the next owner

Cause: a new owner in the middle of a burst knew no usual shares, so that the burst took the capacity of calm jobs until the shares were learned again.

Change: the shares are stored beside the other learned figures under the key learned-shares, at most for 50 queues, and restored at a takeover before the jobs. Jobs of former owners are then not counted again.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -69,6 +69,8 @@
     pub(super) interference: Box<dyn InterferenceController>,
     /// The shares of the capacity that parts of each queue take.
     pub(super) shares: QueueShares,
+    /// The queues whose shares a former owner observed.
+    pub(super) restored_shares: BTreeSet<QueueName>,
     /// The run times of queues in relation to their estimates.
     pub(super) run_times: RunTimeRatios,
     /// The run times of the steps of active jobs.
@@ -110,6 +112,7 @@
             placement: Box::new(InterferenceAwarePlacement),
             interference: Box::new(FillerPacer::default()),
             shares: QueueShares::default(),
+            restored_shares: BTreeSet::new(),
             run_times: RunTimeRatios::default(),
             step_run_times: StepRunTimes::default(),
             started_at: now,
@@ -151,7 +154,7 @@
             }
             _ => {
                 if self.ledger.restore(id, submission, progress, accepted_at) {
-                    self.record_arrival(id, now);
+                    self.record_restored(id, now);
                 }
                 let Some(job) = self.ledger.job(id) else {
                     return;
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -106,7 +106,7 @@
         self.progress_to_delete.extend(jobs);
     }
 
-    /// Returns the records of the learned loads and run times if the store interval has passed.
+    /// Returns the records of the learned loads, run times and shares if the store interval has passed.
     fn learned_records(&mut self, now: Instant) -> Vec<KeyedRecord> {
         if self
             .learned_stored_at
@@ -120,7 +120,8 @@
             key: LEARNED_KEY.into(),
             value,
         });
-        loads.into_iter().chain(self.run_times_record()).collect()
+        let records = loads.into_iter().chain(self.run_times_record());
+        records.chain(self.shares_record(now)).collect()
     }
 
     /// Restores the loads that a former owner learned.
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -27,4 +27,5 @@
 pub use commit_batch::CommitBatch;
 pub use commit_batch::Effect;
 pub(crate) use commits::LEARNED_KEY;
+pub(crate) use excess::SHARES_KEY;
 pub(crate) use run_times::RUN_TIMES_KEY;
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -18,6 +18,7 @@
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
 use crate::cell::RUN_TIMES_KEY;
+use crate::cell::SHARES_KEY;
 use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
@@ -77,6 +78,13 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
+        } else if &*record.key == SHARES_KEY {
+            match decode(&record.value) {
+                Ok(learned) => state.restore_shares(learned, now),
+                Err(error) => {
+                    decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+                }
+            }
         } else if &*record.key == RUN_TIMES_KEY {
             match decode(&record.value) {
                 Ok(learned) => state.restore_run_times(learned),
--- a/crates/jobs/src/policy/fair_shares.rs
+++ b/crates/jobs/src/policy/fair_shares.rs
@@ -1,5 +1,8 @@
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The time over which served work counts. With 4 s, twice as many jobs of calm flows became late beside
 /// a burst of 6 s.
 const RECENT_MS: f64 = 2_000.0;
@@ -40,6 +43,15 @@
     served: DecayingSum,
 }
 
+/// What is known of the flows, for the next owner of the cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedFlows<F> {
+    /// How long arrivals have been observed, in milliseconds.
+    pub observed_ms: u64,
+    /// Each flow with its decaying sums of arrived and of served work.
+    pub flows: Vec<(F, f64, f64)>,
+}
+
 /// Tells which flows of work take more than their usual share of the capacity.
 ///
 /// A flow is a part of the work of a queue, such as what enters through one failure domain. All work
@@ -49,6 +61,8 @@
     flows: BTreeMap<F, Flow>,
     arrived: DecayingSum,
     since_ms: Option<u64>,
+    /// How long former owners have observed arrivals.
+    observed_before_ms: u64,
 }
 
 impl<F> Default for FairShares<F> {
@@ -57,6 +71,7 @@
             flows: BTreeMap::new(),
             arrived: DecayingSum::default(),
             since_ms: None,
+            observed_before_ms: 0,
         }
     }
 }
@@ -74,6 +89,30 @@
         self.flow_mut(flow).served.add(work, RECENT_MS, now_ms);
     }
 
+    /// Exports what is known of the flows.
+    pub fn learned(&self, now_ms: u64) -> LearnedFlows<F> {
+        let flows = self.flows.iter().map(|(name, flow)| {
+            let arrived = flow.arrived.at(USUAL_MS, now_ms);
+            (name.clone(), arrived, flow.served.at(RECENT_MS, now_ms))
+        });
+        LearnedFlows {
+            observed_ms: self.observed_ms(now_ms),
+            flows: flows.collect(),
+        }
+    }
+
+    /// Imports what a former owner knew. Sums that no work can give are ignored.
+    pub fn restore(&mut self, learned: LearnedFlows<F>, now_ms: u64) {
+        self.observed_before_ms = learned.observed_ms;
+        let is_valid = |sum: f64| sum.is_finite() && sum >= 0.0;
+        for (name, arrived, served) in learned.flows {
+            if is_valid(arrived) && is_valid(served) {
+                self.record_arrival(&name, arrived, now_ms);
+                self.record_served(&name, served, now_ms);
+            }
+        }
+    }
+
     /// Returns by how much the next work of a flow exceeds the flow's usual share, if `ahead` is the
     /// waiting work before it: 0 up to the usual work, then one more for each quarter of it.
     pub fn excess_level(&self, flow: &F, ahead: f64, now_ms: u64) -> u32 {
@@ -92,10 +131,7 @@
 
     /// Returns the work of a flow that usually arrives in the time over which served work counts.
     fn usual_work(&self, flow: &F, now_ms: u64) -> f64 {
-        let observed_ms = self
-            .since_ms
-            .map_or(0.0, |since_ms| now_ms.saturating_sub(since_ms) as f64)
-            .max(RECENT_MS);
+        let observed_ms = (self.observed_ms(now_ms) as f64).max(RECENT_MS);
         let weight_ms = USUAL_MS * (1.0 - (-observed_ms / USUAL_MS).exp());
         let recent_work = |sum: &DecayingSum| sum.at(USUAL_MS, now_ms) * RECENT_MS / weight_ms;
         let equal = recent_work(&self.arrived) / self.flows.len().max(1) as f64;
@@ -107,6 +143,13 @@
         (trust * own + (1.0 - trust) * equal).max(SHARE_MIN * equal)
     }
 
+    fn observed_ms(&self, now_ms: u64) -> u64 {
+        let own_ms = self
+            .since_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+        self.observed_before_ms.saturating_add(own_ms)
+    }
+
     fn flow_mut(&mut self, flow: &F) -> &mut Flow {
         self.flows.entry(flow.clone()).or_default()
     }
--- a/crates/jobs/src/policy/job_sizes.rs
+++ b/crates/jobs/src/policy/job_sizes.rs
@@ -1,5 +1,8 @@
 use std::collections::VecDeque;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The number of recent jobs whose sizes are compared.
 const JOBS_COVERED: usize = 200;
 /// The number of jobs below which all jobs count as small.
@@ -12,7 +15,7 @@
 const MIDDLE_SHARE: f64 = 0.9;
 
 /// The size of a job among the recent jobs of its queue.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum SizeClass {
     /// Neither of the largest tenth nor of the fifth below it.
     #[default]
@@ -51,6 +54,16 @@
         }
     }
 
+    /// Returns the largest sizes of small jobs and of jobs of middle size, once known.
+    pub fn bounds(&self) -> Option<(f64, f64)> {
+        self.bounds
+    }
+
+    /// Uses the bounds that a former owner found until enough jobs have arrived.
+    pub fn restore(&mut self, bounds: Option<(f64, f64)>) {
+        self.bounds = bounds.filter(|(small, middle)| small <= middle);
+    }
+
     /// Returns the class of a job with the given work.
     pub fn class(&self, work: f64) -> SizeClass {
         match self.bounds {
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -14,6 +14,7 @@
 mod step_run_times;
 
 pub use fair_shares::FairShares;
+pub use fair_shares::LearnedFlows;
 pub use filler_pacer::FillerPacer;
 pub use interference::FillerAction;
 pub use interference::FillerSample;
@@ -34,6 +35,7 @@
 pub use queue_policy::QueuePolicy;
 pub use queue_policy::Rank;
 pub use queue_policy::RankContext;
+pub use queue_shares::LearnedShares;
 pub use queue_shares::QueueShares;
 pub use run_time_ratios::LearnedRunTime;
 pub use run_time_ratios::RunTimeRatio;
--- a/crates/jobs/src/policy/queue_shares.rs
+++ b/crates/jobs/src/policy/queue_shares.rs
@@ -1,7 +1,11 @@
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::FairShares;
 use super::JobSizes;
+use super::LearnedFlows;
 use super::SizeClass;
 use crate::ledger::Job;
 use crate::ledger::StepRef;
@@ -9,6 +13,22 @@
 use crate::model::QueueName;
 use crate::model::StepSpec;
 
+/// Limits the queues in the stored record, which stays below 64 KiB with eleven failure domains.
+const STORED_QUEUES_MAX: usize = 50;
+
+/// What is known of the shares of a queue, for the next owner of the cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LearnedShares {
+    /// The queue.
+    pub queue: QueueName,
+    /// The largest work of small jobs and of jobs of middle size.
+    pub size_bounds: Option<(f64, f64)>,
+    /// The flows by failure domain of entry.
+    pub by_domain: LearnedFlows<Option<FailureDomainName>>,
+    /// The flows by size.
+    pub by_size: LearnedFlows<SizeClass>,
+}
+
 /// The waiting work of a queue that is ahead in the order.
 #[derive(Clone, Debug, Default)]
 struct WorkAhead<'a> {
@@ -31,6 +51,28 @@
 }
 
 impl QueueShares {
+    /// Exports what is known of the shares.
+    pub fn learned(&self, now_ms: u64) -> Vec<LearnedShares> {
+        let queues = self.queues.iter().take(STORED_QUEUES_MAX);
+        let learned = queues.map(|(name, queue)| LearnedShares {
+            queue: name.clone(),
+            size_bounds: queue.sizes.bounds(),
+            by_domain: queue.by_domain.learned(now_ms),
+            by_size: queue.by_size.learned(now_ms),
+        });
+        learned.collect()
+    }
+
+    /// Imports what a former owner knew.
+    pub fn restore(&mut self, learned: Vec<LearnedShares>, now_ms: u64) {
+        for learned in learned {
+            let queue = self.queue_mut(&learned.queue);
+            queue.sizes.restore(learned.size_bounds);
+            queue.by_domain.restore(learned.by_domain, now_ms);
+            queue.by_size.restore(learned.by_size, now_ms);
+        }
+    }
+
     /// Adds a job that arrived.
     pub fn record_arrival(&mut self, job: &Job, now_ms: u64) {
         if job.submission().spec.is_long_running() {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::cell::CellState;
 use dotterelhook_jobs::cell::CommitBatch;
@@ -48,6 +49,8 @@
     clock_ms: u64,
     /// The newest stored progress of each job.
     pub(crate) stored: HashMap<JobId, JobProgress>,
+    /// The newest stored records that belong to no job.
+    pub(crate) learned: HashMap<Box<str>, Bytes>,
 }
 
 pub(crate) fn settings() -> CellSettings {
@@ -163,6 +166,7 @@
             orders: BTreeMap::new(),
             clock_ms: 1_000,
             stored: HashMap::new(),
+            learned: HashMap::new(),
         }
     }
 
@@ -194,6 +198,7 @@
             orders: BTreeMap::new(),
             clock_ms: self.clock_ms,
             stored: self.stored.clone(),
+            learned: self.learned.clone(),
         };
         for (id, submission) in submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
@@ -259,6 +264,8 @@
         let batch = self.cell.take_batch(self.now);
         for record in &batch.records {
             let Ok(id) = record.key.parse() else {
+                self.learned
+                    .insert(record.key.clone(), record.value.clone());
                 continue;
             };
             let progress = decode(&record.value).expect("a progress record");
--- a/crates/jobs/tests/cell/shortage.rs
+++ b/crates/jobs/tests/cell/shortage.rs
@@ -125,11 +125,8 @@
 /// of it, so that nearly all of their jobs can be in time.
 #[tokio::test]
 async fn burst_from_one_failure_domain_does_not_displace_the_jobs_of_three_calm_ones() {
-    let [one_owner, new_owner] = play_all(domain_burst, &CORES, 23_000, true);
-
-    assert!(one_owner["calm"].in_time_share() > 0.9, "{one_owner:?}");
-    assert!(new_owner["calm"].in_time_share() > 0.8, "{new_owner:?}");
-    for results in [one_owner, new_owner] {
+    for results in play_all(domain_burst, &CORES, 23_000, true) {
+        assert!(results["calm"].in_time_share() > 0.9, "{results:?}");
         assert!(results["burst"].in_time_share() > 0.5, "{results:?}");
     }
 }
@@ -193,11 +190,8 @@
 /// twice their usual work, so that a half of them can be in time at most.
 #[tokio::test]
 async fn burst_of_wide_jobs_neither_holds_up_small_ones_nor_starves_wide_ones() {
-    let [one_owner, new_owner] = play_all(wide_burst, &CORES, 23_000, true);
-
-    assert!(one_owner["small"].in_time_share() > 0.95, "{one_owner:?}");
-    assert!(new_owner["small"].in_time_share() > 0.85, "{new_owner:?}");
-    for results in [one_owner, new_owner] {
+    for results in play_all(wide_burst, &CORES, 23_000, true) {
+        assert!(results["small"].in_time_share() > 0.92, "{results:?}");
         assert!(results["large"].in_time_share() > 0.35, "{results:?}");
         let large = &results["large"];
         assert!(large.within_three_times_share() > 0.5, "{results:?}");
--- a/crates/jobs/tests/cell/shortage_load.rs
+++ b/crates/jobs/tests/cell/shortage_load.rs
@@ -4,6 +4,7 @@
 
 use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::ledger::decode;
 use dotterelhook_jobs::model::JobId;
 use dotterelhook_jobs::model::JobSpec;
 use dotterelhook_jobs::model::JobState;
@@ -219,6 +220,14 @@
             .collect();
         let former = &self.harness;
         let mut next = former.take_over(&[]);
+        if let Some(record) = former.learned.get("learned-run-times") {
+            next.cell
+                .restore_run_times(decode(record).expect("run times"));
+        }
+        if let Some(record) = former.learned.get("learned-shares") {
+            let shares = decode(record).expect("shares");
+            next.cell.restore_shares(shares, next.now);
+        }
         for (id, submission) in submissions {
             let progress = former.stored.get(&id).cloned().unwrap_or_default();
             let accepted_at = self.jobs[&id].at;
--- a/crates/jobs/tests/policies/shares.rs
+++ b/crates/jobs/tests/policies/shares.rs
@@ -1,5 +1,6 @@
 use dotterelhook_jobs::policy::FairShares;
 use dotterelhook_jobs::policy::JobSizes;
+use dotterelhook_jobs::policy::LearnedFlows;
 use dotterelhook_jobs::policy::SizeClass;
 
 /// Lets both flows offer and get one unit of work every 100 ms for a minute.
@@ -87,3 +88,46 @@
     let [small, middle, large] = [SizeClass::Small, SizeClass::Middle, SizeClass::Large];
     assert_eq!(classes, [small, small, middle, middle, large, large]);
 }
+
+/// Guards against a new owner in the middle of a burst for which all flows are alike.
+#[test]
+fn takeover_keeps_the_excess_of_a_burst() {
+    let mut former = calm_minute();
+    for now_ms in (60_000..62_000).step_by(100) {
+        former.record_arrival(&"a", 4.0, now_ms);
+        former.record_served(&"a", 4.0, now_ms);
+    }
+    let mut next = FairShares::default();
+
+    next.restore(former.learned(62_000), 0);
+
+    for flow in ["a", "b"] {
+        assert_eq!(
+            next.excess_level(&flow, 10.0, 0),
+            former.excess_level(&flow, 10.0, 62_000)
+        );
+    }
+    assert!(next.excess_level(&"a", 10.0, 0) > next.excess_level(&"b", 10.0, 0));
+}
+
+/// Guards against figures of a corrupt record that put a flow behind all others for good.
+#[test]
+fn takeover_ignores_sums_that_no_work_can_give() {
+    let mut shares = FairShares::default();
+
+    shares.restore(
+        LearnedFlows {
+            observed_ms: u64::MAX,
+            flows: vec![
+                ("a", f64::NAN, 1.0),
+                ("b", 1.0, f64::INFINITY),
+                ("c", -1.0, 1.0),
+            ],
+        },
+        0,
+    );
+    shares.record_arrival(&"a", 1.0, 0);
+
+    assert_eq!(shares.excess_level(&"a", 0.0, 1_000), 0);
+    assert_eq!(shares.excess_level(&"b", 0.0, 1_000), 0);
+}
