--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -183,7 +183,7 @@
             Arc::clone(&writer),
             Some((&*settings.failure_domain).into()),
             cell_count,
-            settings.entry.query_timeout,
+            settings.entry,
         );
         let entry = Arc::new(EntryHandler {
             protocol: Arc::new(JobApi),
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -76,6 +76,10 @@
     membership_ttl_ms: u64,
     #[serde(default = "defaults::retry_after_ms")]
     retry_after_ms: u64,
+    #[serde(default = "defaults::record_entry_domain")]
+    record_entry_domain: bool,
+    #[serde(default = "defaults::refuse_for_capacity")]
+    refuse_for_capacity: bool,
 }
 
 /// The checked settings of a daemon that runs jobs, with the defaults filled in.
@@ -163,6 +167,8 @@
             cell,
             entry: EntrySettings {
                 retry_after: ms("retry_after_ms", jobs.retry_after_ms, 1, 60_000)?,
+                records_entry_domain: jobs.record_entry_domain,
+                refuses_for_capacity: jobs.refuse_for_capacity,
                 ..EntrySettings::default()
             },
             unready_for: checked_millis("stop.unready_ms", raw.stop.unready_ms, 0, 60_000)?,
@@ -255,4 +261,13 @@
     pub(super) fn retry_after_ms() -> u64 {
         1_000
     }
+
+    /// Off during an upgrade from a version whose owners can't read the record.
+    pub(super) fn record_entry_domain() -> bool {
+        true
+    }
+
+    pub(super) fn refuse_for_capacity() -> bool {
+        true
+    }
 }
--- a/crates/jobs/src/entry/capacity_admission.rs
+++ b/crates/jobs/src/entry/capacity_admission.rs
@@ -9,6 +9,7 @@
 
 use super::CapacitySource;
 use super::CapacityView;
+use super::EntrySettings;
 use super::RecentJobs;
 use super::RecordWriter;
 use crate::admission::CapacityRefusal;
@@ -37,7 +38,7 @@
     attempted: Mutex<RecentJobs>,
     failure_domain: Option<FailureDomainName>,
     cell_count: u32,
-    query_timeout: Duration,
+    settings: EntrySettings,
 }
 
 impl CapacityAdmission {
@@ -47,20 +48,20 @@
         writer: Arc<RecordWriter>,
         failure_domain: Option<FailureDomainName>,
         cell_count: u32,
-        query_timeout: Duration,
+        settings: EntrySettings,
     ) -> Self {
         Self {
             owners,
             writer,
             view: Arc::default(),
             attempted: Mutex::new(RecentJobs::new(ATTEMPT_RETENTION)),
-            failure_domain,
+            failure_domain: failure_domain.filter(|_| settings.records_entry_domain),
             cell_count,
-            query_timeout,
+            settings,
         }
     }
 
-    /// Returns the failure domain of this host, if it is known.
+    /// Returns the failure domain of this host, if submissions record it.
     pub fn failure_domain(&self) -> Option<&FailureDomainName> {
         self.failure_domain.as_ref()
     }
@@ -73,6 +74,9 @@
         queue: &QueueConfig,
         deadline: Instant,
     ) -> Result<(), CapacityRefusal> {
+        if !self.settings.refuses_for_capacity {
+            return Ok(());
+        }
         let cell = cell_of(id.as_str(), self.cell_count);
         self.request_report(cell);
         let refusal = self.find_refusal(id, cell, spec, queue);
@@ -107,11 +111,11 @@
     /// Returns whether the owner knows no earlier submission of the job, after the time in which it
     /// would have read one.
     async fn is_new(&self, id: JobId, deadline: Instant) -> bool {
-        if Instant::now() + STORED_AFTER + self.query_timeout > deadline {
+        if Instant::now() + STORED_AFTER + self.settings.query_timeout > deadline {
             return false;
         }
         sleep(STORED_AFTER).await;
-        let known = self.owners.is_known(id, self.query_timeout).await;
+        let known = self.owners.is_known(id, self.settings.query_timeout).await;
         known == Ok(false) && !self.writer.is_store_slow()
     }
 
@@ -126,7 +130,7 @@
         let owners = Arc::clone(&self.owners);
         let view = Arc::clone(&self.view);
         let domain = self.failure_domain.clone();
-        let timeout = self.query_timeout;
+        let timeout = self.settings.query_timeout;
         tokio::spawn(async move {
             let report = owners.capacity(cell, domain.as_ref(), timeout).await;
             // Without an answer the report grows old, and then refuses nothing.
--- a/crates/jobs/src/entry/entry_settings.rs
+++ b/crates/jobs/src/entry/entry_settings.rs
@@ -17,6 +17,11 @@
     pub recent_retention: Duration,
     /// How long a host stays ready without an answer from the store.
     pub ready_silence_max: Duration,
+    /// Whether submissions record the failure domain of their entry host, in a layout that hosts of
+    /// former versions can't read.
+    pub records_entry_domain: bool,
+    /// Whether submissions are refused for lack of capacity.
+    pub refuses_for_capacity: bool,
 }
 
 impl Default for EntrySettings {
@@ -35,6 +40,8 @@
             recent_retention: Duration::from_millis(10_000),
             // Two polls of the load balancer.
             ready_silence_max: Duration::from_millis(2_000),
+            records_entry_domain: true,
+            refuses_for_capacity: true,
         }
     }
 }
--- a/crates/jobs/tests/entry/bodies.rs
+++ b/crates/jobs/tests/entry/bodies.rs
@@ -103,7 +103,7 @@
         Arc::clone(&writer),
         None,
         1,
-        EntrySettings::default().query_timeout,
+        EntrySettings::default(),
     );
     let forwarder = Arc::clone(&owner_client) as Arc<dyn RecordForwarder>;
     let entry = Arc::new(EntryHandler {
--- a/crates/jobs/tests/entry/capacity.rs
+++ b/crates/jobs/tests/entry/capacity.rs
@@ -10,6 +10,7 @@
 use dotterelhook_jobs::admission::QueueBacklog;
 use dotterelhook_jobs::entry::CapacityAdmission;
 use dotterelhook_jobs::entry::CapacitySource;
+use dotterelhook_jobs::entry::EntrySettings;
 use dotterelhook_jobs::entry::RecordWriter;
 use dotterelhook_jobs::model::FailureDomainName;
 use dotterelhook_jobs::model::JobId;
@@ -83,14 +84,17 @@
 
 impl Host {
     async fn new() -> Self {
+        Self::with_settings(EntrySettings::default()).await
+    }
+
+    async fn with_settings(settings: EntrySettings) -> Self {
         let owner = Arc::new(FakeOwner::default());
         let store: Arc<dyn Store> = FakeStore::with_outcomes(&[]);
         let health = Arc::new(StoreHealth::default());
         let writer = Arc::new(RecordWriter::new(store, Arc::clone(&health)));
         let owners = Arc::clone(&owner) as Arc<dyn CapacitySource>;
-        let query_timeout = Duration::from_millis(400);
         let host = Self {
-            admission: CapacityAdmission::new(owners, writer, None, 1, query_timeout),
+            admission: CapacityAdmission::new(owners, writer, None, 1, settings),
             owner,
             health,
         };
@@ -140,6 +144,16 @@
     assert!(began.elapsed() < Duration::from_millis(500));
 }
 
+#[tokio::test(start_paused = true)]
+async fn shortage_refuses_nothing_in_a_deployment_that_does_not_ask_for_it() {
+    let host = Host::with_settings(EntrySettings {
+        refuses_for_capacity: false,
+        ..EntrySettings::default()
+    });
+
+    assert!(host.await.is_admitted(1).await);
+}
+
 /// Guards against the refusal of a job whose earlier submission may run.
 #[tokio::test(start_paused = true)]
 async fn shortage_refuses_no_repeat_of_a_submission_that_may_be_stored() {
