Log the order of each queue with waiting tasks once a second

Cause: nothing told why a job waits: what its queue can still reach, whose excess holds it back, and which run times the order assumes.

Result: cargo test -p dotterelhook-jobs passes.

--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -56,6 +56,8 @@
     RecordUnreadable,
     /// The load of a cell; logged once a second.
     CellLoad,
+    /// The waiting tasks of a queue by what they can still reach; logged once a second.
+    QueueOrder,
     /// This host took over a cell.
     CellClaimed,
     /// This host no longer owns a cell.
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -381,7 +381,10 @@
             });
             if load_logged_at.elapsed() >= LOAD_LOG_INTERVAL {
                 load_logged_at = Instant::now();
-                self.with_state(|state| state.log_load(load_logged_at));
+                self.with_state(|state| {
+                    state.log_load(load_logged_at);
+                    state.log_queue_orders(load_logged_at);
+                });
             }
             self.delete_expired_jobs().await;
             self.wake.notify_one();
--- a/crates/jobs/tests/cell/load.rs
+++ b/crates/jobs/tests/cell/load.rs
@@ -1,8 +1,12 @@
+use std::time::Duration;
+
 use dotterelhook_jobs::cell::CellLoad;
+use dotterelhook_jobs::cell::QueueOrder;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_types::sizes::CpuMilli;
 
 use crate::fixture::CellHarness;
+use crate::fixture::QUEUE;
 use crate::fixture::job;
 use crate::fixture::step;
 use crate::fixture::submission;
@@ -37,3 +41,24 @@
     };
     assert_eq!(load, expected);
 }
+
+#[tokio::test]
+async fn the_order_of_a_full_queue_tells_what_its_tasks_can_still_reach() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(4, 1_000, &[])]));
+    harness.commit();
+    let late = submission(vec![step(3, 1_000, &[])]);
+    harness.cell.accept(job(2), late, harness.now);
+    harness.advance(Duration::from_millis(2_500));
+    let fresh = submission(vec![step(5, 1_000, &[])]);
+    harness.cell.accept(job(3), fresh, harness.now);
+
+    let orders = harness.cell.queue_orders(harness.now);
+
+    let QueueOrder {
+        in_time,
+        late,
+        worthless,
+        ..
+    } = orders[QUEUE];
+    assert_eq!((in_time, late, worthless), (5, 3, 0));
+}
