Leave recurring and long-running jobs out of the shares

Cause: the work of a recurring job arrives once with its submission, but was counted as served with each occurrence, so that its failure domain and its size had the highest excess for good.

Change: the shares cover neither recurring jobs nor jobs with long-running steps.

--- a/crates/jobs/src/policy/queue_shares.rs
+++ b/crates/jobs/src/policy/queue_shares.rs
@@ -75,7 +75,7 @@
 
     /// Adds a job that arrived.
     pub fn record_arrival(&mut self, job: &Job, now_ms: u64) {
-        if job.submission().spec.is_long_running() {
+        if !is_counted(job) {
             return;
         }
         let work = job_work(job);
@@ -89,7 +89,7 @@
 
     /// Adds a placed task of a step.
     pub fn record_placed(&mut self, job: &Job, step: &StepSpec, now_ms: u64) {
-        if step.is_long_running {
+        if !is_counted(job) {
             return;
         }
         let work = task_work(step);
@@ -131,7 +131,7 @@
             let Some(queue) = self.queues.get(&submission.queue.name) else {
                 return 0;
             };
-            if step.is_long_running {
+            if !is_counted(job) {
                 return 0;
             }
             let size = queue.sizes.class(job_work(job));
@@ -154,6 +154,13 @@
     }
 }
 
+/// Returns whether the shares cover a job: the work of recurring and long-running jobs does not arrive
+/// with their submission.
+fn is_counted(job: &Job) -> bool {
+    let spec = &job.submission().spec;
+    spec.schedule.is_none() && !spec.is_long_running()
+}
+
 /// Returns the estimated work of a task, in thousandths of a core times milliseconds.
 fn task_work(step: &StepSpec) -> f64 {
     step.need.cpu_milli.0.max(1) as f64 * step.estimate_ms.max(1) as f64
--- a/crates/jobs/tests/policies/shares.rs
+++ b/crates/jobs/tests/policies/shares.rs
@@ -1,7 +1,20 @@
+use std::sync::Arc;
+
+use dotterelhook_jobs::ledger::Job;
+use dotterelhook_jobs::ledger::JobProgress;
+use dotterelhook_jobs::ledger::StepRef;
+use dotterelhook_jobs::model::JobSpec;
+use dotterelhook_jobs::model::Schedule;
+use dotterelhook_jobs::model::Submission;
 use dotterelhook_jobs::policy::FairShares;
 use dotterelhook_jobs::policy::JobSizes;
 use dotterelhook_jobs::policy::LearnedFlows;
+use dotterelhook_jobs::policy::QueueShares;
 use dotterelhook_jobs::policy::SizeClass;
+use tokio::time::Instant;
+
+use crate::fixture::queue_config;
+use crate::fixture::step;
 
 /// Lets both flows offer and get one unit of work every 100 ms for a minute.
 fn calm_minute() -> FairShares<&'static str> {
@@ -131,3 +144,55 @@
     assert_eq!(shares.excess_level(&"a", 0.0, 1_000), 0);
     assert_eq!(shares.excess_level(&"b", 0.0, 1_000), 0);
 }
+
+fn job(schedule: Option<Schedule>) -> Job {
+    let submission = Submission {
+        queue: queue_config(0),
+        spec: JobSpec {
+            payload: "work".into(),
+            steps: vec![step(1_000)],
+            schedule,
+        },
+        accepted_unix_ms: 0,
+        entry_domain: None,
+    };
+    let id = "0123456789abcdef".parse().expect("an id");
+    let mut job = Job::new(
+        id,
+        Arc::new(submission),
+        JobProgress::default(),
+        Instant::now(),
+    );
+    job.create_occurrences(1);
+    job
+}
+
+/// Guards against jobs that wait because a recurring job of their failure domain runs each second, whose
+/// work arrives only once.
+#[test]
+fn recurring_jobs_cause_no_excess() {
+    let mut shares = QueueShares::default();
+    let once = job(None);
+    let recurring = job(Some(Schedule {
+        occurrences: 1_000,
+        first_unix_ms: 0,
+        interval_ms: 1_000,
+    }));
+    shares.record_arrival(&recurring, 0);
+    for now_ms in (0..60_000).step_by(1_000) {
+        shares.record_arrival(&once, now_ms);
+        shares.record_placed(&once, &step(1_000), now_ms);
+        for _ in 0..100 {
+            shares.record_placed(&recurring, &step(1_000), now_ms);
+        }
+    }
+
+    let step_ref = StepRef {
+        occurrence: 0,
+        step: 0,
+    };
+    let steps = [(&once, step_ref), (&recurring, step_ref)];
+    let levels = shares.excess_levels(steps.into_iter(), 60_000);
+
+    assert_eq!(levels, [0, 0]);
+}
