Count unknown run times in favour of a job at admission

Cause: below 20 samples, admission took the clients' estimates as exact. A queue whose estimates are too long by 0.9 would seem to have twice its backlog, and its jobs would be refused wrongly. Besides, a learned ratio of exactly 1 without spread counted as unknown.

Change: without a learned ratio, the backlog counts with estimates divided by 1.9, and the job's own run time with that spread. Whether a ratio is known is an option of its own.

--- a/crates/jobs/src/cell/capacity.rs
+++ b/crates/jobs/src/cell/capacity.rs
@@ -88,7 +88,7 @@
                 let work: f64 = works.iter().filter(is_ahead).map(|work| work.work).sum();
                 (work / drain_rate) as u64
             };
-            let run_time = self.run_times.ratio(&name);
+            let run_time = self.run_times.cautious_ratio(&name);
             report.backlogs.push(QueueBacklog {
                 queue: name,
                 in_time_ms: ahead(0),
@@ -109,8 +109,15 @@
             return None;
         }
         let queue = Self::queue_config(&self.config, job);
-        let run_time = self.run_times.ratio(&queue.name);
-        let task_ms = run_time.expected_ms(spec.estimate_ms as f64);
+        // The error of learned estimates cancels out over many tasks.
+        let estimate_ms = spec.estimate_ms as f64;
+        let task_ms = match self.run_times.known_ratio(&queue.name) {
+            Some(known) => known.expected_ms(estimate_ms),
+            None => {
+                let cautious = self.run_times.cautious_ratio(&queue.name);
+                cautious.short_ms(estimate_ms)
+            }
+        };
         let tasks = f64::from(job.waiting_count(step.step_ref));
         Some(WaitingWork {
             step,
--- a/crates/jobs/src/cell/run_times.rs
+++ b/crates/jobs/src/cell/run_times.rs
@@ -72,7 +72,7 @@
             id,
             measured.as_secs_f64() * 1_000.0,
             step.estimate_ms,
-            self.run_times.ratio(queue),
+            self.run_times.known_ratio(queue),
         );
         self.run_times.record(queue, step.estimate_ms, measured);
         if let (Some((slowdown, variance)), Some(executor)) = (slowdown, self.executors.get_mut(id))
--- a/crates/jobs/src/policy/run_time_ratios.rs
+++ b/crates/jobs/src/policy/run_time_ratios.rs
@@ -17,6 +17,8 @@
 const DEVIATION_MAX: f64 = 1.0;
 /// Limits the ratio of a sample, and of a restored record.
 const LN_RATIO_MAX: f64 = 3.0;
+/// The factor by which estimates are off at most on the long side: by 0.9.
+const UNKNOWN_SPREAD: f64 = 1.9;
 /// Limits the queues in the stored record. A record with names of 100 bytes stays below 64 KiB.
 const STORED_QUEUES_MAX: usize = 500;
 
@@ -100,13 +102,26 @@
     /// Returns the learned ratio of a queue. Below a minimum number of samples, the estimates count
     /// as exact.
     pub fn ratio(&self, queue: &QueueName) -> RunTimeRatio {
-        match self.queues.get(queue) {
-            Some(learned) if learned.samples >= SAMPLES_MIN => RunTimeRatio {
-                typical: learned.mean_ln.exp(),
-                spread: learned.variance_ln.sqrt().exp(),
-            },
-            _ => RunTimeRatio::default(),
-        }
+        self.known_ratio(queue).unwrap_or_default()
+    }
+
+    /// Returns the learned ratio of a queue, or below the minimum number of samples one that covers the
+    /// errors of most estimates.
+    pub fn cautious_ratio(&self, queue: &QueueName) -> RunTimeRatio {
+        let unknown = RunTimeRatio {
+            typical: 1.0,
+            spread: UNKNOWN_SPREAD,
+        };
+        self.known_ratio(queue).unwrap_or(unknown)
+    }
+
+    /// Returns the learned ratio of a queue, or `None` below the minimum number of samples.
+    pub fn known_ratio(&self, queue: &QueueName) -> Option<RunTimeRatio> {
+        let learned = self.queues.get(queue)?;
+        (learned.samples >= SAMPLES_MIN).then(|| RunTimeRatio {
+            typical: learned.mean_ln.exp(),
+            spread: learned.variance_ln.sqrt().exp(),
+        })
     }
 
     /// Exports the learned ratios, those with the most samples first.
--- a/crates/jobs/src/policy/step_run_times.rs
+++ b/crates/jobs/src/policy/step_run_times.rs
@@ -38,14 +38,15 @@
 
 impl StepRunTimes {
     /// Adds a run and returns its slowdown compared with earlier runs of its step on other executors, and
-    /// the variance of such figures. Without such runs, the estimate is compared with instead.
+    /// the variance of such figures. Without such runs, compares with the estimate and the ratio of the
+    /// queue, if it is known.
     pub fn record(
         &mut self,
         task: TaskId,
         executor: &ExecutorId,
         measured_ms: f64,
         estimate_ms: u64,
-        run_time: RunTimeRatio,
+        run_time: Option<RunTimeRatio>,
     ) -> Option<(f64, f64)> {
         let ln_ms = measured_ms.max(1.0).ln();
         let sums = self.steps.entry((task.job, task.into())).or_default();
@@ -56,10 +57,11 @@
             let variance = STEP_VARIANCE * (1.0 + 1.0 / f64::from(other_runs));
             Some((ln_ms - other_mean, variance))
         } else {
-            let is_learned = run_time != RunTimeRatio::default();
-            let expected_ms = run_time.expected_ms(estimate_ms.max(1) as f64);
-            let variance = STEP_VARIANCE + run_time.spread.ln().powi(2);
-            is_learned.then(|| (ln_ms - expected_ms.ln(), variance))
+            run_time.map(|run_time| {
+                let expected_ms = run_time.expected_ms(estimate_ms.max(1) as f64);
+                let variance = STEP_VARIANCE + run_time.spread.ln().powi(2);
+                (ln_ms - expected_ms.ln(), variance)
+            })
         };
         own.add(ln_ms);
         sums.all.add(ln_ms);
