--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -41,6 +41,9 @@
 use crate::policy::LeastSlackFirst;
 use crate::policy::PlacementPolicy;
 use crate::policy::QueuePolicy;
+use crate::policy::QueueShares;
+use crate::policy::RunTimeRatios;
+use crate::policy::StepRunTimes;
 
 /// The result of a job look-up at the owner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +88,14 @@
     pub(super) queue_policy: Box<dyn QueuePolicy>,
     pub(super) placement: Box<dyn PlacementPolicy>,
     pub(super) interference: Box<dyn InterferenceController>,
+    /// The shares of the capacity that parts of each queue take.
+    pub(super) shares: QueueShares,
+    /// The queues whose shares a former owner observed.
+    pub(super) restored_shares: BTreeSet<QueueName>,
+    /// The run times of queues in relation to their estimates.
+    pub(super) run_times: RunTimeRatios,
+    /// The run times of the steps of active jobs.
+    pub(super) step_run_times: StepRunTimes,
     started_at: Instant,
     /// Tickets by step, for queues with an approval service.
     pub(super) tickets: BTreeMap<(JobId, StepRef), StepTickets>,
@@ -133,6 +144,10 @@
             queue_policy: Box::new(LeastSlackFirst),
             placement: Box::new(InterferenceAwarePlacement),
             interference: Box::new(FillerPacer::default()),
+            shares: QueueShares::default(),
+            restored_shares: BTreeSet::new(),
+            run_times: RunTimeRatios::default(),
+            step_run_times: StepRunTimes::default(),
             started_at: now,
             tickets: BTreeMap::new(),
             learned_stored_at: None,
@@ -173,7 +188,9 @@
                 self.ledger.publish_state(id, state);
             }
             _ => {
-                self.ledger.restore(id, submission, progress, accepted_at);
+                if self.ledger.restore(id, submission, progress, accepted_at) {
+                    self.record_restored(id, now);
+                }
                 let Some(job) = self.ledger.job(id) else {
                     return;
                 };
@@ -191,6 +208,7 @@
     /// Adds a submitted job. Idempotent: a known job stays as it is.
     pub fn accept(&mut self, id: JobId, submission: Arc<Submission>, now: Instant) {
         if self.ledger.accept(id, submission, now) {
+            self.record_arrival(id, now);
             let queue = self.ledger.job(id).map(|job| &job.submission().queue.name);
             decided!(Decision::JobAccepted, job: id, queue: queue.map(QueueName::as_str).unwrap_or_default());
         }
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -88,7 +88,7 @@
                 value: Bytes::new(),
             });
         }
-        batch.records.extend(self.learned_record(now));
+        batch.records.extend(self.learned_records(now));
         if self.dirty.is_empty() {
             batch.effects = std::mem::take(&mut self.effects);
         }
@@ -103,6 +103,7 @@
             self.ledger.publish_state(id, state);
             if published.is_finished {
                 self.ledger.finalize(id, state, now);
+                self.step_run_times.remove_job(id);
             }
             if state.is_final() && previous != Some(state) {
                 decided!(Decision::JobEnded, job: id, state: state);
@@ -133,19 +134,22 @@
         self.progress_to_delete.extend(jobs);
     }
 
-    /// Returns a record of the learned loads if the store interval has passed.
-    fn learned_record(&mut self, now: Instant) -> Option<KeyedRecord> {
+    /// Returns the records of the learned loads, run times and shares if the store interval has passed.
+    fn learned_records(&mut self, now: Instant) -> Vec<KeyedRecord> {
         if self
             .learned_stored_at
             .is_some_and(|at| now.duration_since(at) < LEARNED_STORE_INTERVAL)
         {
-            return None;
+            return Vec::new();
         }
         self.learned_stored_at = Some(now);
         let learned = self.interference.learned(self.elapsed_ms(now));
-        let value = encode(&learned).ok()?;
-        let key = LEARNED_KEY.into();
-        Some(KeyedRecord { key, value })
+        let loads = encode(&learned).ok().map(|value| KeyedRecord {
+            key: LEARNED_KEY.into(),
+            value,
+        });
+        let records = loads.into_iter().chain(self.run_times_record());
+        records.chain(self.shares_record(now)).collect()
     }
 
     /// Restores the loads that a former owner learned.
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -3,6 +3,7 @@
 //! A cell consists of the jobs of some submission partitions and the executors that run them. It
 //! has one owner among the hosts at a time.
 
+mod capacity;
 mod cell_load;
 mod cell_settings;
 mod cell_state;
@@ -10,14 +11,17 @@
 mod commits;
 mod departures;
 mod evacuation_progress;
+mod excess;
 mod foreign_runs;
 mod held_starts;
 mod incarnations;
 mod order_outcomes;
 mod planning;
+mod queue_order;
 mod ramp_up;
 mod relocation;
 mod reports;
+mod run_times;
 mod scored_executor;
 mod tail_latency;
 mod tickets;
@@ -31,3 +35,6 @@
 pub use commit_batch::Effect;
 pub(crate) use commits::LEARNED_KEY;
 pub(crate) use commits::is_lost_runs_key;
+pub(crate) use excess::SHARES_KEY;
+pub use queue_order::QueueOrder;
+pub(crate) use run_times::RUN_TIMES_KEY;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -7,6 +7,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::run_times::speed_penalty;
 use super::scored_executor::ScoredExecutor;
 use super::tickets::TICKET_VALIDITY_MIN;
 use crate::fleet::Executor;
@@ -26,6 +27,7 @@
 use crate::observe::decided;
 use crate::policy::PlacementRequest;
 use crate::policy::Rank;
+use crate::policy::RankContext;
 
 /// Limits the runs placed in one round, so that a round does not delay answers. At 20 rounds per
 /// second, the limit is above the start rate of the largest deployment.
@@ -48,7 +50,7 @@
 /// A step with waiting tasks, and its rank among such steps.
 #[derive(Clone, Copy)]
 pub(super) struct WaitingStep {
-    rank: Rank,
+    pub(super) rank: Rank,
     pub(super) job: JobId,
     pub(super) step_ref: StepRef,
 }
@@ -182,14 +184,20 @@
             let mut queue = None;
             for step_ref in job.ready_steps() {
                 let queue = queue.get_or_insert_with(|| Self::queue_config(&self.config, job));
+                let context = RankContext {
+                    queue,
+                    run_time: self.run_times.ratio(&queue.name),
+                    now,
+                };
                 waiting.push(WaitingStep {
-                    rank: self.queue_policy.rank(job, step_ref, queue, now),
+                    rank: self.queue_policy.rank(job, step_ref, &context),
                     job: job.id(),
                     step_ref,
                 });
             }
         }
         waiting.sort_by_key(|waiting| waiting.rank);
+        self.apply_excess(&mut waiting, now);
         waiting
     }
 
@@ -391,7 +399,7 @@
             may_interfere: search.may_interfere,
             may_be_interrupted: search.may_be_interrupted,
         };
-        let score = self.placement.score(&request, executor)?;
+        let score = self.placement.score(&request, executor)? - speed_penalty(step, executor, now);
         let reserved = step.reserved();
         if search.requires_spare_room
             && !reserved.saturating_add(&reserved).fits_in(&executor.free())
@@ -454,6 +462,7 @@
         executor.ramp_up.record_start();
         let service = executor.entry.service.clone();
         *self.pool_starts.entry(service).or_default() += 1;
+        self.record_placed(task, now);
         self.dirty.insert(task.job);
         self.effects.push(Effect::Start {
             executor: key,
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -15,6 +15,7 @@
 use super::Listing;
 use super::Order;
 use super::RampUp;
+use super::RelativeSpeed;
 use super::RunPhase;
 use super::RunView;
 use crate::model::ExecutorEntry;
@@ -48,6 +49,8 @@
     pub acked_end: u64,
     /// The recent failures, and the back-off that follows from them.
     pub health: Health,
+    /// How fast the executor runs tasks, compared with others.
+    pub speed: RelativeSpeed,
     /// Since when the tail latency of some serving task has been over its target.
     pub over_target_since: Option<Instant>,
     /// The recent processor use of fillers.
@@ -83,6 +86,7 @@
             applied_end: 0,
             acked_end: 0,
             health: Health::default(),
+            speed: RelativeSpeed::default(),
             over_target_since: None,
             filler_history: FillerHistory::default(),
             paced_at: None,
--- a/crates/jobs/src/fleet/mod.rs
+++ b/crates/jobs/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod order;
 mod order_queue;
 mod ramp_up;
+mod relative_speed;
 mod run_view;
 
 pub use executor::Executor;
@@ -20,5 +21,6 @@
 pub use order::Order;
 pub use order_queue::OrderQueue;
 pub use ramp_up::RampUp;
+pub use relative_speed::RelativeSpeed;
 pub use run_view::RunPhase;
 pub use run_view::RunView;
--- a/crates/jobs/src/ledger/mod.rs
+++ b/crates/jobs/src/ledger/mod.rs
@@ -5,6 +5,7 @@
 mod job_ledger;
 mod job_progress;
 mod lost_runs;
+mod submission_record;
 
 pub use codec::CodecError;
 pub use codec::decode;
@@ -17,3 +18,5 @@
 pub use job_progress::TaskProgress;
 pub use job_progress::TaskStatus;
 pub use lost_runs::LostRuns;
+pub use submission_record::decode_submission;
+pub use submission_record::encode_submission;
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -7,6 +7,8 @@
 pub enum Decision {
     /// A client's call was answered.
     CallAnswered,
+    /// A submission was refused because it can't be served within three times its objective.
+    CapacityRefused,
     /// A submission was read from the store.
     JobAccepted,
     /// A cancellation was read from the store.
@@ -71,6 +73,8 @@
     RecordUnreadable,
     /// The load of a cell; logged once a second.
     CellLoad,
+    /// The waiting tasks of a queue by what they can still reach; logged once a second.
+    QueueOrder,
     /// This host took over a cell.
     CellClaimed,
     /// This host no longer owns a cell.
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -17,7 +17,11 @@
 use super::topics::CANCELLATION_KEY_PREFIX;
 use crate::cell::CellState;
 use crate::cell::LEARNED_KEY;
+use crate::cell::RUN_TIMES_KEY;
+use crate::cell::SHARES_KEY;
 use crate::cell::is_lost_runs_key;
+use crate::ledger;
+use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::model::JobId;
@@ -76,9 +80,23 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
+        } else if &*record.key == SHARES_KEY {
+            match decode(&record.value) {
+                Ok(learned) => state.restore_shares(learned, now),
+                Err(error) => {
+                    decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+                }
+            }
+        } else if &*record.key == RUN_TIMES_KEY {
+            match decode(&record.value) {
+                Ok(learned) => state.restore_run_times(learned),
+                Err(error) => {
+                    decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+                }
+            }
         } else if is_lost_runs_key(&record.key) {
             // Applied once the jobs are restored.
-        } else if let Some((id, value)) = decode_job_record::<JobProgress>(record) {
+        } else if let Some((id, value)) = decode_job_record(record, decode::<JobProgress>) {
             progress.insert(id, value);
         }
     }
@@ -177,18 +195,14 @@
 /// Decodes the record of a submission. Logs a record that can't be decoded or whose specification is
 /// invalid, and returns `None`.
 pub(super) fn decode_submission(record: &KeyedRecord) -> Option<(JobId, Submission)> {
-    let (id, submission) = decode_job_record::<Submission>(record)?;
-    let Submission {
-        queue,
-        spec,
-        accepted_unix_ms,
-    } = submission;
-    match spec.validate() {
+    let (id, submission) = decode_job_record(record, ledger::decode_submission)?;
+    match submission.spec.validate() {
         Ok(spec) => {
             let submission = Submission {
-                queue,
                 spec,
-                accepted_unix_ms,
+                queue: submission.queue,
+                accepted_unix_ms: submission.accepted_unix_ms,
+                entry_domain: submission.entry_domain,
             };
             Some((id, submission))
         }
@@ -201,8 +215,9 @@
 
 /// Decodes a record that a cell owner or an entry host wrote under a job id. Logs a record that
 /// can't be decoded and returns `None`.
-pub(super) fn decode_job_record<T: serde::de::DeserializeOwned>(
+pub(super) fn decode_job_record<T>(
     record: &KeyedRecord,
+    decode: impl Fn(&[u8]) -> Result<T, CodecError>,
 ) -> Option<(JobId, T)> {
     let id = JobId::from_str(&record.key);
     match (id, decode(&record.value)) {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::cell::CellState;
 use dotterelhook_jobs::cell::CommitBatch;
@@ -53,6 +54,8 @@
     pub(crate) stored: HashMap<JobId, JobProgress>,
     /// The newest stored record of each other key.
     pub(crate) other_records: BTreeMap<Box<str>, KeyedRecord>,
+    /// The newest stored records that belong to no job.
+    pub(crate) learned: HashMap<Box<str>, Bytes>,
 }
 
 pub(crate) fn settings() -> CellSettings {
@@ -135,6 +138,7 @@
             schedule: None,
         },
         accepted_unix_ms: 0,
+        entry_domain: None,
     })
 }
 
@@ -178,6 +182,7 @@
             clock_ms: 1_000,
             stored: HashMap::new(),
             other_records: BTreeMap::new(),
+            learned: HashMap::new(),
         }
     }
 
@@ -210,6 +215,7 @@
             clock_ms: self.clock_ms,
             stored: self.stored.clone(),
             other_records: self.other_records.clone(),
+            learned: self.learned.clone(),
         };
         for (id, submission) in submissions {
             let progress = self.stored.get(id).cloned().unwrap_or_default();
@@ -309,6 +315,8 @@
         for record in &batch.records {
             let Ok(id) = record.key.parse() else {
                 store_other(&mut self.other_records, record);
+                self.learned
+                    .insert(record.key.clone(), record.value.clone());
                 continue;
             };
             let progress = decode(&record.value).expect("a progress record");
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a cell's state machine, without a network.
 
 mod bursts;
+mod capacity;
 mod departures;
 mod double_runs;
 mod evacuations;
@@ -17,7 +18,11 @@
 mod pending;
 mod probation;
 mod ramp_ups;
+mod run_times;
+mod shortage;
+mod shortage_load;
 mod simulated_executor;
+mod speeds;
 mod tails;
 mod takeovers;
 mod tickets;
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -282,6 +282,7 @@
             schedule: None,
         },
         accepted_unix_ms: 0,
+        entry_domain: None,
     }
 }
 
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -6,3 +6,6 @@
 mod operator_view;
 mod order;
 mod placement;
+mod run_times;
+mod shares;
+mod speeds;
