--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -294,7 +294,7 @@
         1_000
     }
 
-    /// Off during an upgrade from a version whose owners can't read the record.
+    /// Owners of earlier versions cannot read the record, so a rolling upgrade needs it off.
     pub(super) fn record_entry_domain() -> bool {
         false
     }
--- a/crates/jobs/tests/cell/run_times.rs
+++ b/crates/jobs/tests/cell/run_times.rs
@@ -80,7 +80,7 @@
 
     assert_eq!(ratio(&next), ratio(&harness));
     assert_ne!(ratio(&next), RunTimeRatio::default());
-    decode::<LearnedInterference>(&record("learned-loads")).expect("the layout of the loads");
+    decode::<LearnedInterference>(&record("learned-pressures")).expect("the layout of the loads");
 }
 
 /// Guards against run times that include the time before a takeover that the new owner did not see.
