Place a gang on the rack with its data, else on the one with the most room

Cause: a gang with same_rack tried the racks in the order of their names, and a gang that also has a preferred rack took the first rack that fitted, away from its data.

Change: the preferred rack is tried first, then the other racks by free processor time of the executors that accept runs, then any executors. The rack filter of a search compares all labels, as the bonus of the preferred rack does.

--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,5 +1,5 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
@@ -226,20 +226,16 @@
             .collect()
     }
 
-    /// Places all members of a gang, or none. Prefers a single rack if the gang needs one for full
-    /// speed.
+    /// Places all members of a gang, or none. Prefers a single rack, the one with its data, if the
+    /// gang needs it for full speed.
     fn place_gang(&mut self, search: &StepSearch<'_>, tasks: &[TaskId], now: Instant) -> usize {
         if tasks.len() < search.step.count as usize {
             return 0;
         }
-        let racks = match search.step.same_rack {
-            true => self.service_racks(search.service),
-            false => Vec::new(),
-        };
-        let rack_filters = racks.iter().map(Some).chain([None]);
-        for rack in rack_filters {
-            let search = StepSearch { rack, ..*search };
-            let Some(placements) = self.find_gang_executors(&search, tasks, now) else {
+        let (preferred, others) = self.gang_racks(search, now);
+        let racks = preferred.iter().chain(&others).map(Some).chain([None]);
+        for rack in racks {
+            let Some(placements) = self.find_gang_executors(search, rack, tasks, now) else {
                 continue;
             };
             for (task, id) in &placements {
@@ -250,16 +246,36 @@
         0
     }
 
+    /// Returns the racks on which all members of a gang run at full speed, and the other racks that
+    /// are better than none. The rack with the most free processors is first.
+    fn gang_racks(&self, search: &StepSearch<'_>, now: Instant) -> (Vec<Label>, Vec<Label>) {
+        let step = search.step;
+        let racks = match step.same_rack {
+            true => self.racks_by_free_cpu(search.service, now),
+            false => Vec::new(),
+        };
+        match &step.preferred_rack {
+            Some(preferred) => {
+                let others = racks.into_iter().filter(|rack| rack != preferred);
+                (vec![preferred.clone()], others.collect())
+            }
+            None => (racks, Vec::new()),
+        }
+    }
+
     /// Finds an executor for each member of a gang, with the resources of all members reserved.
     fn find_gang_executors(
         &mut self,
         search: &StepSearch<'_>,
+        rack: Option<&Label>,
         tasks: &[TaskId],
         now: Instant,
     ) -> Option<Vec<(TaskId, ExecutorId)>> {
+        let search = StepSearch { rack, ..*search };
         let mut placements = Vec::new();
         for task in tasks {
-            let Some(ScoredExecutor { executor: id, .. }) = self.score_executors(search, now).pop()
+            let Some(ScoredExecutor { executor: id, .. }) =
+                self.score_executors(&search, now).pop()
             else {
                 break;
             };
@@ -278,13 +294,18 @@
         (placements.len() == tasks.len()).then_some(placements)
     }
 
-    fn service_racks(&self, service: &ServiceId) -> Vec<Label> {
-        let executors = self.executors.values().map(|executor| &executor.entry);
-        let racks: BTreeSet<Label> = executors
-            .filter(|entry| entry.service == *service)
-            .filter_map(|entry| entry.rack().cloned())
-            .collect();
-        racks.into_iter().collect()
+    /// Returns the racks of the executors that accept runs, the one with the most free processors
+    /// first.
+    fn racks_by_free_cpu(&self, service: &ServiceId, now: Instant) -> Vec<Label> {
+        let mut free_milli: BTreeMap<Label, u64> = BTreeMap::new();
+        for executor in self.available_executors(service, now) {
+            if let Some(rack) = executor.entry.rack() {
+                *free_milli.entry(rack.clone()).or_default() += executor.free().cpu_milli.0;
+            }
+        }
+        let mut racks: Vec<(Label, u64)> = free_milli.into_iter().collect();
+        racks.sort_by_key(|(_, free_milli)| Reverse(*free_milli));
+        racks.into_iter().map(|(rack, _)| rack).collect()
     }
 
     /// Returns the serving images that a step's tasks are known to interfere with, each with its
@@ -321,8 +342,8 @@
         now: Instant,
     ) -> Option<ScoredExecutor> {
         let StepSearch { step, .. } = *search;
-        let rack = executor.entry.rack();
-        let is_on_rack = search.rack.is_none_or(|wanted| rack == Some(wanted));
+        let labels = &executor.entry.labels;
+        let is_on_rack = search.rack.is_none_or(|rack| labels.contains(rack));
         let is_over_target = step.is_filler && executor.over_target_since.is_some();
         if !is_on_rack || is_over_target || !executor.accepts_runs(self.settings.silence_max(), now)
         {
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -132,6 +132,19 @@
     })
 }
 
+pub(crate) fn executor_entry(id: &str, cpu_milli: u64) -> ExecutorEntry {
+    ExecutorEntry {
+        id: id.into(),
+        incarnation: Some(Incarnation(1)),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        failure_domain: "laguna".into(),
+        labels: Vec::new(),
+        capacity: Resources::new(cpu_milli, 100_000),
+        phase: ExecutorPhase::Ready,
+    }
+}
+
 pub(crate) fn running(task: TaskId, run: u32) -> RunningRun {
     RunningRun {
         task,
@@ -155,9 +168,14 @@
 impl CellHarness {
     /// Creates a cell without executors.
     pub(crate) fn new() -> Self {
+        Self::with_settings(settings())
+    }
+
+    /// Creates a cell without executors, with settings of its own.
+    pub(crate) fn with_settings(settings: CellSettings) -> Self {
         let now = Instant::now();
         Self {
-            cell: CellState::new(Arc::new(settings()), Epoch(7), config(3), now),
+            cell: CellState::new(Arc::new(settings), Epoch(7), config(3), now),
             now,
             orders: BTreeMap::new(),
             clock_ms: 1_000,
@@ -204,18 +222,14 @@
 
     /// Lists an executor with the given processor capacity.
     pub(crate) fn list_executor(&mut self, id: &str, cpu_milli: u64) {
-        let entry = ExecutorEntry {
-            id: id.into(),
-            incarnation: Some(Incarnation(1)),
-            service: SERVICE.into(),
-            address: ([127, 0, 0, 1], 9_000).into(),
-            failure_domain: "laguna".into(),
-            labels: Vec::new(),
-            capacity: Resources::new(cpu_milli, 100_000),
-            phase: ExecutorPhase::Ready,
-        };
+        self.upsert_executor(executor_entry(id, cpu_milli));
+    }
+
+    /// Adds an executor or updates its entry.
+    pub(crate) fn upsert_executor(&mut self, entry: ExecutorEntry) {
+        let id = entry.id.clone();
         if let Some(orders) = self.cell.upsert_executor(entry, self.now) {
-            self.orders.insert(id.into(), orders);
+            self.orders.insert(id, orders);
         }
     }
 
--- a/crates/jobs/tests/cell/gangs.rs
+++ b/crates/jobs/tests/cell/gangs.rs
@@ -2,7 +2,9 @@
 
 use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::model::ExecutorEntry;
 use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::Label;
 use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::platform::OrderError;
@@ -10,6 +12,7 @@
 
 use crate::fixture::CellHarness;
 use crate::fixture::QUEUE;
+use crate::fixture::executor_entry;
 use crate::fixture::job;
 use crate::fixture::running;
 use crate::fixture::settings;
@@ -127,3 +130,35 @@
     assert_eq!(stops, [Order::Stop(first, run)]);
     assert_eq!(harness.take_orders("i-1"), []);
 }
+
+/// Guards against a gang that runs slower than it could, away from its data, because the racks were
+/// tried in the order of their names.
+#[tokio::test]
+async fn a_gang_takes_the_rack_with_its_data_and_otherwise_the_one_with_the_most_room() {
+    let placed_on = |preferred_rack: Option<Label>| {
+        let mut harness = CellHarness::new();
+        for (id, cpu_milli, rack) in [
+            ("i-1", 4_000, "r1"),
+            ("i-2", 6_000, "r2"),
+            ("i-3", 8_000, "r3"),
+        ] {
+            harness.upsert_executor(ExecutorEntry {
+                labels: vec![rack.into()],
+                ..executor_entry(id, cpu_milli)
+            });
+            harness.report(id, vec![], vec![]);
+        }
+        let gang = StepSpec {
+            same_rack: true,
+            preferred_rack,
+            ..gang(2, 2_000)
+        };
+        let submitted = submission(vec![gang]);
+        harness.cell.accept(job(1), submitted, harness.now);
+        harness.commit();
+        ["i-1", "i-2", "i-3"].map(|id| harness.accept_starts(id).len())
+    };
+
+    assert_eq!(placed_on(Some("r2".into())), [0, 2, 0]);
+    assert_eq!(placed_on(None), [0, 0, 2]);
+}
