Decide how long work waits for a preferred placement

Cause: a task took the rack with its data only if it was free at that moment, and a gang ran on several racks as soon as no single one had room for all members, however soon one would have had.

Change: with far_factor in the settings, a task or a gang that could run elsewhere compares that with the capacity that is due on its rack: the ends of the runs there with their spread, after what waits ahead. It waits while the expected value of the job's end is higher, at most for the slack to the objective and for as long as the rack saves. Meanwhile the awaited room is held against work behind it in the order, except for what ends before. Among steps of one class and priority, a rack serves those first that gain most from it. The decision is made again in each round. The setting placement_wait chooses between never, always and decided (the default). Without far_factor nothing changes.

--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -4,6 +4,9 @@
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::entry::EntrySettings;
 use dotterelhook_jobs::ownership::required_partition_count;
+use dotterelhook_jobs::policy::FarFactor;
+use dotterelhook_jobs::policy::PlacementWait;
+use dotterelhook_jobs::policy::WaitPolicy;
 use dotterelhook_types::document::FieldError;
 use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
@@ -76,6 +79,10 @@
     membership_ttl_ms: u64,
     #[serde(default = "defaults::retry_after_ms")]
     retry_after_ms: u64,
+    #[serde(default)]
+    far_factor: Option<f64>,
+    #[serde(default)]
+    placement_wait: Option<WaitPolicy>,
 }
 
 /// The checked settings of a daemon that runs jobs, with the defaults filled in.
@@ -143,6 +150,7 @@
                 ttl_min_ms,
                 60_000,
             )?,
+            placement_wait: placement_wait(jobs)?,
         };
         let connections_max =
             checked_number(&field("connections_max"), jobs.connections_max, 1, 100_000)?;
@@ -175,6 +183,21 @@
     }
 }
 
+/// Returns how work waits for a preferred placement; without a factor, no work does.
+fn placement_wait(jobs: &RawJobs) -> Result<Option<PlacementWait>, FieldError> {
+    let far_factor = jobs.far_factor.map(FarFactor::try_from).transpose();
+    let far_factor =
+        far_factor.map_err(|error| FieldError::new("jobs.far_factor", error.to_string()))?;
+    if far_factor.is_none() && jobs.placement_wait.is_some() {
+        let rule = "has no effect without far_factor";
+        return Err(FieldError::new("jobs.placement_wait", rule));
+    }
+    Ok(far_factor.map(|far_factor| PlacementWait {
+        far_factor,
+        policy: jobs.placement_wait.unwrap_or_default(),
+    }))
+}
+
 fn check_addresses(jobs: &RawJobs) -> Result<(), FieldError> {
     let listeners = [
         ("jobs.clients_address", jobs.clients_address),
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -224,6 +224,21 @@
             "retention_ms: value 1",
             "1000 to 86400000",
         ),
+        (
+            "\"far_factor\": 0.5",
+            "far_factor: value 0.5",
+            "must be from 1 to 100",
+        ),
+        (
+            "\"placement_wait\": \"always\"",
+            "placement_wait: value \"always\"",
+            "has no effect without far_factor",
+        ),
+        (
+            "\"far_factor\": 3, \"placement_wait\": \"often\"",
+            "placement_wait: value \"often\"",
+            "unknown variant",
+        ),
     ];
     for (index, (added, place, rule)) in table.into_iter().enumerate() {
         let last = "\"membership_ttl_min_ms\": 1000";
--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::fleet::ExecutorClock;
+use crate::policy::PlacementWait;
 
 /// The settings of the cells that a host owns.
 #[derive(Clone, Debug)]
@@ -27,6 +28,8 @@
     pub early_max: Duration,
     /// How long a host remains a group member without a heartbeat.
     pub membership_ttl: Duration,
+    /// How work waits for a preferred placement; without it, no work does.
+    pub placement_wait: Option<PlacementWait>,
 }
 
 impl CellSettings {
--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -9,6 +9,7 @@
 
 use super::CellSettings;
 use super::Effect;
+use super::placement_waits::PlacementWaits;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::fleet::Executor;
@@ -29,6 +30,7 @@
 use crate::model::Submission;
 use crate::model::TaskId;
 use crate::observe::Decision;
+use crate::observe::JobMetrics;
 use crate::observe::decided;
 use crate::policy::FillerPacer;
 use crate::policy::InterferenceAwarePlacement;
@@ -77,6 +79,9 @@
     pub(super) former_leases_end: Instant,
     /// Tasks placed by former owners on executors that have not been listed since the takeover.
     pub(super) unlisted_placements: BTreeMap<ExecutorKey, Vec<TaskId>>,
+    /// The waits for preferred placements.
+    pub(super) placement_waits: PlacementWaits,
+    pub(super) metrics: JobMetrics,
 }
 
 impl CellState {
@@ -107,9 +112,16 @@
             waiting_since: BTreeMap::new(),
             former_leases_end,
             unlisted_placements: BTreeMap::new(),
+            placement_waits: PlacementWaits::default(),
+            metrics: JobMetrics::default(),
         }
     }
 
+    /// Counts in the given metrics instead of own ones.
+    pub fn with_metrics(self, metrics: JobMetrics) -> Self {
+        Self { metrics, ..self }
+    }
+
     /// Returns the owner's epoch, the fencing token of its orders.
     pub fn epoch(&self) -> Epoch {
         self.epoch
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,5 +1,6 @@
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
@@ -40,32 +41,37 @@
 const LONG_RUNNING_WAIT_MAX: Duration = Duration::from_millis(3_000);
 
 /// A step with waiting tasks, and its rank among such steps.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct WaitingStep {
-    rank: Rank,
+    pub(super) rank: Rank,
     pub(super) job: JobId,
     pub(super) step_ref: StepRef,
 }
 
 /// The constraints on executors for the tasks of a step.
 #[derive(Clone, Copy)]
-struct StepSearch<'a> {
-    job: JobId,
-    step_ref: StepRef,
-    step: &'a StepSpec,
-    service: &'a ServiceId,
-    pressures: &'a [(ImageName, f64)],
+pub(super) struct StepSearch<'a> {
+    pub(super) job: JobId,
+    pub(super) step_ref: StepRef,
+    pub(super) step: &'a StepSpec,
+    pub(super) service: &'a ServiceId,
+    pub(super) pressures: &'a [(ImageName, f64)],
     /// The only rack to search, if any.
-    rack: Option<&'a Label>,
+    pub(super) rack: Option<&'a Label>,
     /// Whether a start needs a valid ticket.
-    needs_ticket: bool,
+    pub(super) needs_ticket: bool,
     /// Whether the executor must have room for twice the task, so that as much is left for others.
-    requires_spare_room: bool,
+    pub(super) requires_spare_room: bool,
     /// Whether the tasks may run where they interfere with serving tasks.
-    may_interfere: bool,
+    pub(super) may_interfere: bool,
 }
 
 impl StepSearch<'_> {
+    /// Returns the step that is searched for.
+    pub(super) fn key(&self) -> (JobId, StepRef) {
+        (self.job, self.step_ref)
+    }
+
     /// Returns whether a task belongs to the searched step.
     fn is_same_step(&self, task: &TaskId) -> bool {
         task.job == self.job && StepRef::from(*task) == self.step_ref
@@ -77,7 +83,9 @@
     /// Places waiting tasks and returns whether the round reached its limit of placements.
     pub fn place_waiting_tasks(&mut self, now: Instant) -> bool {
         self.update_wait_times(now);
+        self.placement_waits.begin_round();
         let waiting = self.waiting_steps(now);
+        let mut rack_turns = self.rack_turns(&waiting, now);
         let overdue = waiting.iter().filter(|waiting| {
             let since = self.waiting_since.get(&(waiting.job, waiting.step_ref));
             since.is_some_and(|since| now.duration_since(*since) >= LONG_RUNNING_WAIT_MAX)
@@ -86,17 +94,26 @@
         let turns = overdue.iter().map(|waiting| (waiting, true));
         let turns = turns.chain(waiting.iter().map(|waiting| (waiting, false)));
         let mut placed = 0;
+        let mut full_racks = BTreeSet::new();
         for (waiting, requires_spare_room) in turns {
-            placed += self.place_step(
-                waiting,
-                requires_spare_room,
-                PLACEMENTS_PER_ROUND_MAX - placed,
-                now,
-            );
+            let rivals = rack_turns.remove(&(waiting.job, waiting.step_ref));
+            for turn in rivals.into_iter().flatten() {
+                let limit = turn.tasks_max.min(PLACEMENTS_PER_ROUND_MAX - placed);
+                if limit == 0 || full_racks.contains(&turn.rack) {
+                    continue;
+                }
+                match self.place_step(&turn.step, Some(&turn.rack), false, limit, now) {
+                    0 => _ = full_racks.insert(turn.rack),
+                    count => placed += count,
+                }
+            }
+            let limit = PLACEMENTS_PER_ROUND_MAX - placed;
+            placed += self.place_step(waiting, None, requires_spare_room, limit, now);
             if placed >= PLACEMENTS_PER_ROUND_MAX {
                 return true;
             }
         }
+        self.end_closed_waits(now);
         false
     }
 
@@ -168,6 +185,7 @@
     fn place_step(
         &mut self,
         waiting: &WaitingStep,
+        rack: Option<&Label>,
         requires_spare_room: bool,
         limit: usize,
         now: Instant,
@@ -190,7 +208,7 @@
             step,
             service: &queue.service,
             pressures: &pressures,
-            rack: None,
+            rack,
             needs_ticket: queue.advice.is_some(),
             requires_spare_room,
             may_interfere: self.has_been_idle(waiting.job, now),
@@ -200,10 +218,17 @@
         }
         let mut candidates = self.score_executors(&search, now);
         let mut placed = 0;
-        for task in tasks.into_iter().take(limit) {
+        for (index, task) in tasks.iter().copied().enumerate().take(limit) {
             let Some(best) = candidates.pop() else {
+                if rack.is_none() {
+                    self.note_tasks_ahead(&search, tasks.len() - index);
+                }
                 break;
             };
+            if self.waits_for_rack(&search, task, &best.executor, now) {
+                candidates.push(best);
+                continue;
+            }
             if !self.place_task(step, task, &best.executor, now) {
                 continue;
             }
@@ -233,17 +258,26 @@
             return 0;
         }
         let (preferred, others) = self.gang_racks(search, now);
-        let racks = preferred.iter().chain(&others).map(Some).chain([None]);
-        for rack in racks {
-            let Some(placements) = self.find_gang_executors(search, rack, tasks, now) else {
-                continue;
-            };
-            for (task, id) in &placements {
-                self.place_task(search.step, *task, id, now);
+        let mut placements = preferred
+            .iter()
+            .find_map(|rack| self.find_gang_executors(search, Some(rack), tasks, now));
+        if placements.is_none() {
+            let elsewhere = others.iter().map(Some).chain([None]);
+            placements = elsewhere
+                .into_iter()
+                .find_map(|rack| self.find_gang_executors(search, rack, tasks, now));
+            if self.gang_waits_for_rack(search, tasks, &preferred, placements.is_some(), now) {
+                return 0;
             }
-            return placements.len();
         }
-        0
+        let Some(placements) = placements else {
+            self.note_tasks_ahead(search, tasks.len());
+            return 0;
+        };
+        for (task, id) in &placements {
+            self.place_task(search.step, *task, id, now);
+        }
+        placements.len()
     }
 
     /// Returns the racks on which all members of a gang run at full speed, and the other racks that
@@ -335,7 +369,7 @@
     }
 
     /// Returns an executor with its score for a step's tasks, or `None` if they must not run there.
-    fn score_executor(
+    pub(super) fn score_executor(
         &self,
         search: &StepSearch<'_>,
         executor: &Executor,
@@ -349,13 +383,8 @@
         {
             return None;
         }
-        if search.needs_ticket {
-            self.ticket(
-                search.job,
-                search.step_ref,
-                executor,
-                now + TICKET_VALIDITY_MIN,
-            )?;
+        if search.needs_ticket && !self.has_ticket(search, executor, now) {
+            return None;
         }
         let request = PlacementRequest {
             step,
@@ -379,12 +408,27 @@
         {
             return None;
         }
+        if !self.holds_leave_room(search, executor) {
+            return None;
+        }
         Some(ScoredExecutor {
             score,
             executor: executor.entry.id.clone(),
         })
     }
 
+    /// Returns whether a start of the step's tasks on an executor has the ticket that it needs.
+    pub(super) fn has_ticket(
+        &self,
+        search: &StepSearch<'_>,
+        executor: &Executor,
+        now: Instant,
+    ) -> bool {
+        let valid_at = now + TICKET_VALIDITY_MIN;
+        self.ticket(search.job, search.step_ref, executor, valid_at)
+            .is_some()
+    }
+
     fn place_task(&mut self, step: &StepSpec, task: TaskId, id: &ExecutorId, now: Instant) -> bool {
         let Some(executor) = self.executors.get_mut(id) else {
             return false;
@@ -419,6 +463,7 @@
             task,
             run,
         });
+        self.record_placement(step, task, run, id, now);
         true
     }
 }
--- /dev/null
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -0,0 +1,487 @@
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::CellState;
+use super::placement_waits::Hold;
+use super::placement_waits::RackForecast;
+use super::placement_waits::RackKey;
+use super::placement_waits::WaitStart;
+use super::planning::StepSearch;
+use super::planning::WaitingStep;
+use super::rack_forecasts::distance_factor;
+use crate::fleet::Executor;
+use crate::fleet::RunPhase;
+use crate::fleet::RunView;
+use crate::ledger::Job;
+use crate::ledger::StepRef;
+use crate::ledger::TaskStatus;
+use crate::model::ExecutorId;
+use crate::model::JobId;
+use crate::model::Label;
+use crate::model::RunNumber;
+use crate::model::StepSpec;
+use crate::model::TaskId;
+use crate::policy::FILLER_CPU_SHARE_MIN;
+use crate::policy::JobSlack;
+use crate::policy::PlacementWait;
+use crate::policy::Room;
+use crate::policy::RunTimeRatio;
+use crate::policy::Slot;
+use crate::policy::SlotNeed;
+use crate::policy::TimeSpread;
+use crate::policy::WaitDecision;
+use crate::policy::WaitInputs;
+use crate::policy::WaitPolicy;
+
+/// Limits the racks whose ends are forecast for a gang, so that a round stays cheap with many racks.
+const GANG_RACKS_MAX: usize = 16;
+/// Limits the tasks of one step ahead that a forecast takes in; more make any wait long anyway.
+const TASKS_AHEAD_MAX: usize = 64;
+
+/// Limits the steps whose gains from one rack are compared, first in the order first.
+const BIDS_MAX: usize = 64;
+/// Limits the steps that go ahead of another one on the rack that both prefer.
+const RIVALS_MAX: usize = 8;
+
+/// A turn of a step on the rack that it prefers.
+#[derive(Clone, Debug)]
+pub(super) struct RackTurn {
+    pub(super) step: WaitingStep,
+    pub(super) rack: Label,
+    pub(super) tasks_max: usize,
+}
+
+/// What a rack is worth to a step that prefers it.
+struct RackBid {
+    step: WaitingStep,
+    /// The gain per unit of capacity and time that the tasks take there.
+    gain: f64,
+    cpu_milli: u64,
+    /// The number of waiting tasks.
+    count: usize,
+}
+
+/// The wait of tasks and gangs for a preferred placement.
+impl CellState {
+    /// Returns the wait settings that apply to a step, or `None` if its work never waits.
+    ///
+    /// Long-running tasks have no run time that a placement could save, and must start within a
+    /// few seconds.
+    fn wait_settings(&self, step: &StepSpec) -> Option<PlacementWait> {
+        let settings = self.settings.placement_wait?;
+        (settings.policy != WaitPolicy::Never && !step.is_long_running).then_some(settings)
+    }
+
+    /// Returns whether a task waits for the rack with its data instead of running on `best`, the
+    /// best executor that is free.
+    pub(super) fn waits_for_rack(
+        &mut self,
+        search: &StepSearch<'_>,
+        task: TaskId,
+        best: &ExecutorId,
+        now: Instant,
+    ) -> bool {
+        let Some(rack) = &search.step.preferred_rack else {
+            return false;
+        };
+        let Some(settings) = self.wait_settings(search.step) else {
+            return false;
+        };
+        let is_there = |executor: &Executor| executor.entry.labels.contains(rack);
+        if self.executors.get(best).is_none_or(is_there) {
+            return false;
+        }
+        let Some(need) = self.slot_need(search.step, search.key()) else {
+            return false;
+        };
+        let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
+        let forecast = self.take_forecast(&key);
+        let slot = forecast.capacity.find(&need, |id, fits_now| {
+            self.is_excluded(search, id, fits_now, now)
+        });
+        let slots: Vec<Slot> = slot.into_iter().collect();
+        self.decides_to_wait(search, settings, rack, (key, forecast), task, &slots, now)
+    }
+
+    /// Returns whether a gang waits for room on one of its preferred racks. `is_free_elsewhere` tells
+    /// whether all its members could run elsewhere now.
+    pub(super) fn gang_waits_for_rack(
+        &mut self,
+        search: &StepSearch<'_>,
+        tasks: &[TaskId],
+        racks: &[Label],
+        is_free_elsewhere: bool,
+        now: Instant,
+    ) -> bool {
+        let Some(settings) = self.wait_settings(search.step) else {
+            return false;
+        };
+        let Some(first) = tasks.first() else {
+            return false;
+        };
+        // A gang keeps its claim while it waits, even if the room elsewhere is taken meanwhile.
+        if !is_free_elsewhere && self.placement_waits.since(*first).is_none() {
+            return false;
+        }
+        let Some(need) = self.slot_need(search.step, search.key()) else {
+            return false;
+        };
+        let mut best: Option<(&Label, Vec<Slot>)> = None;
+        for rack in racks.iter().take(GANG_RACKS_MAX) {
+            let search = StepSearch {
+                rack: Some(rack),
+                ..*search
+            };
+            let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
+            let forecast = self.take_forecast(&key);
+            let slots = forecast
+                .capacity
+                .find_all(&need, tasks.len(), |id, fits_now| {
+                    self.is_excluded(&search, id, fits_now, now)
+                });
+            self.placement_waits.forecasts.insert(key, forecast);
+            // If all slots were free now, the gang would have been placed there.
+            let slots = slots.filter(|slots| Slot::latest_start(slots).mean_ms > 0.0);
+            let is_earlier = |slots: &Vec<Slot>| {
+                best.as_ref().is_none_or(|(_, other)| {
+                    Slot::latest_start(slots).mean_ms < Slot::latest_start(other).mean_ms
+                })
+            };
+            if let Some(slots) = slots.filter(is_earlier) {
+                best = Some((rack, slots));
+            }
+        }
+        let Some((rack, slots)) = best.or_else(|| Some((racks.first()?, Vec::new()))) else {
+            return false;
+        };
+        let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
+        let forecast = self.take_forecast(&key);
+        self.decides_to_wait(search, settings, rack, (key, forecast), *first, &slots, now)
+    }
+
+    /// Decides on a wait that would end in the given slots, and records the decision. Puts the
+    /// forecast back, with the slots claimed if the task waits.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each is an input of the decision"
+    )]
+    fn decides_to_wait(
+        &mut self,
+        search: &StepSearch<'_>,
+        settings: PlacementWait,
+        rack: &Label,
+        (key, mut forecast): (RackKey, RackForecast),
+        task: TaskId,
+        slots: &[Slot],
+        now: Instant,
+    ) -> bool {
+        let decided = self.decide_wait(search, settings, &forecast, task, slots, now);
+        let waits = match decided {
+            Some((inputs, WaitDecision::Wait { limit_ms, gain_ms })) => {
+                let expected_wait_ms = inputs.wait.unwrap_or_default().mean_ms;
+                let start = WaitStart {
+                    task,
+                    rack,
+                    waited_ms: inputs.waited_ms,
+                    expected_wait_ms,
+                    limit_ms,
+                    gain_ms,
+                    slack_ms: inputs.slack_ms,
+                    heard_ms: forecast.heard_ms,
+                };
+                self.placement_waits.wait(&start, &self.metrics, now);
+                if let Some(need) = self.slot_need(search.step, search.key()) {
+                    forecast.capacity.claim(&need, slots);
+                }
+                if settings.policy == WaitPolicy::Decided {
+                    let hold = Hold {
+                        room: search.step.reserved().into(),
+                        start_ms: expected_wait_ms,
+                    };
+                    for slot in slots {
+                        self.placement_waits.hold(slot.executor.clone(), hold);
+                    }
+                }
+                // A chosen wait is no lack of harmless places for a filler.
+                self.idle_since.remove(&search.job);
+                true
+            }
+            Some((_, WaitDecision::RunElsewhere(reason))) => {
+                self.placement_waits.give_up(task, reason);
+                false
+            }
+            None => false,
+        };
+        self.placement_waits.forecasts.insert(key, forecast);
+        waits
+    }
+
+    fn decide_wait(
+        &self,
+        search: &StepSearch<'_>,
+        settings: PlacementWait,
+        forecast: &RackForecast,
+        task: TaskId,
+        slots: &[Slot],
+        now: Instant,
+    ) -> Option<(WaitInputs, WaitDecision)> {
+        let job = self.ledger.job(search.job)?;
+        let since = self.placement_waits.since(task);
+        let since = since.unwrap_or_else(|| self.first_wait_since(job, search.step_ref, now));
+        let idle_share: f64 = slots.iter().map(|slot| slot.idle_share).sum();
+        let inputs = WaitInputs {
+            wait: (!slots.is_empty()).then(|| Slot::latest_start(slots)),
+            idle_share: idle_share / slots.len().max(1) as f64,
+            contention: forecast.used_share,
+            ..self.wait_inputs(job, search.step_ref, settings, since, now)
+        };
+        let decision = match settings.policy {
+            WaitPolicy::Decided => inputs.decide(),
+            _ => inputs.wait_while_slack(),
+        };
+        Some((inputs, decision))
+    }
+
+    /// Lets forecasts account for tasks of a step that nothing is free for: they are ahead in the
+    /// order.
+    pub(super) fn note_tasks_ahead(&mut self, search: &StepSearch<'_>, count: usize) {
+        if count == 0 || self.wait_settings(search.step).is_none() {
+            return;
+        }
+        if let Some(need) = self.slot_need(search.step, search.key()) {
+            let count = count.min(TASKS_AHEAD_MAX);
+            for (key, forecast) in &mut self.placement_waits.forecasts {
+                if key.0 == *search.service {
+                    forecast.claim_share(&need, count);
+                }
+            }
+            let ahead = (search.service.clone(), need, count);
+            self.placement_waits.tasks_ahead.push(ahead);
+        }
+    }
+
+    /// Records the placement of a task in the forecasts, and ends its wait.
+    pub(super) fn record_placement(
+        &mut self,
+        step: &StepSpec,
+        task: TaskId,
+        run: RunNumber,
+        id: &ExecutorId,
+        now: Instant,
+    ) {
+        if self.settings.placement_wait.is_none() {
+            return;
+        }
+        if let Some(executor) = self.executors.get(id) {
+            self.placement_waits
+                .end(task, run, executor, &self.metrics, now);
+        }
+        if let Some(need) = self.slot_need(step, (task.job, task.into())) {
+            for forecast in self.placement_waits.forecasts.values_mut() {
+                let need = forecast.as_seen(&need);
+                forecast.capacity.record_placement(id, &need);
+            }
+        }
+    }
+
+    /// Ends the waits of jobs that are over.
+    pub(super) fn end_closed_waits(&mut self, now: Instant) {
+        let ledger = &self.ledger;
+        let is_open = |task: TaskId| ledger.is_open(task.job);
+        self.placement_waits.retain(is_open, &self.metrics, now);
+    }
+
+    /// Returns for each step the steps behind it in the order that gain more from the rack that both
+    /// prefer, for the capacity and time that they take there. They are of the same class and
+    /// priority.
+    ///
+    /// They are placed on that rack first, with no more capacity than the step could take there, so
+    /// that other steps in between lose nothing.
+    pub(super) fn rack_turns(
+        &self,
+        waiting: &[WaitingStep],
+        now: Instant,
+    ) -> BTreeMap<(JobId, StepRef), Vec<RackTurn>> {
+        let mut turns = BTreeMap::new();
+        let settings = self.settings.placement_wait;
+        let Some(settings) = settings.filter(|wait| wait.policy == WaitPolicy::Decided) else {
+            return turns;
+        };
+        let mut groups: BTreeMap<(u32, u32, &Label), Vec<RackBid>> = BTreeMap::new();
+        for entry in waiting {
+            let Some(job) = self.ledger.job(entry.job) else {
+                continue;
+            };
+            let step = job.step(entry.step_ref.step);
+            let Some(rack) = &step.preferred_rack else {
+                continue;
+            };
+            if step.is_long_running || step.is_gang {
+                continue;
+            }
+            let inputs = self.wait_inputs(job, entry.step_ref, settings, now, now);
+            let tasks = job.step_tasks(entry.step_ref);
+            let count = tasks.filter(|(_, task)| task.status == TaskStatus::Waiting);
+            let count = count.count().max(1);
+            let cpu_milli = step.need.cpu_milli.0.max(1);
+            let taken_ms = count as f64 * step.estimate_ms.max(1) as f64;
+            let bid = RackBid {
+                step: *entry,
+                gain: inputs.value_of_placement() / (taken_ms * cpu_milli as f64),
+                cpu_milli,
+                count,
+            };
+            let group = groups.entry((entry.rank.class, entry.rank.priority, rack));
+            let group = group.or_default();
+            if group.len() < BIDS_MAX {
+                group.push(bid);
+            }
+        }
+        for ((_, _, rack), bids) in groups {
+            for (index, bid) in bids.iter().enumerate() {
+                let behind = bids[index + 1..].iter();
+                let mut rivals: Vec<&RackBid> =
+                    behind.filter(|rival| rival.gain > bid.gain).collect();
+                rivals.sort_by(|a, b| b.gain.total_cmp(&a.gain));
+                let turns_before = rivals.into_iter().take(RIVALS_MAX).map(|rival| RackTurn {
+                    step: rival.step,
+                    rack: rack.clone(),
+                    tasks_max: (bid.count as u64 * bid.cpu_milli / rival.cpu_milli) as usize,
+                });
+                turns.insert((bid.step.job, bid.step.step_ref), turns_before.collect());
+            }
+        }
+        turns
+    }
+
+    /// Returns whether the holds of waiting work leave room for a task of the step on an executor.
+    pub(super) fn holds_leave_room(&self, search: &StepSearch<'_>, executor: &Executor) -> bool {
+        let run_time = || self.run_time_on(search, executor);
+        self.placement_waits
+            .leaves_room(executor, search.step.reserved().into(), run_time)
+    }
+
+    /// Updates the error of the estimates and the gain of waits from the end of a run.
+    pub(super) fn record_run_time(
+        &mut self,
+        id: &ExecutorId,
+        task: TaskId,
+        view: &RunView,
+        now: Instant,
+    ) {
+        let (Some(settings), Some(executor)) =
+            (self.settings.placement_wait, self.executors.get(id))
+        else {
+            return;
+        };
+        let Some(job) = self.ledger.job(task.job) else {
+            return;
+        };
+        let RunPhase::Running { since } = view.phase else {
+            return;
+        };
+        let run_time = now.duration_since(since);
+        let far_factor = settings.far_factor.get();
+        self.placement_waits
+            .record_run(task, view.run, far_factor, run_time, &self.metrics);
+        let step = job.step(task.step);
+        let has_checkpoint = job
+            .task(task)
+            .is_some_and(|progress| progress.checkpoint.is_some());
+        // Such runs tell nothing about the estimate: a part of the run is not seen, the run is
+        // slowed down, or its speed depends on where the other members are.
+        let is_special = view.is_inherited || has_checkpoint || view.pace_percent < 100;
+        if is_special || step.is_long_running || step.is_gang {
+            return;
+        }
+        let estimate_ms = step.estimate_ms as f64 * distance_factor(step, executor, far_factor);
+        let queue = job.submission().queue.name.clone();
+        let measured_ms = run_time.as_secs_f64() * 1_000.0;
+        self.placement_waits
+            .errors
+            .record(&queue, estimate_ms, measured_ms);
+    }
+
+    /// Returns since when a task that was not known to wait has waited.
+    ///
+    /// Work that a former owner left unplaced may have waited since it was accepted.
+    fn first_wait_since(&self, job: &Job, step_ref: StepRef, now: Instant) -> Instant {
+        let age_ms = now.duration_since(job.accepted_at()).as_millis() as u64;
+        let is_inherited = age_ms > self.elapsed_ms(now);
+        let is_first = job.step(step_ref.step).after.is_empty();
+        match is_inherited && is_first && !job.has_placed_tasks() {
+            true => job.accepted_at(),
+            false => now,
+        }
+    }
+
+    fn wait_inputs(
+        &self,
+        job: &Job,
+        step_ref: StepRef,
+        settings: PlacementWait,
+        since: Instant,
+        now: Instant,
+    ) -> WaitInputs {
+        let queue = Self::queue_config(&self.config, job);
+        let waited_ms = now.duration_since(since).as_secs_f64() * 1_000.0;
+        let age_ms = match job.submission().spec.schedule {
+            // The age of the job says nothing about the newest occurrence.
+            Some(_) => waited_ms,
+            None => now.duration_since(job.accepted_at()).as_secs_f64() * 1_000.0,
+        };
+        let slack = JobSlack::of(job, step_ref, &queue, age_ms);
+        WaitInputs {
+            far_factor: settings.far_factor.get(),
+            estimate_ms: job.step(step_ref.step).estimate_ms as f64,
+            ratio: self.run_time_ratio(job),
+            stretch: queue.stretch,
+            objective_ms: slack.objective_ms,
+            slack_ms: slack.slack_ms,
+            waited_ms,
+            wait: None,
+            idle_share: 0.0,
+            contention: 0.0,
+        }
+    }
+
+    pub(super) fn run_time_ratio(&self, job: &Job) -> RunTimeRatio {
+        let queue = &job.submission().queue.name;
+        self.placement_waits.errors.ratio(queue)
+    }
+
+    /// Returns how long a task of the step takes on an executor, or `None` if it does not end.
+    fn run_time_on(&self, search: &StepSearch<'_>, executor: &Executor) -> Option<TimeSpread> {
+        let step = search.step;
+        let job = self.ledger.job(search.job)?;
+        if step.is_long_running {
+            return None;
+        }
+        let far_factor = self.settings.placement_wait?.far_factor.get();
+        let factor = match step.same_rack {
+            true => far_factor,
+            false => distance_factor(step, executor, far_factor),
+        };
+        let estimate_ms = step.estimate_ms as f64 * factor;
+        Some(TimeSpread::of_run(estimate_ms, self.run_time_ratio(job)))
+    }
+
+    /// Returns what a task of the step needs at its preferred placement.
+    fn slot_need(&self, step: &StepSpec, key: (JobId, StepRef)) -> Option<SlotNeed> {
+        let job = self.ledger.job(key.0)?;
+        let room = Room::from(step.need);
+        let mut room_min = room;
+        if step.is_filler {
+            room_min.cpu_milli = (FILLER_CPU_SHARE_MIN * room.cpu_milli as f64) as i64;
+        }
+        Some(SlotNeed {
+            step: key,
+            room_min,
+            room,
+            reserved: step.reserved().into(),
+            per_executor_max: step.per_executor_max,
+            run_time: TimeSpread::of_run(step.estimate_ms as f64, self.run_time_ratio(job)),
+        })
+    }
+}
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -174,7 +174,10 @@
         }
         executor.applied_end = ended.number;
         self.ledger.mark_started(ended.task.job);
-        executor.remove_run(ended.task, ended.run);
+        let view = executor.remove_run(ended.task, ended.run);
+        if let Some(view) = view.filter(|_| ended.end == RunEnd::Done) {
+            self.record_run_time(id, ended.task, &view, now);
+        }
         self.effects.push(Effect::AckEnds {
             executor: key.clone(),
             end: ended.number,
@@ -272,6 +275,8 @@
             return;
         };
         view.missed_reports = 0;
+        view.first_progress
+            .get_or_insert((running.progress_percent, now));
         view.recent_measurement = running.recent_measurement;
         if running.checkpoint.is_some() {
             view.checkpoint.clone_from(&running.checkpoint);
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -10,6 +10,10 @@
 /// The progress from which a run shows that its executor works, in percent.
 const PROBE_PROGRESS_PERCENT: f64 = 1.0;
 
+/// The smallest progress between two reports that tells the speed of a run, in percent. Reports are
+/// about 1 s apart and may be late by some 100 ms.
+const MEASURED_PROGRESS_PERCENT: f64 = 5.0;
+
 /// The phase of a run on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -55,6 +59,10 @@
     pub checkpoint: Option<Checkpoint>,
     /// The share of the work that is done, 0 to 100.
     pub progress_percent: f64,
+    /// The first share of the work that the executor reported, and when the report arrived.
+    pub first_progress: Option<(f64, Instant)>,
+    /// Whether a former owner started the run, so the time of its start is not known.
+    pub is_inherited: bool,
     /// When progress was last observed.
     pub progressed_at: Instant,
     /// The last reported measurement: the tail latency in milliseconds of a serving task, or the
@@ -81,6 +89,8 @@
             phase,
             checkpoint: None,
             progress_percent: 0.0,
+            first_progress: None,
+            is_inherited: phase == RunPhase::Restored,
             progressed_at: now,
             recent_measurement: None,
             pace_percent: 100,
@@ -93,6 +103,16 @@
         clock.is_some_and(|clock| clock.seen_at() > time)
     }
 
+    /// Returns the progress that the run made between reports, in percent per millisecond, once it is
+    /// large enough to measure.
+    pub fn speed_percent_per_ms(&self) -> Option<f64> {
+        let (first_percent, first_at) = self.first_progress?;
+        let gained_percent = self.progress_percent - first_percent;
+        let took = self.progressed_at.checked_duration_since(first_at)?;
+        let is_measured = gained_percent >= MEASURED_PROGRESS_PERCENT && !took.is_zero();
+        is_measured.then(|| gained_percent / (took.as_secs_f64() * 1_000.0))
+    }
+
     /// Estimates the pace of a filler from the processor time that it uses, in percent.
     pub fn observed_pace_percent(&self) -> u32 {
         let used_milli = self.recent_measurement.unwrap_or(0.0);
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -15,6 +15,10 @@
     JobEnded,
     /// A run was placed on an executor.
     RunPlaced,
+    /// A task or a gang waits for its preferred placement, though it could run elsewhere.
+    PlacementWaitStarted,
+    /// The wait of a task or a gang for its preferred placement ended.
+    PlacementWaitEnded,
     /// An executor accepted a run.
     RunStarted,
     /// A start failed: refused, not sent, or not answered.
--- a/crates/jobs/src/observe/job_metrics.rs
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -1,9 +1,11 @@
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use dotterelhook_kernel::Metrics;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 
 /// The bucket bounds of latency histograms, in seconds, from a fast answer of the store to a late
@@ -30,6 +32,12 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// The number of takeovers of cells.
     pub takeovers: Counter,
+    /// The number of ended waits for a preferred placement, by outcome.
+    pub placement_waits: Family<OutcomeLabels, Counter>,
+    /// The sum of the expected gains of waits, in seconds.
+    pub placement_wait_expected_gain_seconds: Gauge<f64, AtomicU64>,
+    /// The sum of the actual gains of waits, in seconds; waits without success count as a loss.
+    pub placement_wait_actual_gain_seconds: Gauge<f64, AtomicU64>,
     /// The latency of clients' calls, in seconds.
     pub call_seconds: Histogram,
     /// The latency of calls to the store, in seconds; for a read, including the wait for records.
@@ -46,6 +54,9 @@
             store_calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
+            placement_waits: Family::default(),
+            placement_wait_expected_gain_seconds: Gauge::default(),
+            placement_wait_actual_gain_seconds: Gauge::default(),
             call_seconds: histogram(),
             store_seconds: histogram(),
             takeover_seconds: histogram(),
@@ -65,6 +76,18 @@
             );
             registry.register("orders", "Orders to executors", self.orders.clone());
             registry.register("takeovers", "Takeovers of cells", self.takeovers.clone());
+            let help = "Ended waits for a preferred placement";
+            registry.register("placement_waits", help, self.placement_waits.clone());
+            registry.register(
+                "placement_wait_expected_gain_seconds",
+                "Time that waits for a preferred placement were expected to gain",
+                self.placement_wait_expected_gain_seconds.clone(),
+            );
+            registry.register(
+                "placement_wait_actual_gain_seconds",
+                "Time that waits for a preferred placement gained",
+                self.placement_wait_actual_gain_seconds.clone(),
+            );
             let help = "Time to answer a client";
             registry.register("call_seconds", help, self.call_seconds.clone());
             let help = "Time of a call to the store";
@@ -88,4 +111,24 @@
             .get_or_create(&OutcomeLabels { kind, outcome })
             .inc();
     }
+
+    /// Counts an ended wait for a preferred placement.
+    pub fn count_placement_wait(&self, outcome: &'static str) {
+        let kind = "placement-wait";
+        self.placement_waits
+            .get_or_create(&OutcomeLabels { kind, outcome })
+            .inc();
+    }
+
+    /// Adds the expected gain of a wait that begins.
+    pub fn add_expected_gain(&self, gain_ms: f64) {
+        self.placement_wait_expected_gain_seconds
+            .inc_by(gain_ms / 1_000.0);
+    }
+
+    /// Adds the actual gain of a wait.
+    pub fn add_actual_gain(&self, gain_ms: f64) {
+        self.placement_wait_actual_gain_seconds
+            .inc_by(gain_ms / 1_000.0);
+    }
 }
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -62,7 +62,8 @@
     let now = Instant::now();
     let settings = Arc::clone(&context.settings);
     let config = context.config.current().unwrap_or_default();
-    let mut state = CellState::new(settings, epoch, config, now);
+    let state = CellState::new(settings, epoch, config, now);
+    let mut state = state.with_metrics(context.metrics.clone());
     let mut progress_feed =
         ChangeFeed::new(Arc::clone(&context.store), topics::progress_partition(cell));
     let mut progress = HashMap::new();
--- a/crates/jobs/src/policy/interference_aware_placement.rs
+++ b/crates/jobs/src/policy/interference_aware_placement.rs
@@ -6,7 +6,7 @@
 /// The average share of its processor reservation that a serving task uses.
 const SERVING_CPU_USE: f64 = 0.45;
 /// The smallest share of a filler's processor need that must be available to it.
-const FILLER_CPU_SHARE_MIN: f64 = 0.6;
+pub(crate) const FILLER_CPU_SHARE_MIN: f64 = 0.6;
 /// A filler counts as harmless if its extra load stays within this multiple of the load of any
 /// serving image.
 const HARMLESS_LOAD_MAX: f64 = 0.15;
@@ -89,7 +89,7 @@
 /// Returns the processor time that further fillers can use, in thousandths of a core.
 ///
 /// Reservations of serving tasks count by their average use.
-fn reclaimable_milli(executor: &Executor) -> f64 {
+pub(crate) fn reclaimable_milli(executor: &Executor) -> f64 {
     let serving_milli = executor.serving_cpu_milli();
     let other_milli = executor.used().cpu_milli.0.saturating_sub(serving_milli);
     executor.entry.capacity.cpu_milli.0 as f64
--- a/crates/jobs/src/policy/least_slack_first.rs
+++ b/crates/jobs/src/policy/least_slack_first.rs
@@ -56,7 +56,7 @@
 
 /// Returns the sum of estimates along the critical path, in milliseconds; steps that are not
 /// included count as 0 ms.
-fn critical_path_ms(job: &Job, is_included: impl Fn(u32) -> bool) -> u64 {
+pub(super) fn critical_path_ms(job: &Job, is_included: impl Fn(u32) -> bool) -> u64 {
     let steps = &job.submission().spec.steps;
     let mut ends_ms = Vec::with_capacity(steps.len());
     for (number, step) in steps.iter().enumerate() {
@@ -73,7 +73,7 @@
 }
 
 /// Returns the critical path over the unfinished steps of an occurrence, in milliseconds.
-fn remaining_critical_path_ms(job: &Job, step_ref: StepRef) -> u64 {
+pub(super) fn remaining_critical_path_ms(job: &Job, step_ref: StepRef) -> u64 {
     critical_path_ms(job, |step| {
         let other = StepRef { step, ..step_ref };
         job.done_count(other) < job.step(step).count
--- /dev/null
+++ b/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
@@ -0,0 +1,243 @@
+use std::ops::AddAssign;
+use std::ops::SubAssign;
+
+use dotterelhook_types::sizes::Resources;
+
+use super::TimeSpread;
+use crate::ledger::StepRef;
+use crate::model::ExecutorId;
+use crate::model::JobId;
+
+/// Free resources; negative while more is claimed than is free now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Processor capacity in thousandths of a core.
+    pub cpu_milli: i64,
+    /// Memory in megabytes.
+    pub memory_mb: i64,
+    /// Number of accelerators.
+    pub accelerators: i64,
+}
+
+impl Room {
+    /// Returns whether a task that needs `need` fits.
+    pub fn holds(&self, need: &Self) -> bool {
+        self.cpu_milli >= need.cpu_milli
+            && self.memory_mb >= need.memory_mb
+            && self.accelerators >= need.accelerators
+    }
+}
+
+impl From<Resources> for Room {
+    fn from(resources: Resources) -> Self {
+        Self {
+            cpu_milli: resources.cpu_milli.0 as i64,
+            memory_mb: resources.memory_mb.0 as i64,
+            accelerators: resources.accelerators.0 as i64,
+        }
+    }
+}
+
+impl AddAssign for Room {
+    fn add_assign(&mut self, other: Self) {
+        self.cpu_milli += other.cpu_milli;
+        self.memory_mb += other.memory_mb;
+        self.accelerators += other.accelerators;
+    }
+}
+
+impl SubAssign for Room {
+    fn sub_assign(&mut self, other: Self) {
+        self.cpu_milli -= other.cpu_milli;
+        self.memory_mb -= other.memory_mb;
+        self.accelerators -= other.accelerators;
+    }
+}
+
+/// The expected end of a run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DueEnd {
+    /// The step of the run.
+    pub step: (JobId, StepRef),
+    /// The resources that the end frees.
+    pub room: Room,
+    /// The time until the end; `None` for a run that is not expected to end.
+    pub due: Option<TimeSpread>,
+}
+
+/// The free resources of an executor and the ends that are due there.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExecutorOutlook {
+    /// The executor.
+    pub executor: ExecutorId,
+    /// The resources that are free now.
+    pub room: Room,
+    /// The runs on the executor.
+    pub ends: Vec<DueEnd>,
+}
+
+/// What a task needs of an executor.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlotNeed {
+    /// The step of the task.
+    pub step: (JobId, StepRef),
+    /// The room at which the task fits. Less than `room` for a filler, which also works with a part
+    /// of its processor need.
+    pub room_min: Room,
+    /// The room that the task takes.
+    pub room: Room,
+    /// The room that the task takes from work that is no filler.
+    pub reserved: Room,
+    /// Limits the tasks of the step on one executor.
+    pub per_executor_max: Option<u32>,
+    /// How long the task takes.
+    pub run_time: TimeSpread,
+}
+
+/// The place and time at which a task is expected to fit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Slot {
+    /// The executor.
+    pub executor: ExecutorId,
+    /// The time until the task fits; 0 if it fits now.
+    pub start: TimeSpread,
+    /// The share of the task's room that is free on the executor until then, 0 to 1.
+    pub idle_share: f64,
+}
+
+/// When capacity is expected on the executors of a rack, after what waits ahead.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CapacityForecast {
+    executors: Vec<ExecutorOutlook>,
+}
+
+impl Slot {
+    /// Returns the time at which the last of the slots is free.
+    pub fn latest_start(slots: &[Self]) -> TimeSpread {
+        let starts = slots.iter().map(|slot| slot.start);
+        let last = starts.max_by(|a, b| a.mean_ms.total_cmp(&b.mean_ms));
+        last.unwrap_or_default()
+    }
+}
+
+impl SlotNeed {
+    /// Returns the need as it appears to work that is no filler.
+    #[must_use]
+    pub fn as_reserved(&self) -> Self {
+        Self {
+            room_min: self.reserved,
+            room: self.reserved,
+            ..*self
+        }
+    }
+}
+
+impl ExecutorOutlook {
+    /// Returns the first time at which the task fits.
+    fn first_fit(&self, need: &SlotNeed) -> Option<TimeSpread> {
+        let mut room = self.room;
+        let is_same_step = |end: &&DueEnd| end.step == need.step;
+        let mut same_step_count = self.ends.iter().filter(is_same_step).count() as u32;
+        let limit = need.per_executor_max.unwrap_or(u32::MAX);
+        if room.holds(&need.room_min) && same_step_count < limit {
+            return Some(TimeSpread::default());
+        }
+        let mut due: Vec<(TimeSpread, &DueEnd)> = self
+            .ends
+            .iter()
+            .filter_map(|end| Some((end.due?, end)))
+            .collect();
+        due.sort_by(|(a, _), (b, _)| a.mean_ms.total_cmp(&b.mean_ms));
+        for (time, end) in due {
+            room += end.room;
+            same_step_count -= u32::from(is_same_step(&end));
+            if room.holds(&need.room_min) && same_step_count < limit {
+                return Some(time);
+            }
+        }
+        None
+    }
+
+    fn idle_share(&self, need: &SlotNeed) -> f64 {
+        let free_milli = self.room.cpu_milli.max(0) as f64;
+        (free_milli / need.room.cpu_milli.max(1) as f64).min(1.0)
+    }
+
+    /// Reserves a slot from now on: what is free until the start is held as well. `due` is the end of
+    /// the task.
+    fn claim(&mut self, need: &SlotNeed, due: Option<TimeSpread>) {
+        self.room -= need.room;
+        self.ends.push(DueEnd {
+            step: need.step,
+            room: need.room,
+            due,
+        });
+    }
+}
+
+impl CapacityForecast {
+    /// Creates the forecast from the executors that accept runs.
+    pub fn new(executors: Vec<ExecutorOutlook>) -> Self {
+        Self { executors }
+    }
+
+    /// Returns the earliest slot for a task, or `None` if no capacity is expected.
+    ///
+    /// `is_excluded` tells whether an executor must not hold the task; it receives whether the task
+    /// would fit there now.
+    pub fn find(
+        &self,
+        need: &SlotNeed,
+        is_excluded: impl Fn(&ExecutorId, bool) -> bool,
+    ) -> Option<Slot> {
+        let fits = self.executors.iter();
+        let fits = fits.filter_map(|outlook| Some((outlook, outlook.first_fit(need)?)));
+        let fits = fits.filter(|(outlook, start)| {
+            let fits_now = start.mean_ms <= 0.0;
+            !is_excluded(&outlook.executor, fits_now)
+        });
+        let (outlook, start) = fits.min_by(|(_, a), (_, b)| a.mean_ms.total_cmp(&b.mean_ms))?;
+        Some(Slot {
+            executor: outlook.executor.clone(),
+            start,
+            idle_share: outlook.idle_share(need),
+        })
+    }
+
+    /// Returns slots for all members of a gang, which run at the same time.
+    pub fn find_all(
+        &self,
+        need: &SlotNeed,
+        count: usize,
+        is_excluded: impl Fn(&ExecutorId, bool) -> bool,
+    ) -> Option<Vec<Slot>> {
+        let mut claimed = self.clone();
+        let slots = (0..count).map(|_| {
+            let slot = claimed.find(need, &is_excluded)?;
+            // No member can follow another one, so the claim does not end.
+            claimed.claim_until(need, &slot.executor, None);
+            Some(slot)
+        });
+        slots.collect()
+    }
+
+    /// Reserves the slots of a task, or of the members of a gang.
+    pub fn claim(&mut self, need: &SlotNeed, slots: &[Slot]) {
+        let start = Slot::latest_start(slots);
+        for slot in slots {
+            self.claim_until(need, &slot.executor, Some(start.plus(need.run_time)));
+        }
+    }
+
+    /// Adds a run that was placed on an executor, if the forecast covers it.
+    pub fn record_placement(&mut self, executor: &ExecutorId, need: &SlotNeed) {
+        self.claim_until(need, executor, Some(need.run_time));
+    }
+
+    fn claim_until(&mut self, need: &SlotNeed, executor: &ExecutorId, due: Option<TimeSpread>) {
+        let mut outlooks = self.executors.iter_mut();
+        if let Some(outlook) = outlooks.find(|outlook| outlook.executor == *executor) {
+            outlook.claim(need, due);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/policy/placement_wait/estimate_errors.rs
@@ -0,0 +1,73 @@
+use std::collections::BTreeMap;
+
+use crate::model::QueueName;
+
+/// The weight of the assumptions about a queue without runs, in runs.
+const PRIOR_RUNS: f64 = 5.0;
+/// The assumed spread of the ratio's logarithm. Estimates are known to be off by 0.2 to 0.9.
+const PRIOR_LOG_SPREAD: f64 = 0.4;
+/// The number of runs over which older ones lose their influence.
+const MEMORY_RUNS: f64 = 100.0;
+/// The smallest and the largest ratio that counts, so that one extreme run does not dominate.
+const RATIO_RANGE: (f64, f64) = (0.05, 20.0);
+
+/// The ratio of measured to estimated run times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RunTimeRatio {
+    /// The median.
+    pub median: f64,
+    /// The standard deviation of the natural logarithm.
+    pub log_spread: f64,
+}
+
+impl Default for RunTimeRatio {
+    /// Returns the assumptions about a queue without runs.
+    fn default() -> Self {
+        Self {
+            median: 1.0,
+            log_spread: PRIOR_LOG_SPREAD,
+        }
+    }
+}
+
+/// The error of the run time estimates of each queue, from the runs that this owner saw.
+#[derive(Clone, Debug, Default)]
+pub struct EstimateErrors {
+    queues: BTreeMap<QueueName, LogRatios>,
+}
+
+/// Sums over the logarithms of ratios, in which older runs fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogRatios {
+    runs: f64,
+    sum: f64,
+    sum_of_squares: f64,
+}
+
+impl EstimateErrors {
+    /// Records a run that took `measured_ms` and was estimated at `estimate_ms`.
+    pub fn record(&mut self, queue: &QueueName, estimate_ms: f64, measured_ms: f64) {
+        let (min, max) = RATIO_RANGE;
+        let log = (measured_ms / estimate_ms.max(1.0)).clamp(min, max).ln();
+        let ratios = self.queues.entry(queue.clone()).or_default();
+        let kept = 1.0 - 1.0 / MEMORY_RUNS;
+        ratios.runs = ratios.runs * kept + 1.0;
+        ratios.sum = ratios.sum * kept + log;
+        ratios.sum_of_squares = ratios.sum_of_squares * kept + log * log;
+    }
+
+    /// Returns the ratio for a queue.
+    pub fn ratio(&self, queue: &QueueName) -> RunTimeRatio {
+        let Some(ratios) = self.queues.get(queue) else {
+            return RunTimeRatio::default();
+        };
+        let weight = ratios.runs + PRIOR_RUNS;
+        let mean = ratios.sum / weight;
+        let prior_squares = PRIOR_RUNS * PRIOR_LOG_SPREAD.powi(2);
+        let variance = (ratios.sum_of_squares + prior_squares) / weight - mean * mean;
+        RunTimeRatio {
+            median: mean.exp(),
+            log_spread: variance.max(0.0).sqrt(),
+        }
+    }
+}
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -63,6 +63,7 @@
         retention: Duration::from_secs(180),
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(1_500),
+        placement_wait: None,
     }
 }
 
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -11,6 +11,7 @@
 mod orders;
 mod outages;
 mod pending;
+mod preferred_placement;
 mod probation;
 mod simulated_executor;
 mod tails;
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -243,6 +243,7 @@
         retention: Duration::from_secs(180),
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(100),
+        placement_wait: None,
     }
 }
 
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -5,3 +5,4 @@
 mod interference;
 mod order;
 mod placement;
+mod placement_wait;
