Hold a rack for a gang that finds no room beside smaller work

Cause: a gang held its rack only while it could run elsewhere. With all capacity in use, each end was taken by a smaller task behind the gang, and the gang never found room for all members.

A filler, which reserves no processor time, is not kept out by held processor time.

Result: in jobs/cell/preferred_placement::a_gang_beside_a_stream_of_short_tasks_starts_within_its_slack the gang did not start within 3.5 s without holds, and starts within its 2 s of slack with them.

--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -52,6 +52,18 @@
     pub(super) tasks_max: usize,
 }
 
+/// The choice between a wait for a rack and a run elsewhere.
+struct WaitChoice<'a> {
+    settings: PlacementWait,
+    rack: &'a Label,
+    /// The task, or the first member of the gang.
+    task: TaskId,
+    /// Where and when there is room on the rack; empty if none is expected.
+    slots: Vec<Slot>,
+    /// Whether there is room elsewhere now.
+    is_free_elsewhere: bool,
+}
+
 /// What a rack is worth to a step that prefers it.
 struct RackBid {
     step: WaitingStep,
@@ -101,7 +113,14 @@
             self.is_excluded(search, id, fits_now, now)
         });
         let slots: Vec<Slot> = slot.into_iter().collect();
-        self.decides_to_wait(search, settings, rack, (key, forecast), task, &slots, now)
+        let choice = WaitChoice {
+            settings,
+            rack,
+            task,
+            slots,
+            is_free_elsewhere: true,
+        };
+        self.decides_to_wait(search, &choice, (key, forecast), now)
     }
 
     /// Returns whether a gang waits for room on one of its preferred racks. `is_free_elsewhere` tells
@@ -120,8 +139,9 @@
         let Some(first) = tasks.first() else {
             return false;
         };
-        // A gang keeps its claim while it waits, even if the room elsewhere is taken meanwhile.
-        if !is_free_elsewhere && self.placement_waits.since(*first).is_none() {
+        // Without a hold, a gang that nothing is free for never finds room for all its members beside
+        // smaller work.
+        if !is_free_elsewhere && settings.policy != WaitPolicy::Decided {
             return false;
         }
         let Some(need) = self.slot_need(search.step, search.key()) else {
@@ -157,32 +177,32 @@
         };
         let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
         let forecast = self.take_forecast(&key);
-        self.decides_to_wait(search, settings, rack, (key, forecast), *first, &slots, now)
+        let choice = WaitChoice {
+            settings,
+            rack,
+            task: *first,
+            slots,
+            is_free_elsewhere,
+        };
+        self.decides_to_wait(search, &choice, (key, forecast), now)
     }
 
-    /// Decides on a wait that would end in the given slots, and records the decision. Puts the
-    /// forecast back, with the slots claimed if the task waits.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "each is an input of the decision"
-    )]
+    /// Makes a choice and records it. Puts the forecast back, with the slots claimed if the work
+    /// waits.
     fn decides_to_wait(
         &mut self,
         search: &StepSearch<'_>,
-        settings: PlacementWait,
-        rack: &Label,
+        choice: &WaitChoice<'_>,
         (key, mut forecast): (RackKey, RackForecast),
-        task: TaskId,
-        slots: &[Slot],
         now: Instant,
     ) -> bool {
-        let decided = self.decide_wait(search, settings, &forecast, task, slots, now);
+        let decided = self.decide_wait(search, choice, &forecast, now);
         let waits = match decided {
             Some((inputs, WaitDecision::Wait { limit_ms, gain_ms })) => {
                 let expected_wait_ms = inputs.wait.unwrap_or_default().mean_ms;
                 let start = WaitStart {
-                    task,
-                    rack,
+                    task: choice.task,
+                    rack: choice.rack,
                     waited_ms: inputs.waited_ms,
                     expected_wait_ms,
                     limit_ms,
@@ -192,14 +212,14 @@
                 };
                 self.placement_waits.wait(&start, &self.metrics, now);
                 if let Some(need) = self.slot_need(search.step, search.key()) {
-                    forecast.capacity.claim(&need, slots);
+                    forecast.capacity.claim(&need, &choice.slots);
                 }
-                if settings.policy == WaitPolicy::Decided {
+                if choice.settings.policy == WaitPolicy::Decided {
                     let hold = Hold {
                         room: search.step.reserved().into(),
                         start_ms: expected_wait_ms,
                     };
-                    for slot in slots {
+                    for slot in &choice.slots {
                         self.placement_waits.hold(slot.executor.clone(), hold);
                     }
                 }
@@ -208,7 +228,7 @@
                 true
             }
             Some((_, WaitDecision::RunElsewhere(reason))) => {
-                self.placement_waits.give_up(task, reason);
+                self.placement_waits.give_up(choice.task, reason);
                 false
             }
             None => false,
@@ -220,23 +240,26 @@
     fn decide_wait(
         &self,
         search: &StepSearch<'_>,
-        settings: PlacementWait,
+        choice: &WaitChoice<'_>,
         forecast: &RackForecast,
-        task: TaskId,
-        slots: &[Slot],
         now: Instant,
     ) -> Option<(WaitInputs, WaitDecision)> {
         let job = self.ledger.job(search.job)?;
-        let since = self.placement_waits.since(task);
+        // A wait costs nothing while nothing is free elsewhere.
+        let since = match choice.is_free_elsewhere {
+            true => self.placement_waits.since(choice.task),
+            false => Some(now),
+        };
         let since = since.unwrap_or_else(|| self.first_wait_since(job, search.step_ref, now));
+        let slots = &choice.slots;
         let idle_share: f64 = slots.iter().map(|slot| slot.idle_share).sum();
         let inputs = WaitInputs {
             wait: (!slots.is_empty()).then(|| Slot::latest_start(slots)),
             idle_share: idle_share / slots.len().max(1) as f64,
             contention: forecast.used_share,
-            ..self.wait_inputs(job, search.step_ref, settings, since, now)
+            ..self.wait_inputs(job, search.step_ref, choice.settings, since, now)
         };
-        let decision = match settings.policy {
+        let decision = match choice.settings.policy {
             WaitPolicy::Decided => inputs.decide(),
             _ => inputs.wait_while_slack(),
         };
--- a/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
+++ b/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
@@ -20,11 +20,12 @@
 }
 
 impl Room {
-    /// Returns whether a task that needs `need` fits.
+    /// Returns whether a task that needs `need` fits. What a task does not need may be overdrawn.
     pub fn holds(&self, need: &Self) -> bool {
-        self.cpu_milli >= need.cpu_milli
-            && self.memory_mb >= need.memory_mb
-            && self.accelerators >= need.accelerators
+        let fits = |room: i64, need: i64| need == 0 || room >= need;
+        fits(self.cpu_milli, need.cpu_milli)
+            && fits(self.memory_mb, need.memory_mb)
+            && fits(self.accelerators, need.accelerators)
     }
 }
 
--- a/crates/jobs/tests/cell/preferred_placement.rs
+++ b/crates/jobs/tests/cell/preferred_placement.rs
@@ -339,3 +339,54 @@
     assert_eq!(first, [task(4, 0, 0)]);
     assert_eq!(second, [task(2, 0, 0), task(2, 0, 1)]);
 }
+
+/// Runs tasks of 400 ms on a rack with room for four, a new one for each that ends, and a gang of
+/// three members from 500 ms on. Returns after how many milliseconds the gang starts.
+fn gang_start_beside_short_tasks(policy: WaitPolicy) -> Option<u64> {
+    let executors = [("i-1", 4_000, "r1"), ("i-2", 4_000, "r1")];
+    let mut harness = cell_with(wait_settings(3.0, policy), &executors);
+    let mut next = 2;
+    let mut due: Vec<(u64, &str, TaskId)> = Vec::new();
+    for now_ms in (0..4_000).step_by(100) {
+        let (ended_now, left): (Vec<_>, Vec<_>) = due.into_iter().partition(|end| end.0 <= now_ms);
+        due = left;
+        // The first tasks start one after another, so that no two of them end together.
+        for _ in 0..ended_now.len().max(usize::from(next < 6)) {
+            let short = StepSpec {
+                estimate_ms: 400,
+                ..step(1, 2_000, &[])
+            };
+            submit(&mut harness, next, short);
+            next += 1;
+        }
+        if now_ms == 500 {
+            submit(&mut harness, 1, rack_gang(3, 2_000));
+        }
+        for id in ["i-1", "i-2"] {
+            let here = ended_now.iter().filter(|(_, on, _)| *on == id);
+            let ends = here.map(|(_, _, task)| ended(now_ms, *task, 1, RunEnd::Done));
+            harness.report(id, vec![], ends.collect());
+        }
+        harness.commit();
+        for id in ["i-1", "i-2"] {
+            let started = harness.accept_starts(id);
+            if started.iter().any(|started| started.job == job(1)) {
+                return Some(now_ms - 500);
+            }
+            due.extend(started.into_iter().map(|task| (now_ms + 400, id, task)));
+        }
+        harness.advance(Duration::from_millis(80));
+    }
+    None
+}
+
+#[tokio::test]
+async fn a_gang_beside_a_stream_of_short_tasks_starts_within_its_slack() {
+    let started_ms = gang_start_beside_short_tasks(WaitPolicy::Decided);
+
+    assert!(
+        started_ms.is_some_and(|after_ms| after_ms <= 2_000),
+        "{started_ms:?}"
+    );
+    assert_eq!(gang_start_beside_short_tasks(WaitPolicy::Never), None);
+}
