Forecast ends given that runs have not ended yet, and weigh late starts elsewhere

Cause: the remaining time of a run was its estimate less its age, with a normal spread. For a run near or past its estimate that is too short, so waits lasted into lateness. A wait was also cut off at the time that the rack saves when a start elsewhere was already late, and the decision ignored that a wait may end up to 100 ms late, at the next round.

Run times are log-logistic around the learned ratio, the remaining time is conditional on the age, and runs beyond 95% count as their estimate. The speed of a run is measured from its start where the owner saw it. The cut-off applies only while a start elsewhere meets the objective. Once a task of a step runs elsewhere, the later ones are not evaluated again. Racks without enough processors for a whole gang are not searched.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -14,6 +14,7 @@
 mod planning;
 mod preferred_placement;
 mod rack_forecasts;
+mod rack_turns;
 mod relocation;
 mod reports;
 mod scored_executor;
--- a/crates/jobs/src/cell/placement_waits.rs
+++ b/crates/jobs/src/cell/placement_waits.rs
@@ -115,7 +115,7 @@
         let Some(holds) = self.holds.get(&executor.entry.id) else {
             return true;
         };
-        let latest_end_ms = run_time().map(|time| time.mean_ms + time.spread_ms);
+        let latest_end_ms = run_time().map(|time| time.late_ms());
         let mut room = Room::from(executor.free());
         for hold in holds {
             if latest_end_ms.is_none_or(|end_ms| end_ms > hold.start_ms) {
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -8,6 +8,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::preferred_placement::RackChoice;
 use super::scored_executor::ScoredExecutor;
 use super::tickets::TICKET_VALIDITY_MIN;
 use crate::fleet::Executor;
@@ -48,6 +49,9 @@
     pub(super) step_ref: StepRef,
 }
 
+/// A rack with the free processors of its executors that accept runs, in thousandths of a core.
+pub(super) type RackRoom = (Label, u64);
+
 /// The constraints on executors for the tasks of a step.
 #[derive(Clone, Copy)]
 pub(super) struct StepSearch<'a> {
@@ -217,6 +221,7 @@
             return self.place_gang(&search, &tasks, now);
         }
         let mut candidates = self.score_executors(&search, now);
+        let mut choice = RackChoice::NoChoice;
         let mut placed = 0;
         for (index, task) in tasks.iter().copied().enumerate().take(limit) {
             let Some(best) = candidates.pop() else {
@@ -225,7 +230,11 @@
                 }
                 break;
             };
-            if self.waits_for_rack(&search, task, &best.executor, now) {
+            // Once a task runs elsewhere, the ones after it would wait even longer.
+            if choice != RackChoice::RunElsewhere {
+                choice = self.choose_rack(&search, task, &best.executor, now);
+            }
+            if choice == RackChoice::Wait {
                 candidates.push(best);
                 continue;
             }
@@ -258,13 +267,14 @@
             return 0;
         }
         let (preferred, others) = self.gang_racks(search, now);
-        let mut placements = preferred
-            .iter()
+        // Without enough processors on the whole rack, the search for each member is needless.
+        let needed_milli = search.step.reserved().cpu_milli.0 * tasks.len() as u64;
+        let mut placements = racks_with_cpu(&preferred, needed_milli)
             .find_map(|rack| self.find_gang_executors(search, Some(rack), tasks, now));
         if placements.is_none() {
-            let elsewhere = others.iter().map(Some).chain([None]);
+            let elsewhere = racks_with_cpu(&others, needed_milli).map(Some);
             placements = elsewhere
-                .into_iter()
+                .chain([None])
                 .find_map(|rack| self.find_gang_executors(search, rack, tasks, now));
             if self.gang_waits_for_rack(search, tasks, &preferred, placements.is_some(), now) {
                 return 0;
@@ -281,19 +291,18 @@
     }
 
     /// Returns the racks on which all members of a gang run at full speed, and the other racks that
-    /// are better than none. The rack with the most free processors is first.
-    fn gang_racks(&self, search: &StepSearch<'_>, now: Instant) -> (Vec<Label>, Vec<Label>) {
+    /// are better than none, each with its free processors. The one with the most is first.
+    fn gang_racks(&self, search: &StepSearch<'_>, now: Instant) -> (Vec<RackRoom>, Vec<RackRoom>) {
         let step = search.step;
-        let racks = match step.same_rack {
-            true => self.racks_by_free_cpu(search.service, now),
-            false => Vec::new(),
-        };
-        match &step.preferred_rack {
-            Some(preferred) => {
-                let others = racks.into_iter().filter(|rack| rack != preferred);
-                (vec![preferred.clone()], others.collect())
-            }
+        let racks = self.racks_by_free_cpu(search.service, now);
+        let (preferred, others) = match &step.preferred_rack {
+            Some(preferred) => racks.into_iter().partition(|(rack, _)| rack == preferred),
             None => (racks, Vec::new()),
+        };
+        match step.same_rack {
+            true => (preferred, others),
+            false if step.preferred_rack.is_some() => (preferred, Vec::new()),
+            false => (Vec::new(), Vec::new()),
         }
     }
 
@@ -330,16 +339,16 @@
 
     /// Returns the racks of the executors that accept runs, the one with the most free processors
     /// first.
-    fn racks_by_free_cpu(&self, service: &ServiceId, now: Instant) -> Vec<Label> {
+    fn racks_by_free_cpu(&self, service: &ServiceId, now: Instant) -> Vec<RackRoom> {
         let mut free_milli: BTreeMap<Label, u64> = BTreeMap::new();
         for executor in self.available_executors(service, now) {
             if let Some(rack) = executor.entry.rack() {
                 *free_milli.entry(rack.clone()).or_default() += executor.free().cpu_milli.0;
             }
         }
-        let mut racks: Vec<(Label, u64)> = free_milli.into_iter().collect();
+        let mut racks: Vec<RackRoom> = free_milli.into_iter().collect();
         racks.sort_by_key(|(_, free_milli)| Reverse(*free_milli));
-        racks.into_iter().map(|(rack, _)| rack).collect()
+        racks
     }
 
     /// Returns the serving images that a step's tasks are known to interfere with, each with its
@@ -467,3 +476,9 @@
         true
     }
 }
+
+/// Returns the racks with at least the given free processors, in thousandths of a core.
+fn racks_with_cpu(racks: &[RackRoom], needed_milli: u64) -> impl Iterator<Item = &Label> {
+    let racks = racks.iter();
+    racks.filter_map(move |(rack, free_milli)| (*free_milli >= needed_milli).then_some(rack))
+}
--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -1,5 +1,3 @@
-use std::collections::BTreeMap;
-
 use tokio::time::Instant;
 
 use super::CellState;
@@ -7,15 +5,14 @@
 use super::placement_waits::RackForecast;
 use super::placement_waits::RackKey;
 use super::placement_waits::WaitStart;
+use super::planning::RackRoom;
 use super::planning::StepSearch;
-use super::planning::WaitingStep;
 use super::rack_forecasts::distance_factor;
 use crate::fleet::Executor;
 use crate::fleet::RunPhase;
 use crate::fleet::RunView;
 use crate::ledger::Job;
 use crate::ledger::StepRef;
-use crate::ledger::TaskStatus;
 use crate::model::ExecutorId;
 use crate::model::JobId;
 use crate::model::Label;
@@ -39,17 +36,15 @@
 /// Limits the tasks of one step ahead that a forecast takes in; more make any wait long anyway.
 const TASKS_AHEAD_MAX: usize = 64;
 
-/// Limits the steps whose gains from one rack are compared, first in the order first.
-const BIDS_MAX: usize = 64;
-/// Limits the steps that go ahead of another one on the rack that both prefer.
-const RIVALS_MAX: usize = 8;
-
-/// A turn of a step on the rack that it prefers.
-#[derive(Clone, Debug)]
-pub(super) struct RackTurn {
-    pub(super) step: WaitingStep,
-    pub(super) rack: Label,
-    pub(super) tasks_max: usize,
+/// What was chosen for a task that prefers a rack.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RackChoice {
+    /// The best executor is on the rack, or the task never waits.
+    NoChoice,
+    /// The task runs elsewhere now.
+    RunElsewhere,
+    /// The task waits for the rack.
+    Wait,
 }
 
 /// The choice between a wait for a rack and a run elsewhere.
@@ -64,16 +59,6 @@
     is_free_elsewhere: bool,
 }
 
-/// What a rack is worth to a step that prefers it.
-struct RackBid {
-    step: WaitingStep,
-    /// The gain per unit of capacity and time that the tasks take there.
-    gain: f64,
-    cpu_milli: u64,
-    /// The number of waiting tasks.
-    count: usize,
-}
-
 /// The wait of tasks and gangs for a preferred placement.
 impl CellState {
     /// Returns the wait settings that apply to a step, or `None` if its work never waits.
@@ -85,27 +70,27 @@
         (settings.policy != WaitPolicy::Never && !step.is_long_running).then_some(settings)
     }
 
-    /// Returns whether a task waits for the rack with its data instead of running on `best`, the
+    /// Chooses whether a task waits for the rack with its data instead of running on `best`, the
     /// best executor that is free.
-    pub(super) fn waits_for_rack(
+    pub(super) fn choose_rack(
         &mut self,
         search: &StepSearch<'_>,
         task: TaskId,
         best: &ExecutorId,
         now: Instant,
-    ) -> bool {
+    ) -> RackChoice {
         let Some(rack) = &search.step.preferred_rack else {
-            return false;
+            return RackChoice::NoChoice;
         };
         let Some(settings) = self.wait_settings(search.step) else {
-            return false;
+            return RackChoice::NoChoice;
         };
         let is_there = |executor: &Executor| executor.entry.labels.contains(rack);
         if self.executors.get(best).is_none_or(is_there) {
-            return false;
+            return RackChoice::NoChoice;
         }
         let Some(need) = self.slot_need(search.step, search.key()) else {
-            return false;
+            return RackChoice::NoChoice;
         };
         let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
         let forecast = self.take_forecast(&key);
@@ -120,7 +105,10 @@
             slots,
             is_free_elsewhere: true,
         };
-        self.decides_to_wait(search, &choice, (key, forecast), now)
+        match self.decides_to_wait(search, &choice, (key, forecast), now) {
+            true => RackChoice::Wait,
+            false => RackChoice::RunElsewhere,
+        }
     }
 
     /// Returns whether a gang waits for room on one of its preferred racks. `is_free_elsewhere` tells
@@ -129,7 +117,7 @@
         &mut self,
         search: &StepSearch<'_>,
         tasks: &[TaskId],
-        racks: &[Label],
+        racks: &[RackRoom],
         is_free_elsewhere: bool,
         now: Instant,
     ) -> bool {
@@ -148,7 +136,7 @@
             return false;
         };
         let mut best: Option<(&Label, Vec<Slot>)> = None;
-        for rack in racks.iter().take(GANG_RACKS_MAX) {
+        for (rack, _) in racks.iter().take(GANG_RACKS_MAX) {
             let search = StepSearch {
                 rack: Some(rack),
                 ..*search
@@ -162,17 +150,17 @@
                 });
             self.placement_waits.forecasts.insert(key, forecast);
             // If all slots were free now, the gang would have been placed there.
-            let slots = slots.filter(|slots| Slot::latest_start(slots).mean_ms > 0.0);
+            let slots = slots.filter(|slots| Slot::latest_start(slots).median_ms() > 0.0);
             let is_earlier = |slots: &Vec<Slot>| {
                 best.as_ref().is_none_or(|(_, other)| {
-                    Slot::latest_start(slots).mean_ms < Slot::latest_start(other).mean_ms
+                    Slot::latest_start(slots).median_ms() < Slot::latest_start(other).median_ms()
                 })
             };
             if let Some(slots) = slots.filter(is_earlier) {
                 best = Some((rack, slots));
             }
         }
-        let Some((rack, slots)) = best.or_else(|| Some((racks.first()?, Vec::new()))) else {
+        let Some((rack, slots)) = best.or_else(|| Some((&racks.first()?.0, Vec::new()))) else {
             return false;
         };
         let key = self.load_forecast(search.service, rack, search.step.is_filler, now);
@@ -199,7 +187,7 @@
         let decided = self.decide_wait(search, choice, &forecast, now);
         let waits = match decided {
             Some((inputs, WaitDecision::Wait { limit_ms, gain_ms })) => {
-                let expected_wait_ms = inputs.wait.unwrap_or_default().mean_ms;
+                let expected_wait_ms = inputs.wait.unwrap_or_default().median_ms();
                 let start = WaitStart {
                     task: choice.task,
                     rack: choice.rack,
@@ -315,69 +303,6 @@
         self.placement_waits.retain(is_open, &self.metrics, now);
     }
 
-    /// Returns for each step the steps behind it in the order that gain more from the rack that both
-    /// prefer, for the capacity and time that they take there. They are of the same class and
-    /// priority.
-    ///
-    /// They are placed on that rack first, with no more capacity than the step could take there, so
-    /// that other steps in between lose nothing.
-    pub(super) fn rack_turns(
-        &self,
-        waiting: &[WaitingStep],
-        now: Instant,
-    ) -> BTreeMap<(JobId, StepRef), Vec<RackTurn>> {
-        let mut turns = BTreeMap::new();
-        let settings = self.settings.placement_wait;
-        let Some(settings) = settings.filter(|wait| wait.policy == WaitPolicy::Decided) else {
-            return turns;
-        };
-        let mut groups: BTreeMap<(u32, u32, &Label), Vec<RackBid>> = BTreeMap::new();
-        for entry in waiting {
-            let Some(job) = self.ledger.job(entry.job) else {
-                continue;
-            };
-            let step = job.step(entry.step_ref.step);
-            let Some(rack) = &step.preferred_rack else {
-                continue;
-            };
-            if step.is_long_running || step.is_gang {
-                continue;
-            }
-            let inputs = self.wait_inputs(job, entry.step_ref, settings, now, now);
-            let tasks = job.step_tasks(entry.step_ref);
-            let count = tasks.filter(|(_, task)| task.status == TaskStatus::Waiting);
-            let count = count.count().max(1);
-            let cpu_milli = step.need.cpu_milli.0.max(1);
-            let taken_ms = count as f64 * step.estimate_ms.max(1) as f64;
-            let bid = RackBid {
-                step: *entry,
-                gain: inputs.value_of_placement() / (taken_ms * cpu_milli as f64),
-                cpu_milli,
-                count,
-            };
-            let group = groups.entry((entry.rank.class, entry.rank.priority, rack));
-            let group = group.or_default();
-            if group.len() < BIDS_MAX {
-                group.push(bid);
-            }
-        }
-        for ((_, _, rack), bids) in groups {
-            for (index, bid) in bids.iter().enumerate() {
-                let behind = bids[index + 1..].iter();
-                let mut rivals: Vec<&RackBid> =
-                    behind.filter(|rival| rival.gain > bid.gain).collect();
-                rivals.sort_by(|a, b| b.gain.total_cmp(&a.gain));
-                let turns_before = rivals.into_iter().take(RIVALS_MAX).map(|rival| RackTurn {
-                    step: rival.step,
-                    rack: rack.clone(),
-                    tasks_max: (bid.count as u64 * bid.cpu_milli / rival.cpu_milli) as usize,
-                });
-                turns.insert((bid.step.job, bid.step.step_ref), turns_before.collect());
-            }
-        }
-        turns
-    }
-
     /// Returns whether the holds of waiting work leave room for a task of the step on an executor.
     pub(super) fn holds_leave_room(&self, search: &StepSearch<'_>, executor: &Executor) -> bool {
         let run_time = || self.run_time_on(search, executor);
@@ -439,7 +364,7 @@
         }
     }
 
-    fn wait_inputs(
+    pub(super) fn wait_inputs(
         &self,
         job: &Job,
         step_ref: StepRef,
--- a/crates/jobs/src/cell/rack_forecasts.rs
+++ b/crates/jobs/src/cell/rack_forecasts.rs
@@ -149,10 +149,7 @@
     ) -> Option<TimeSpread> {
         if let RunPhase::Stopping { .. } | RunPhase::Withdrawn = view.phase {
             let stop_ms = self.settings.stop_max.as_secs_f64() * 1_000.0;
-            return Some(TimeSpread {
-                mean_ms: stop_ms,
-                spread_ms: 0.0,
-            });
+            return Some(TimeSpread::exact(stop_ms));
         }
         let job = self.ledger.job(task.job)?;
         let step = job.step(task.step);
@@ -162,12 +159,15 @@
         let far_factor = self.settings.placement_wait?.far_factor.get();
         let pace = f64::from(view.pace_percent) / 100.0;
         let estimate_ms = step.estimate_ms as f64 * distance_factor(step, executor, far_factor);
+        let has_checkpoint = job
+            .task(task)
+            .is_some_and(|progress| progress.checkpoint.is_some());
         let outlook = RunOutlook {
             estimate_ms: estimate_ms / pace,
             ratio: self.run_time_ratio(job),
             progress_percent: view.progress_percent,
             progress_age_ms: now.duration_since(view.progressed_at).as_secs_f64() * 1_000.0,
-            speed_percent_per_ms: view.speed_percent_per_ms(),
+            speed_percent_per_ms: view.speed_percent_per_ms(has_checkpoint),
         };
         Some(outlook.remaining())
     }
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -10,8 +10,7 @@
 /// The progress from which a run shows that its executor works, in percent.
 const PROBE_PROGRESS_PERCENT: f64 = 1.0;
 
-/// The smallest progress between two reports that tells the speed of a run, in percent. Reports are
-/// about 1 s apart and may be late by some 100 ms.
+/// The smallest progress that tells the speed of a run, in percent. Reports may be late by some 10 ms.
 const MEASURED_PROGRESS_PERCENT: f64 = 5.0;
 
 /// The phase of a run on an executor.
@@ -103,10 +102,16 @@
         clock.is_some_and(|clock| clock.seen_at() > time)
     }
 
-    /// Returns the progress that the run made between reports, in percent per millisecond, once it is
-    /// large enough to measure.
-    pub fn speed_percent_per_ms(&self) -> Option<f64> {
-        let (first_percent, first_at) = self.first_progress?;
+    /// Returns the speed of the run in percent per millisecond, once its progress is large enough to
+    /// measure.
+    ///
+    /// Measures from the start if this owner saw it and the run began without a checkpoint, and from
+    /// the first report otherwise.
+    pub fn speed_percent_per_ms(&self, has_checkpoint: bool) -> Option<f64> {
+        let (first_percent, first_at) = match self.phase {
+            RunPhase::Running { since } if !self.is_inherited && !has_checkpoint => (0.0, since),
+            _ => self.first_progress?,
+        };
         let gained_percent = self.progress_percent - first_percent;
         let took = self.progressed_at.checked_duration_since(first_at)?;
         let is_measured = gained_percent >= MEASURED_PROGRESS_PERCENT && !took.is_zero();
--- a/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
+++ b/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
@@ -115,9 +115,10 @@
 impl Slot {
     /// Returns the time at which the last of the slots is free.
     pub fn latest_start(slots: &[Self]) -> TimeSpread {
-        let starts = slots.iter().map(|slot| slot.start);
-        let last = starts.max_by(|a, b| a.mean_ms.total_cmp(&b.mean_ms));
-        last.unwrap_or_default()
+        let none = TimeSpread::default();
+        slots
+            .iter()
+            .fold(none, |latest, slot| latest.max(&slot.start))
     }
 }
 
@@ -148,7 +149,7 @@
             .iter()
             .filter_map(|end| Some((end.due?, end)))
             .collect();
-        due.sort_by(|(a, _), (b, _)| a.mean_ms.total_cmp(&b.mean_ms));
+        due.sort_by(|(a, _), (b, _)| a.median_ms().total_cmp(&b.median_ms()));
         for (time, end) in due {
             room += end.room;
             same_step_count -= u32::from(is_same_step(&end));
@@ -194,10 +195,11 @@
         let fits = self.executors.iter();
         let fits = fits.filter_map(|outlook| Some((outlook, outlook.first_fit(need)?)));
         let fits = fits.filter(|(outlook, start)| {
-            let fits_now = start.mean_ms <= 0.0;
+            let fits_now = start.median_ms() <= 0.0;
             !is_excluded(&outlook.executor, fits_now)
         });
-        let (outlook, start) = fits.min_by(|(_, a), (_, b)| a.mean_ms.total_cmp(&b.mean_ms))?;
+        let (outlook, start) =
+            fits.min_by(|(_, a), (_, b)| a.median_ms().total_cmp(&b.median_ms()))?;
         Some(Slot {
             executor: outlook.executor.clone(),
             start,
@@ -226,7 +228,7 @@
     pub fn claim(&mut self, need: &SlotNeed, slots: &[Slot]) {
         let start = Slot::latest_start(slots);
         for slot in slots {
-            self.claim_until(need, &slot.executor, Some(start.plus(need.run_time)));
+            self.claim_until(need, &slot.executor, Some(start.plus(&need.run_time)));
         }
     }
 
--- a/crates/jobs/src/policy/placement_wait/estimate_errors.rs
+++ b/crates/jobs/src/policy/placement_wait/estimate_errors.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::f64::consts::PI;
 
 use crate::model::QueueName;
 
@@ -6,6 +7,8 @@
 const PRIOR_RUNS: f64 = 5.0;
 /// The assumed spread of the ratio's logarithm. Estimates are known to be off by 0.2 to 0.9.
 const PRIOR_LOG_SPREAD: f64 = 0.4;
+/// The smallest spread that a distribution is computed for.
+const LOG_SPREAD_MIN: f64 = 0.02;
 /// The number of runs over which older ones lose their influence.
 const MEMORY_RUNS: f64 = 100.0;
 /// The smallest and the largest ratio that counts, so that one extreme run does not dominate.
@@ -30,6 +33,32 @@
     }
 }
 
+impl RunTimeRatio {
+    /// Returns the share of ratios below a value.
+    ///
+    /// The logarithm of the ratio has a logistic distribution, whose tails are heavier than those of
+    /// a normal one, and which needs no tables.
+    pub fn share_below(&self, value: f64) -> f64 {
+        1.0 - self.share_above(value)
+    }
+
+    /// Returns the quantile of the ratios above a value, less that value. `share` is the share of
+    /// them that is smaller, 0 to 1.
+    pub fn quantile_above(&self, value: f64, share: f64) -> f64 {
+        let above = self.share_above(value) * (1.0 - share);
+        self.median * ((1.0 - above) / above).powf(1.0 / self.shape()) - value
+    }
+
+    fn share_above(&self, value: f64) -> f64 {
+        1.0 / (1.0 + (value / self.median).powf(self.shape()))
+    }
+
+    /// Returns the shape parameter of the log-logistic distribution.
+    fn shape(&self) -> f64 {
+        PI / (3.0_f64.sqrt() * self.log_spread.max(LOG_SPREAD_MIN))
+    }
+}
+
 /// The error of the run time estimates of each queue, from the runs that this owner saw.
 #[derive(Clone, Debug, Default)]
 pub struct EstimateErrors {
--- a/crates/jobs/src/policy/placement_wait/mod.rs
+++ b/crates/jobs/src/policy/placement_wait/mod.rs
@@ -6,6 +6,7 @@
 mod far_factor;
 mod job_slack;
 mod remaining_time;
+mod time_spread;
 mod wait_decision;
 mod wait_policy;
 
@@ -21,7 +22,7 @@
 pub use far_factor::FarFactorError;
 pub use job_slack::JobSlack;
 pub use remaining_time::RunOutlook;
-pub use remaining_time::TimeSpread;
+pub use time_spread::TimeSpread;
 pub use wait_decision::NoWaitReason;
 pub use wait_decision::WaitDecision;
 pub use wait_decision::WaitInputs;
--- a/crates/jobs/src/policy/placement_wait/remaining_time.rs
+++ b/crates/jobs/src/policy/placement_wait/remaining_time.rs
@@ -1,35 +1,10 @@
 use super::RunTimeRatio;
+use super::TimeSpread;
 
-/// The relative spread of a remaining time that follows from the run's own speed.
-const MEASURED_SPREAD: f64 = 0.15;
-
-/// An expected time with its spread.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct TimeSpread {
-    /// The mean, in milliseconds.
-    pub mean_ms: f64,
-    /// The standard deviation, in milliseconds.
-    pub spread_ms: f64,
-}
-
-impl TimeSpread {
-    /// Returns the time of a whole run with this estimate.
-    pub fn of_run(estimate_ms: f64, ratio: RunTimeRatio) -> Self {
-        let mean_ms = estimate_ms * ratio.median;
-        Self {
-            mean_ms,
-            spread_ms: mean_ms * ratio.log_spread,
-        }
-    }
-
-    /// Returns the sum of two independent times.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            mean_ms: self.mean_ms + other.mean_ms,
-            spread_ms: self.spread_ms.hypot(other.spread_ms),
-        }
-    }
-}
+/// The spread of the logarithm of a remaining time that follows from the run's own speed.
+const MEASURED_LOG_SPREAD: f64 = 0.15;
+/// A run that has taken longer than this share of such runs does not follow their distribution.
+const OUTLIER_SHARE: f64 = 0.95;
 
 /// What is known about the end of a run.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -47,23 +22,25 @@
 }
 
 impl RunOutlook {
-    /// Returns the remaining time of the run.
+    /// Returns the remaining time of the run, given that it has not ended yet.
     ///
-    /// The remaining time of a run that should have ended is unknown and counts as the estimate of
-    /// what was left at the last progress.
+    /// The remaining time of a run that has taken far longer than expected is unknown and counts as
+    /// the estimate.
     pub fn remaining(&self) -> TimeSpread {
-        let left = (100.0 - self.progress_percent).clamp(0.0, 100.0);
-        let (left_ms, spread) = match self.speed_percent_per_ms {
-            Some(speed) if speed > 0.0 => (left / speed, MEASURED_SPREAD),
-            _ => {
-                let whole = TimeSpread::of_run(self.estimate_ms, self.ratio);
-                (whole.mean_ms * left / 100.0, self.ratio.log_spread)
-            }
+        let left_share = ((100.0 - self.progress_percent) / 100.0).clamp(0.0, 1.0);
+        let left = match self.speed_percent_per_ms {
+            Some(speed) if speed > 0.0 => RunTimeRatio {
+                median: 100.0 * left_share / speed,
+                log_spread: MEASURED_LOG_SPREAD,
+            },
+            _ => RunTimeRatio {
+                median: self.estimate_ms * self.ratio.median * left_share,
+                ..self.ratio
+            },
         };
-        let due_ms = left_ms - self.progress_age_ms;
-        TimeSpread {
-            mean_ms: if due_ms > 0.0 { due_ms } else { left_ms },
-            spread_ms: left_ms * spread,
+        if left.share_below(self.progress_age_ms) > OUTLIER_SHARE {
+            return TimeSpread::of_run(self.estimate_ms, self.ratio);
         }
+        TimeSpread::from_points(|share| left.quantile_above(self.progress_age_ms, share))
     }
 }
--- a/crates/jobs/src/policy/placement_wait/wait_decision.rs
+++ b/crates/jobs/src/policy/placement_wait/wait_decision.rs
@@ -1,9 +1,8 @@
 use super::RunTimeRatio;
 use super::TimeSpread;
 
-/// Standard scores of the middle of each fifth of a normal distribution. A fifth is finer than the
-/// error of the inputs.
-const QUINTILE_SCORES: [f64; 5] = [-1.2816, -0.5244, 0.0, 0.5244, 1.2816];
+/// The shares of runs that are shorter than the run times for which a decision is evaluated.
+const RUN_TIME_SHARES: [f64; 4] = [0.125, 0.375, 0.625, 0.875];
 /// The value of a job that is just late, relative to one that meets its objective. It falls to 0 at
 /// three times the objective, where a job has no value for its client.
 const LATE_VALUE: f64 = 0.5;
@@ -15,6 +14,8 @@
 /// The time from a placement until the run begins: one append to the store, which takes 10 to 30 ms,
 /// and one order to the executor.
 const START_DELAY_MS: f64 = 50.0;
+/// The longest time between two rounds of decisions, by which a wait may end late.
+const ROUND_MAX_MS: f64 = 100.0;
 
 /// What the decision whether to wait for a preferred placement depends on.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,21 +84,24 @@
         if slack_ms <= 0.0 {
             return WaitDecision::RunElsewhere(NoWaitReason::SlackUsedUp);
         }
-        // A wait that has cost as much as the placement saves ends, whatever is still expected. The
-        // total loss against the best decision stays below the gain, even if all forecasts are
-        // wrong.
         let saving_ms = (self.far_factor - 1.0) * self.estimate_ms * self.ratio.median;
-        if self.waited_ms >= saving_ms {
+        let latest_far_start_ms = self.slack_at(self.ratio.median) - saving_ms - START_DELAY_MS;
+        let mut limit_max_ms = slack_ms;
+        // While a run elsewhere still meets the objective, a wait that has cost as much as the
+        // placement saves ends, whatever is expected: the loss against the best decision stays
+        // below the gain, even if all forecasts are wrong.
+        if latest_far_start_ms > 0.0 {
+            limit_max_ms = limit_max_ms.min(saving_ms - self.waited_ms);
+        }
+        if limit_max_ms <= 0.0 {
             return WaitDecision::RunElsewhere(NoWaitReason::GainUsedUp);
         }
-        let limit_max_ms = slack_ms.min(saving_ms - self.waited_ms);
-        let latest_far_start_ms = self.slack_at(self.ratio.median) - saving_ms - START_DELAY_MS;
-        let arrivals = Self::arrivals_ms(wait);
+        let arrivals = wait.points_ms();
         let limits = arrivals.iter().map(|arrival_ms| arrival_ms + 1.0);
-        let limits = limits.chain([latest_far_start_ms, limit_max_ms]);
+        let limits = limits.chain([latest_far_start_ms - ROUND_MAX_MS, limit_max_ms]);
         let best = limits
             .filter(|limit_ms| *limit_ms > 0.0 && *limit_ms <= limit_max_ms)
-            .map(|limit_ms| (self.value_of_waiting(limit_ms, &arrivals), limit_ms))
+            .map(|limit_ms| (self.value_of_waiting(limit_ms, arrivals), limit_ms))
             .max_by(|(value, limit_ms), (other, other_limit_ms)| {
                 let by_value = value.total_cmp(other);
                 by_value.then_with(|| other_limit_ms.total_cmp(limit_ms))
@@ -106,7 +110,7 @@
             Some((value, limit_ms)) if value > self.value_of_running_elsewhere() => {
                 WaitDecision::Wait {
                     limit_ms,
-                    gain_ms: self.gain_of_waiting_ms(limit_ms, &arrivals),
+                    gain_ms: self.gain_of_waiting_ms(limit_ms, arrivals),
                 }
             }
             _ => WaitDecision::RunElsewhere(NoWaitReason::GainTooSmall),
@@ -121,7 +125,7 @@
             Some(_) if limit_ms <= 0.0 => WaitDecision::RunElsewhere(NoWaitReason::SlackUsedUp),
             Some(wait) => WaitDecision::Wait {
                 limit_ms,
-                gain_ms: self.gain_of_waiting_ms(limit_ms, &Self::arrivals_ms(wait)),
+                gain_ms: self.gain_of_waiting_ms(limit_ms, wait.points_ms()),
             },
         }
     }
@@ -151,14 +155,6 @@
         self.slack_ms + (self.stretch - 1.0) * (ratio - 1.0) * self.estimate_ms
     }
 
-    fn arrivals_ms(wait: TimeSpread) -> [f64; 5] {
-        QUINTILE_SCORES.map(|score| (wait.mean_ms + score * wait.spread_ms).max(0.0))
-    }
-
-    fn run_time_ratios(&self) -> [f64; 5] {
-        QUINTILE_SCORES.map(|score| self.ratio.median * (score * self.ratio.log_spread).exp())
-    }
-
     fn value_of_running_elsewhere(&self) -> f64 {
         self.expected_over_runs(|ratio| self.value_elsewhere(0.0, ratio))
     }
@@ -174,7 +170,7 @@
                 }
                 false => {
                     let idle_ms = limit_ms * self.idle_share;
-                    self.value_elsewhere(limit_ms, ratio) - self.price(idle_ms)
+                    self.value_elsewhere(limit_ms + ROUND_MAX_MS, ratio) - self.price(idle_ms)
                 }
             })
         });
@@ -208,7 +204,8 @@
     }
 
     fn expected_over_runs(&self, value: impl Fn(f64) -> f64) -> f64 {
-        let values = self.run_time_ratios().map(value);
+        let ratios = RUN_TIME_SHARES.map(|share| self.ratio.quantile_above(0.0, share));
+        let values = ratios.map(value);
         values.iter().sum::<f64>() / values.len() as f64
     }
 
