Make the forecast for a gang cheaper

Cause: for each member of a waiting gang, the first fit of each executor was computed again, with a sort of its ends, on up to 16 racks.

Change: the ends of an executor are kept in order, only the executor that got a member is computed again, executors are checked for other reasons only when they are next, and a gang considers 8 racks.

--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -32,7 +32,7 @@
 use crate::policy::WaitPolicy;
 
 /// Limits the racks whose ends are forecast for a gang, so that a round stays cheap with many racks.
-const GANG_RACKS_MAX: usize = 16;
+const GANG_RACKS_MAX: usize = 8;
 /// Limits the tasks of one step ahead that a forecast takes in; more make any wait long anyway.
 const TASKS_AHEAD_MAX: usize = 64;
 
--- a/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
+++ b/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
@@ -1,3 +1,4 @@
+use std::borrow::Cow;
 use std::ops::AddAssign;
 use std::ops::SubAssign;
 
@@ -66,6 +67,13 @@
     pub due: Option<TimeSpread>,
 }
 
+impl DueEnd {
+    /// Returns the sort key; ends that are not expected are last.
+    fn order(&self) -> f64 {
+        self.due.map_or(f64::INFINITY, |due| due.median_ms())
+    }
+}
+
 /// The free resources of an executor and the ends that are due there.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ExecutorOutlook {
@@ -139,22 +147,23 @@
     fn first_fit(&self, need: &SlotNeed) -> Option<TimeSpread> {
         let mut room = self.room;
         let is_same_step = |end: &&DueEnd| end.step == need.step;
-        let mut same_step_count = self.ends.iter().filter(is_same_step).count() as u32;
+        let mut same_step_count = match need.per_executor_max {
+            Some(_) => self.ends.iter().filter(is_same_step).count() as u32,
+            None => 0,
+        };
         let limit = need.per_executor_max.unwrap_or(u32::MAX);
         if room.holds(&need.room_min) && same_step_count < limit {
             return Some(TimeSpread::default());
         }
-        let mut due: Vec<(TimeSpread, &DueEnd)> = self
-            .ends
-            .iter()
-            .filter_map(|end| Some((end.due?, end)))
-            .collect();
-        due.sort_by(|(a, _), (b, _)| a.median_ms().total_cmp(&b.median_ms()));
-        for (time, end) in due {
+        for end in &self.ends {
+            // Runs that are not expected to end are last.
+            let due = end.due?;
             room += end.room;
-            same_step_count -= u32::from(is_same_step(&end));
+            if need.per_executor_max.is_some() {
+                same_step_count -= u32::from(is_same_step(&end));
+            }
             if room.holds(&need.room_min) && same_step_count < limit {
-                return Some(time);
+                return Some(due);
             }
         }
         None
@@ -169,17 +178,25 @@
     /// the task.
     fn claim(&mut self, need: &SlotNeed, due: Option<TimeSpread>) {
         self.room -= need.room;
-        self.ends.push(DueEnd {
+        let end = DueEnd {
             step: need.step,
             room: need.room,
             due,
-        });
+        };
+        let position = self
+            .ends
+            .partition_point(|other| other.order() <= end.order());
+        self.ends.insert(position, end);
     }
 }
 
 impl CapacityForecast {
     /// Creates the forecast from the executors that accept runs.
-    pub fn new(executors: Vec<ExecutorOutlook>) -> Self {
+    pub fn new(mut executors: Vec<ExecutorOutlook>) -> Self {
+        for outlook in &mut executors {
+            let ends = &mut outlook.ends;
+            ends.sort_by(|a, b| a.order().total_cmp(&b.order()));
+        }
         Self { executors }
     }
 
@@ -192,19 +209,7 @@
         need: &SlotNeed,
         is_excluded: impl Fn(&ExecutorId, bool) -> bool,
     ) -> Option<Slot> {
-        let fits = self.executors.iter();
-        let fits = fits.filter_map(|outlook| Some((outlook, outlook.first_fit(need)?)));
-        let fits = fits.filter(|(outlook, start)| {
-            let fits_now = start.median_ms() <= 0.0;
-            !is_excluded(&outlook.executor, fits_now)
-        });
-        let (outlook, start) =
-            fits.min_by(|(_, a), (_, b)| a.median_ms().total_cmp(&b.median_ms()))?;
-        Some(Slot {
-            executor: outlook.executor.clone(),
-            start,
-            idle_share: outlook.idle_share(need),
-        })
+        self.find_all(need, 1, is_excluded)?.pop()
     }
 
     /// Returns slots for all members of a gang, which run at the same time.
@@ -214,14 +219,36 @@
         count: usize,
         is_excluded: impl Fn(&ExecutorId, bool) -> bool,
     ) -> Option<Vec<Slot>> {
-        let mut claimed = self.clone();
-        let slots = (0..count).map(|_| {
-            let slot = claimed.find(need, &is_excluded)?;
+        let fits = self.executors.iter();
+        let fits =
+            fits.filter_map(|outlook| Some((outlook.first_fit(need)?, Cow::Borrowed(outlook))));
+        let mut fits: Vec<(TimeSpread, Cow<'_, ExecutorOutlook>)> = fits.collect();
+        // The next slot is last.
+        let order = |(start, _): &(TimeSpread, Cow<'_, ExecutorOutlook>)| -start.median_ms();
+        fits.sort_by(|a, b| order(a).total_cmp(&order(b)));
+        let mut slots = Vec::with_capacity(count);
+        while slots.len() < count {
+            let (start, mut outlook) = fits.pop()?;
+            if is_excluded(&outlook.executor, start.median_ms() <= 0.0) {
+                continue;
+            }
+            slots.push(Slot {
+                executor: outlook.executor.clone(),
+                start,
+                idle_share: outlook.idle_share(need),
+            });
+            if slots.len() == count {
+                break;
+            }
             // No member can follow another one, so the claim does not end.
-            claimed.claim_until(need, &slot.executor, None);
-            Some(slot)
-        });
-        slots.collect()
+            outlook.to_mut().claim(need, None);
+            if let Some(next) = outlook.first_fit(need) {
+                let next = (next, outlook);
+                let position = fits.partition_point(|other| order(other) <= order(&next));
+                fits.insert(position, next);
+            }
+        }
+        Some(slots)
     }
 
     /// Reserves the slots of a task, or of the members of a gang.
