Wait for a preferred rack that a new owner has not heard from yet

Cause: right after a takeover, a rack whose executors had not answered the new owner yet counted as without capacity, and tasks that had waited for it ran elsewhere at once.

Change: for 500 ms after the takeover, the time of an executor's answer, such a rack counts as one with capacity at the end of that time.

--- a/crates/jobs/src/cell/placement_waits.rs
+++ b/crates/jobs/src/cell/placement_waits.rs
@@ -29,6 +29,8 @@
     pub(super) capacity: CapacityForecast,
     /// Whether the rooms are those of fillers.
     pub(super) is_for_fillers: bool,
+    /// The time until executors on the rack answer, if this owner is new and some have not yet.
+    pub(super) first_reports: Option<TimeSpread>,
     /// What it costs others that capacity of the pool is taken.
     pub(super) capacity_price: f64,
     /// The age of the oldest report behind the forecast, in milliseconds.
--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -242,7 +242,10 @@
         let slots = &choice.slots;
         let idle_share: f64 = slots.iter().map(|slot| slot.idle_share).sum();
         let inputs = WaitInputs {
-            wait: (!slots.is_empty()).then(|| Slot::latest_start(slots)),
+            wait: match slots.is_empty() {
+                true => forecast.first_reports,
+                false => Some(Slot::latest_start(slots)),
+            },
             idle_share: idle_share / slots.len().max(1) as f64,
             capacity_price: forecast.capacity_price,
             ..self.wait_inputs(job, search.step_ref, choice.settings, since, now)
--- a/crates/jobs/src/cell/rack_forecasts.rs
+++ b/crates/jobs/src/cell/rack_forecasts.rs
@@ -115,6 +115,7 @@
         let backlog_milli = *backlog.get(&(service.clone(), is_filler)).unwrap_or(&0);
         RackForecast {
             is_for_fillers: is_filler,
+            first_reports: self.time_to_first_reports(service, rack, now),
             capacity_price: (used_milli as f64 + BACKLOG_WEIGHT * backlog_milli as f64)
                 / capacity_milli.max(1) as f64,
             heard_ms,
@@ -124,6 +125,27 @@
         }
     }
 
+    /// Returns the time until the executors on a rack answer this owner for the first time, or `None`
+    /// if all have, or should have.
+    fn time_to_first_reports(
+        &self,
+        service: &ServiceId,
+        rack: &Label,
+        now: Instant,
+    ) -> Option<TimeSpread> {
+        let answer_max_ms = self.settings.order_timeout.as_millis() as u64;
+        let left_ms = answer_max_ms.saturating_sub(self.elapsed_ms(now));
+        let is_unheard = |executor: &Executor| {
+            executor.clock.is_none()
+                && executor.entry.service == *service
+                && executor.entry.labels.contains(rack)
+                && !executor.entry.phase.is_draining()
+                && !executor.listing.is_gone(now)
+        };
+        let is_waiting = left_ms > 0 && self.executors.values().any(is_unheard);
+        is_waiting.then(|| TimeSpread::exact(left_ms as f64))
+    }
+
     fn outlook(&self, executor: &Executor, is_filler: bool, now: Instant) -> ExecutorOutlook {
         let mut room = Room::from(executor.free());
         if is_filler {
--- a/crates/jobs/tests/cell/preferred_placement.rs
+++ b/crates/jobs/tests/cell/preferred_placement.rs
@@ -306,6 +306,42 @@
     assert!(waited <= Duration::from_millis(600), "{waited:?}");
 }
 
+#[tokio::test]
+async fn a_new_owner_does_not_take_a_rack_that_has_not_answered_yet_for_dead() {
+    let settings = wait_settings(3.0, WaitPolicy::Decided);
+    let mut harness = CellHarness::with_settings(settings);
+    for (id, rack) in [("i-1", "r1"), ("i-2", "r2")] {
+        harness.upsert_executor(on_rack(id, 4_000, rack));
+    }
+    harness.report("i-2", vec![], vec![]);
+    submit(&mut harness, 1, near_data(1, 4_000, 1_000));
+
+    let first = start(&mut harness, &["i-2"]).concat();
+    // The time for which an executor's answer is waited for.
+    harness.advance(Duration::from_millis(500));
+    let last = start(&mut harness, &["i-2"]).concat();
+
+    assert_eq!((first, last), (vec![], vec![task(1, 0, 0)]));
+}
+
+/// Guards against waits for an executor that is free again and again because it fails its runs.
+#[tokio::test]
+async fn no_task_waits_for_an_executor_that_has_just_failed_one() {
+    let executors = [("i-1", 4_000, "r1"), ("i-2", 4_000, "r2")];
+    let mut harness = cell_with(wait_settings(3.0, WaitPolicy::Decided), &executors);
+    submit(&mut harness, 1, near_data(1, 4_000, 1_000));
+    start(&mut harness, &["i-1"]);
+    let failure = ended(1, task(1, 0, 0), 1, RunEnd::Failed);
+    harness.report("i-1", vec![], vec![failure]);
+    let retried = start(&mut harness, &["i-1"]);
+    submit(&mut harness, 2, near_data(1, 4_000, 1_000));
+
+    let started = start(&mut harness, &["i-2"]);
+
+    assert_eq!(retried, [vec![task(1, 0, 0)]]);
+    assert_eq!(started, [vec![task(2, 0, 0)]]);
+}
+
 #[tokio::test]
 async fn a_gang_wider_than_any_rack_runs_on_several_at_once() {
     let executors = [("i-1", 4_000, "r1"), ("i-2", 4_000, "r2")];
