Guard the forecasts against needs and estimates of any size

Cause: a job may ask for any number of processors. Sums over its tasks overflowed, which ends a process with overflow checks, and an estimate of 0 ms gave no number as remaining time.

Change: sums saturate, rooms are cut off at an amount that no executor has, and a remaining time is at least 1 ms.

--- a/crates/jobs/src/cell/placement_waits.rs
+++ b/crates/jobs/src/cell/placement_waits.rs
@@ -148,7 +148,9 @@
         metrics.add_expected_gain(start.gain_ms);
         let wait = OpenWait {
             rack: start.rack.clone(),
-            since: now - Duration::from_secs_f64(start.waited_ms / 1_000.0),
+            since: now
+                .checked_sub(Duration::from_millis(start.waited_ms as u64))
+                .unwrap_or(now),
             expected_gain_ms: start.gain_ms,
             end_reason: None,
         };
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -268,7 +268,8 @@
         }
         let (preferred, others) = self.gang_racks(search, now);
         // Without enough processors on the whole rack, the search for each member is needless.
-        let needed_milli = search.step.reserved().cpu_milli.0 * tasks.len() as u64;
+        let member_milli = search.step.reserved().cpu_milli.0;
+        let needed_milli = member_milli.saturating_mul(tasks.len() as u64);
         let mut placements = racks_with_cpu(&preferred, needed_milli)
             .find_map(|rack| self.find_gang_executors(search, Some(rack), tasks, now));
         if placements.is_none() {
--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -264,8 +264,9 @@
             return;
         }
         let kind = (search.service.clone(), search.step.is_filler);
-        *self.placement_waits.unplaced_milli.entry(kind).or_default() +=
-            count as u64 * search.step.need.cpu_milli.0;
+        let unplaced_milli = self.placement_waits.unplaced_milli.entry(kind).or_default();
+        let needed_milli = search.step.need.cpu_milli.0.saturating_mul(count as u64);
+        *unplaced_milli = unplaced_milli.saturating_add(needed_milli);
         if let Some(need) = self.slot_need(search.step, search.key()) {
             let count = count.min(TASKS_AHEAD_MAX);
             for (key, forecast) in &mut self.placement_waits.forecasts {
--- a/crates/jobs/src/cell/rack_turns.rs
+++ b/crates/jobs/src/cell/rack_turns.rs
@@ -90,7 +90,8 @@
                 let turns_before = rivals.into_iter().take(RIVALS_MAX).map(|rival| RackTurn {
                     step: rival.step,
                     rack: rack.clone(),
-                    tasks_max: (bid.count as u64 * bid.cpu_milli / rival.cpu_milli) as usize,
+                    tasks_max: (bid.cpu_milli.saturating_mul(bid.count as u64) / rival.cpu_milli)
+                        as usize,
                 });
                 turns.insert((bid.step.job, bid.step.step_ref), turns_before.collect());
             }
--- a/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
+++ b/crates/jobs/src/policy/placement_wait/capacity_forecast.rs
@@ -9,6 +9,9 @@
 use crate::model::ExecutorId;
 use crate::model::JobId;
 
+/// The largest amount of a resource that is told apart from larger ones.
+const AMOUNT_MAX: u64 = 1 << 40;
+
 /// Free resources; negative while more is claimed than is free now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Room {
@@ -31,11 +34,13 @@
 }
 
 impl From<Resources> for Room {
+    /// Cuts off at an amount that no executor has, so that sums can't overflow.
     fn from(resources: Resources) -> Self {
+        let signed = |amount: u64| amount.min(AMOUNT_MAX) as i64;
         Self {
-            cpu_milli: resources.cpu_milli.0 as i64,
-            memory_mb: resources.memory_mb.0 as i64,
-            accelerators: resources.accelerators.0 as i64,
+            cpu_milli: signed(resources.cpu_milli.0),
+            memory_mb: signed(resources.memory_mb.0),
+            accelerators: signed(resources.accelerators.0),
         }
     }
 }
--- a/crates/jobs/src/policy/placement_wait/remaining_time.rs
+++ b/crates/jobs/src/policy/placement_wait/remaining_time.rs
@@ -30,11 +30,11 @@
         let left_share = ((100.0 - self.progress_percent) / 100.0).clamp(0.0, 1.0);
         let left = match self.speed_percent_per_ms {
             Some(speed) if speed > 0.0 => RunTimeRatio {
-                median: 100.0 * left_share / speed,
+                median: (100.0 * left_share / speed).max(1.0),
                 log_spread: MEASURED_LOG_SPREAD,
             },
             _ => RunTimeRatio {
-                median: self.estimate_ms * self.ratio.median * left_share,
+                median: (self.estimate_ms * self.ratio.median * left_share).max(1.0),
                 ..self.ratio
             },
         };
--- a/crates/jobs/tests/cell/preferred_placement.rs
+++ b/crates/jobs/tests/cell/preferred_placement.rs
@@ -237,6 +237,28 @@
     }
 }
 
+/// Guards against an overflow, which would end the process.
+#[tokio::test]
+async fn needs_and_estimates_of_any_size_are_forecast() {
+    let mut harness = cell_with_busy_rack(WaitPolicy::Decided, 3.0, 1_000, 80.0);
+    for (number, amount) in [(2, 0), (3, 1 << 63), (4, u64::MAX)] {
+        let gang = StepSpec {
+            estimate_ms: amount,
+            ..rack_gang(2, amount)
+        };
+        submit(&mut harness, 10 * number, near_data(2, amount, amount));
+        submit(&mut harness, 10 * number + 1, gang);
+    }
+    submit(&mut harness, 2, near_data(1, 4_000, 4_000));
+
+    start(&mut harness, &["i-1", "i-2"]);
+    report_after(&mut harness, 100);
+    start(&mut harness, &["i-1", "i-2"]);
+
+    let executor = harness.cell.executor(&"i-2".into()).expect("an executor");
+    assert!(executor.used().fits_in(&executor.entry.capacity));
+}
+
 #[tokio::test]
 async fn a_long_running_task_does_not_wait_for_its_rack() {
     let mut harness = cell_with_busy_rack(WaitPolicy::Decided, 3.0, 1_000, 80.0);
