Let a filler gang interfere after its idle time though it holds a rack

Cause: a wait reset the time after which the fillers of an idle job may run beside serving tasks, also when nothing harmless was free elsewhere, so a gang of fillers could wait for longer than 1.5 s.

Change: only a wait that was chosen over free capacity resets the time.

Result: no test of its own; all 152 tests of jobs pass.

--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -211,8 +211,10 @@
                         self.placement_waits.hold(slot.executor.clone(), hold);
                     }
                 }
-                // A chosen wait is no lack of harmless places for a filler.
-                self.idle_since.remove(&search.job);
+                if choice.is_free_elsewhere {
+                    // A chosen wait is no lack of harmless places for a filler.
+                    self.idle_since.remove(&search.job);
+                }
                 true
             }
             Some((_, WaitDecision::RunElsewhere(reason))) => {
