Show by a test what the metrics of waits count

The test waits 0.2 s for a run of 5 s that would take 15 s elsewhere, and expects one wait that ended on the rack and an actual gain of 9.8 s.

--- a/crates/jobs/tests/cell/preferred_placement.rs
+++ b/crates/jobs/tests/cell/preferred_placement.rs
@@ -11,6 +11,8 @@
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::observe::JobMetrics;
+use dotterelhook_jobs::observe::OutcomeLabels;
 use dotterelhook_jobs::platform::RunEnd;
 use dotterelhook_jobs::policy::FarFactor;
 use dotterelhook_jobs::policy::PlacementWait;
@@ -124,6 +126,32 @@
     assert_eq!(after, [vec![task(2, 0, 0)], vec![]]);
 }
 
+#[tokio::test]
+async fn the_metrics_tell_what_a_wait_has_gained() {
+    let mut harness = cell_with_busy_rack(WaitPolicy::Decided, 3.0, 1_000, 80.0);
+    let metrics = JobMetrics::default();
+    harness.cell = harness.cell.with_metrics(metrics.clone());
+    submit(&mut harness, 2, near_data(1, 4_000, 4_000));
+    start(&mut harness, &["i-2"]);
+    harness.advance(Duration::from_millis(190));
+    end_first_job(&mut harness);
+    start(&mut harness, &["i-1"]);
+    // The run takes 5 s, with the 10 ms of its report, instead of 15 s.
+    harness.advance(Duration::from_millis(4_990));
+    let end = ended(2, task(2, 0, 0), 1, RunEnd::Done);
+    harness.report("i-1", vec![], vec![end]);
+
+    let labels = OutcomeLabels {
+        kind: "placement-wait",
+        outcome: "placed-there",
+    };
+    assert_eq!(metrics.placement_waits.get_or_create(&labels).get(), 1);
+    let expected_gain_s = metrics.placement_wait_expected_gain_seconds.get();
+    assert!((7.7..8.0).contains(&expected_gain_s), "{expected_gain_s}");
+    let actual_gain_s = metrics.placement_wait_actual_gain_seconds.get();
+    assert!((actual_gain_s - 9.8).abs() < 0.001, "{actual_gain_s}");
+}
+
 #[tokio::test]
 async fn a_short_task_runs_elsewhere_at_once_beside_a_rack_that_frees_late() {
     let mut harness = cell_with_busy_rack(WaitPolicy::Decided, 3.0, 10_000, 10.0);
