--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -5,6 +5,9 @@
 use dotterelhook_jobs::cell::ColdLimits;
 use dotterelhook_jobs::entry::EntrySettings;
 use dotterelhook_jobs::ownership::required_partition_count;
+use dotterelhook_jobs::policy::FarFactor;
+use dotterelhook_jobs::policy::PlacementWait;
+use dotterelhook_jobs::policy::WaitPolicy;
 use dotterelhook_types::document::FieldError;
 use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
@@ -90,6 +93,10 @@
     record_entry_domain: bool,
     #[serde(default = "defaults::refuse_for_capacity")]
     refuse_for_capacity: bool,
+    #[serde(default)]
+    far_factor: Option<f64>,
+    #[serde(default)]
+    placement_wait: Option<WaitPolicy>,
 }
 
 /// The checked settings of a daemon that runs jobs, with the defaults filled in.
@@ -160,6 +167,7 @@
                 60_000,
             )?,
             cold_limits: cold_limits(jobs)?,
+            placement_wait: placement_wait(jobs)?,
         };
         let connections_max =
             checked_number(&field("connections_max"), jobs.connections_max, 1, 100_000)?;
@@ -198,6 +206,21 @@
     }
 }
 
+/// Returns how work waits for a preferred placement; without a factor, no work does.
+fn placement_wait(jobs: &RawJobs) -> Result<Option<PlacementWait>, FieldError> {
+    let far_factor = jobs.far_factor.map(FarFactor::try_from).transpose();
+    let far_factor =
+        far_factor.map_err(|error| FieldError::new("jobs.far_factor", error.to_string()))?;
+    if far_factor.is_none() && jobs.placement_wait.is_some() {
+        let rule = "has no effect without far_factor";
+        return Err(FieldError::new("jobs.placement_wait", rule));
+    }
+    Ok(far_factor.map(|far_factor| PlacementWait {
+        far_factor,
+        policy: jobs.placement_wait.unwrap_or_default(),
+    }))
+}
+
 fn check_addresses(jobs: &RawJobs) -> Result<(), FieldError> {
     let listeners = [
         ("jobs.clients_address", jobs.clients_address),
--- a/crates/jobs/src/cell/cell_settings.rs
+++ b/crates/jobs/src/cell/cell_settings.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use crate::fleet::ExecutorClock;
+use crate::policy::PlacementWait;
 
 /// The settings of the cells that a host owns.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     pub membership_ttl: Duration,
     /// Limits the runs on executors that are slow after their start, if the deployment sets limits.
     pub cold_limits: Option<ColdLimits>,
+    /// How work waits for a preferred placement; without it, no work does.
+    pub placement_wait: Option<PlacementWait>,
 }
 
 /// How many runs an executor that is slow after its start may get beyond its share of its pool's.
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,3 +1,4 @@
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
@@ -7,6 +8,7 @@
 
 use super::CellState;
 use super::Effect;
+use super::preferred_placement::RackChoice;
 use super::run_times::speed_penalty;
 use super::scored_executor::ScoredExecutor;
 use super::tickets::TICKET_VALIDITY_MIN;
@@ -48,13 +50,16 @@
 const LONG_RUNNING_WAIT_MAX: Duration = Duration::from_millis(3_000);
 
 /// A step with waiting tasks, and its rank among such steps.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct WaitingStep {
     pub(super) rank: Rank,
     pub(super) job: JobId,
     pub(super) step_ref: StepRef,
 }
 
+/// A rack with the free processors of its executors that accept runs, in thousandths of a core.
+pub(super) type RackRoom = (Label, u64);
+
 /// The constraints on executors for the tasks of a step.
 #[derive(Clone, Copy)]
 pub(super) struct StepSearch<'a> {
@@ -80,6 +85,11 @@
 }
 
 impl StepSearch<'_> {
+    /// Returns the step that is searched for.
+    pub(super) fn key(&self) -> (JobId, StepRef) {
+        (self.job, self.step_ref)
+    }
+
     /// Returns whether a task belongs to the searched step.
     fn is_same_step(&self, task: &TaskId) -> bool {
         task.job == self.job && StepRef::from(*task) == self.step_ref
@@ -92,7 +102,9 @@
     pub fn place_waiting_tasks(&mut self, now: Instant) -> bool {
         self.place_departed_tasks(now);
         self.update_wait_times(now);
+        self.placement_waits.begin_round();
         let waiting = self.waiting_steps(now);
+        let mut rack_turns = self.rack_turns(&waiting, now);
         let overdue = waiting.iter().filter(|waiting| {
             let since = self.waiting_since.get(&(waiting.job, waiting.step_ref));
             since.is_some_and(|since| now.duration_since(*since) >= LONG_RUNNING_WAIT_MAX)
@@ -101,17 +113,26 @@
         let turns = overdue.iter().map(|waiting| (waiting, true));
         let turns = turns.chain(waiting.iter().map(|waiting| (waiting, false)));
         let mut placed = 0;
+        let mut full_racks = BTreeSet::new();
         for (waiting, requires_spare_room) in turns {
-            placed += self.place_step(
-                waiting,
-                requires_spare_room,
-                PLACEMENTS_PER_ROUND_MAX - placed,
-                now,
-            );
+            let rivals = rack_turns.remove(&(waiting.job, waiting.step_ref));
+            for turn in rivals.into_iter().flatten() {
+                let limit = turn.tasks_max.min(PLACEMENTS_PER_ROUND_MAX - placed);
+                if limit == 0 || full_racks.contains(&turn.rack) {
+                    continue;
+                }
+                match self.place_step(&turn.step, Some(&turn.rack), false, limit, now) {
+                    0 => _ = full_racks.insert(turn.rack),
+                    count => placed += count,
+                }
+            }
+            let limit = PLACEMENTS_PER_ROUND_MAX - placed;
+            placed += self.place_step(waiting, None, requires_spare_room, limit, now);
             if placed >= PLACEMENTS_PER_ROUND_MAX {
                 return true;
             }
         }
+        self.end_closed_waits(now);
         false
     }
 
@@ -204,6 +225,7 @@
     fn place_step(
         &mut self,
         waiting: &WaitingStep,
+        rack: Option<&Label>,
         requires_spare_room: bool,
         limit: usize,
         now: Instant,
@@ -234,7 +256,7 @@
             service: &queue.service,
             pressures: &pressures,
             dissimilarities: &dissimilarities,
-            rack: None,
+            rack,
             needs_ticket: queue.advice.is_some(),
             requires_spare_room,
             ignores_ramp_up: requires_spare_room,
@@ -245,11 +267,23 @@
             return self.place_gang(&search, &tasks, now);
         }
         let mut candidates = self.score_executors(&search, now);
+        let mut choice = RackChoice::NoChoice;
         let mut placed = 0;
-        for task in tasks.into_iter().take(limit) {
+        for (index, task) in tasks.iter().copied().enumerate().take(limit) {
             let Some(best) = candidates.pop() else {
+                if rack.is_none() {
+                    self.note_tasks_ahead(&search, tasks.len() - index);
+                }
                 break;
             };
+            // Once a task runs elsewhere, the ones after it would wait even longer.
+            if choice != RackChoice::RunElsewhere {
+                choice = self.choose_rack(&search, task, &best.executor, now);
+            }
+            if choice == RackChoice::Wait {
+                candidates.push(best);
+                continue;
+            }
             if !self.place_task(step, task, &best.executor, now) {
                 continue;
             }
@@ -284,40 +318,66 @@
             .collect()
     }
 
-    /// Places all members of a gang, or none. Prefers a single rack if the gang needs one for full
-    /// speed.
+    /// Places all members of a gang, or none. Prefers a single rack, the one with its data, if the
+    /// gang needs it for full speed.
     fn place_gang(&mut self, search: &StepSearch<'_>, tasks: &[TaskId], now: Instant) -> usize {
         if tasks.len() < search.step.count as usize {
             return 0;
         }
-        let racks = match search.step.same_rack {
-            true => self.service_racks(search.service),
-            false => Vec::new(),
-        };
-        let rack_filters = racks.iter().map(Some).chain([None]);
-        for rack in rack_filters {
-            let search = StepSearch { rack, ..*search };
-            let Some(placements) = self.find_gang_executors(&search, tasks, now) else {
-                continue;
-            };
-            for (task, id) in &placements {
-                self.place_task(search.step, *task, id, now);
+        let (preferred, others) = self.gang_racks(search, now);
+        // Without enough processors on the whole rack, the search for each member is needless.
+        let member_milli = search.step.reserved().cpu_milli.0;
+        let needed_milli = member_milli.saturating_mul(tasks.len() as u64);
+        let mut placements = racks_with_cpu(&preferred, needed_milli)
+            .find_map(|rack| self.find_gang_executors(search, Some(rack), tasks, now));
+        if placements.is_none() {
+            let elsewhere = racks_with_cpu(&others, needed_milli).map(Some);
+            placements = elsewhere
+                .chain([None])
+                .find_map(|rack| self.find_gang_executors(search, rack, tasks, now));
+            if self.gang_waits_for_rack(search, tasks, &preferred, placements.is_some(), now) {
+                return 0;
             }
-            return placements.len();
         }
-        0
+        let Some(placements) = placements else {
+            self.note_tasks_ahead(search, tasks.len());
+            return 0;
+        };
+        for (task, id) in &placements {
+            self.place_task(search.step, *task, id, now);
+        }
+        placements.len()
+    }
+
+    /// Returns the racks on which all members of a gang run at full speed, and the other racks that
+    /// are better than none, each with its free processors. The one with the most is first.
+    fn gang_racks(&self, search: &StepSearch<'_>, now: Instant) -> (Vec<RackRoom>, Vec<RackRoom>) {
+        let step = search.step;
+        let racks = self.racks_by_free_cpu(search.service, now);
+        let (preferred, others) = match &step.preferred_rack {
+            Some(preferred) => racks.into_iter().partition(|(rack, _)| rack == preferred),
+            None => (racks, Vec::new()),
+        };
+        match step.same_rack {
+            true => (preferred, others),
+            false if step.preferred_rack.is_some() => (preferred, Vec::new()),
+            false => (Vec::new(), Vec::new()),
+        }
     }
 
     /// Finds an executor for each member of a gang, with the resources of all members reserved.
     fn find_gang_executors(
         &mut self,
         search: &StepSearch<'_>,
+        rack: Option<&Label>,
         tasks: &[TaskId],
         now: Instant,
     ) -> Option<Vec<(TaskId, ExecutorId)>> {
+        let search = StepSearch { rack, ..*search };
         let mut placements = Vec::new();
         for task in tasks {
-            let Some(ScoredExecutor { executor: id, .. }) = self.score_executors(search, now).pop()
+            let Some(ScoredExecutor { executor: id, .. }) =
+                self.score_executors(&search, now).pop()
             else {
                 break;
             };
@@ -345,6 +405,20 @@
         racks.into_iter().collect()
     }
 
+    /// Returns the racks of the executors that accept runs, the one with the most free processors
+    /// first.
+    fn racks_by_free_cpu(&self, service: &ServiceId, now: Instant) -> Vec<RackRoom> {
+        let mut free_milli: BTreeMap<Label, u64> = BTreeMap::new();
+        for executor in self.available_executors(service, now) {
+            if let Some(rack) = executor.entry.rack() {
+                *free_milli.entry(rack.clone()).or_default() += executor.free().cpu_milli.0;
+            }
+        }
+        let mut racks: Vec<RackRoom> = free_milli.into_iter().collect();
+        racks.sort_by_key(|(_, free_milli)| Reverse(*free_milli));
+        racks
+    }
+
     /// Returns the serving images that a step's tasks are known to interfere with, each with its
     /// interference weight.
     pub(super) fn interference_pressures(
@@ -371,26 +445,21 @@
     }
 
     /// Returns an executor with its score for a step's tasks, or `None` if they must not run there.
-    fn score_executor(
+    pub(super) fn score_executor(
         &self,
         search: &StepSearch<'_>,
         executor: &Executor,
         now: Instant,
     ) -> Option<ScoredExecutor> {
         let StepSearch { step, .. } = *search;
-        let rack = executor.entry.rack();
-        let is_on_rack = search.rack.is_none_or(|wanted| rack == Some(wanted));
+        let labels = &executor.entry.labels;
+        let is_on_rack = search.rack.is_none_or(|rack| labels.contains(rack));
         let is_over_target = step.is_filler && executor.over_target_since.is_some();
         if !is_on_rack || is_over_target || !self.may_place_on(executor, now) {
             return None;
         }
-        if search.needs_ticket {
-            self.ticket(
-                search.job,
-                search.step_ref,
-                executor,
-                now + TICKET_VALIDITY_MIN,
-            )?;
+        if search.needs_ticket && !self.has_ticket(search, executor, now) {
+            return None;
         }
         let request = PlacementRequest {
             step,
@@ -416,7 +485,8 @@
         {
             return None;
         }
-        if !self.ramp_up_permits(search, executor, now) {
+        if !self.ramp_up_permits(search, executor, now) || !self.holds_leave_room(search, executor)
+        {
             return None;
         }
         Some(ScoredExecutor {
@@ -425,6 +495,18 @@
         })
     }
 
+    /// Returns whether a start of the step's tasks on an executor has the ticket that it needs.
+    pub(super) fn has_ticket(
+        &self,
+        search: &StepSearch<'_>,
+        executor: &Executor,
+        now: Instant,
+    ) -> bool {
+        let valid_at = now + TICKET_VALIDITY_MIN;
+        self.ticket(search.job, search.step_ref, executor, valid_at)
+            .is_some()
+    }
+
     pub(super) fn place_task(
         &mut self,
         step: &StepSpec,
@@ -469,6 +551,13 @@
             task,
             run,
         });
+        self.record_placement(step, task, run, id, now);
         true
     }
 }
+
+/// Returns the racks with at least the given free processors, in thousandths of a core.
+fn racks_with_cpu(racks: &[RackRoom], needed_milli: u64) -> impl Iterator<Item = &Label> {
+    let racks = racks.iter();
+    racks.filter_map(move |(rack, free_milli)| (*free_milli >= needed_milli).then_some(rack))
+}
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -191,6 +191,7 @@
         });
         if let (RunEnd::Done, Some(view)) = (ended.end, view) {
             self.learn_run_time(id, ended.task, &view, now);
+            self.record_estimate_error(id, ended.task, &view, now);
         }
         self.apply_run_end(&key, ended, now);
     }
@@ -286,6 +287,8 @@
             return;
         };
         view.missed_reports = 0;
+        view.first_progress
+            .get_or_insert((running.progress_percent, now));
         view.recent_measurement = running.recent_measurement;
         if running.checkpoint.is_some() {
             view.checkpoint.clone_from(&running.checkpoint);
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -10,6 +10,9 @@
 /// The progress from which a run shows that its executor works, in percent.
 const PROBE_PROGRESS_PERCENT: f64 = 1.0;
 
+/// The smallest progress that tells the speed of a run, in percent. Reports may be late by some 10 ms.
+const MEASURED_PROGRESS_PERCENT: f64 = 5.0;
+
 /// The phase of a run on an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunPhase {
@@ -57,6 +60,10 @@
     pub checkpoint: Option<Checkpoint>,
     /// The share of the work that is done, 0 to 100.
     pub progress_percent: f64,
+    /// The first share of the work that the executor reported, and when the report arrived.
+    pub first_progress: Option<(f64, Instant)>,
+    /// Whether a former owner started the run, so the time of its start is not known.
+    pub is_inherited: bool,
     /// When progress was last observed.
     pub progressed_at: Instant,
     /// The last reported measurement: the tail latency in milliseconds of a serving task, or the
@@ -87,6 +94,8 @@
             placed_at: Some(now),
             checkpoint: None,
             progress_percent: 0.0,
+            first_progress: None,
+            is_inherited: phase == RunPhase::Restored,
             progressed_at: now,
             recent_measurement: None,
             pace_percent: 100,
@@ -100,6 +109,22 @@
         clock.is_some_and(|clock| clock.seen_at() > time)
     }
 
+    /// Returns the speed of the run in percent per millisecond, once its progress is large enough to
+    /// measure.
+    ///
+    /// Measures from the start if this owner saw it and the run began without a checkpoint, and from
+    /// the first report otherwise.
+    pub fn speed_percent_per_ms(&self, has_checkpoint: bool) -> Option<f64> {
+        let (first_percent, first_at) = match self.phase {
+            RunPhase::Running { since } if !self.is_inherited && !has_checkpoint => (0.0, since),
+            _ => self.first_progress?,
+        };
+        let gained_percent = self.progress_percent - first_percent;
+        let took = self.progressed_at.checked_duration_since(first_at)?;
+        let is_measured = gained_percent >= MEASURED_PROGRESS_PERCENT && !took.is_zero();
+        is_measured.then(|| gained_percent / (took.as_secs_f64() * 1_000.0))
+    }
+
     /// Estimates the pace of a filler from the processor time that it uses, in percent.
     pub fn observed_pace_percent(&self) -> u32 {
         let used_milli = self.recent_measurement.unwrap_or(0.0);
--- a/crates/jobs/src/policy/least_slack_first.rs
+++ b/crates/jobs/src/policy/least_slack_first.rs
@@ -69,7 +69,7 @@
 }
 
 /// Returns the critical path over the unfinished steps of an occurrence, in milliseconds.
-fn remaining_critical_path_ms(job: &Job, step_ref: StepRef) -> u64 {
+pub(super) fn remaining_critical_path_ms(job: &Job, step_ref: StepRef) -> u64 {
     job.submission().spec.critical_path_ms(|step| {
         let other = StepRef { step, ..step_ref };
         job.done_count(other) < job.step(step).count
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -72,6 +72,7 @@
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(1_500),
         cold_limits: None,
+        placement_wait: None,
     }
 }
 
@@ -151,6 +152,20 @@
     }
 }
 
+pub(crate) fn executor_entry(id: &str, cpu_milli: u64) -> ExecutorEntry {
+    ExecutorEntry {
+        id: id.into(),
+        incarnation: Some(Incarnation(1)),
+        service: SERVICE.into(),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        failure_domain: "laguna".into(),
+        labels: Vec::new(),
+        capacity: Resources::new(cpu_milli, 100_000),
+        phase: ExecutorPhase::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
 pub(crate) fn running(task: TaskId, run: u32) -> RunningRun {
     RunningRun {
         task,
@@ -174,9 +189,14 @@
 impl CellHarness {
     /// Creates a cell without executors.
     pub(crate) fn new() -> Self {
+        Self::with_settings(settings())
+    }
+
+    /// Creates a cell without executors, with settings of its own.
+    pub(crate) fn with_settings(settings: CellSettings) -> Self {
         let now = Instant::now();
         Self {
-            cell: CellState::new(Arc::new(settings()), Epoch(7), config(3), now),
+            cell: CellState::new(Arc::new(settings), Epoch(7), config(3), now),
             now,
             orders: BTreeMap::new(),
             clock_ms: 1_000,
@@ -247,18 +267,18 @@
         cold_left: Duration,
     ) {
         let entry = ExecutorEntry {
-            id: id.into(),
-            incarnation: Some(Incarnation(1)),
-            service: SERVICE.into(),
-            address: ([127, 0, 0, 1], 9_000).into(),
             failure_domain: domain.into(),
-            labels: Vec::new(),
-            capacity: Resources::new(cpu_milli, 100_000),
-            phase: ExecutorPhase::Ready,
             cold_left,
+            ..executor_entry(id, cpu_milli)
         };
+        self.upsert_executor(entry);
+    }
+
+    /// Adds an executor or updates its entry.
+    pub(crate) fn upsert_executor(&mut self, entry: ExecutorEntry) {
+        let id = entry.id.clone();
         if let Some(orders) = self.cell.upsert_executor(entry, self.now) {
-            self.orders.insert(id.into(), orders);
+            self.orders.insert(id, orders);
         }
     }
 
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod outages;
 mod pending;
+mod preferred_placement;
 mod probation;
 mod ramp_ups;
 mod run_times;
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -260,5 +260,6 @@
         early_max: Duration::ZERO,
         membership_ttl: Duration::from_millis(100),
         cold_limits: None,
+        placement_wait: None,
     }
 }
--- a/crates/jobs/tests/policies/main.rs
+++ b/crates/jobs/tests/policies/main.rs
@@ -6,6 +6,7 @@
 mod operator_view;
 mod order;
 mod placement;
+mod placement_wait;
 mod run_times;
 mod shares;
 mod speeds;
