Split wait times and gang placement off the placement of tasks

The idle time of a job, for which all executors of a pool are summed, is now looked up once for each step instead of twice, and both users of a placement request build it by one method.

--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -13,6 +13,7 @@
 mod evacuation_progress;
 mod excess;
 mod foreign_runs;
+mod gang_placement;
 mod held_starts;
 mod incarnations;
 mod order_outcomes;
@@ -29,6 +30,7 @@
 mod scored_executor;
 mod tail_latency;
 mod tickets;
+mod wait_times;
 
 pub use cell_load::CellLoad;
 pub use cell_settings::CellSettings;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -1,5 +1,3 @@
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::time::Duration;
@@ -21,7 +19,6 @@
 use crate::model::ImageName;
 use crate::model::JobId;
 use crate::model::Label;
-use crate::model::RunNumber;
 use crate::model::ServiceId;
 use crate::model::StepSpec;
 use crate::model::TaskId;
@@ -35,16 +32,6 @@
 /// second, the limit is above the start rate of the largest deployment.
 const PLACEMENTS_PER_ROUND_MAX: usize = 256;
 
-/// How long a job without a placed task waits until one of its tasks may run where it interferes with
-/// serving tasks. The requirements allow 3 s while less than half of a pool is in use.
-const IDLE_WAIT_MAX: Duration = Duration::from_millis(1_500);
-
-/// The same while more of the pool is in use: harm would spread, and other jobs end soon.
-const IDLE_WAIT_IN_SHORTAGE_MAX: Duration = Duration::from_millis(6_000);
-
-/// The part of a pool's processors in use from which capacity counts as short.
-const SHORTAGE_USE: f64 = 0.6;
-
 /// The waiting time after which long-running tasks are placed before other tasks, on executors with
 /// ample room. The requirements allow 6 s.
 const LONG_RUNNING_WAIT_MAX: Duration = Duration::from_millis(3_000);
@@ -57,9 +44,6 @@
     pub(super) step_ref: StepRef,
 }
 
-/// A rack with the free processors of its executors that accept runs, in thousandths of a core.
-pub(super) type RackRoom = (Label, u64);
-
 /// The constraints on executors for the tasks of a step.
 #[derive(Clone, Copy)]
 pub(super) struct StepSearch<'a> {
@@ -84,7 +68,18 @@
     pub(super) may_be_interrupted: bool,
 }
 
-impl StepSearch<'_> {
+impl<'a> StepSearch<'a> {
+    /// Returns the request of a task for the placement policy.
+    pub(super) fn request(&self) -> PlacementRequest<'a> {
+        PlacementRequest {
+            step: self.step,
+            pressures: self.pressures,
+            dissimilarities: self.dissimilarities,
+            may_interfere: self.may_interfere,
+            may_be_interrupted: self.may_be_interrupted,
+        }
+    }
+
     /// Returns the step that is searched for.
     pub(super) fn key(&self) -> (JobId, StepRef) {
         (self.job, self.step_ref)
@@ -152,53 +147,6 @@
         }
     }
 
-    /// Updates since when long-running steps have had waiting tasks, and since when jobs with ready
-    /// steps have had no placed task.
-    fn update_wait_times(&mut self, now: Instant) {
-        let ledger = &self.ledger;
-        let mut waiting_since = BTreeMap::new();
-        for job in ledger.jobs().filter(|job| job.is_open()) {
-            let long_running = job
-                .ready_steps()
-                .filter(|step_ref| job.step(step_ref.step).is_long_running);
-            for step_ref in long_running {
-                let key = (job.id(), step_ref);
-                let since = self.waiting_since.get(&key).copied().unwrap_or(now);
-                waiting_since.insert(key, since);
-            }
-        }
-        self.waiting_since = waiting_since;
-        self.idle_since.retain(|id, _| {
-            let job = ledger.job(*id);
-            job.is_some_and(|job| job.is_open() && !job.has_placed_tasks())
-        });
-        for job in ledger.jobs().filter(|job| job.is_open()) {
-            if !job.has_placed_tasks() && job.ready_steps().next().is_some() {
-                self.idle_since.entry(job.id()).or_insert(now);
-            }
-        }
-    }
-
-    fn has_been_idle(&self, id: JobId, service: &ServiceId, now: Instant) -> bool {
-        let Some(since) = self.idle_since.get(&id) else {
-            return false;
-        };
-        let idle = now.duration_since(*since);
-        idle >= IDLE_WAIT_IN_SHORTAGE_MAX
-            || idle >= IDLE_WAIT_MAX && self.cpu_use(service) < SHORTAGE_USE
-    }
-
-    /// Returns the part of a pool's processors that is reserved, 0 to 1.
-    fn cpu_use(&self, service: &ServiceId) -> f64 {
-        let executors = self.executors.values();
-        let pool = executors.filter(|executor| executor.entry.service == *service);
-        let (used, total) = pool.fold((0, 0), |(used, total), executor| {
-            let capacity_milli = executor.entry.capacity.cpu_milli.0;
-            (used + executor.used().cpu_milli.0, total + capacity_milli)
-        });
-        used as f64 / total.max(1) as f64
-    }
-
     pub(super) fn waiting_steps(&self, now: Instant) -> Vec<WaitingStep> {
         let mut waiting = Vec::new();
         for job in self.ledger.jobs().filter(|job| job.is_open()) {
@@ -249,6 +197,7 @@
             }
             _ => Vec::new(),
         };
+        let has_been_idle = self.has_been_idle(waiting.job, &queue.service, now);
         let mut search = StepSearch {
             job: waiting.job,
             step_ref: waiting.step_ref,
@@ -260,8 +209,8 @@
             needs_ticket: queue.advice.is_some(),
             requires_spare_room,
             ignores_ramp_up: requires_spare_room,
-            may_interfere: self.has_been_idle(waiting.job, &queue.service, now),
-            may_be_interrupted: self.has_been_idle(waiting.job, &queue.service, now),
+            may_interfere: has_been_idle,
+            may_be_interrupted: has_been_idle,
         };
         if step.is_gang {
             return self.place_gang(&search, &tasks, now);
@@ -318,107 +267,6 @@
             .collect()
     }
 
-    /// Places all members of a gang, or none. Prefers a single rack, the one with its data, if the
-    /// gang needs it for full speed.
-    fn place_gang(&mut self, search: &StepSearch<'_>, tasks: &[TaskId], now: Instant) -> usize {
-        if tasks.len() < search.step.count as usize {
-            return 0;
-        }
-        let (preferred, others) = self.gang_racks(search, now);
-        // Without enough processors on the whole rack, the search for each member is needless.
-        let member_milli = search.step.reserved().cpu_milli.0;
-        let needed_milli = member_milli.saturating_mul(tasks.len() as u64);
-        let mut placements = racks_with_cpu(&preferred, needed_milli)
-            .find_map(|rack| self.find_gang_executors(search, Some(rack), tasks, now));
-        if placements.is_none() {
-            let elsewhere = racks_with_cpu(&others, needed_milli).map(Some);
-            placements = elsewhere
-                .chain([None])
-                .find_map(|rack| self.find_gang_executors(search, rack, tasks, now));
-            if self.gang_waits_for_rack(search, tasks, &preferred, placements.is_some(), now) {
-                return 0;
-            }
-        }
-        let Some(placements) = placements else {
-            self.note_tasks_ahead(search, tasks.len());
-            return 0;
-        };
-        for (task, id) in &placements {
-            self.place_task(search.step, *task, id, now);
-        }
-        placements.len()
-    }
-
-    /// Returns the racks on which all members of a gang run at full speed, and the other racks that
-    /// are better than none, each with its free processors. The one with the most is first.
-    fn gang_racks(&self, search: &StepSearch<'_>, now: Instant) -> (Vec<RackRoom>, Vec<RackRoom>) {
-        let step = search.step;
-        let racks = self.racks_by_free_cpu(search.service, now);
-        let (preferred, others) = match &step.preferred_rack {
-            Some(preferred) => racks.into_iter().partition(|(rack, _)| rack == preferred),
-            None => (racks, Vec::new()),
-        };
-        match step.same_rack {
-            true => (preferred, others),
-            false if step.preferred_rack.is_some() => (preferred, Vec::new()),
-            false => (Vec::new(), Vec::new()),
-        }
-    }
-
-    /// Finds an executor for each member of a gang, with the resources of all members reserved.
-    fn find_gang_executors(
-        &mut self,
-        search: &StepSearch<'_>,
-        rack: Option<&Label>,
-        tasks: &[TaskId],
-        now: Instant,
-    ) -> Option<Vec<(TaskId, ExecutorId)>> {
-        let search = StepSearch { rack, ..*search };
-        let mut placements = Vec::new();
-        for task in tasks {
-            let Some(ScoredExecutor { executor: id, .. }) =
-                self.score_executors(&search, now).pop()
-            else {
-                break;
-            };
-            if let Some(executor) = self.executors.get_mut(&id) {
-                let run = RunNumber::default();
-                let view = RunView::new(run, search.step, RunPhase::Proposed, now);
-                executor.add_run(*task, view);
-            }
-            placements.push((*task, id));
-        }
-        for (task, id) in &placements {
-            if let Some(executor) = self.executors.get_mut(id) {
-                executor.remove_run(*task, RunNumber::default());
-            }
-        }
-        (placements.len() == tasks.len()).then_some(placements)
-    }
-
-    pub(super) fn service_racks(&self, service: &ServiceId) -> Vec<Label> {
-        let executors = self.executors.values().map(|executor| &executor.entry);
-        let racks: BTreeSet<Label> = executors
-            .filter(|entry| entry.service == *service)
-            .filter_map(|entry| entry.rack().cloned())
-            .collect();
-        racks.into_iter().collect()
-    }
-
-    /// Returns the racks of the executors that accept runs, the one with the most free processors
-    /// first.
-    fn racks_by_free_cpu(&self, service: &ServiceId, now: Instant) -> Vec<RackRoom> {
-        let mut free_milli: BTreeMap<Label, u64> = BTreeMap::new();
-        for executor in self.available_executors(service, now) {
-            if let Some(rack) = executor.entry.rack() {
-                *free_milli.entry(rack.clone()).or_default() += executor.free().cpu_milli.0;
-            }
-        }
-        let mut racks: Vec<RackRoom> = free_milli.into_iter().collect();
-        racks.sort_by_key(|(_, free_milli)| Reverse(*free_milli));
-        racks
-    }
-
     /// Returns the serving images that a step's tasks are known to interfere with, each with its
     /// interference weight.
     pub(super) fn interference_pressures(
@@ -461,13 +309,7 @@
         if search.needs_ticket && !self.has_ticket(search, executor, now) {
             return None;
         }
-        let request = PlacementRequest {
-            step,
-            pressures: search.pressures,
-            dissimilarities: search.dissimilarities,
-            may_interfere: search.may_interfere,
-            may_be_interrupted: search.may_be_interrupted,
-        };
+        let request = search.request();
         let score = self.placement.score(&request, executor)? - speed_penalty(step, executor, now);
         let reserved = step.reserved();
         if search.requires_spare_room
@@ -555,9 +397,3 @@
         true
     }
 }
-
-/// Returns the racks with at least the given free processors, in thousandths of a core.
-fn racks_with_cpu(racks: &[RackRoom], needed_milli: u64) -> impl Iterator<Item = &Label> {
-    let racks = racks.iter();
-    racks.filter_map(move |(rack, free_milli)| (*free_milli >= needed_milli).then_some(rack))
-}
--- a/crates/jobs/src/cell/preferred_placement.rs
+++ b/crates/jobs/src/cell/preferred_placement.rs
@@ -1,11 +1,11 @@
 use tokio::time::Instant;
 
 use super::CellState;
+use super::gang_placement::RackRoom;
 use super::placement_waits::Hold;
 use super::placement_waits::RackForecast;
 use super::placement_waits::RackKey;
 use super::placement_waits::WaitStart;
-use super::planning::RackRoom;
 use super::planning::StepSearch;
 use super::rack_forecasts::distance_factor;
 use crate::fleet::Executor;
--- a/crates/jobs/src/cell/rack_forecasts.rs
+++ b/crates/jobs/src/cell/rack_forecasts.rs
@@ -16,7 +16,6 @@
 use crate::policy::DueEnd;
 use crate::policy::ExecutorOutlook;
 use crate::policy::Fit;
-use crate::policy::PlacementRequest;
 use crate::policy::Room;
 use crate::policy::RunOutlook;
 use crate::policy::SlotNeed;
@@ -49,13 +48,7 @@
             .required_label
             .as_ref()
             .is_some_and(|label| !executor.entry.labels.contains(label));
-        let request = PlacementRequest {
-            step,
-            pressures: search.pressures,
-            dissimilarities: search.dissimilarities,
-            may_interfere: search.may_interfere,
-            may_be_interrupted: search.may_be_interrupted,
-        };
+        let request = search.request();
         let is_harmful = step.is_filler
             && (executor.over_target_since.is_some() || request.fit_on(executor) == Fit::Harmful);
         lacks_label
--- a/crates/jobs/src/policy/filler_pacer.rs
+++ b/crates/jobs/src/policy/filler_pacer.rs
@@ -10,6 +10,7 @@
 use super::LearnedPressure;
 use super::TailSample;
 use super::load_forecast::LoadForecast;
+use super::median::median;
 use super::pressure_estimates::Pressure;
 use super::pressure_estimates::PressureEstimates;
 use crate::fleet::Headroom;
@@ -294,18 +295,6 @@
     (task.job, task.into())
 }
 
-/// Returns the median, or 0 without values. Unlike the mean, it bears a single tail that was measured
-/// far too high.
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    let middle = values.len() / 2;
-    match values.len() % 2 {
-        0 if middle > 0 => (values[middle - 1] + values[middle]) / 2.0,
-        0 => 0.0,
-        _ => values[middle],
-    }
-}
-
 fn tails_by_image(sample: &TailSample) -> BTreeMap<&ImageName, Vec<(TaskId, f64)>> {
     let mut tails: BTreeMap<&ImageName, Vec<(TaskId, f64)>> = BTreeMap::new();
     for tail in &sample.tails {
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod job_sizes;
 mod least_slack_first;
 mod load_forecast;
+mod median;
 mod placement;
 mod placement_wait;
 mod pressure_estimates;
