--- a/crates/jobs/src/policy/filler_pacer.rs
+++ b/crates/jobs/src/policy/filler_pacer.rs
@@ -27,9 +27,11 @@
 const LEARNED_ENTRY_BYTES: usize = 32;
 /// The number of load forecasts above which outdated ones are removed.
 const FORECASTS_MAX: usize = 65_536;
-/// The highest tail ratio that fillers may cause.
+/// The highest tail ratio that fillers may cause by forecast. It is above the target, since with lower
+/// bounds batch work lost more than serving tasks gained; see docs/design/colocation.md.
 const TAIL_RATIO_MAX: f64 = 1.1;
-/// The highest tail ratio that fillers may cause at the peak load of a serving image.
+/// The highest tail ratio that fillers may cause at the peak load of a serving image. Few tasks on an
+/// executor are at their peak at the same time.
 const PEAK_RATIO_MAX: f64 = 1.25;
 /// The expected tail ratio up to which fillers are sped up.
 const SPEED_UP_RATIO_MAX: f64 = 0.95;
