--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -96,7 +96,7 @@
 ///
 /// All times are milliseconds of a monotonic clock.
 pub trait InterferenceController: Send + Sync {
-    /// Updates the learned loads and interference weights from a sample.
+    /// Updates the learned loads and pressures from a sample.
     fn learn(&mut self, sample: &TailSample, now_ms: u64);
 
     /// Exports the learned state, for the next owner of the cell.
