Keep the platform's field names of the template test in the adapter's folder

Cause: the test that renders the template of the settings named fields of the users' platform in the daemon's package.

The assertions are the same.

--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,6 +1,7 @@
 //! A settings file is valid, or `dotterelhookd` exits with 2 and names the first fault in one line.
 //! Guards against faults without field, value and rule, and against a start with bad settings.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
 use std::process::Command;
@@ -304,32 +305,13 @@
 /// that only some deployments have.
 #[test]
 fn the_template_renders_to_valid_settings() {
-    let required = [
-        ("node", "laguna-1"),
-        ("zone", "laguna"),
-        ("limits.cpuShare", "0.1"),
-        ("listen.front", "127.0.0.1:7301"),
-        ("listen.ready", "127.0.0.1:7302"),
-        ("ip", "127.0.0.1"),
-        ("portRange.0", "7303"),
-        ("portRange.1", "7304"),
-        ("platform.address", "127.0.0.1:7305"),
-        ("platform.parts", "8"),
-        ("platform.ttlMinMs", "1000"),
-        ("bounds.holdMaxMs", "6000"),
-        ("bounds.stopMs", "200"),
-    ];
-    let optional = [
-        ("advice", "127.0.0.1:7306"),
-        ("bounds.fencingEnforced", "true"),
-        ("bounds.evacuateMs", "5000"),
-        ("bounds.coldOverage", "1.5"),
-        ("bounds.coldBurst", "5"),
-    ];
+    let values = include_str!("../../../platform/tests/fixtures/template_values.json");
+    let values: BTreeMap<&str, Vec<(&str, &str)>> = serde_json::from_str(values).expect("values");
+    let (required, optional) = (&values["required"], &values["optional"]);
 
     for (name, values) in [
-        ("least", required.to_vec()),
-        ("all", [&required[..], &optional].concat()),
+        ("least", required.clone()),
+        ("all", [&required[..], optional].concat()),
     ] {
         let text = render_template(&values);
         let output = check_text(&format!("template-{name}"), &text);
