Log the crashes of executors apart from their silence

The logs could not tell the hypotheses apart: a crashed and a cut executor both showed only as 'silent for a lease', 6.8 s later, and no line named the run that had started last.

A refused connection now has an error of its own (OrderError::NoListener), and a session reports failed renewals to the cell, which logs executor-silent and executor-crashed and counts executor_crashes. Nothing decides by it yet.

--- a/crates/borders/src/http/http_client.rs
+++ b/crates/borders/src/http/http_client.rs
@@ -1,3 +1,4 @@
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -168,7 +169,10 @@
         };
         let stream = TcpStream::connect(self.address)
             .await
-            .map_err(|error| connect_error(&error))?;
+            .map_err(|error| CallError {
+                is_without_listener: error.kind() == ErrorKind::ConnectionRefused,
+                ..connect_error(&error)
+            })?;
         // Nagle's algorithm would delay small calls until earlier ones are acknowledged.
         stream
             .set_nodelay(true)
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -1,6 +1,7 @@
 use tokio::time::Instant;
 
 use super::CellState;
+use super::executor_crashes::CrashEvidence;
 use crate::fleet::Executor;
 use crate::fleet::RelativeSpeed;
 use crate::fleet::RunPhase;
@@ -71,6 +72,7 @@
         now: Instant,
     ) {
         let incarnation = report.incarnation;
+        self.record_executor_crash(id, CrashEvidence::Restarted, now);
         decided!(Decision::ExecutorRestarted, executor: id, incarnation: incarnation);
         let Some(executor) = self.executors.get_mut(id) else {
             return;
@@ -79,6 +81,8 @@
         let views = executor.remove_all_runs();
         executor.incarnation = Some(incarnation);
         executor.clock = None;
+        executor.silent_since = None;
+        executor.crashed_at = None;
         executor.given_up_at = None;
         executor.speed = RelativeSpeed::default();
         executor.applied_end = 0;
@@ -172,8 +176,10 @@
         cause: &str,
         now: Instant,
     ) {
-        if self.requeue_run(key, task, view.run, view.checkpoint, now) {
-            decided!(Decision::RunLost, task: task, run: view.run, executor: key, cause: cause);
+        let age_ms = view.age(now).as_millis();
+        let (run, checkpoint) = (view.run, view.checkpoint);
+        if self.requeue_run(key, task, run, checkpoint, now) {
+            decided!(Decision::RunLost, task: task, run: run, executor: key, cause: cause, age_ms: age_ms);
         }
     }
 
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -12,6 +12,7 @@
 mod departures;
 mod evacuation_progress;
 mod excess;
+mod executor_crashes;
 mod foreign_runs;
 mod gang_placement;
 mod held_starts;
--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -161,7 +161,7 @@
                 }
                 self.requeue_unstarted(id, task, run, now);
             }
-            OrderError::NotSent(_) | OrderError::OtherExecutor => {
+            OrderError::NotSent(_) | OrderError::NoListener(_) | OrderError::OtherExecutor => {
                 executor.full_until = Some(now + REFUSAL_PAUSE);
                 self.requeue_unstarted(id, task, run, now);
             }
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -98,6 +98,8 @@
         };
         let clock = ExecutorClock::new(report.clock_ms, now);
         executor.clock = Some(clock.later(executor.clock));
+        executor.silent_since = None;
+        executor.crashed_at = None;
         executor.given_up_at = executor
             .given_up_at
             .filter(|given_up_at| requested_at < *given_up_at || !report.running.is_empty());
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -35,6 +35,10 @@
     pub incarnation: Option<Incarnation>,
     /// The newest clock reading, once the executor has answered in this incarnation.
     pub clock: Option<ExecutorClock>,
+    /// Since when renewals have had no answer.
+    pub silent_since: Option<Instant>,
+    /// When it became known that the process of this incarnation has ended.
+    pub crashed_at: Option<Instant>,
     /// When a start was last sent. In an incarnation that is not known yet, a start begins a lease
     /// of its own.
     pub start_sent_at: Option<Instant>,
@@ -81,6 +85,8 @@
             entry,
             listing: Listing::Listed,
             clock: None,
+            silent_since: None,
+            crashed_at: None,
             start_sent_at: None,
             given_up_at: None,
             applied_end: 0,
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use dotterelhook_types::sizes::Resources;
 use tokio::time::Instant;
 
@@ -54,6 +56,8 @@
     pub image: Option<ImageName>,
     /// The phase of the run.
     pub phase: RunPhase,
+    /// When this owner placed the run or learned of it.
+    pub known_since: Instant,
     /// When this owner placed the run; unknown for a run of a former owner.
     pub placed_at: Option<Instant>,
     /// The newest checkpoint that the executor reported.
@@ -91,6 +95,7 @@
             tail_target_ms: step.tail_target_ms,
             image: step.image.clone(),
             phase,
+            known_since: now,
             placed_at: Some(now),
             checkpoint: None,
             progress_percent: 0.0,
@@ -132,6 +137,14 @@
         (share * 100.0).clamp(0.0, 100.0) as u32
     }
 
+    /// Returns the time since the run started, or since this owner first knew of it.
+    pub fn age(&self, now: Instant) -> Duration {
+        match self.phase {
+            RunPhase::Running { since } => now.duration_since(since),
+            _ => now.duration_since(self.known_since),
+        }
+    }
+
     /// Returns whether the run serves users, under a tail latency target.
     pub fn is_serving(&self) -> bool {
         self.tail_target_ms.is_some()
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -48,6 +48,10 @@
     ExecutorRestarted,
     /// The session with an executor panicked; another one follows.
     SessionFailed,
+    /// An executor does not answer a renewal.
+    ExecutorSilent,
+    /// The process of an executor has ended without an announced shutdown.
+    ExecutorCrashed,
     /// All leases on an executor have expired without an answer.
     ExecutorLapsed,
     /// An executor gets no new runs until its back-off ends.
--- a/crates/jobs/src/observe/job_metrics.rs
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -43,6 +43,8 @@
     pub store_calls: Family<OutcomeLabels, Counter>,
     /// The number of orders to executors by kind and outcome.
     pub orders: Family<OutcomeLabels, Counter>,
+    /// The number of crashed executors by what showed the crash.
+    pub executor_crashes: Family<OutcomeLabels, Counter>,
     /// The number of takeovers of cells.
     pub takeovers: Counter,
     /// The number of runs that are left in each evacuated failure domain, by kind.
@@ -73,6 +75,7 @@
             capacity_refusals: Counter::default(),
             store_calls: Family::default(),
             orders: Family::default(),
+            executor_crashes: Family::default(),
             takeovers: Counter::default(),
             evacuation_runs: Family::default(),
             evacuation_stops: Family::default(),
@@ -103,6 +106,8 @@
                 self.store_calls.clone(),
             );
             registry.register("orders", "Orders to executors", self.orders.clone());
+            let crashes = self.executor_crashes.clone();
+            registry.register("executor_crashes", "Crashed executors", crashes);
             registry.register("takeovers", "Takeovers of cells", self.takeovers.clone());
             let help = "Runs left in evacuated failure domains";
             registry.register("evacuation_runs", help, self.evacuation_runs.clone());
@@ -154,6 +159,14 @@
             .inc();
     }
 
+    /// Counts a crashed executor by what showed the crash.
+    pub fn count_executor_crash(&self, outcome: &'static str) {
+        let kind = "crash";
+        self.executor_crashes
+            .get_or_create(&OutcomeLabels { kind, outcome })
+            .inc();
+    }
+
     /// Counts an ended wait for a preferred placement.
     pub fn count_placement_wait(&self, outcome: &'static str) {
         let kind = "placement-wait";
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -331,7 +331,10 @@
         let timeout = self.answer_timeout().current();
         let sent_at = Instant::now();
         let answer = call(timeout).await;
-        let is_answered = !matches!(answer, Err(OrderError::NotSent(_) | OrderError::Unknown(_)));
+        let is_answered = !matches!(
+            answer,
+            Err(OrderError::NotSent(_) | OrderError::NoListener(_) | OrderError::Unknown(_))
+        );
         if let Some(latency) = sent_at.elapsed().checked_sub(hold)
             && (is_answered || latency >= timeout)
         {
--- a/crates/jobs/src/ownership/executor_session.rs
+++ b/crates/jobs/src/ownership/executor_session.rs
@@ -106,8 +106,11 @@
                         .release("an executor has accepted a later fencing token");
                     return;
                 }
-                Err(_) => {
+                Err(error) => {
                     self.count("renew", "failed");
+                    let now = Instant::now();
+                    self.owner
+                        .with_state(|state| state.handle_renewal_failure(&self.id, &error, now));
                     sleep(pause).await;
                     pause = (pause * 2).min(RENEWAL_PAUSE_MAX);
                 }
@@ -281,6 +284,7 @@
         Err(OrderError::Fenced) => "fenced",
         Err(OrderError::OtherExecutor) => "other-executor",
         Err(OrderError::NotSent(_)) => "not-sent",
+        Err(OrderError::NoListener(_)) => "no-listener",
         Err(OrderError::Unknown(_)) => "unknown",
     }
 }
--- a/crates/jobs/src/ownership/start_attempts.rs
+++ b/crates/jobs/src/ownership/start_attempts.rs
@@ -39,7 +39,9 @@
                 self.may_have_run = true;
                 StartStep::Resend
             }
-            Err(OrderError::NotSent(_)) if !is_last => StartStep::Resend,
+            Err(OrderError::NotSent(_) | OrderError::NoListener(_)) if !is_last => {
+                StartStep::Resend
+            }
             Ok(())
             | Err(
                 OrderError::Fenced
--- a/crates/jobs/src/platform/executor_link.rs
+++ b/crates/jobs/src/platform/executor_link.rs
@@ -185,6 +185,8 @@
     OtherExecutor,
     /// The order was not delivered.
     NotSent(Box<str>),
+    /// The order was not delivered, because no process listens at the executor's address.
+    NoListener(Box<str>),
     /// No answer arrived. The order may have taken effect or may still do so.
     Unknown(Box<str>),
 }
@@ -195,7 +197,7 @@
             Self::Refused(refusal) => write!(f, "refused: {refusal}"),
             Self::Fenced => f.write_str("the executor has accepted a later fencing token"),
             Self::OtherExecutor => f.write_str("a different executor answered at the address"),
-            Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::NotSent(cause) | Self::NoListener(cause) => write!(f, "not sent: {cause}"),
             Self::Unknown(cause) => write!(f, "outcome unknown: {cause}"),
         }
     }
--- a/crates/peer/tests/rpc.rs
+++ b/crates/peer/tests/rpc.rs
@@ -45,7 +45,7 @@
     async fn call(&self, _frame: Bytes) -> Result<Bytes, CallError> {
         Err(CallError {
             verdict: self.0,
-            cause: "on purpose".into(),
+            ..CallError::not_run("on purpose")
         })
     }
 }
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -52,6 +52,8 @@
     pub verdict: Verdict,
     /// The cause of the failure, as one short sentence.
     pub cause: Box<str>,
+    /// Whether the receiver's host refused the connection: no process listens at the address.
+    pub is_without_listener: bool,
 }
 
 impl CallError {
@@ -60,6 +62,7 @@
         Self {
             verdict: Verdict::NotRun,
             cause: cause.into(),
+            is_without_listener: false,
         }
     }
 
@@ -67,7 +70,7 @@
     pub fn may_have_run(cause: impl Into<Box<str>>) -> Self {
         Self {
             verdict: Verdict::MayHaveRun,
-            cause: cause.into(),
+            ..Self::not_run(cause)
         }
     }
 }
