--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -2,9 +2,12 @@
 
 mod bursts;
 mod capacity;
+#[allow(dead_code, reason = "the tests of the fix use the rest")]
+mod crash_world;
 mod departures;
 mod double_runs;
 mod evacuations;
+mod executor_crashes;
 mod fixture;
 mod gangs;
 mod generated_evacuations;
