Give up tasks that crash the executors that start them

Cause: runs that are lost with their executors counted for nothing (Job::requeue_lost), so no number of crashes ended a task. The class: a retry without a limit, because its failure shows only as the loss of who would report it.

Change: the losses of executors are counted for each task that ran there, stored beside the job's progress in the append that lets the task wait again, so each later start follows the record, whoever owns the cell. A task under which an executor crashed as its run began, or two executors were lost, starts only in isolation: where all other runs have settled, and no run of another job follows for 2 s. A crash in isolation is its own, and its job fails after two such crashes at starts or three others; after five losses it fails in any case. Losses at the same time as three other executors that had started nothing (power, racks) are excused, a loss is taken back if the executor answers again, an announced shutdown does not count, and a run that outlives its task's crashes clears them. Runs of an executor whose address answers as another one are lost at once instead of after the lease.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -12,6 +12,7 @@
 use super::Effect;
 use super::departures::Departure;
 use super::placement_waits::PlacementWaits;
+use super::recent_losses::RecentLosses;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::evacuation::ViewSnapshot;
@@ -98,7 +99,7 @@
     pub(super) run_times: RunTimeRatios,
     /// The run times of the steps of active jobs.
     pub(super) step_run_times: StepRunTimes,
-    started_at: Instant,
+    pub(super) started_at: Instant,
     /// Tickets by step, for queues with an approval service.
     pub(super) tickets: BTreeMap<(JobId, StepRef), StepTickets>,
     /// The time at which the learned loads were last stored.
@@ -115,6 +116,10 @@
     pub(super) foreign_runs: BTreeMap<(TaskId, RunNumber), Instant>,
     /// Tasks placed by former owners on executors that have not been listed since the takeover.
     pub(super) unlisted_placements: BTreeMap<ExecutorKey, Vec<TaskId>>,
+    /// The executors that were lost lately.
+    pub(super) recent_losses: RecentLosses,
+    /// The time since which a task has waited for an executor on which it can be isolated.
+    pub(super) isolation_waits: BTreeMap<TaskId, Instant>,
     /// The waits for preferred placements.
     pub(super) placement_waits: PlacementWaits,
     pub(super) metrics: JobMetrics,
@@ -162,6 +167,8 @@
             confirmed_at: now,
             foreign_runs: BTreeMap::new(),
             unlisted_placements: BTreeMap::new(),
+            recent_losses: RecentLosses::default(),
+            isolation_waits: BTreeMap::new(),
             placement_waits: PlacementWaits::default(),
             metrics: JobMetrics::default(),
         }
--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -1,6 +1,9 @@
+use std::str::FromStr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use super::CellState;
@@ -31,13 +34,48 @@
 pub(crate) const LEARNED_KEY: &str = "learned-pressures";
 /// The prefix of the store key of a job's lost runs; the job's id follows.
 const LOST_RUNS_KEY_PREFIX: &str = "lost.";
+/// The prefix of the store key of the executors that were lost with runs of a job; the job's id follows.
+const CRASHES_KEY_PREFIX: &str = "crashes.";
 /// The interval between two records of the learned loads. An interval above the time that it takes
 /// to learn a pair of images again would make the record useless.
 const LEARNED_STORE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Returns whether the record with this key holds the lost runs of a job.
-pub(crate) fn is_lost_runs_key(key: &str) -> bool {
-    key.starts_with(LOST_RUNS_KEY_PREFIX)
+/// Returns whether the record with this key is stored beside the progress of a job.
+pub(crate) fn is_side_record_key(key: &str) -> bool {
+    key.starts_with(LOST_RUNS_KEY_PREFIX) || key.starts_with(CRASHES_KEY_PREFIX)
+}
+
+/// Returns the record of a value that is stored beside the progress of a job. Without a value it deletes
+/// the record.
+fn side_record<T: Serialize>(prefix: &str, id: JobId, value: &[T]) -> Option<KeyedRecord> {
+    let encoded = match value.is_empty() {
+        true => Ok(Bytes::new()),
+        false => encode(&value),
+    };
+    let key: Box<str> = format!("{prefix}{id}").into();
+    match encoded {
+        Ok(value) => Some(KeyedRecord { key, value }),
+        Err(error) => {
+            spdlog::error!("cell: record {key} can't be encoded: {error}");
+            None
+        }
+    }
+}
+
+/// Decodes a record that is stored beside the progress of a job. Logs one that can't be read.
+fn decode_side_record<T: DeserializeOwned>(id: &str, record: &KeyedRecord) -> Option<(JobId, T)> {
+    let id = JobId::from_str(id);
+    match (id, decode(&record.value)) {
+        (Ok(id), Ok(value)) => Some((id, value)),
+        (Err(error), _) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+        (_, Err(error)) => {
+            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+            None
+        }
+    }
 }
 
 /// Encodes the progress of a job, without its checkpoints if it is too large for the store. An append
@@ -74,7 +112,7 @@
                 bytes += record.key.len() + record.value.len();
                 batch.records.push(record);
             }
-            if let Some(record) = self.lost_runs_record(id) {
+            for record in self.side_records(id) {
                 bytes += record.key.len() + record.value.len();
                 batch.records.push(record);
             }
@@ -158,40 +196,37 @@
         self.interference.restore(learned, now_ms);
     }
 
-    /// Returns a record of the job's lost runs if they have changed. Without a value it deletes the
-    /// record.
-    fn lost_runs_record(&mut self, id: JobId) -> Option<KeyedRecord> {
-        let job = self.ledger.job_mut(id)?;
+    /// Returns the records beside the progress of a job that have changed.
+    fn side_records(&mut self, id: JobId) -> Vec<KeyedRecord> {
+        let Some(job) = self.ledger.job_mut(id) else {
+            return Vec::new();
+        };
         if job.is_finished() {
             job.lost_runs_mut().clear();
+            job.crash_history_mut().clear();
         }
-        let runs = job.lost_runs_mut().take_change()?;
-        let value = match runs.is_empty() {
-            true => Bytes::new(),
-            false => encode(&runs).ok()?,
-        };
-        let key = format!("{LOST_RUNS_KEY_PREFIX}{id}").into();
-        Some(KeyedRecord { key, value })
+        let lost_runs = job.lost_runs_mut().take_change();
+        let crashes = job.crash_history_mut().take_change();
+        let lost_runs = lost_runs.and_then(|runs| side_record(LOST_RUNS_KEY_PREFIX, id, &runs));
+        let crashes = crashes.and_then(|tasks| side_record(CRASHES_KEY_PREFIX, id, &tasks));
+        lost_runs.into_iter().chain(crashes).collect()
     }
 
-    /// Restores the lost runs of a restored job from the record of a former owner. Returns `false` for
+    /// Restores what a former owner stored beside the progress of a restored job. Returns `false` for
     /// any other record.
-    pub fn restore_lost_runs(&mut self, record: &KeyedRecord) -> bool {
-        let Some(id) = record.key.strip_prefix(LOST_RUNS_KEY_PREFIX) else {
-            return false;
-        };
-        match (id.parse(), decode(&record.value)) {
-            (Ok(id), Ok(runs)) => {
-                if let Some(job) = self.ledger.job_mut(id) {
-                    job.lost_runs_mut().restore(runs);
-                }
-            }
-            (Err(error), _) => {
-                decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+    pub fn restore_side_record(&mut self, record: &KeyedRecord, now: Instant) -> bool {
+        if let Some(id) = record.key.strip_prefix(LOST_RUNS_KEY_PREFIX) {
+            if let Some((id, runs)) = decode_side_record(id, record)
+                && let Some(job) = self.ledger.job_mut(id)
+            {
+                job.lost_runs_mut().restore(runs);
             }
-            (_, Err(error)) => {
-                decided!(Decision::RecordUnreadable, key: record.key, cause: error);
+        } else if let Some(id) = record.key.strip_prefix(CRASHES_KEY_PREFIX) {
+            if let Some((id, tasks)) = decode_side_record(id, record) {
+                self.restore_crashes(id, tasks, now);
             }
+        } else {
+            return false;
         }
         true
     }
--- a/crates/jobs/src/cell/departures.rs
+++ b/crates/jobs/src/cell/departures.rs
@@ -121,6 +121,8 @@
         executor.is_some_and(|executor| {
             self.may_place_on(executor, now)
                 && executor.run(task).is_some()
+                && !executor.is_closed_to(task.job)
+                && !self.needs_isolation(task)
                 && executor.used().fits_in(&executor.entry.capacity)
         })
     }
@@ -228,6 +230,7 @@
                 requires_spare_room: step.is_long_running,
                 may_interfere: false,
                 may_be_interrupted: false,
+                isolates: false,
             };
             let targets = self.hold_places_on(&search, tasks, now);
             if targets.is_some() {
--- a/crates/jobs/src/cell/gang_placement.rs
+++ b/crates/jobs/src/cell/gang_placement.rs
@@ -83,6 +83,10 @@
         let search = StepSearch { rack, ..*search };
         let mut placements = Vec::new();
         for task in tasks {
+            let search = StepSearch {
+                isolates: self.must_isolate_now(*task, now),
+                ..search
+            };
             let Some(ScoredExecutor { executor: id, .. }) =
                 self.score_executors(&search, now).pop()
             else {
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -47,6 +47,9 @@
                 let is_accepted = run.is_some_and(|run| {
                     report.is_some_and(|report| report.may_have_accepted(task, run))
                 });
+                if key != current {
+                    self.record_lost_placement(&key, task, report.is_some(), now);
+                }
                 if key == current {
                     self.restore_run(&key, task, now);
                 } else if let (true, Some(run)) = (is_accepted, run) {
@@ -138,7 +141,9 @@
             return;
         }
         let step = job.step(task.step);
+        let is_isolated = self.was_isolated(task, key);
         let view = RunView {
+            is_isolated,
             checkpoint: progress.checkpoint.clone(),
             placed_at: None,
             ..RunView::new(progress.run, step, RunPhase::Restored, now)
@@ -156,10 +161,11 @@
     }
 
     pub(super) fn declare_runs_lost(&mut self, id: &ExecutorId, cause: &str, now: Instant) {
-        let Some(executor) = self.executors.get_mut(id) else {
+        let Some(key) = self.executors.get(id).and_then(Executor::key) else {
             return;
         };
-        let Some(key) = executor.key() else {
+        self.record_executor_loss(id, None, now);
+        let Some(executor) = self.executors.get_mut(id) else {
             return;
         };
         for (task, view) in executor.remove_all_runs() {
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -66,6 +66,8 @@
     pub(super) may_interfere: bool,
     /// Whether the tasks may run where they must stop when the load of serving tasks rises.
     pub(super) may_be_interrupted: bool,
+    /// Whether the tasks start only where a crash can be told to be theirs.
+    pub(super) isolates: bool,
 }
 
 impl<'a> StepSearch<'a> {
@@ -187,6 +189,7 @@
             .step_tasks(waiting.step_ref)
             .filter(|(_, progress)| progress.status == TaskStatus::Waiting)
             .map(|(task, _)| task)
+            .filter(|task| !self.recent_losses.is_unjudged(*task))
             .collect();
         let step = &submission.spec.steps[waiting.step_ref.step as usize];
         let pressures = self.interference_pressures(step, now);
@@ -211,10 +214,16 @@
             ignores_ramp_up: requires_spare_room,
             may_interfere: has_been_idle,
             may_be_interrupted: has_been_idle,
+            isolates: false,
         };
         if step.is_gang {
             return self.place_gang(&search, &tasks, now);
         }
+        let (isolated, tasks): (Vec<TaskId>, Vec<TaskId>) = tasks
+            .into_iter()
+            .partition(|task| self.must_isolate_now(*task, now));
+        let placed_isolated = self.place_isolated(&search, &isolated, limit, now);
+        let limit = limit - placed_isolated;
         let mut candidates = self.score_executors(&search, now);
         let mut choice = RackChoice::NoChoice;
         let mut placed = 0;
@@ -252,7 +261,7 @@
                 candidates.extend(self.score_executor(&search, executor, now));
             }
         }
-        placed
+        placed + placed_isolated
     }
 
     /// Returns the executors that accept a task of the step, ordered by score.
@@ -309,6 +318,10 @@
         if search.needs_ticket && !self.has_ticket(search, executor, now) {
             return None;
         }
+        if executor.is_closed_to(search.job) && !search.requires_spare_room {
+            return None;
+        }
+        let isolation_penalty = self.isolation_penalty(search, executor, now)?;
         let request = search.request();
         let score = self.placement.score(&request, executor)? - speed_penalty(step, executor, now);
         let reserved = step.reserved();
@@ -332,7 +345,7 @@
             return None;
         }
         Some(ScoredExecutor {
-            score: score - Self::cold_penalty(executor, now),
+            score: score - isolation_penalty - Self::cold_penalty(executor, now),
             executor: executor.entry.id.clone(),
         })
     }
@@ -356,6 +369,7 @@
         id: &ExecutorId,
         now: Instant,
     ) -> bool {
+        let is_isolated = self.needs_isolation(task) && self.isolates_on(task, id, now);
         let Some(executor) = self.executors.get_mut(id) else {
             return false;
         };
@@ -382,7 +396,13 @@
             .clock
             .map_or(0, |clock| now.duration_since(clock.seen_at()).as_millis());
         decided!(Decision::RunPlaced, task: task, run: run, executor: id, free: executor.free(), heard_ms: heard_ms, config: self.config.version());
-        executor.add_run(task, RunView::new(run, step, RunPhase::Proposed, now));
+        let view = RunView {
+            is_isolated,
+            ..RunView::new(run, step, RunPhase::Proposed, now)
+        };
+        executor.add_run(task, view);
+        executor.end_isolation_beside(task.job);
+        self.isolation_waits.remove(&task);
         executor.ramp_up.record_start();
         let service = executor.entry.service.clone();
         *self.pool_starts.entry(service).or_default() += 1;
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -97,9 +97,15 @@
             return;
         };
         let clock = ExecutorClock::new(report.clock_ms, now);
+        let is_first = executor.clock.is_none();
         executor.clock = Some(clock.later(executor.clock));
-        executor.silent_since = None;
         executor.crashed_at = None;
+        if executor.silent_since.take().is_some() || is_first {
+            self.retract_loss(id, requested_at);
+        }
+        let Some(executor) = self.executors.get_mut(id) else {
+            return;
+        };
         executor.given_up_at = executor
             .given_up_at
             .filter(|given_up_at| requested_at < *given_up_at || !report.running.is_empty());
@@ -155,6 +161,7 @@
             let unlisted_placements = std::mem::take(&mut self.unlisted_placements);
             for (key, tasks) in unlisted_placements {
                 for task in tasks {
+                    self.record_lost_placement(&key, task, false, now);
                     self.declare_placement_lost(&key, task, now);
                 }
             }
@@ -289,6 +296,10 @@
             return;
         };
         view.missed_reports = 0;
+        let lasted = match view.phase {
+            RunPhase::Running { since } => now.duration_since(since),
+            _ => Duration::ZERO,
+        };
         view.first_progress
             .get_or_insert((running.progress_percent, now));
         view.recent_measurement = running.recent_measurement;
@@ -317,6 +328,7 @@
             }
             _ => {}
         }
+        self.clear_outlived_crashes(id, running.task, lasted);
     }
 
     /// Stops a run that is not the newest one of its task.
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -1,4 +1,5 @@
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use dotterelhook_types::ids::Incarnation;
@@ -21,6 +22,7 @@
 use crate::model::ExecutorEntry;
 use crate::model::ExecutorKey;
 use crate::model::ImageName;
+use crate::model::JobId;
 use crate::model::RunNumber;
 use crate::model::TaskId;
 
@@ -74,6 +76,8 @@
     /// The number of tasks of each serving image.
     serving_images: BTreeMap<ImageName, u32>,
     filler_cpu_milli: u64,
+    /// The tasks of the isolated runs.
+    isolated: BTreeSet<TaskId>,
     orders: UnboundedSender<Order>,
 }
 
@@ -104,6 +108,7 @@
             serving_cpu_milli: 0,
             serving_images: BTreeMap::new(),
             filler_cpu_milli: 0,
+            isolated: BTreeSet::new(),
             orders,
         }
     }
@@ -142,6 +147,10 @@
                 *self.serving_images.entry(image.clone()).or_default() += 1;
             }
         }
+        match view.is_isolated {
+            true => self.isolated.insert(task),
+            false => self.isolated.remove(&task),
+        };
         if let Some(replaced) = self.runs.insert(task, view) {
             self.release(&replaced);
         }
@@ -153,6 +162,7 @@
             return None;
         }
         let view = self.runs.remove(&task)?;
+        self.isolated.remove(&task);
         self.release(&view);
         Some(view)
     }
@@ -163,6 +173,7 @@
         self.serving_cpu_milli = 0;
         self.serving_images.clear();
         self.filler_cpu_milli = 0;
+        self.isolated.clear();
         std::mem::take(&mut self.runs)
     }
 
@@ -182,6 +193,27 @@
         }
     }
 
+    /// Ends the isolation of a run.
+    pub fn end_isolation(&mut self, task: TaskId) {
+        self.isolated.remove(&task);
+        if let Some(view) = self.runs.get_mut(&task) {
+            view.is_isolated = false;
+        }
+    }
+
+    /// Ends the isolation of the runs of other jobs.
+    pub fn end_isolation_beside(&mut self, job: JobId) {
+        let others = self.isolated.iter().filter(|task| task.job != job);
+        for task in others.copied().collect::<Vec<_>>() {
+            self.end_isolation(task);
+        }
+    }
+
+    /// Returns whether an isolated run of another job keeps new runs of a job away.
+    pub fn is_closed_to(&self, job: JobId) -> bool {
+        self.isolated.iter().any(|task| task.job != job)
+    }
+
     /// Returns the headroom of a serving image, once the image has been reported.
     pub fn headroom_of(&self, image: &ImageName) -> Option<&Headroom> {
         self.headroom
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -78,6 +78,9 @@
     /// Since when the run has worked at full pace, if this owner saw its start and the pace was never
     /// lowered.
     pub full_pace_since: Option<Instant>,
+    /// Whether the run is kept apart from new runs of other jobs, because executors were lost under its
+    /// task.
+    pub is_isolated: bool,
     /// The number of consecutive reports that did not list the run although it should be running.
     pub missed_reports: u32,
 }
@@ -105,6 +108,7 @@
             recent_measurement: None,
             pace_percent: 100,
             full_pace_since: None,
+            is_isolated: false,
             missed_reports: 0,
         }
     }
@@ -137,6 +141,15 @@
         (share * 100.0).clamp(0.0, 100.0) as u32
     }
 
+    /// Returns whether the run has worked for at least the given time, or no longer starts.
+    pub fn has_settled(&self, settle_time: Duration, now: Instant) -> bool {
+        match self.phase {
+            RunPhase::Running { since } => now.duration_since(since) >= settle_time,
+            RunPhase::Stopping { .. } => true,
+            _ => false,
+        }
+    }
+
     /// Returns the time since the run started, or since this owner first knew of it.
     pub fn age(&self, now: Instant) -> Duration {
         match self.phase {
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -2,6 +2,7 @@
 
 use tokio::time::Instant;
 
+use super::CrashHistory;
 use super::JobProgress;
 use super::LostRuns;
 use super::TaskProgress;
@@ -58,6 +59,8 @@
     accepted_at: Instant,
     /// Runs that were given up without knowing how they ended.
     lost_runs: LostRuns,
+    /// The executors that were lost with runs of the job.
+    crash_history: CrashHistory,
 }
 
 impl Job {
@@ -93,6 +96,7 @@
             counts: Vec::new(),
             accepted_at,
             lost_runs: LostRuns::default(),
+            crash_history: CrashHistory::default(),
         };
         if job.submission.spec.schedule.is_none() {
             job.create_occurrences(1);
@@ -343,6 +347,16 @@
         &mut self.lost_runs
     }
 
+    /// Returns the executors that were lost with runs of the job.
+    pub fn crash_history(&self) -> &CrashHistory {
+        &self.crash_history
+    }
+
+    /// Returns the executors that were lost with runs of the job, for changes.
+    pub fn crash_history_mut(&mut self) -> &mut CrashHistory {
+        &mut self.crash_history
+    }
+
     /// Marks a task as done. For a gang, one member's completion counts for all members.
     pub fn complete_task(&mut self, task: TaskId) {
         let step_ref = StepRef::from(task);
@@ -381,6 +395,15 @@
         }
     }
 
+    /// Gives the job up and returns whether the job was open.
+    pub fn give_up(&mut self) -> bool {
+        let is_open = self.is_open();
+        if is_open {
+            self.progress.outcome = Some(JobState::Failed);
+        }
+        is_open
+    }
+
     /// Cancels the job and returns whether the job was open.
     pub fn cancel(&mut self) -> bool {
         if !self.is_open() {
--- a/crates/jobs/src/ledger/mod.rs
+++ b/crates/jobs/src/ledger/mod.rs
@@ -1,15 +1,21 @@
 //! The jobs of a cell: submissions, progress, and the states that clients may see.
 
 mod codec;
+mod crash_history;
 mod job;
 mod job_ledger;
 mod job_progress;
 mod lost_runs;
+mod side_record;
 mod submission_record;
 
 pub use codec::CodecError;
 pub use codec::decode;
 pub use codec::encode;
+pub use crash_history::CrashHistory;
+pub use crash_history::Loss;
+pub use crash_history::REMEMBERED_TASKS_MAX;
+pub use crash_history::TaskCrashes;
 pub use job::Job;
 pub use job::StepRef;
 pub use job_ledger::FinishedJob;
--- a/crates/jobs/src/observe/decision.rs
+++ b/crates/jobs/src/observe/decision.rs
@@ -52,6 +52,12 @@
     ExecutorSilent,
     /// The process of an executor has ended without an announced shutdown.
     ExecutorCrashed,
+    /// The executors lost under a task are not held against it alone: others were lost at the same time.
+    CrashExcused,
+    /// A task was given up with its job, because it crashes the executors that start it.
+    TaskGivenUp,
+    /// A run has outlived the crashes under its task, which count no longer.
+    CrashesOutlived,
     /// All leases on an executor have expired without an answer.
     ExecutorLapsed,
     /// An executor gets no new runs until its back-off ends.
--- a/crates/jobs/src/observe/job_metrics.rs
+++ b/crates/jobs/src/observe/job_metrics.rs
@@ -45,6 +45,8 @@
     pub orders: Family<OutcomeLabels, Counter>,
     /// The number of crashed executors by what showed the crash.
     pub executor_crashes: Family<OutcomeLabels, Counter>,
+    /// The number of tasks that were given up because they crash their executors.
+    pub tasks_given_up: Counter,
     /// The number of takeovers of cells.
     pub takeovers: Counter,
     /// The number of runs that are left in each evacuated failure domain, by kind.
@@ -76,6 +78,7 @@
             store_calls: Family::default(),
             orders: Family::default(),
             executor_crashes: Family::default(),
+            tasks_given_up: Counter::default(),
             takeovers: Counter::default(),
             evacuation_runs: Family::default(),
             evacuation_stops: Family::default(),
@@ -108,6 +111,8 @@
             registry.register("orders", "Orders to executors", self.orders.clone());
             let crashes = self.executor_crashes.clone();
             registry.register("executor_crashes", "Crashed executors", crashes);
+            let help = "Tasks given up because they crash their executors";
+            registry.register("tasks_given_up", help, self.tasks_given_up.clone());
             registry.register("takeovers", "Takeovers of cells", self.takeovers.clone());
             let help = "Runs left in evacuated failure domains";
             registry.register("evacuation_runs", help, self.evacuation_runs.clone());
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -438,6 +438,7 @@
                 }
                 state.create_due_occurrences(now_unix.as_millis() as u64);
                 state.expire_leases(now);
+                state.judge_losses(now);
                 state.relocate_runs(now);
                 state.is_operator_view_stale(now)
             });
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -19,7 +19,7 @@
 use crate::cell::LEARNED_KEY;
 use crate::cell::RUN_TIMES_KEY;
 use crate::cell::SHARES_KEY;
-use crate::cell::is_lost_runs_key;
+use crate::cell::is_side_record_key;
 use crate::ledger;
 use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
@@ -95,7 +95,7 @@
                     decided!(Decision::RecordUnreadable, key: record.key, cause: error);
                 }
             }
-        } else if is_lost_runs_key(&record.key) {
+        } else if is_side_record_key(&record.key) {
             // Applied once the jobs are restored.
         } else if let Some((id, value)) = decode_job_record(record, decode::<JobProgress>) {
             progress.insert(id, value);
@@ -114,7 +114,7 @@
         }
     }
     for record in &progress_records {
-        state.restore_lost_runs(record);
+        state.restore_side_record(record, now);
     }
     for id in cancelled {
         state.cancel(id, now);
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -1,5 +1,6 @@
 //! Policies of a cell: the order of the queue, the placement of tasks, and interference control.
 
+mod crash_cause;
 mod fair_shares;
 mod filler_pacer;
 mod image_load;
@@ -17,6 +18,9 @@
 mod run_time_ratios;
 mod step_run_times;
 
+pub use crash_cause::CrashFacts;
+pub use crash_cause::LOST_MAX;
+pub use crash_cause::needs_isolation;
 pub use fair_shares::FairShares;
 pub use fair_shares::LearnedFlows;
 pub use filler_pacer::FillerPacer;
--- a/crates/jobs/tests/cell/crash_world.rs
+++ b/crates/jobs/tests/cell/crash_world.rs
@@ -30,8 +30,6 @@
 
 /// The time between two rounds of messages.
 const ROUND: Duration = Duration::from_millis(50);
-/// The time for which a crashed executor is down.
-const DOWNTIME: Duration = Duration::from_millis(3_200);
 /// The time after a crash at which the platform removes the executor's entry.
 const UNLISTED_AFTER: Duration = Duration::from_millis(4_500);
 /// The processors of an executor, in thousandths of a core.
@@ -72,6 +70,8 @@
     /// The tasks that crash their executors, and how long after their start.
     pub(crate) deadly: BTreeMap<TaskId, Duration>,
     pub(crate) returns: Return,
+    /// The time for which a crashed executor is down before it starts again under its id.
+    pub(crate) downtime: Duration,
     /// Whether the answers to the starts of deadly tasks are lost.
     pub(crate) loses_answers: bool,
     /// The time that each task works, except long-running ones.
@@ -79,10 +79,7 @@
     /// The jobs whose tasks never end by themselves.
     pub(crate) endless: BTreeSet<JobId>,
     pub(crate) starts: BTreeMap<TaskId, u32>,
-    /// The runs that were lost with their executors.
-    pub(crate) lost_runs: u32,
-    pub(crate) crashes: u32,
-    pub(crate) settings: CellSettings,
+    settings: CellSettings,
 }
 
 impl CrashWorld {
@@ -100,12 +97,11 @@
             next_executor: 0,
             deadly: BTreeMap::new(),
             returns: Return::NewId,
+            downtime: Duration::from_millis(3_200),
             loses_answers: false,
             work: Duration::from_millis(1_000),
             endless: BTreeSet::new(),
             starts: BTreeMap::new(),
-            lost_runs: 0,
-            crashes: 0,
             settings,
         };
         for _ in 0..executors {
@@ -193,9 +189,21 @@
         up.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the tasks that run on an executor.
-    pub(crate) fn runs_on(&self, id: &ExecutorId) -> Vec<TaskId> {
-        self.executors[id].runs.keys().copied().collect()
+    /// Returns the executor that runs a task.
+    pub(crate) fn executor_of(&self, task: TaskId) -> Option<ExecutorId> {
+        let runs = |(_, e): &(&ExecutorId, &WorldExecutor)| e.runs.contains_key(&task);
+        self.executors.iter().find(runs).map(|(id, _)| id.clone())
+    }
+
+    /// Changes the entry of an executor that the platform lists.
+    pub(crate) fn update_entry(
+        &mut self,
+        id: &ExecutorId,
+        update: impl FnOnce(&mut ExecutorEntry),
+    ) {
+        let executor = self.executors.get_mut(id).expect("a known executor");
+        update(&mut executor.entry);
+        self.harness.upsert_executor(executor.entry.clone());
     }
 
     /// Crashes an executor for a cause outside of any task.
@@ -205,8 +213,7 @@
         if let Some(executor) = self.executors.get_mut(id) {
             executor.crashed = Some((now, returns));
             executor.ended.clear();
-            self.lost_runs += std::mem::take(&mut executor.runs).len() as u32;
-            self.crashes += 1;
+            executor.runs.clear();
         }
     }
 
@@ -238,6 +245,7 @@
         }
         let now = self.harness.now;
         self.harness.cell.expire_leases(now);
+        self.harness.cell.judge_losses(now);
         self.harness.cell.relocate_runs(now);
         self.harness.commit();
         for id in &ids {
@@ -269,7 +277,7 @@
             let Some((at, returns)) = executor.crashed else {
                 continue;
             };
-            if now >= at + DOWNTIME && returns == Return::SameId {
+            if now >= at + self.downtime && returns == Return::SameId {
                 executor.crashed = None;
                 executor.incarnation += 1;
                 executor.last_end = 0;
@@ -315,13 +323,25 @@
         executor
             .ended
             .retain(|ended| ended.number > renewal.acked_end);
-        let running = executor.runs.iter().map(|(task, (run, _))| RunningRun {
-            task: *task,
-            run: *run,
-            checkpoint: None,
-            progress_percent: 50.0,
-            recent_measurement: None,
-        });
+        let progress_percent = |task: &TaskId, started_at: Instant| {
+            let share = (now - started_at).div_duration_f64(self.work).min(1.0);
+            100.0
+                * if self.endless.contains(&task.job) {
+                    1.0
+                } else {
+                    share
+                }
+        };
+        let running = executor
+            .runs
+            .iter()
+            .map(|(task, (run, started_at))| RunningRun {
+                task: *task,
+                run: *run,
+                checkpoint: None,
+                progress_percent: progress_percent(task, *started_at),
+                recent_measurement: None,
+            });
         let report = ExecutorReport {
             clock_ms,
             incarnation: Incarnation(executor.incarnation),
--- a/crates/jobs/tests/cell/fixture.rs
+++ b/crates/jobs/tests/cell/fixture.rs
@@ -243,7 +243,7 @@
                 .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
         for record in self.other_records.values() {
-            next.cell.restore_lost_runs(record);
+            next.cell.restore_side_record(record, self.now);
         }
         next
     }
--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -290,6 +290,7 @@
             owner.view.apply_to(&mut owner.cell, self.now);
             owner.handle_delayed_reports(self.now);
             owner.cell.expire_leases(self.now);
+            owner.cell.judge_losses(self.now);
             owner.cell.relocate_runs(self.now);
         }
     }
@@ -637,7 +638,7 @@
                 .restore(*id, Arc::clone(submission), progress, self.now, self.now);
         }
         for record in self.other_records.values() {
-            next.cell.restore_lost_runs(record);
+            next.cell.restore_side_record(record, self.now);
         }
         for id in &self.cancelled {
             next.cell.cancel(*id, self.now);
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -2,7 +2,6 @@
 
 mod bursts;
 mod capacity;
-#[allow(dead_code, reason = "the tests of the fix use the rest")]
 mod crash_world;
 mod departures;
 mod double_runs;
