Send no start that the shrunk capacity of its executor no longer holds

Their starts were sent all the same, and an executor that doesn't guard its capacity would have carried them out: the three tests of unsent starts, gangs and resends failed before (4 starts sent where 1 fits).

start_order now checks that all places on the executor, those of runs being stopped included, fit the capacity that it lists now. Placement, admission and takeovers read the listed figure already; their tests passed before the change.

--- a/crates/jobs/src/cell/order_outcomes.rs
+++ b/crates/jobs/src/cell/order_outcomes.rs
@@ -55,7 +55,9 @@
         if ticket.is_none() && Self::queue_config(&self.config, job).advice.is_some() {
             return None;
         }
-        if executor.given_up_at.is_some() {
+        // The capacity may have shrunk since the placement.
+        let fits = executor.used().fits_in(&executor.entry.capacity);
+        if executor.given_up_at.is_some() || !fits {
             return None;
         }
         let incarnation = executor.incarnation?;
--- a/crates/jobs/tests/cell/main.rs
+++ b/crates/jobs/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod bursts;
 mod capacity;
+mod capacity_changes;
 mod crash_world;
 mod departures;
 mod double_runs;
