Fail runs whose task crashes the workers that start it

The new test of a whole shard failed without the change: the run went on after five restarted workers, across a takeover.

The shard's state counts, for each task, the workers that were lost while its attempt was the last one opened there; a neighbour is rarely the last on many workers in a row. Shrunk workers were handled already (evict_excess).

--- a/crates/scheduler/src/shard/run_reports.rs
+++ b/crates/scheduler/src/shard/run_reports.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 
+use dotterelhook_state::shard::CRASHES_MAX;
 use dotterelhook_state::shard::RunSummary;
 use dotterelhook_state::shard::ShardEvent;
 use dotterelhook_types::ids::RunId;
@@ -74,6 +75,23 @@
             .collect()
     }
 
+    /// Returns events that fail runs with a task that is the likely cause of lost workers.
+    pub(super) fn crash_loop_events(&self) -> Vec<ShardEvent> {
+        let active = self.state.active_runs().iter();
+        active
+            .filter_map(|id| {
+                let run = self.state.runs().get(id)?;
+                let index = run.crash_looping_task()?;
+                warn!("shard: run {id} is given up: its task {index} crashes the workers that start it");
+                let cause = format!("task {index}: {CRASHES_MAX} workers were lost as it ran");
+                Some(ShardEvent::Fail {
+                    run: id.clone(),
+                    cause: cause.into(),
+                })
+            })
+            .collect()
+    }
+
     fn silent_worker_waits(&self) -> BTreeMap<RunId, Vec<Box<str>>> {
         let mut waits: BTreeMap<RunId, Vec<Box<str>>> = BTreeMap::new();
         for (worker, worker_state) in self.state.workers() {
--- a/crates/scheduler/src/shard/shard_task.rs
+++ b/crates/scheduler/src/shard/shard_task.rs
@@ -301,6 +301,7 @@
         drain_front(&mut self.queued_requests, &mut events);
         events.extend(self.overdue_events());
         events.extend(self.never_runnable_events());
+        events.extend(self.crash_loop_events());
         events.extend(self.place_tasks());
         self.appender.set_batch(self.state.epoch(), events);
         self.snapshot_if_due();
--- a/crates/scheduler/tests/shard/main.rs
+++ b/crates/scheduler/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Tests of complete shard owners in simulated time, with an in-memory log and simulated workers.
 
 mod accounts;
+mod crash_loops;
 mod evacuations;
 mod faults;
 mod late_ends;
--- a/crates/scheduler/tests/shard/relocations.rs
+++ b/crates/scheduler/tests/shard/relocations.rs
@@ -199,6 +199,7 @@
         moves: 1,
         tasks: vec![TaskState::Done, waiting(Some("run:1:1@9")), waiting(None)],
         failed_on: Default::default(),
+        crashes: Default::default(),
         is_overdue: false,
     };
 
--- a/crates/state/src/shard/attempts.rs
+++ b/crates/state/src/shard/attempts.rs
@@ -70,6 +70,7 @@
         };
         run.set_task(attempt.task.index, opened);
         worker_state.reserve(attempt.clone(), &size);
+        worker_state.last_opened = Some(offset);
         let incarnation = worker_state.incarnation;
         let open = OpenAttempt {
             worker,
@@ -95,7 +96,8 @@
         let counted = self.count_result(attempt, &open.worker, &end);
         let is_final = counted.as_ref().is_some_and(|counted| counted.is_final);
         if end == AttemptEnd::Lost {
-            self.keep_lost_attempt(attempt, open);
+            let is_counted = self.count_crash(attempt, &open);
+            self.keep_lost_attempt(attempt, open, is_counted);
         }
         let id = &attempt.task.run;
         let Some(run) = self.runs.get_mut(id) else {
@@ -126,14 +128,34 @@
 
     /// Keeps an attempt that was declared lost, so that an end that its worker reports later still
     /// counts. A restarted worker reports no attempt of its earlier incarnations.
-    fn keep_lost_attempt(&mut self, attempt: &AttemptId, open: OpenAttempt) {
+    fn keep_lost_attempt(&mut self, attempt: &AttemptId, open: OpenAttempt, is_counted: bool) {
         let run = self.runs.get(&attempt.task.run);
         let is_active = run.is_some_and(|run| run.status == RunStatus::Active);
         let worker_state = self.workers.get(&open.worker);
         let may_report = worker_state.is_some_and(|worker| worker.incarnation == open.incarnation);
         if is_active && may_report {
             let worker = open.worker;
-            self.lost.insert(attempt.clone(), LostAttempt { worker });
+            self.lost
+                .insert(attempt.clone(), LostAttempt { worker, is_counted });
+        }
+    }
+
+    /// Counts a lost worker for the task of the attempt that was opened last there. Returns whether this
+    /// is the one.
+    fn count_crash(&mut self, attempt: &AttemptId, open: &OpenAttempt) -> bool {
+        let worker_state = self.workers.get(&open.worker);
+        let is_last = worker_state.is_some_and(|worker| worker.last_opened == Some(open.offset));
+        if is_last && let Some(run) = self.runs.get_mut(&attempt.task.run) {
+            *run.crashes.entry(attempt.task.index).or_default() += 1;
+        }
+        is_last
+    }
+
+    /// Takes back a lost worker that has reported an end since: it runs on.
+    pub(super) fn uncount_crash(&mut self, attempt: &AttemptId) {
+        let run = self.runs.get_mut(&attempt.task.run);
+        if let Some(count) = run.and_then(|run| run.crashes.get_mut(&attempt.task.index)) {
+            *count = count.saturating_sub(1);
         }
     }
 
--- a/crates/state/src/shard/late_ends.rs
+++ b/crates/state/src/shard/late_ends.rs
@@ -15,6 +15,9 @@
 pub struct LostAttempt {
     /// The worker on which the attempt was opened.
     pub worker: WorkerId,
+    /// Whether the loss counts as a crash of the worker.
+    #[serde(default)]
+    pub is_counted: bool,
 }
 
 impl ShardState {
@@ -32,6 +35,9 @@
             return Err(ShardRefusal::NotOpen);
         }
         let lost = self.lost.remove(attempt).ok_or(ShardRefusal::NotOpen)?;
+        if lost.is_counted {
+            self.uncount_crash(attempt);
+        }
         let counted = self.count_result(attempt, &lost.worker, &end);
         let is_final = counted.as_ref().is_some_and(|counted| counted.is_final);
         let id = &attempt.task.run;
--- a/crates/state/src/shard/mod.rs
+++ b/crates/state/src/shard/mod.rs
@@ -20,6 +20,7 @@
 pub use late_ends::LostAttempt;
 pub use moves::MovedRun;
 pub use refusal::ShardRefusal;
+pub use run::CRASHES_MAX;
 pub use run::Run;
 pub use run::RunStatus;
 pub use run::TaskState;
--- a/crates/state/src/shard/moves.rs
+++ b/crates/state/src/shard/moves.rs
@@ -31,6 +31,9 @@
     pub tasks: Vec<TaskState>,
     /// Workers on which each task failed, by task index.
     pub failed_on: BTreeMap<u32, BTreeSet<WorkerId>>,
+    /// Number of workers that were lost after they had opened an attempt of each task last.
+    #[serde(default)]
+    pub crashes: BTreeMap<u32, u32>,
     /// Whether the run passed its deadline while active.
     pub is_overdue: bool,
 }
@@ -60,6 +63,7 @@
             moves: run.moves + 1,
             tasks: run.tasks.clone(),
             failed_on: run.failed_on.clone(),
+            crashes: run.crashes.clone(),
             is_overdue: run.is_overdue,
         };
         Some((run.moved_to.clone()?, moved))
--- a/crates/state/src/shard/run.rs
+++ b/crates/state/src/shard/run.rs
@@ -11,6 +11,10 @@
 use super::MovedRun;
 use super::RunSpec;
 
+/// The number of lost workers after which the task that each of them had opened last is given up. A
+/// neighbour of the cause is rarely the last one on so many workers in a row.
+pub const CRASHES_MAX: u32 = 5;
+
 /// Lifecycle status of a run.
 #[derive(
     Clone,
@@ -102,6 +106,10 @@
     /// Workers on which each task failed, by task index. Failures on quarantined workers are left
     /// out.
     pub failed_on: BTreeMap<u32, BTreeSet<WorkerId>>,
+    /// Number of workers that were lost after they had opened an attempt of each task last, by task
+    /// index.
+    #[serde(default)]
+    pub crashes: BTreeMap<u32, u32>,
     /// Number of moves from shard to shard that brought the run here.
     #[serde(default)]
     pub moves: u32,
@@ -134,6 +142,7 @@
             is_overdue: false,
             cause: None,
             failed_on: BTreeMap::new(),
+            crashes: BTreeMap::new(),
             moves: 0,
             moved_to: None,
             is_delivered: false,
@@ -151,6 +160,7 @@
         run.tasks = moved.tasks;
         run.is_overdue = moved.is_overdue;
         run.failed_on = moved.failed_on;
+        run.crashes = moved.crashes;
         run.moves = moved.moves;
         run.rebuild_task_indexes();
         run
@@ -178,6 +188,13 @@
         self.status == RunStatus::Active && matches!(task, Some(TaskState::Open { .. }))
     }
 
+    /// Returns a task that must not start again, because it is the likely cause of lost workers.
+    pub fn crash_looping_task(&self) -> Option<u32> {
+        let mut counts = self.crashes.iter();
+        let is_over = |(_, count): &(&u32, &u32)| **count >= CRASHES_MAX;
+        counts.find(is_over).map(|(index, _)| *index)
+    }
+
     /// Returns whether the run and all its attempts have ended.
     pub fn is_closed(&self) -> bool {
         self.status != RunStatus::Active && self.open == 0 && !self.is_undelivered()
@@ -208,6 +225,7 @@
     pub(super) fn discard_tasks(&mut self) {
         self.tasks = Vec::new();
         self.failed_on.clear();
+        self.crashes.clear();
         self.waiting.clear();
     }
 
--- a/crates/state/src/shard/worker_state.rs
+++ b/crates/state/src/shard/worker_state.rs
@@ -3,6 +3,7 @@
 use dotterelhook_types::ids::AttemptId;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::ids::JobName;
+use dotterelhook_types::ids::Offset;
 use dotterelhook_types::ids::TeamName;
 use dotterelhook_types::sizes::Resources;
 use serde::Deserialize;
@@ -19,6 +20,9 @@
     pub incarnation: Incarnation,
     /// The worker's total resources.
     pub capacity: Resources,
+    /// The offset of the attempt that was opened last.
+    #[serde(default)]
+    pub last_opened: Option<Offset>,
     /// Sum of the resources reserved for the worker's open attempts.
     #[serde(skip)]
     pub used: Resources,
@@ -35,6 +39,7 @@
         Self {
             incarnation,
             capacity,
+            last_opened: None,
             used: Resources::default(),
             open: BTreeSet::new(),
             failed_jobs: BTreeSet::new(),
--- a/crates/state/tests/shard_fixture/mod.rs
+++ b/crates/state/tests/shard_fixture/mod.rs
@@ -71,6 +71,7 @@
         moves,
         tasks: vec![TaskState::Done, waiting],
         failed_on: BTreeMap::new(),
+        crashes: BTreeMap::new(),
         is_overdue: false,
     };
     let moved = Box::new(moved);
