Send no request to a third target after two broke it off

Two targets that break off without an answer now end the retries; refusals and targets that can't be reached still lead to another. A caller that asks again starts anew: its earlier requests are not remembered.

--- a/crates/front/src/request/dispatch.rs
+++ b/crates/front/src/request/dispatch.rs
@@ -16,6 +16,8 @@
 use crate::target::SlotPermit;
 
 const ATTEMPTS_MAX: usize = 3;
+/// The targets that may break off a request without an answer. The request may be what ends them.
+const BROKEN_TARGETS_MAX: usize = 2;
 
 /// Sends one caller's request to targets, with retries within the service's budget.
 pub struct Dispatch<'a> {
@@ -43,6 +45,7 @@
         self.targets.retry_budget().deposit();
         let is_idempotent = self.route.settings.is_idempotent(self.head.method.as_str());
         let mut excluded: Vec<TargetId> = Vec::new();
+        let mut broken_targets = 0;
         let mut last_error: Option<RequestError> = None;
         let mut slot = self
             .targets
@@ -60,7 +63,10 @@
                 error.verdict = error.verdict.max(last.verdict);
             }
             excluded.push(target);
-            if !self.may_retry(&error, is_idempotent, excluded.len()) {
+            broken_targets += usize::from(error.cause == Cause::ConnectionBroken);
+            if broken_targets >= BROKEN_TARGETS_MAX
+                || !self.may_retry(&error, is_idempotent, excluded.len())
+            {
                 return Err(error);
             }
             let Some(next) = self.acquire_retry_slot(&excluded) else {
--- a/crates/front/tests/verdicts.rs
+++ b/crates/front/tests/verdicts.rs
@@ -8,15 +8,18 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dotterelhook_standins::target::AfterAnswer;
 use dotterelhook_standins::target::RawTarget;
 use dotterelhook_standins::target::ReadUpTo;
 use dotterelhook_standins::target::Script;
+use fixtures::SERVICE;
 use fixtures::header;
 use fixtures::request;
 use fixtures::send;
+use fixtures::snapshot;
 use fixtures::start_front;
 use hyper::Response;
 use tokio::net::TcpSocket;
@@ -253,6 +256,43 @@
     }
 }
 
+/// Guards against a request that crashes one target after the other: each retry may take down another
+/// one.
+#[tokio::test]
+async fn a_request_that_breaks_two_targets_reaches_no_third() {
+    let works = case("ok", ReadUpTo::Whole, ANSWER, AfterAnswer::Close).script;
+    let breaks = case("cut", ReadUpTo::Whole, "", AfterAnswer::Reset).script;
+    for _ in 0..10 {
+        let sound = RawTarget::start(works.clone()).await.unwrap();
+        let front = start_front(TIMEOUT_MS, &[sound.address()]).await;
+        // First attempts earn the retries that the budget allows.
+        for _ in 0..30 {
+            send(front.address, request("GET", "")).await.unwrap();
+        }
+        let broken = raw_targets(&breaks).await;
+        let hosts = snapshot(&addresses(&broken), &front.failure_domain);
+        front.hosts.0.store(Arc::new(hosts));
+        let service = SERVICE.parse().unwrap();
+        let pool_count = || {
+            front
+                .handle
+                .targets
+                .service(&service)
+                .unwrap()
+                .pools()
+                .len()
+        };
+        while pool_count() < broken.len() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+
+        send(front.address, request("GET", "")).await.unwrap();
+
+        let heads: u64 = broken.iter().map(|target| target.heads_received()).sum();
+        assert_eq!(heads, 2);
+    }
+}
+
 #[tokio::test]
 async fn verdicts_of_others_are_not_passed_on() {
     let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-dotterelhook-verdict: not-run\r\n\
