--- a/crates/jobs/tests/cell/generated_faults.rs
+++ b/crates/jobs/tests/cell/generated_faults.rs
@@ -1,8 +1,8 @@
 //! Simulates owners, executors and messages under generated faults.
 //!
-//! Guards against duplicate runs, runs out of order, late starts in evacuated failure domains and jobs
-//! that never end. Such errors arise from
-//! lost or late messages, executor crashes and takeovers in unlucky sequences.
+//! Guards against duplicate runs, runs out of order, tasks that crash executors without end, innocent
+//! jobs that are given up, late starts in evacuated failure domains and jobs that never end. Such errors
+//! arise from lost or late messages, executor crashes and takeovers in unlucky sequences.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -79,6 +79,8 @@
 
 /// How long a former owner may renew leases after a takeover.
 const RENEWAL_RIGHT: Duration = Duration::from_secs(2);
+/// The starts after which a task that crashes its executors must not start again.
+const DEADLY_STARTS_MAX: usize = 5;
 /// How long an owner waits for the answer to an order.
 const ORDER_TIMEOUT_MS: u64 = 500;
 /// An order that an executor carries out late.
@@ -228,7 +230,7 @@
                 }
             }
             Event::TakeOver { keeps_stale_owner } => self.take_over(*keeps_stale_owner),
-            Event::RunCalmly { rounds } => self.run_calmly(*rounds),
+            Event::RunCalmly { rounds } => self.run_calmly(*rounds, false),
             Event::Evacuate { executor } => self.operators.evacuate(*executor, self.now),
             Event::EndEvacuation { executor } => self.operators.end(*executor),
             Event::CutOffView { sender, is_cut_off } => {
@@ -384,7 +386,10 @@
                         };
                         owner.delayed_reports.insert(id, delayed);
                     }
-                    Err(error) => owner.is_released |= error == OrderError::Fenced,
+                    Err(error) => {
+                        owner.is_released |= error == OrderError::Fenced;
+                        owner.cell.handle_renewal_failure(&id, &error, self.now);
+                    }
                 }
                 if matches!(delivery, Delivery::Answered) {
                     self.advance(delay_ms);
@@ -580,6 +585,13 @@
         if !begins {
             return Ok(());
         }
+        if crashes_always(task) {
+            self.executors[index].crash();
+            self.history.record_start(task, order.run);
+            let starts = self.history.runs()[&task].len();
+            assert!(starts <= DEADLY_STARTS_MAX, "{task} starts without end");
+            return Err(OrderError::Unknown("the connection broke".into()));
+        }
         self.operators.check_start(index, self.now);
         let others = self.executors.iter().enumerate();
         let duplicates = others
@@ -661,13 +673,18 @@
             }
         }
         let rounds = SETTLE.as_millis() / SETTLE_STEP.as_millis();
-        self.run_calmly(rounds as u32);
+        self.run_calmly(rounds as u32, true);
     }
 
     /// Lets the owner exchange all messages for some rounds.
-    fn run_calmly(&mut self, rounds: u32) {
+    fn run_calmly(&mut self, rounds: u32, restarts_executors: bool) {
         for _ in 0..rounds {
             self.advance(SETTLE_STEP.as_millis() as u64);
+            for executor in &mut self.executors {
+                if !executor.is_up && restarts_executors {
+                    executor.restart();
+                }
+            }
             for index in 0..EXECUTORS.len() {
                 self.act_as(Sender::Owner, |simulation, owner| {
                     simulation.renew(owner, index, Delivery::Answered);
@@ -684,6 +701,14 @@
         }
     }
 
+    fn has_deadly_task(&self, id: JobId) -> bool {
+        let found = self.submissions.iter().find(|(other, _)| *other == id);
+        found.is_some_and(|(id, submission)| {
+            let deadly = deadly_task(*id);
+            crashes_always(deadly) && deadly.index < submission.spec.steps[0].count
+        })
+    }
+
     fn check_outcomes(&self) {
         for (id, _) in &self.submissions {
             let state = self.owner.cell.lookup_job_state(*id);
@@ -698,7 +723,7 @@
             };
             if self.cancelled.contains(id) {
                 assert!(state.is_final(), "cancelled job {id} is {state}");
-            } else if fails_always(first) {
+            } else if fails_always(first) || self.has_deadly_task(*id) {
                 assert_eq!(state, JobState::Failed, "job {id}");
             } else {
                 assert_eq!(state, JobState::Completed, "job {id}");
@@ -791,6 +816,23 @@
     task.step == 0 && task.index == 0 && (0..64).step_by(4).any(|number| is_chosen(&number))
 }
 
+/// Returns the task of a job that may crash its executors.
+fn deadly_task(job: JobId) -> TaskId {
+    TaskId {
+        job,
+        occurrence: 0,
+        step: 0,
+        index: 1,
+    }
+}
+
+/// Returns whether a task crashes each executor that starts it. The second task of every seventh job is
+/// of this kind.
+fn crashes_always(task: TaskId) -> bool {
+    let is_chosen = |number: &u64| job(*number) == task.job;
+    task == deadly_task(task.job) && (0..64).step_by(7).any(|number| is_chosen(&number))
+}
+
 #[test]
 fn no_task_runs_twice_and_every_job_ends() {
     let config = Config {
--- a/crates/jobs/tests/cell/simulated_executor.rs
+++ b/crates/jobs/tests/cell/simulated_executor.rs
@@ -311,7 +311,7 @@
 
     fn check(&mut self, token: Epoch) -> Result<(), OrderError> {
         if !self.is_up {
-            return Err(OrderError::NotSent("no listener".into()));
+            return Err(OrderError::NoListener("connection refused".into()));
         }
         if self.enforces_fences && token < self.token {
             return Err(OrderError::Fenced);
