Blame no isolated run whose start may have come after the crash

An executor is now fit for isolation only if it answered within 250 ms and, when it did, all other runs had been there for 0.5 s, those being stopped included. The new test failed before (task-given-up with lost=3) and passes.

--- a/crates/jobs/src/cell/executor_crashes.rs
+++ b/crates/jobs/src/cell/executor_crashes.rs
@@ -149,8 +149,10 @@
         let blamed = executor.runs().iter().filter(|(_, view)| {
             may_run(view) && (view.is_isolated || view.age(silent_since) <= BLAMED_AGE_MAX)
         });
+        // A run without an answer to its start may have come after the crash.
+        let is_suspect = |view: &RunView| view.is_isolated && view.is_running() && has_crashed;
         let blamed: Vec<(TaskId, bool, Loss)> = blamed
-            .map(|(task, view)| (*task, view.is_isolated, loss_of(view)))
+            .map(|(task, view)| (*task, is_suspect(view), loss_of(view)))
             .collect();
         let lost = LostExecutor {
             key: key.clone(),
@@ -159,9 +161,9 @@
             tasks: blamed.iter().map(|(task, ..)| *task).collect(),
         };
         self.recent_losses.add(lost, now);
-        for (task, is_isolated, loss) in blamed {
+        for (task, is_suspect, loss) in blamed {
             self.record_loss_under(task, &key, loss);
-            if is_isolated && has_crashed {
+            if is_suspect {
                 let loss = UnjudgedLoss {
                     executor: key.clone(),
                     due: now + JUDGED_AFTER,
--- a/crates/jobs/src/cell/isolation.rs
+++ b/crates/jobs/src/cell/isolation.rs
@@ -15,6 +15,9 @@
 
 /// The time after its start at which a run is no longer a likely cause of a crash.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// How lately an executor must have answered before a run is isolated there. It may have crashed since,
+/// before the run starts.
+const HEARD_WITHIN: Duration = Duration::from_millis(250);
 /// The longest isolation of a run. Meanwhile the executor accepts no new runs of other jobs.
 pub(super) const ISOLATION_MAX: Duration = Duration::from_secs(2);
 /// The longest wait of a task for an executor on which it can be isolated. The requirements allow 3 s
@@ -95,21 +98,14 @@
         }
         let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
         let reserved_share = executor.used().cpu_milli.0 as f64 / capacity_milli;
-        let may_isolate = self.has_only_settled_others(search.job, executor, now);
+        let may_isolate = has_only_settled_others(search.job, executor, now);
         may_isolate.then_some(STAKE_PENALTY * reserved_share)
     }
 
     /// Returns whether a run of the task on an executor would be isolated.
     pub(super) fn isolates_on(&self, task: TaskId, id: &ExecutorId, now: Instant) -> bool {
         let executor = self.executors.get(id);
-        executor.is_some_and(|executor| self.has_only_settled_others(task.job, executor, now))
-    }
-
-    fn has_only_settled_others(&self, job: JobId, executor: &Executor, now: Instant) -> bool {
-        executor
-            .runs()
-            .iter()
-            .all(|(task, view)| task.job == job || view.has_settled(SETTLE_TIME, now))
+        executor.is_some_and(|executor| has_only_settled_others(task.job, executor, now))
     }
 
     /// Forgets the waits of tasks that need no isolation any more.
@@ -121,3 +117,13 @@
         self.isolation_waits = kept.collect();
     }
 }
+
+/// Returns whether an executor is heard, and had run the runs of other jobs for a while when it was.
+fn has_only_settled_others(job: JobId, executor: &Executor, now: Instant) -> bool {
+    let Some(heard_at) = executor.clock.map(|clock| clock.seen_at()) else {
+        return false;
+    };
+    let is_heard = executor.silent_since.is_none() && now.duration_since(heard_at) <= HEARD_WITHIN;
+    let mut others = executor.runs().iter().filter(|(task, _)| task.job != job);
+    is_heard && others.all(|(_, view)| view.had_settled(SETTLE_TIME, heard_at))
+}
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -141,13 +141,20 @@
         (share * 100.0).clamp(0.0, 100.0) as u32
     }
 
-    /// Returns whether the run has worked for at least the given time, or no longer starts.
-    pub fn has_settled(&self, settle_time: Duration, now: Instant) -> bool {
-        match self.phase {
-            RunPhase::Running { since } => now.duration_since(since) >= settle_time,
-            RunPhase::Stopping { .. } => true,
-            _ => false,
-        }
+    /// Returns whether the run had been there for at least the given time when its executor was last
+    /// heard.
+    pub fn had_settled(&self, settle_time: Duration, heard_at: Instant) -> bool {
+        let began_at = match self.phase {
+            RunPhase::Running { since } => since,
+            RunPhase::Stopping { .. } => self.known_since,
+            _ => return false,
+        };
+        began_at + settle_time <= heard_at
+    }
+
+    /// Returns whether the run is known to have begun, and is not being stopped.
+    pub fn is_running(&self) -> bool {
+        matches!(self.phase, RunPhase::Running { .. })
     }
 
     /// Returns the time since the run started, or since this owner first knew of it.
--- a/crates/jobs/tests/cell/executor_crashes.rs
+++ b/crates/jobs/tests/cell/executor_crashes.rs
@@ -1,9 +1,12 @@
 //! Tasks that crash the executors that start them, and crashes that no task has caused.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use dotterelhook_jobs::cell::CellSettings;
+use dotterelhook_jobs::cell::JobLookup;
+use dotterelhook_jobs::fleet::Order;
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::JobSpec;
 use dotterelhook_jobs::model::JobState;
@@ -11,9 +14,11 @@
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::Submission;
 use dotterelhook_jobs::model::TaskId;
+use dotterelhook_jobs::platform::OrderError;
 
 use crate::crash_world::CrashWorld;
 use crate::crash_world::Return;
+use crate::fixture::CellHarness;
 use crate::fixture::LEASE;
 use crate::fixture::job;
 use crate::fixture::settings;
@@ -354,3 +359,49 @@
         .any(|number| (0..4).any(|index| world.executor_of(task(number, 0, index)) == isolated_on));
     assert!(has_neighbour);
 }
+
+/// Guards against an isolated run that is taken for the cause of a crash that came before it: its start was
+/// sent to an executor that was not known to be down, and had no answer.
+#[tokio::test]
+async fn an_isolated_run_is_not_blamed_for_an_earlier_crash() {
+    let mut harness = CellHarness::new();
+    let mut incarnations = BTreeMap::from([("i-1", 1), ("i-2", 1), ("i-3", 1)]);
+    for id in incarnations.keys() {
+        harness.list_executor(id, 4_000);
+    }
+    let now = harness.now;
+    harness
+        .cell
+        .accept(job(1), submission(vec![step(1, 1_000, &[])]), now);
+    let unanswered = || Err(OrderError::Unknown("no answer".into()));
+    for answer in [Ok(()), Ok(()), unanswered()] {
+        for (id, incarnation) in &incarnations {
+            harness.report_as(id, *incarnation, vec![], vec![]);
+        }
+        harness.commit();
+        let started_on = incarnations.keys().copied().find(|id| {
+            let orders = harness.take_orders(id);
+            orders.iter().any(|order| matches!(order, Order::Start(..)))
+        });
+        let id = started_on.expect("a start");
+        let (innocent, now) = (task(1, 0, 0), harness.now);
+        let run = harness
+            .cell
+            .executor(&id.into())
+            .and_then(|e| e.run(innocent));
+        let run = run.expect("a placed run").run;
+        harness
+            .cell
+            .handle_start_result(&id.into(), innocent, run, answer, now);
+        harness.advance(Duration::from_millis(900));
+        let incarnation = incarnations.get_mut(id).expect("a listed executor");
+        *incarnation += 1;
+        harness.report_as(id, *incarnation, vec![], vec![]);
+        harness.advance(Duration::from_millis(600));
+        harness.cell.judge_losses(harness.now);
+    }
+    harness.commit();
+
+    let state = harness.cell.lookup_job_state(job(1));
+    assert_eq!(state, JobLookup::Known(JobState::Running));
+}
