--- a/crates/jobs/tests/cell/executor_crashes.rs
+++ b/crates/jobs/tests/cell/executor_crashes.rs
@@ -7,6 +7,11 @@
 use dotterelhook_jobs::cell::CellSettings;
 use dotterelhook_jobs::cell::JobLookup;
 use dotterelhook_jobs::fleet::Order;
+use dotterelhook_jobs::ledger::CrashHistory;
+use dotterelhook_jobs::ledger::Loss;
+use dotterelhook_jobs::ledger::REMEMBERED_TASKS_MAX;
+use dotterelhook_jobs::ledger::encode;
+use dotterelhook_jobs::model::ExecutorKey;
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::JobSpec;
 use dotterelhook_jobs::model::JobState;
@@ -15,6 +20,7 @@
 use dotterelhook_jobs::model::Submission;
 use dotterelhook_jobs::model::TaskId;
 use dotterelhook_jobs::platform::OrderError;
+use dotterelhook_types::ids::Incarnation;
 
 use crate::crash_world::CrashWorld;
 use crate::crash_world::Return;
@@ -405,3 +411,29 @@
     let state = harness.cell.lookup_job_state(job(1));
     assert_eq!(state, JobLookup::Known(JobState::Running));
 }
+
+/// Guards against counts that grow without limit in memory and at the store: the record of a job must fit
+/// an append beside others. Tasks with more losses are kept.
+#[tokio::test]
+async fn the_crashes_of_a_job_are_bounded() {
+    let mut history = CrashHistory::default();
+    let executor = |incarnation| ExecutorKey {
+        id: "i-0123456789".into(),
+        incarnation: Incarnation(incarnation),
+    };
+    let worst = task(1, 0, 0);
+    for number in 1..=4 {
+        history.record(worst, &executor(number), Loss::default());
+    }
+
+    for index in 0..20_000 {
+        history.record(task(1, 1, index), &executor(5), Loss::default());
+    }
+
+    assert_eq!(history.tasks().count(), REMEMBERED_TASKS_MAX);
+    assert_eq!(history.task(worst).map(|crashes| crashes.lost), Some(4));
+    let stored = history.take_change().expect("a change");
+    let record = encode(&stored).expect("a record");
+    assert!(record.len() <= 128 << 10, "{} bytes", record.len());
+    println!("{} bytes for {} tasks", record.len(), stored.len());
+}
