Count only losses without a likelier cause against a task

A loss is held against a run if its executor was not heard from more than 0.3 s after the run began, or if no run of another job there is in that case. Three such losses with the last in isolation, or five, give a task up; ten losses of any kind do.

--- a/crates/jobs/src/cell/executor_crashes.rs
+++ b/crates/jobs/src/cell/executor_crashes.rs
@@ -21,7 +21,6 @@
 use crate::observe::decided;
 use crate::platform::OrderError;
 use crate::policy::CrashFacts;
-use crate::policy::LOST_MAX;
 
 /// The age from which a run that was not isolated is no likely cause of the loss of its executor.
 const BLAMED_AGE_MAX: Duration = Duration::from_secs(30);
@@ -138,21 +137,22 @@
         let has_crashed = executor.crashed_at.is_some() && !is_evacuated;
         // Only a refused connection tells the time of the crash.
         let is_time_known = has_crashed && evidence == Some(CrashEvidence::NoListener);
-        let loss_of = |view: &RunView| {
+        let loss_of = |task: TaskId, view: &RunView| {
             let age = view.age(silent_since);
             Loss {
                 has_crashed,
+                is_suspected: is_suspected(executor, task, view),
                 is_at_start: is_time_known && !view.is_inherited && age <= JUST_STARTED,
                 age_ms: age.as_millis() as u64,
             }
         };
+        // A run without an answer to its start may have come after the crash.
+        let is_shown = |view: &RunView| view.is_isolated && view.is_running() && has_crashed;
         let blamed = executor.runs().iter().filter(|(_, view)| {
             may_run(view) && (view.is_isolated || view.age(silent_since) <= BLAMED_AGE_MAX)
         });
-        // A run without an answer to its start may have come after the crash.
-        let is_suspect = |view: &RunView| view.is_isolated && view.is_running() && has_crashed;
         let blamed: Vec<(TaskId, bool, Loss)> = blamed
-            .map(|(task, view)| (*task, is_suspect(view), loss_of(view)))
+            .map(|(task, view)| (*task, is_shown(view), loss_of(*task, view)))
             .collect();
         let lost = LostExecutor {
             key: key.clone(),
@@ -161,9 +161,9 @@
             tasks: blamed.iter().map(|(task, ..)| *task).collect(),
         };
         self.recent_losses.add(lost, now);
-        for (task, is_suspect, loss) in blamed {
+        for (task, is_shown, loss) in blamed {
             self.record_loss_under(task, &key, loss);
-            if is_suspect {
+            if is_shown {
                 let loss = UnjudgedLoss {
                     executor: key.clone(),
                     due: now + JUDGED_AFTER,
@@ -191,6 +191,7 @@
         self.recent_losses.add(lost, now);
         let loss = Loss {
             has_crashed,
+            is_suspected: true,
             ..Loss::default()
         };
         self.record_loss_under(task, key, loss);
@@ -234,7 +235,7 @@
         let Some(crashes) = self.crashes_of(task).filter(|found| is_outlived(found)) else {
             return;
         };
-        decided!(Decision::CrashesOutlived, task: task, executor: id, lost: crashes.lost, crashed: crashes.crashed, lasted_ms: lasted.as_millis());
+        decided!(Decision::CrashesOutlived, task: task, executor: id, lost: crashes.lost, suspected: crashes.suspected, lasted_ms: lasted.as_millis());
         if let Some(job) = self.ledger.job_mut(task.job) {
             job.crash_history_mut().clear_task(task);
             self.dirty.insert(task.job);
@@ -264,7 +265,7 @@
     /// Lets a task be judged at once if so many executors were lost under it that nothing else counts.
     fn judge_many_losses(&mut self, task: TaskId) {
         let crashes = self.crashes_of(task);
-        let Some(crashes) = crashes.filter(|crashes| crashes.lost >= LOST_MAX) else {
+        let Some(crashes) = crashes.filter(|crashes| crashes.facts().is_over_limit()) else {
             return;
         };
         if let Some(executor) = crashes.last_executor().cloned() {
@@ -286,12 +287,12 @@
             };
             let executor = loss.executor;
             if !facts.is_cause() {
-                decided!(Decision::CrashExcused, task: task, executor: executor, lost: facts.lost, crashed: facts.crashed, at_start: facts.at_start, others_lost: facts.others_lost);
+                decided!(Decision::CrashExcused, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, others_lost: facts.others_lost);
                 continue;
             }
             let job = self.ledger.job_mut(task.job);
             if job.is_some_and(Job::give_up) {
-                decided!(Decision::TaskGivenUp, task: task, executor: executor, lost: facts.lost, crashed: facts.crashed, at_start: facts.at_start, was_isolated: facts.was_isolated, others_lost: facts.others_lost);
+                decided!(Decision::TaskGivenUp, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, was_isolated: facts.was_isolated, others_lost: facts.others_lost);
                 self.metrics.tasks_given_up.inc();
                 self.dirty.insert(task.job);
                 self.stop_job(task.job, now);
@@ -302,11 +303,9 @@
     fn crash_facts(&self, task: TaskId, loss: &UnjudgedLoss) -> Option<CrashFacts> {
         let crashes = self.crashes_of(task)?;
         Some(CrashFacts {
-            lost: crashes.lost,
-            crashed: crashes.crashed,
-            at_start: crashes.at_start,
             was_isolated: loss.was_isolated,
             others_lost: self.others_lost_with(&loss.executor),
+            ..crashes.facts()
         })
     }
 
@@ -345,3 +344,20 @@
 fn may_run(view: &RunView) -> bool {
     !matches!(view.phase, RunPhase::Proposed | RunPhase::Withdrawn)
 }
+
+/// Returns whether a run may have crashed its executor, and no run of another job is a likelier cause.
+///
+/// A likelier cause is one that began just before the executor was last heard, or later.
+fn is_suspected(executor: &Executor, task: TaskId, view: &RunView) -> bool {
+    let started = executor.runs().iter().filter(|(_, view)| may_run(view));
+    let answered_at = started.clone().filter_map(|(_, view)| match view.phase {
+        RunPhase::Running { since } => Some(since),
+        _ => None,
+    });
+    let reported_at = executor.clock.map(|clock| clock.seen_at());
+    let heard_at = answered_at.chain(reported_at).max();
+    let is_outlived =
+        |view: &RunView| heard_at.is_some_and(|at| view.had_settled(JUST_STARTED, at));
+    let mut others = started.filter(|(other, _)| other.job != task.job);
+    !is_outlived(view) || others.all(|(_, other)| is_outlived(other))
+}
--- a/crates/jobs/src/cell/isolation.rs
+++ b/crates/jobs/src/cell/isolation.rs
@@ -11,7 +11,6 @@
 use crate::model::ExecutorKey;
 use crate::model::JobId;
 use crate::model::TaskId;
-use crate::policy::needs_isolation;
 
 /// The time after its start at which a run is no longer a likely cause of a crash.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
@@ -38,16 +37,14 @@
     /// Returns whether so many executors were lost under a task that it starts only in isolation.
     pub(super) fn needs_isolation(&self, task: TaskId) -> bool {
         self.crashes_of(task)
-            .is_some_and(|crashes| needs_isolation(crashes.lost, crashes.at_start))
+            .is_some_and(|crashes| crashes.facts().needs_isolation())
     }
 
     /// Returns whether a run of a former owner was isolated: executors had been lost under its task
     /// before it was placed.
     pub(super) fn was_isolated(&self, task: TaskId, executor: &ExecutorKey) -> bool {
-        self.crashes_of(task).is_some_and(|crashes| {
-            let before = crashes.without(executor);
-            needs_isolation(before.lost, before.at_start)
-        })
+        self.crashes_of(task)
+            .is_some_and(|crashes| crashes.without(executor).facts().needs_isolation())
     }
 
     pub(super) fn crashes_of(&self, task: TaskId) -> Option<&TaskCrashes> {
--- a/crates/jobs/src/ledger/crash_history.rs
+++ b/crates/jobs/src/ledger/crash_history.rs
@@ -7,6 +7,7 @@
 use super::side_record::SideRecord;
 use crate::model::ExecutorKey;
 use crate::model::TaskId;
+use crate::policy::CrashFacts;
 
 /// Limits the tasks of one job whose lost executors are remembered, which bounds the record.
 pub const REMEMBERED_TASKS_MAX: usize = 1_024;
@@ -21,8 +22,8 @@
 pub struct TaskCrashes {
     /// The number of lost executors.
     pub lost: u32,
-    /// The number of these whose process is known to have ended.
-    pub crashed: u32,
+    /// The number of these on which no other task is a likelier cause.
+    pub suspected: u32,
     /// The number of these that crashed as a run of the task began.
     pub at_start: u32,
     /// The longest time that a run had lasted when its executor was lost, in milliseconds.
@@ -36,13 +37,25 @@
 pub struct Loss {
     /// Whether its process is known to have ended.
     pub has_crashed: bool,
-    /// Whether this happened as the run began.
+    /// Whether no other task is a likelier cause.
+    pub is_suspected: bool,
+    /// Whether the crash happened as the run began.
     pub is_at_start: bool,
     /// How long the run had lasted, in milliseconds.
     pub age_ms: u64,
 }
 
 impl TaskCrashes {
+    /// Returns the counts, as far as they decide about the task.
+    pub fn facts(&self) -> CrashFacts {
+        CrashFacts {
+            lost: self.lost,
+            suspected: self.suspected,
+            at_start: self.at_start,
+            ..CrashFacts::default()
+        }
+    }
+
     /// Returns how long a run must last to show that its task does not crash executors.
     pub fn clearance(&self) -> Duration {
         let longest_age = Duration::from_millis(self.longest_age_ms);
@@ -75,7 +88,7 @@
             self.retract(executor);
         }
         self.lost += 1;
-        self.crashed += u32::from(loss.has_crashed);
+        self.suspected += u32::from(loss.is_suspected);
         self.at_start += u32::from(loss.is_at_start);
         self.longest_age_ms = self.longest_age_ms.max(loss.age_ms);
         self.last = Some((executor.clone(), loss));
@@ -88,7 +101,7 @@
             return false;
         };
         self.lost -= 1;
-        self.crashed -= u32::from(loss.has_crashed);
+        self.suspected -= u32::from(loss.is_suspected);
         self.at_start -= u32::from(loss.is_at_start);
         true
     }
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -19,8 +19,6 @@
 mod step_run_times;
 
 pub use crash_cause::CrashFacts;
-pub use crash_cause::LOST_MAX;
-pub use crash_cause::needs_isolation;
 pub use fair_shares::FairShares;
 pub use fair_shares::LearnedFlows;
 pub use filler_pacer::FillerPacer;
