--- a/crates/jobs/src/cell/executor_crashes.rs
+++ b/crates/jobs/src/cell/executor_crashes.rs
@@ -24,7 +24,9 @@
 
 /// The age from which a run that was not isolated is no likely cause of the loss of its executor.
 const BLAMED_AGE_MAX: Duration = Duration::from_secs(30);
-/// Executors that fall silent within this time of each other are lost at the same time.
+/// Executors that fall silent within this time of each other are lost together, as by a loss of power.
+const TOGETHER: Duration = Duration::from_millis(400);
+/// Executors that fall silent within this time of each other are lost at about the same time.
 const SAME_TIME: Duration = Duration::from_millis(1_500);
 /// The time after a crash at which it is judged: others at the same time are known by then.
 const JUDGED_AFTER: Duration = Duration::from_millis(500);
@@ -287,12 +289,12 @@
             };
             let executor = loss.executor;
             if !facts.is_cause() {
-                decided!(Decision::CrashExcused, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, others_lost: facts.others_lost);
+                decided!(Decision::CrashExcused, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, lost_together: facts.lost_together, others_lost: facts.others_lost);
                 continue;
             }
             let job = self.ledger.job_mut(task.job);
             if job.is_some_and(Job::give_up) {
-                decided!(Decision::TaskGivenUp, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, was_isolated: facts.was_isolated, others_lost: facts.others_lost);
+                decided!(Decision::TaskGivenUp, task: task, executor: executor, lost: facts.lost, suspected: facts.suspected, at_start: facts.at_start, was_isolated: facts.was_isolated, lost_together: facts.lost_together, others_lost: facts.others_lost);
                 self.metrics.tasks_given_up.inc();
                 self.dirty.insert(task.job);
                 self.stop_job(task.job, now);
@@ -302,35 +304,44 @@
 
     fn crash_facts(&self, task: TaskId, loss: &UnjudgedLoss) -> Option<CrashFacts> {
         let crashes = self.crashes_of(task)?;
+        let (lost_together, others_lost) = self.others_lost_with(&loss.executor);
         Some(CrashFacts {
             was_isolated: loss.was_isolated,
-            others_lost: self.others_lost_with(&loss.executor),
+            lost_together,
+            others_lost,
             ..crashes.facts()
         })
     }
 
-    /// Returns the number of other executors that fell silent at the same time as a lost one, and to
-    /// which no start had just been sent.
-    fn others_lost_with(&self, key: &ExecutorKey) -> usize {
+    /// Returns the number of other executors that fell silent together with a lost one, and of those that
+    /// did so at about the same time and to which no start had just been sent.
+    fn others_lost_with(&self, key: &ExecutorKey) -> (usize, usize) {
         let Some(lost) = self.recent_losses.get(key) else {
-            return 0;
+            return (0, 0);
         };
-        let (from, to) = (lost.silent_since - SAME_TIME, lost.silent_since + SAME_TIME);
-        let is_same_time = |at: Instant| (from..=to).contains(&at);
-        let silent = self.executors.values().filter(|executor| {
-            let since = executor.silent_since;
-            since.is_some_and(|at| is_same_time(at) && !had_just_started(executor, at))
+        let silent = self.executors.values().filter_map(|executor| {
+            let since = executor.silent_since?;
+            Some((&executor.entry.id, since, had_just_started(executor, since)))
         });
         let removed = self
             .recent_losses
             .iter()
-            .filter(|other| is_same_time(other.silent_since) && !other.had_just_started);
-        let others: BTreeSet<&ExecutorId> = silent
-            .map(|executor| &executor.entry.id)
-            .chain(removed.map(|other| &other.key.id))
-            .filter(|id| **id != key.id)
-            .collect();
-        others.len()
+            .map(|other| (&other.key.id, other.silent_since, other.had_just_started));
+        let mut together = BTreeSet::new();
+        let mut unexplained = BTreeSet::new();
+        for (id, since, had_just_started) in silent.chain(removed) {
+            let apart = since.max(lost.silent_since) - since.min(lost.silent_since);
+            if *id == key.id {
+                continue;
+            }
+            if apart <= TOGETHER {
+                together.insert(id);
+            }
+            if apart <= SAME_TIME && !had_just_started {
+                unexplained.insert(id);
+            }
+        }
+        (together.len(), unexplained.len())
     }
 }
 
@@ -347,17 +358,15 @@
 
 /// Returns whether a run may have crashed its executor, and no run of another job is a likelier cause.
 ///
-/// A likelier cause is one that began just before the executor was last heard, or later.
+/// A likelier cause is one that had hardly begun when the executor is last known to have worked.
 fn is_suspected(executor: &Executor, task: TaskId, view: &RunView) -> bool {
     let started = executor.runs().iter().filter(|(_, view)| may_run(view));
-    let answered_at = started.clone().filter_map(|(_, view)| match view.phase {
-        RunPhase::Running { since } => Some(since),
-        _ => None,
-    });
-    let reported_at = executor.clock.map(|clock| clock.seen_at());
-    let heard_at = answered_at.chain(reported_at).max();
+    // A start that was answered was sent after its placement.
+    let accepted = started.clone().filter(|(_, view)| view.is_running());
+    let placed_at = accepted.map(|(_, view)| view.known_since).max();
+    let worked_at = executor.worked_at.max(placed_at);
     let is_outlived =
-        |view: &RunView| heard_at.is_some_and(|at| view.had_settled(JUST_STARTED, at));
+        |view: &RunView| worked_at.is_some_and(|at| view.had_settled(JUST_STARTED, at));
     let mut others = started.filter(|(other, _)| other.job != task.job);
     !is_outlived(view) || others.all(|(_, other)| is_outlived(other))
 }
--- a/crates/jobs/src/cell/incarnations.rs
+++ b/crates/jobs/src/cell/incarnations.rs
@@ -84,6 +84,7 @@
         let views = executor.remove_all_runs();
         executor.incarnation = Some(incarnation);
         executor.clock = None;
+        executor.worked_at = None;
         executor.silent_since = None;
         executor.crashed_at = None;
         executor.given_up_at = None;
--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -99,6 +99,7 @@
         let clock = ExecutorClock::new(report.clock_ms, now);
         let is_first = executor.clock.is_none();
         executor.clock = Some(clock.later(executor.clock));
+        executor.worked_at = executor.worked_at.max(Some(requested_at));
         executor.crashed_at = None;
         if executor.silent_since.take().is_some() || is_first {
             self.retract_loss(id, requested_at);
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -37,6 +37,8 @@
     pub incarnation: Option<Incarnation>,
     /// The newest clock reading, once the executor has answered in this incarnation.
     pub clock: Option<ExecutorClock>,
+    /// When the last answered renewal was sent: the executor worked then, or later.
+    pub worked_at: Option<Instant>,
     /// Since when renewals have had no answer.
     pub silent_since: Option<Instant>,
     /// When it became known that the process of this incarnation has ended.
@@ -89,6 +91,7 @@
             entry,
             listing: Listing::Listed,
             clock: None,
+            worked_at: None,
             silent_since: None,
             crashed_at: None,
             start_sent_at: None,
--- a/crates/jobs/src/policy/crash_cause.rs
+++ b/crates/jobs/src/policy/crash_cause.rs
@@ -13,8 +13,8 @@
 const SUSPECTED_MAX: u32 = 5;
 /// The number of losses from which a task is the cause whatever else is known.
 const LOST_MAX: u32 = 10;
-/// The number of other executors that are lost at the same time, without a start just before, from
-/// which a crash counts as caused from outside, such as by a loss of power.
+/// The number of other executors that are lost together, or at about the same time without a start just
+/// before, from which a crash counts as caused from outside, such as by a loss of power.
 const OTHERS_LOST_MIN: usize = 3;
 
 /// What is known of the executors that were lost while they ran one task.
@@ -28,7 +28,10 @@
     pub at_start: u32,
     /// Whether the last of them crashed while it ran the task in isolation.
     pub was_isolated: bool,
-    /// The number of other executors that were lost at the same time and had not just started a run.
+    /// The number of other executors that were lost together with it.
+    pub lost_together: usize,
+    /// The number of other executors that were lost at about the same time and had not just started a
+    /// run.
     pub others_lost: usize,
 }
 
@@ -47,8 +50,11 @@
 
     /// Returns whether the task is the cause of the crashes.
     pub fn is_cause(&self) -> bool {
-        let is_shown = self.suspected >= SUSPECTED_MIN && self.others_lost < OTHERS_LOST_MIN;
+        let is_from_outside =
+            self.lost_together >= OTHERS_LOST_MIN || self.others_lost >= OTHERS_LOST_MIN;
+        let is_shown = self.suspected >= SUSPECTED_MIN;
         let is_shown_by_starts = self.at_start >= CRASHED_AT_START_MIN && self.others_lost == 0;
-        self.was_isolated && (is_shown || is_shown_by_starts) || self.is_over_limit()
+        let is_judged = self.was_isolated && !is_from_outside;
+        is_judged && (is_shown || is_shown_by_starts) || self.is_over_limit()
     }
 }
