Decode all records about jobs by one function

The records beside a job's progress repeated the decoding of takeover.rs with its log lines; one function now serves both. No change of behaviour.

--- a/crates/jobs/src/cell/commits.rs
+++ b/crates/jobs/src/cell/commits.rs
@@ -3,7 +3,6 @@
 
 use bytes::Bytes;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use super::CellState;
@@ -62,10 +61,14 @@
     }
 }
 
-/// Decodes a record that is stored beside the progress of a job. Logs one that can't be read.
-fn decode_side_record<T: DeserializeOwned>(id: &str, record: &KeyedRecord) -> Option<(JobId, T)> {
-    let id = JobId::from_str(id);
-    match (id, decode(&record.value)) {
+/// Decodes a record about a job, whose id is a part of the key. Logs a record that can't be decoded and
+/// returns `None`.
+pub(crate) fn decode_job_record<T>(
+    id: &str,
+    record: &KeyedRecord,
+    decode: impl Fn(&[u8]) -> Result<T, CodecError>,
+) -> Option<(JobId, T)> {
+    match (JobId::from_str(id), decode(&record.value)) {
         (Ok(id), Ok(value)) => Some((id, value)),
         (Err(error), _) => {
             decided!(Decision::RecordUnreadable, key: record.key, cause: error);
@@ -216,13 +219,13 @@
     /// any other record.
     pub fn restore_side_record(&mut self, record: &KeyedRecord, now: Instant) -> bool {
         if let Some(id) = record.key.strip_prefix(LOST_RUNS_KEY_PREFIX) {
-            if let Some((id, runs)) = decode_side_record(id, record)
+            if let Some((id, runs)) = decode_job_record(id, record, decode)
                 && let Some(job) = self.ledger.job_mut(id)
             {
                 job.lost_runs_mut().restore(runs);
             }
         } else if let Some(id) = record.key.strip_prefix(CRASHES_KEY_PREFIX) {
-            if let Some((id, tasks)) = decode_side_record(id, record) {
+            if let Some((id, tasks)) = decode_job_record(id, record, decode) {
                 self.restore_crashes(id, tasks, now);
             }
         } else {
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -43,6 +43,7 @@
 pub use commit_batch::CommitBatch;
 pub use commit_batch::Effect;
 pub(crate) use commits::LEARNED_KEY;
+pub(crate) use commits::decode_job_record;
 pub(crate) use commits::is_side_record_key;
 pub(crate) use excess::SHARES_KEY;
 pub use queue_order::QueueOrder;
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -19,9 +19,9 @@
 use crate::cell::LEARNED_KEY;
 use crate::cell::RUN_TIMES_KEY;
 use crate::cell::SHARES_KEY;
+use crate::cell::decode_job_record;
 use crate::cell::is_side_record_key;
 use crate::ledger;
-use crate::ledger::CodecError;
 use crate::ledger::JobProgress;
 use crate::ledger::decode;
 use crate::model::JobId;
@@ -97,7 +97,9 @@
             }
         } else if is_side_record_key(&record.key) {
             // Applied once the jobs are restored.
-        } else if let Some((id, value)) = decode_job_record(record, decode::<JobProgress>) {
+        } else if let Some((id, value)) =
+            decode_job_record(&record.key, record, decode::<JobProgress>)
+        {
             progress.insert(id, value);
         }
     }
@@ -196,7 +198,7 @@
 /// Decodes the record of a submission. Logs a record that can't be decoded or whose specification is
 /// invalid, and returns `None`.
 pub(super) fn decode_submission(record: &KeyedRecord) -> Option<(JobId, Submission)> {
-    let (id, submission) = decode_job_record(record, ledger::decode_submission)?;
+    let (id, submission) = decode_job_record(&record.key, record, ledger::decode_submission)?;
     match submission.spec.validate() {
         Ok(spec) => {
             let submission = Submission {
@@ -214,26 +216,6 @@
     }
 }
 
-/// Decodes a record that a cell owner or an entry host wrote under a job id. Logs a record that
-/// can't be decoded and returns `None`.
-pub(super) fn decode_job_record<T>(
-    record: &KeyedRecord,
-    decode: impl Fn(&[u8]) -> Result<T, CodecError>,
-) -> Option<(JobId, T)> {
-    let id = JobId::from_str(&record.key);
-    match (id, decode(&record.value)) {
-        (Ok(id), Ok(value)) => Some((id, value)),
-        (Err(error), _) => {
-            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
-            None
-        }
-        (_, Err(error)) => {
-            decided!(Decision::RecordUnreadable, key: record.key, cause: error);
-            None
-        }
-    }
-}
-
 fn age_of(submission: &Submission) -> Duration {
     let now_unix = SystemTime::now()
         .duration_since(UNIX_EPOCH)
