--- a/crates/jobs/src/cell/executor_crashes.rs
+++ b/crates/jobs/src/cell/executor_crashes.rs
@@ -360,13 +360,10 @@
 ///
 /// A likelier cause is one that had hardly begun when the executor is last known to have worked.
 fn is_suspected(executor: &Executor, task: TaskId, view: &RunView) -> bool {
-    let started = executor.runs().iter().filter(|(_, view)| may_run(view));
-    // A start that was answered was sent after its placement.
-    let accepted = started.clone().filter(|(_, view)| view.is_running());
-    let placed_at = accepted.map(|(_, view)| view.known_since).max();
-    let worked_at = executor.worked_at.max(placed_at);
+    let worked_at = executor.worked_at;
     let is_outlived =
         |view: &RunView| worked_at.is_some_and(|at| view.had_settled(JUST_STARTED, at));
+    let started = executor.runs().iter().filter(|(_, view)| may_run(view));
     let mut others = started.filter(|(other, _)| other.job != task.job);
     !is_outlived(view) || others.all(|(_, other)| is_outlived(other))
 }
