Suspect starts that may be carried out late

A run whose start has no answer may begin at any time, so nothing clears it; nor is an executor with such a run fit for isolation. The new test failed before (0 suspected losses instead of 1).

--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -141,15 +141,13 @@
         (share * 100.0).clamp(0.0, 100.0) as u32
     }
 
-    /// Returns whether the run had been there for at least the given time when its executor was last
-    /// heard.
+    /// Returns whether the run had worked for at least the given time when its executor was last heard.
+    /// One whose start has no answer may begin at any time.
     pub fn had_settled(&self, settle_time: Duration, heard_at: Instant) -> bool {
-        let began_at = match self.phase {
-            RunPhase::Running { since } => since,
-            RunPhase::Stopping { .. } => self.known_since,
-            _ => return false,
-        };
-        began_at + settle_time <= heard_at
+        match self.phase {
+            RunPhase::Running { since } => since + settle_time <= heard_at,
+            _ => false,
+        }
     }
 
     /// Returns whether the run is known to have begun, and is not being stopped.
--- a/crates/jobs/tests/cell/executor_crashes.rs
+++ b/crates/jobs/tests/cell/executor_crashes.rs
@@ -15,6 +15,7 @@
 use dotterelhook_jobs::model::ExecutorPhase;
 use dotterelhook_jobs::model::JobSpec;
 use dotterelhook_jobs::model::JobState;
+use dotterelhook_jobs::model::RunNumber;
 use dotterelhook_jobs::model::Schedule;
 use dotterelhook_jobs::model::StepSpec;
 use dotterelhook_jobs::model::Submission;
@@ -412,6 +413,40 @@
     assert_eq!(state, JobLookup::Known(JobState::Running));
 }
 
+/// Guards against a crash that does not count, because the start was carried out long after it was sent and
+/// the executor had answered in between.
+#[tokio::test]
+async fn a_start_that_is_carried_out_late_is_suspected() {
+    let mut harness = CellHarness::with_job(&submission(vec![step(1, 1_000, &[])]));
+    harness.commit();
+    harness.take_orders("i-1");
+    let (late, id, run) = (task(1, 0, 0), "i-1".into(), RunNumber(1));
+    let unanswered = Err(OrderError::Unknown("no answer".into()));
+    let now = harness.now;
+    harness
+        .cell
+        .handle_start_result(&id, late, run, unanswered, now);
+    harness.advance(Duration::from_secs(1));
+    harness.report("i-1", vec![], vec![]);
+    let neighbour = submission(vec![step(1, 1_000, &[])]);
+    harness.cell.accept(job(2), neighbour, harness.now);
+    harness.commit();
+    harness.accept_starts("i-1");
+
+    harness.report_as("i-1", 2, vec![], vec![]);
+
+    let ledger = harness.cell.ledger();
+    let crashes = |number, task| {
+        let history = ledger
+            .job(job(number))
+            .expect("an open job")
+            .crash_history();
+        history.task(task).map(|crashes| crashes.suspected)
+    };
+    assert_eq!(crashes(1, late), Some(1));
+    assert_eq!(crashes(2, task(2, 0, 0)), Some(1));
+}
+
 /// Guards against counts that grow without limit in memory and at the store: the record of a job must fit
 /// an append beside others. Tasks with more losses are kept.
 #[tokio::test]
