Ask for four suspected losses before a crash in isolation decides

Four are asked for now, so a task without crashes at its starts is given up after four or five starts, as many as are allowed.

--- a/crates/jobs/src/policy/crash_cause.rs
+++ b/crates/jobs/src/policy/crash_cause.rs
@@ -5,7 +5,7 @@
 /// The same, of all losses.
 const ISOLATED_AFTER_LOST: u32 = 4;
 /// The number of losses without another suspect from which a crash in isolation shows the cause.
-const SUSPECTED_MIN: u32 = 3;
+const SUSPECTED_MIN: u32 = 4;
 /// The number of executors that crashed as a run of the task began from which a crash in isolation shows
 /// the cause, if no other executor was lost then.
 const CRASHED_AT_START_MIN: u32 = 2;
