Score no executors for a step without tasks to place

Read-over of the change: a step whose waiting tasks are all isolated or still to be judged scored every executor of its pool for nothing in each round, and each report of a run wrote its isolation flag though it was not isolated. Both end early now; the description of record_executor_crash says what it does. No change of behaviour: clippy of the package and its 149 tests of cells pass.

--- a/crates/jobs/src/cell/executor_crashes.rs
+++ b/crates/jobs/src/cell/executor_crashes.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    /// Records that the process of an executor has ended. Does nothing if this is known.
+    /// Records that the process of an executor has ended, once. Gives up its runs as soon as another
+    /// executor has its address.
     pub(super) fn record_executor_crash(
         &mut self,
         id: &ExecutorId,
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -223,6 +223,9 @@
             .into_iter()
             .partition(|task| self.must_isolate_now(*task, now));
         let placed_isolated = self.place_isolated(&search, &isolated, limit, now);
+        if tasks.is_empty() {
+            return placed_isolated;
+        }
         let limit = limit - placed_isolated;
         let mut candidates = self.score_executors(&search, now);
         let mut choice = RackChoice::NoChoice;
--- a/crates/jobs/src/fleet/executor.rs
+++ b/crates/jobs/src/fleet/executor.rs
@@ -198,8 +198,9 @@
 
     /// Ends the isolation of a run.
     pub fn end_isolation(&mut self, task: TaskId) {
-        self.isolated.remove(&task);
-        if let Some(view) = self.runs.get_mut(&task) {
+        if self.isolated.remove(&task)
+            && let Some(view) = self.runs.get_mut(&task)
+        {
             view.is_isolated = false;
         }
     }
