Move fillers that stay paused to an executor without interference

A filler was moved only if it exceeded what its neighbours tolerate at their mean load; one that fits at the mean but hardly ever above it stayed paused until the serving tasks beside it were all quiet at once.

Change: a filler that has been paused for a second continues on another executor if some executor has room for it at peak load. The pause is known as well for fillers that a former owner paused. The test fails without the change.

--- a/crates/jobs/src/cell/reports.rs
+++ b/crates/jobs/src/cell/reports.rs
@@ -314,7 +314,7 @@
         match view.phase {
             RunPhase::Ordered | RunPhase::Restored => {
                 if view.phase == RunPhase::Restored && view.is_filler() {
-                    view.pace_percent = view.observed_pace_percent();
+                    view.set_pace(view.observed_pace_percent(), now);
                 }
                 view.phase = RunPhase::Running { since: now };
                 let is_open = self.ledger.is_open(running.task.job);
--- a/crates/jobs/src/cell/tail_latency.rs
+++ b/crates/jobs/src/cell/tail_latency.rs
@@ -64,7 +64,7 @@
             filler_shares,
             is_settled,
             over_target_for,
-            fillers: self.filler_samples(executor),
+            fillers: self.filler_samples(executor, now),
         };
         let now_ms = self.elapsed_ms(now);
         self.interference.learn(&sample, now_ms);
@@ -98,7 +98,7 @@
         }
     }
 
-    fn filler_samples(&self, executor: &Executor) -> Vec<FillerSample> {
+    fn filler_samples(&self, executor: &Executor, now: Instant) -> Vec<FillerSample> {
         let capacity_milli = executor.entry.capacity.cpu_milli.0.max(1) as f64;
         let fillers = executor
             .runs()
@@ -113,6 +113,7 @@
                     image: step.image.clone(),
                     cpu_share: view.filler_cpu_milli as f64 / capacity_milli,
                     pace_percent: view.pace_percent,
+                    paused_for: view.paused_for(now),
                     can_move: step.checkpoints,
                 })
             })
@@ -155,9 +156,7 @@
             return false;
         }
         decided!(Decision::RunPaced, task: task, run: run, executor: id, percent: percent, was: view.pace_percent, ratio: sample.worst_ratio());
-        view.pace_percent = percent;
-        view.full_pace_since = None;
-        view.progressed_at = now;
+        view.set_pace(percent, now);
         executor.paced_at = Some(now);
         executor.send(Order::Pace(task, run, percent));
         false
--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -75,6 +75,8 @@
     pub recent_measurement: Option<f64>,
     /// The share of its full speed at which the run may work, 0 to 100.
     pub pace_percent: u32,
+    /// Since when the run has been paused by its pace.
+    pub paused_since: Option<Instant>,
     /// Since when the run has worked at full pace, if this owner saw its start and the pace was never
     /// lowered.
     pub full_pace_since: Option<Instant>,
@@ -107,6 +109,7 @@
             progressed_at: now,
             recent_measurement: None,
             pace_percent: 100,
+            paused_since: None,
             full_pace_since: None,
             is_isolated: false,
             missed_reports: 0,
@@ -155,6 +158,23 @@
         matches!(self.phase, RunPhase::Running { .. })
     }
 
+    /// Sets the share of its full speed at which the run may work, from now on.
+    pub fn set_pace(&mut self, percent: u32, now: Instant) {
+        self.paused_since = match percent {
+            0 => self.paused_since.or(Some(now)),
+            _ => None,
+        };
+        self.pace_percent = percent;
+        self.full_pace_since = None;
+        self.progressed_at = now;
+    }
+
+    /// Returns for how long the run has been paused by its pace.
+    pub fn paused_for(&self, now: Instant) -> Duration {
+        let since = self.paused_since;
+        since.map_or(Duration::ZERO, |since| now.duration_since(since))
+    }
+
     /// Returns the time since the run started, or since this owner first knew of it.
     pub fn age(&self, now: Instant) -> Duration {
         match self.phase {
--- a/crates/jobs/src/policy/filler_pacer.rs
+++ b/crates/jobs/src/policy/filler_pacer.rs
@@ -60,6 +60,9 @@
 const HARMLESS_PRESSURE_MAX: f64 = 0.4;
 /// The deviation up to which a pressure counts as known.
 const KNOWN_DEVIATION_MAX: f64 = 0.2;
+/// The pause after which a filler continues elsewhere rather than here: a stop and a start from a
+/// checkpoint take less time.
+const PAUSE_MAX: Duration = Duration::from_millis(1_000);
 /// The time over the target after which fillers stop, except those that are known to be harmless.
 const SUSPECTS_STOP_AFTER: Duration = Duration::from_millis(1_400);
 /// The time over the target after which all fillers stop. The platform's rule tolerates 4 s or
@@ -427,7 +430,7 @@
             if percent == 0
                 && filler.can_move
                 && pace_max == 0
-                && self.is_misplaced(filler, sample, now_ms)
+                && (filler.paused_for >= PAUSE_MAX || self.is_misplaced(filler, sample, now_ms))
             {
                 actions.push(FillerAction::Move(filler.task, filler.run));
             } else if percent == 0 || percent == 100 || !is_small {
--- a/crates/jobs/src/policy/interference.rs
+++ b/crates/jobs/src/policy/interference.rs
@@ -33,6 +33,8 @@
     pub cpu_share: f64,
     /// The share of its full speed at which the filler may run, 0 to 100.
     pub pace_percent: u32,
+    /// For how long the filler has been paused.
+    pub paused_for: Duration,
     /// Whether the task can continue on another executor from a checkpoint.
     pub can_move: bool,
 }
--- a/crates/jobs/tests/policies/interference.rs
+++ b/crates/jobs/tests/policies/interference.rs
@@ -92,6 +92,7 @@
                 image: Some((*image).into()),
                 cpu_share: 0.1,
                 pace_percent: *pace,
+                paused_for: Duration::ZERO,
                 can_move: false,
             });
         TailSample {
@@ -378,3 +379,54 @@
     assert!(learned.images.len() <= 1_024, "{}", learned.images.len());
     assert!(size <= RECORD_MAX_BYTES, "{size} bytes");
 }
+
+/// A filler beside a serving task at its peak, which tolerates nothing of it.
+fn crowded(paused_for: Duration, can_move: bool) -> (FillerPacer, TailSample) {
+    let mut pacer = FillerPacer::default();
+    let peak = TailSample {
+        tails: vec![TailRatio {
+            task: task(9),
+            image: "web".into(),
+            ratio: 0.95,
+        }],
+        filler_shares: Vec::new(),
+        is_settled: true,
+        over_target_for: Duration::ZERO,
+        fillers: vec![FillerSample {
+            task: task(0),
+            run: RunNumber(1),
+            image: Some("heavy".into()),
+            cpu_share: 0.5,
+            pace_percent: 0,
+            paused_for,
+            can_move,
+        }],
+    };
+    for now_ms in (0..3_000).step_by(500) {
+        pacer.learn(&peak, now_ms);
+    }
+    (pacer, peak)
+}
+
+/// Guards against jobs that are late because one of their tasks stays paused where the serving tasks
+/// are hardly ever quiet, while other executors have room.
+#[test]
+fn interference_swing_a_filler_that_stays_paused_continues_elsewhere() {
+    let action = |paused_for_ms, can_move| {
+        let (pacer, sample) = crowded(Duration::from_millis(paused_for_ms), can_move);
+        pacer.actions(&sample, 3_000)[0]
+    };
+
+    assert_eq!(
+        action(500, true),
+        FillerAction::Pace(task(0), RunNumber(1), 0)
+    );
+    assert_eq!(
+        action(1_500, true),
+        FillerAction::Move(task(0), RunNumber(1))
+    );
+    assert_eq!(
+        action(1_500, false),
+        FillerAction::Pace(task(0), RunNumber(1), 0)
+    );
+}
