Repeat an append only if its refusal can arrive before the deadline

What callers saw: 504, the job may run, although the store had refused every attempt to store the record.

Cause: a refused append to a slow store was repeated whenever its start was before the deadline. The answer then came after the deadline, so the caller could not be told that the record wasn't stored.

Change: an append is repeated only if twice the time of its last refusal is left.

--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -21,6 +21,9 @@
 
 /// The pause before an append is repeated, in which the queue of a slow store gets shorter.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+/// An append is repeated if this multiple of the time that its refusal took is left: without an answer
+/// in time, callers can't be told that their record isn't stored.
+const REPEAT_TIME_FACTOR: u32 = 2;
 
 /// Stores records in batches; writing a record must be idempotent, because appends are retried.
 ///
@@ -172,12 +175,14 @@
     ) -> Result<(), StoreError> {
         let mut may_be_stored = false;
         loop {
+            let sent_at = Instant::now();
             let error = match self.store.append(partition, records, None).await {
                 Ok(_) => return Ok(()),
                 Err(error) => error,
             };
             may_be_stored |= !error.had_no_effect();
-            let may_repeat = Instant::now() + REPEAT_PAUSE < deadline;
+            let repeat_time_max = sent_at.elapsed() * REPEAT_TIME_FACTOR;
+            let may_repeat = Instant::now() + REPEAT_PAUSE + repeat_time_max < deadline;
             let is_worth_repeating = may_be_stored || self.health.is_slow();
             if !is_worth_repeating || !may_repeat {
                 return Err(match may_be_stored {
--- a/crates/jobs/tests/ownership/slow_store.rs
+++ b/crates/jobs/tests/ownership/slow_store.rs
@@ -81,3 +81,24 @@
 
     assert!(matches!(stored[..], [Err(StoreError::NotDone(_))]));
 }
+
+/// Guards against an append that is repeated so shortly before the deadline that its refusal comes too
+/// late, so that the caller is told that the record may be stored.
+#[tokio::test]
+async fn slow_store_refuses_in_time_whatever_its_latency() {
+    let mut results = Vec::new();
+    for latency_ms in [110, 130, 150] {
+        let store = Arc::new(MemoryStore::default());
+        let process = Process::start(&store, "a", 1).await;
+        eventually("a cell gets an owner", || process.owns()).await;
+        store.set_latency(Duration::from_millis(latency_ms));
+        eventually("the store seems slow", || process.sees_slow_store()).await;
+        store.set_away(true);
+
+        results.extend(store_records(&process, 1).await);
+    }
+
+    let is_refusal =
+        |result: &Result<(), StoreError>| matches!(result, Err(StoreError::NotDone(_)));
+    assert!(results.iter().all(is_refusal), "{results:?}");
+}
