Revert "Keep the processors free that short work usually wants beside lasting tasks"

The traffic was over and no short work waited, but the reserve, raised by a burst at 34 s, kept 54 lasting tasks waiting beside 109 free cores for more than 9 s. None of the executors had room for two of them, so the rule for tasks that have waited did not help; the platform counts room on several executors.

A reserve that gives way wherever two tasks fit for some seconds would keep the rule, but it holds back little in a full pool.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -13,7 +13,6 @@
 use super::departures::Departure;
 use super::placement_waits::PlacementWaits;
 use super::recent_losses::RecentLosses;
-use super::short_work::ShortWork;
 use super::tickets::StepTickets;
 use crate::config::DeploymentConfig;
 use crate::evacuation::ViewSnapshot;
@@ -98,8 +97,6 @@
     pub(super) restored_shares: BTreeSet<QueueName>,
     /// The run times of queues in relation to their estimates.
     pub(super) run_times: RunTimeRatios,
-    /// The tasks with an end of each pool.
-    pub(super) short_work: BTreeMap<ServiceId, ShortWork>,
     /// The run times of the steps of active jobs.
     pub(super) step_run_times: StepRunTimes,
     pub(super) started_at: Instant,
@@ -160,7 +157,6 @@
             shares: QueueShares::default(),
             restored_shares: BTreeSet::new(),
             run_times: RunTimeRatios::default(),
-            short_work: BTreeMap::new(),
             step_run_times: StepRunTimes::default(),
             started_at: now,
             tickets: BTreeMap::new(),
--- a/crates/jobs/src/cell/mod.rs
+++ b/crates/jobs/src/cell/mod.rs
@@ -31,7 +31,6 @@
 mod reports;
 mod run_times;
 mod scored_executor;
-mod short_work;
 mod tail_latency;
 mod tickets;
 mod wait_times;
--- a/crates/jobs/src/cell/planning.rs
+++ b/crates/jobs/src/cell/planning.rs
@@ -99,7 +99,6 @@
     pub fn place_waiting_tasks(&mut self, now: Instant) -> bool {
         self.place_departed_tasks(now);
         self.update_wait_times(now);
-        self.update_short_work(now);
         self.placement_waits.begin_round();
         let waiting = self.waiting_steps(now);
         let mut rack_turns = self.rack_turns(&waiting, now);
@@ -231,11 +230,7 @@
         let mut candidates = self.score_executors(&search, now);
         let mut choice = RackChoice::NoChoice;
         let mut placed = 0;
-        let must_leave_room = step.is_long_running && !requires_spare_room;
         for (index, task) in tasks.iter().copied().enumerate().take(limit) {
-            if must_leave_room && !self.leaves_room_for_short_work(&queue.service, step) {
-                break;
-            }
             let Some(best) = candidates.pop() else {
                 if rack.is_none() {
                     self.note_tasks_ahead(&search, tasks.len() - index);
--- a/crates/jobs/src/ledger/job.rs
+++ b/crates/jobs/src/ledger/job.rs
@@ -261,11 +261,6 @@
         self.counts[self.counts_index(step_ref)].done
     }
 
-    /// Returns the number of placed tasks of a step.
-    pub fn placed_count(&self, step_ref: StepRef) -> u32 {
-        self.counts[self.counts_index(step_ref)].placed
-    }
-
     /// Returns the number of waiting tasks of a step.
     pub fn waiting_count(&self, step_ref: StepRef) -> u32 {
         let counts = self.counts[self.counts_index(step_ref)];
--- a/crates/jobs/src/policy/mod.rs
+++ b/crates/jobs/src/policy/mod.rs
@@ -16,7 +16,6 @@
 mod queue_policy;
 mod queue_shares;
 mod run_time_ratios;
-mod short_work_demand;
 mod step_run_times;
 
 pub use crash_cause::CrashFacts;
@@ -67,5 +66,4 @@
 pub use run_time_ratios::LearnedRunTime;
 pub use run_time_ratios::RunTimeRatio;
 pub use run_time_ratios::RunTimeRatios;
-pub use short_work_demand::ShortWorkDemand;
 pub use step_run_times::StepRunTimes;
