Count no pause whose order got no answer

Cause: after a pace order without an answer, the pace is recorded as another than the ordered one, so that it is ordered again; the begin of the pause stayed. A filler that worked on could so be moved for a pause that had never begun. Found by reading; the new test fails without the change.

Change: the begin is forgotten as well.

--- a/crates/jobs/src/cell/tail_latency.rs
+++ b/crates/jobs/src/cell/tail_latency.rs
@@ -95,6 +95,7 @@
             && view.pace_percent == percent
         {
             view.pace_percent = if percent == 0 { 100 } else { 0 };
+            view.paused_since = None;
         }
     }
 
--- a/crates/jobs/tests/cell/tails.rs
+++ b/crates/jobs/tests/cell/tails.rs
@@ -98,3 +98,36 @@
     let stopped_after = stopped_after.expect("the filler stops working");
     assert!(stopped_after < OVER_TARGET_MAX, "{stopped_after:?}");
 }
+
+/// Guards against a filler that is moved for a pause that may never have begun, because the order to
+/// pause it got no answer.
+#[tokio::test]
+async fn interference_a_pause_without_an_answer_does_not_count() {
+    let mut harness = serving_harness();
+    harness.report("i-1", vec![serving_with(60.0)], vec![]);
+    harness
+        .cell
+        .accept(job(2), submission(vec![filler()]), harness.now);
+    harness.commit();
+    harness.accept_starts("i-1");
+    let executor = "i-1".into();
+    let mut paused_for = Vec::new();
+
+    for _ in 0..8 {
+        harness.advance(REPORT_INTERVAL);
+        let filling = running(task(2, 0, 0), 1);
+        harness.report("i-1", vec![serving_with(300.0), filling], vec![]);
+        for order in harness.take_orders("i-1") {
+            if let Order::Pace(task, run, 0) = order {
+                harness.cell.handle_pace_failure(&executor, task, run, 0);
+            }
+        }
+        let view = harness
+            .cell
+            .executor(&executor)
+            .and_then(|found| found.run(task(2, 0, 0)));
+        paused_for.extend(view.map(|view| view.paused_for(harness.now)));
+    }
+
+    assert!(paused_for.iter().all(Duration::is_zero), "{paused_for:?}");
+}
