Share the arrangement of two tests of fillers beside a serving task

The test of a lost pause order repeated the arrangement of the test before it, line by line. Both now begin with one fixture; their steps and assertions are unchanged, and both pass.

--- a/crates/jobs/tests/cell/tails.rs
+++ b/crates/jobs/tests/cell/tails.rs
@@ -44,6 +44,18 @@
     harness
 }
 
+/// The same cell with the filler of job 2 beside the serving task.
+fn filler_harness() -> CellHarness {
+    let mut harness = serving_harness();
+    harness.report("i-1", vec![serving_with(60.0)], vec![]);
+    harness
+        .cell
+        .accept(job(2), submission(vec![filler()]), harness.now);
+    harness.commit();
+    harness.accept_starts("i-1");
+    harness
+}
+
 fn serving_with(tail_ms: f64) -> RunningRun {
     RunningRun {
         progress_percent: 100.0,
@@ -72,13 +84,7 @@
 
 #[tokio::test]
 async fn interference_a_rough_figure_below_the_target_does_not_let_fillers_work_on() {
-    let mut harness = serving_harness();
-    harness.report("i-1", vec![serving_with(60.0)], vec![]);
-    harness
-        .cell
-        .accept(job(2), submission(vec![filler()]), harness.now);
-    harness.commit();
-    harness.accept_starts("i-1");
+    let mut harness = filler_harness();
     let began = harness.now;
     let mut stopped_after = None;
 
@@ -103,13 +109,7 @@
 /// pause it got no answer.
 #[tokio::test]
 async fn interference_a_pause_without_an_answer_does_not_count() {
-    let mut harness = serving_harness();
-    harness.report("i-1", vec![serving_with(60.0)], vec![]);
-    harness
-        .cell
-        .accept(job(2), submission(vec![filler()]), harness.now);
-    harness.commit();
-    harness.accept_starts("i-1");
+    let mut harness = filler_harness();
     let executor = "i-1".into();
     let mut paused_for = Vec::new();
 
