--- a/crates/jobs/src/entry/record_writer.rs
+++ b/crates/jobs/src/entry/record_writer.rs
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Repeats an append until its outcome is certain or no caller waits any more.
+    /// Repeats an append until its outcome is certain or a further answer would come after `deadline`.
     ///
     /// A slow store refuses appends while its queue is long. They are repeated, since the queue
     /// gets shorter; a refusal by a store at its usual speed is final.
