--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -154,7 +153,7 @@
 fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let (first, headers) = read_headers(reader)?;
     let mut words = first.split(' ');
-    let (method, target) = (words.next()?.to_owned(), words.next()?);
+    let target = words.nth(1)?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let query = query
         .split('&')
@@ -164,7 +163,6 @@
     let mut body = vec![0; body_length(&headers)];
     reader.read_exact(&mut body).ok()?;
     Some(Request {
-        method,
         path: path.to_owned(),
         query,
         headers,
