--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -4,13 +4,26 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 
 pub const ZONES: [&str; 3] = ["fukuoka", "kumamoto", "kagoshima"];
 const PROGRAM: &str = "target/release/dotterelhookd";
 
+/// Returns a free address outside the range from which the system takes the ports of outgoing
+/// connections, so that it is still free when a process binds it.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
+    const FIRST_PORT: u32 = 20_000;
+    const PORTS: u32 = 12_000;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id().wrapping_mul(131);
+    for _ in 0..PORTS {
+        let next = offset.wrapping_add(TAKEN.fetch_add(1, Ordering::SeqCst));
+        let port = FIRST_PORT + next % PORTS;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return listener.local_addr().expect("a bound address");
+        }
+    }
+    panic!("no port is free");
 }
 
 pub struct Host {
