--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -43,7 +43,7 @@
     const CRASHES: u32 = 4;
     const UP: Duration = Duration::from_millis(1_400);
     const DOWN: Duration = Duration::from_millis(2_000);
-    let deployment = Deployment::start(record, 3, None);
+    let deployment = Deployment::start(record, 3);
     let executors = start_executors(&deployment, &["b", "a", "a", "a", "a", "a", "a", "a"]);
     if !deployment.wait_until_ready() {
         return Err(NOT_READY.to_owned());
@@ -76,7 +76,7 @@
 
 /// One member of a gang loses its executor between two checkpoints.
 pub fn gang(record: &Record, has_trouble: bool) -> Verdict {
-    let deployment = Deployment::start(record, 3, None);
+    let deployment = Deployment::start(record, 3);
     let executors = start_executors(&deployment, &["a"; 8]);
     let (working, recording) = (executors.clone(), record.clone());
     thread::spawn(move || work_on_gangs(working, recording));
@@ -129,7 +129,7 @@
 
 /// An executor leaves starts unanswered, reports its shutdown, and answers again.
 pub fn draining(record: &Record, has_trouble: bool) -> Verdict {
-    let deployment = Deployment::start(record, 3, None);
+    let deployment = Deployment::start(record, 3);
     let executors = start_executors(&deployment, &["b", "a", "a", "a", "a", "a", "a", "a"]);
     if !deployment.wait_until_ready() {
         return Err(NOT_READY.to_owned());
@@ -159,3 +159,54 @@
         format!("DRAIN: {} tasks were started on i-0 over {DRAIN_MS} ms after it reported its shutdown, the last one {last} ms after", after.len())
     }))
 }
+
+/// The time after the end of the traffic at which jobs are asked for.
+const FINISH_MS: u64 = 14_000;
+/// The time for which a job may have nothing running at that time.
+const IDLE_MS: u64 = 3_000;
+
+/// Jobs that want one rack fill it, and a job whose second step has its data there waits for it.
+pub fn hot_rack(record: &Record, has_trouble: bool) -> Verdict {
+    let deployment = Deployment::start(record, 3);
+    let executors: Vec<Arc<Executor>> = (0..8)
+        .map(|index| {
+            let (id, zone) = (format!("i-{index}"), ZONES[index % ZONES.len()]);
+            let rack = if index == 0 { "r1-0" } else { "r1-1" };
+            Executor::start(&id, zone, &["a", rack], 16_000, &deployment.store, record)
+        })
+        .collect();
+    if !deployment.wait_until_ready() {
+        return Err(NOT_READY.to_owned());
+    }
+    let id = "00000000000000c4";
+    let body = r#"{"spec":"work=12000 cpu=4000","steps":[{"count":1,"cpu":4000,"memMb":512,"estimateMs":12000,"affinity":"r1-1"},{"count":1,"cpu":4000,"memMb":512,"estimateMs":12000,"affinity":"r1-0","after":[0]}]}"#;
+    if !deployment.submit(id, body) {
+        return Err(NOT_ACCEPTED.to_owned());
+    }
+    if has_trouble {
+        for index in 0..4 {
+            let id = format!("00000000000001c{index}");
+            let body = r#"{"spec":"work=20000 cpu=4000","steps":[{"count":1,"cpu":4000,"memMb":512,"estimateMs":20000,"affinity":"r1-0"}]}"#;
+            if !deployment.submit(&id, body) {
+                return Err(NOT_ACCEPTED.to_owned());
+            }
+        }
+    }
+    let traffic_end_ms = record.now_ms();
+    let first_end = |task: &str| record.ends().iter().find(|end| end.task == task).map(|end| end.at_ms);
+    let (first, second) = (format!("{id}.0.0.0"), format!("{id}.0.1.0"));
+    thread::sleep(Duration::from_millis(FINISH_MS));
+    let asked_ms = record.now_ms();
+    let started = wait_for_start(record, &second, 1, Duration::from_secs(60));
+    let Some(ready_ms) = first_end(&first) else {
+        return Err("the first step did not end".to_owned());
+    };
+    let started_ms = record.starts().iter().find(|start| start.task == second).map_or(u64::MAX, |start| start.at_ms);
+    let idle_ms = started_ms.saturating_sub(ready_ms);
+    let used: usize = executors.iter().map(|executor| executor.running().len()).sum();
+    record.line(&format!("the second step could start at {ready_ms} ms and started at {started_ms} ms on {started:?}; the traffic ended at {traffic_end_ms} ms, jobs were asked for at {asked_ms} ms; {used} tasks of 4 of 128 cores run now"));
+    let is_asked_within = ready_ms < asked_ms && asked_ms + IDLE_MS < started_ms;
+    Ok((idle_ms > IDLE_MS && is_asked_within).then(|| {
+        format!("LOST: the job had nothing running for {idle_ms} ms while its task's turn had come, with 112 of 128 cores free")
+    }))
+}
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -59,7 +59,7 @@
 
 impl Deployment {
     /// Starts the store and the hosts, and publishes a configuration with the queue `plan`.
-    pub fn start(record: &Record, host_count: usize, advisor: Option<SocketAddr>) -> Self {
+    pub fn start(record: &Record, host_count: usize) -> Self {
         let store = Store::default();
         let serving = store.clone();
         let server = Server::start(free_address(), Arc::new(move |request| Some(serving.handle(&request))));
@@ -70,12 +70,11 @@
         for index in 0..host_count {
             let name = format!("edge-{}-{index}", ZONES[index % 3]);
             let (clients, ready, peer, metrics) = (free_address(), free_address(), free_address(), free_address());
-            let advisor = advisor.map_or(String::new(), |address| format!("\"advisor_address\": \"{address}\","));
             let text = format!(
                 r#"{{ "host": "{name}", "failure_domain": "{}", "cpu_cores": 0.25,
   "jobs": {{ "clients_address": "{clients}", "ready_address": "{ready}", "peer_address": "{peer}",
     "metrics_address": "{metrics}", "store_address": "{}", "store_partitions": 8,
-    "store_record_max_bytes": 262144, "store_append_max_bytes": 2097152, {advisor}
+    "store_record_max_bytes": 262144, "store_append_max_bytes": 2097152,
     "lease_max_ms": 10000, "stop_max_ms": 100, "far_factor": 3,
     "executors_enforce_fences": true, "membership_ttl_min_ms": 1000 }},
   "stop": {{ "unready_ms": 2200, "drain_max_ms": 2800 }},
@@ -156,12 +155,6 @@
         false
     }
 
-    pub fn cancel(&self, id: &str) -> bool {
-        let answer = self.call(0, "DELETE", &format!("/plan/{id}"), "");
-        self.record.line(&format!("client cancels {id}: {answer:?}"));
-        answer.is_some_and(|(status, _)| status == 200)
-    }
-
     pub fn state(&self, id: &str) -> Option<String> {
         let (status, body) = self.call(1 % self.hosts.len(), "GET", &format!("/plan/{id}"), "")?;
         match status {
--- a/review/stand-ins-2/executor.rs
+++ b/review/stand-ins-2/executor.rs
@@ -407,7 +407,7 @@
         for (task, how) in ended {
             let run = state.end(&task, how);
             self.record.line(&format!("{task} run {} ends {how} on {}", run.unwrap_or(0), state.id));
-            self.record.end(&task, run.unwrap_or(0), how);
+            self.record.end(&task, how);
         }
     }
 }
@@ -461,7 +461,7 @@
             for (at, task, how) in ends {
                 let run = states[at].end(&task, how).unwrap_or(0);
                 record.line(&format!("{task} run {run} ends {how} on {}", states[at].id));
-                record.end(&task, run, how);
+                record.end(&task, how);
             }
         }
     }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -16,7 +16,6 @@
 use std::time::Duration;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: Vec<(String, String)>,
     pub headers: Vec<(String, String)>,
@@ -152,13 +151,13 @@
 fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let (first, headers) = read_head(reader)?;
     let mut words = first.split(' ');
-    let method = words.next()?.to_owned();
+    let _method = words.next()?;
     let target = words.next()?;
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(key, value)| (key.to_owned(), decode_percent(value)));
     let body = read_body(reader, &headers)?;
-    Some(Request { method, path: path.to_owned(), query: query.collect(), headers, body })
+    Some(Request { path: path.to_owned(), query: query.collect(), headers, body })
 }
 
 fn decode_percent(text: &str) -> String {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -27,6 +27,7 @@
     let verdict = match &**case {
         "crashes" => cases::crashes(&record, has_trouble),
         "gang" => cases::gang(&record, has_trouble),
+        "hot-rack" => cases::hot_rack(&record, has_trouble),
         "draining" => cases::draining(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -19,7 +19,6 @@
 pub struct Ended {
     pub at_ms: u64,
     pub task: String,
-    pub run: u32,
     pub how: String,
 }
 
@@ -63,8 +62,8 @@
         self.inner.lock().unwrap().starts.push(start);
     }
 
-    pub fn end(&self, task: &str, run: u32, how: &str) {
-        let end = Ended { at_ms: self.now_ms(), task: task.to_owned(), run, how: how.to_owned() };
+    pub fn end(&self, task: &str, how: &str) {
+        let end = Ended { at_ms: self.now_ms(), task: task.to_owned(), how: how.to_owned() };
         self.inner.lock().unwrap().ends.push(end);
     }
 
