--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -1,7 +1,5 @@
 //! The cases of the review. Each returns what broke the rule, if anything did.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -10,7 +8,6 @@
 use crate::deployment::ZONES;
 use crate::executor::Executor;
 use crate::executor::Treatment;
-use crate::executor::work_on_gangs;
 use crate::record::Record;
 
 type Verdict = Result<Option<String>, String>;
@@ -38,90 +35,6 @@
     None
 }
 
-/// The only executor of a kind crashes and returns at fixed times, while it runs a task of that kind.
-pub fn crashes(record: &Record, has_trouble: bool) -> Verdict {
-    const CRASHES: u32 = 4;
-    const UP: Duration = Duration::from_millis(1_400);
-    const DOWN: Duration = Duration::from_millis(2_000);
-    let deployment = Deployment::start(record, 3);
-    let executors = start_executors(&deployment, &["b", "a", "a", "a", "a", "a", "a", "a"]);
-    if !deployment.wait_until_ready() {
-        return Err(NOT_READY.to_owned());
-    }
-    let id = "00000000000000c1";
-    let body = r#"{"spec":"work=4000 cpu=2000","steps":[{"count":1,"cpu":2000,"memMb":512,"estimateMs":4000,"requirements":"b"}]}"#;
-    if !deployment.submit(id, body) {
-        return Err(NOT_ACCEPTED.to_owned());
-    }
-    if has_trouble {
-        for _ in 0..CRASHES {
-            thread::sleep(UP);
-            executors[0].crash();
-            thread::sleep(DOWN);
-            executors[0].power_on();
-        }
-    }
-    let state = deployment.wait_until_final(id, Duration::from_secs(40));
-    let failed = record.ends().iter().filter(|end| end.how == "failed").count();
-    Ok(match state.as_deref() {
-        Some("completed") => None,
-        Some("failed") => Some(format!("LOST: the job is shown as failed after {failed} ends `failed` of 4 attempts")),
-        other => Some(format!("LOST: the job is shown as {other:?} in the end")),
-    })
-}
-
-/// The time without disruption from which a run that ends `alone` breaks the rule: `contactMs` of the
-/// small sites, and the time that a run begun before waits for the others.
-const CALM_MS: u64 = 6_000;
-
-/// One member of a gang loses its executor between two checkpoints.
-pub fn gang(record: &Record, has_trouble: bool) -> Verdict {
-    let deployment = Deployment::start(record, 3);
-    let executors = start_executors(&deployment, &["a"; 8]);
-    let (working, recording) = (executors.clone(), record.clone());
-    thread::spawn(move || work_on_gangs(working, recording));
-    if !deployment.wait_until_ready() {
-        return Err(NOT_READY.to_owned());
-    }
-    let id = "00000000000000c2";
-    let body = r#"{"spec":"work=8000 cpu=10000 gang=3 saves=1","steps":[{"count":3,"cpu":10000,"memMb":512,"estimateMs":8000,"gang":true,"checkpointing":true}]}"#;
-    if !deployment.submit(id, body) {
-        return Err(NOT_ACCEPTED.to_owned());
-    }
-    let task = format!("{id}.0.0.0");
-    let Some(executor) = wait_for_start(record, &task, 1, Duration::from_secs(10)) else {
-        return Err("the gang did not start".to_owned());
-    };
-    let mut crashed_ms = 0;
-    if has_trouble {
-        thread::sleep(Duration::from_millis(4_800));
-        let lost = executors.iter().find(|other| other.id() == executor);
-        if let Some(lost) = lost {
-            lost.crash();
-            thread::sleep(Duration::from_millis(3_000));
-            lost.power_on();
-            crashed_ms = record.now_ms();
-        }
-    }
-    let state = deployment.wait_until_final(id, Duration::from_secs(50));
-    let mut values: BTreeMap<u32, BTreeSet<String>> = BTreeMap::new();
-    for start in record.starts() {
-        values.entry(start.run).or_default().insert(start.checkpoint);
-    }
-    for (run, values) in &values {
-        record.line(&format!("run {run} of the gang was started with {values:?}"));
-    }
-    let unequal = values.iter().find(|(_, values)| values.len() > 1);
-    let calm_ms = crashed_ms + CALM_MS;
-    let alone = record.ends().into_iter().filter(|end| end.how == "alone" && end.at_ms > calm_ms).count();
-    if let Some((run, values)) = unequal {
-        return Ok(Some(format!(
-            "GANG, UNASKED: the members of run {run} were started with different checkpoints {values:?}; {alone} runs ended alone over {CALM_MS} ms after the executor had returned; the job is {state:?}"
-        )));
-    }
-    Ok((state.as_deref() != Some("completed")).then(|| format!("LOST: the job is {state:?}")))
-}
-
 /// The longest time between a shutdown that the store has accepted and a start there.
 const DRAIN_MS: u64 = 2_000;
 /// The starts that get no answer: those of the first tasks of the job, sent again each time.
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -16,7 +16,6 @@
 
 use crate::http;
 use crate::http::Server;
-use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -154,32 +153,6 @@
         }
         false
     }
-
-    pub fn state(&self, id: &str) -> Option<String> {
-        let (status, body) = self.call(1 % self.hosts.len(), "GET", &format!("/plan/{id}"), "")?;
-        match status {
-            200 => Json::parse(&body)?.text("state").map(str::to_owned),
-            status => Some(status.to_string()),
-        }
-    }
-
-    /// Asks for the state of a job every half second until it is final, for at most `limit`.
-    pub fn wait_until_final(&self, id: &str, limit: Duration) -> Option<String> {
-        let deadline = Instant::now() + limit;
-        let mut last = None;
-        while Instant::now() < deadline {
-            let state = self.state(id);
-            if state != last {
-                self.record.line(&format!("client reads {id}: {state:?}"));
-                last.clone_from(&state);
-            }
-            if matches!(state.as_deref(), Some("completed" | "failed" | "cancelled")) {
-                return state;
-            }
-            thread::sleep(Duration::from_millis(500));
-        }
-        last
-    }
 }
 
 impl Drop for Deployment {
--- a/review/stand-ins-2/executor.rs
+++ b/review/stand-ins-2/executor.rs
@@ -21,8 +21,6 @@
 
 pub const HOLD_MAX_MS: u64 = 10_000;
 pub const STOP_MS: u64 = 100;
-pub const GANG_WAIT_MS: u64 = 3_000;
-pub const CHECKPOINT_MS: u64 = 500;
 const TICK: Duration = Duration::from_millis(10);
 const BEAT: Duration = Duration::from_millis(1_100);
 
@@ -31,9 +29,6 @@
 pub struct Spec {
     pub work_ms: u64,
     pub cpu: u64,
-    pub gang: u64,
-    pub saves: bool,
-    pub lasts: bool,
 }
 
 impl Spec {
@@ -47,9 +42,6 @@
         Self {
             work_ms: number("work"),
             cpu: number("cpu"),
-            gang: number("gang"),
-            saves: number("saves") > 0,
-            lasts: number("lasts") > 0,
         }
     }
 }
@@ -58,11 +50,8 @@
 struct Run {
     run: u32,
     spec: Spec,
-    started: Instant,
     done_ms: u64,
     saved: String,
-    saved_ms: u64,
-    resumed_from: String,
     stopping: Option<Instant>,
 }
 
@@ -193,20 +182,6 @@
         self.register();
     }
 
-    /// Ends the process with everything that runs on it.
-    pub fn crash(&self) {
-        let runs: Vec<(String, u32)> = {
-            let mut state = self.state.lock().unwrap();
-            state.is_up = false;
-            let runs = std::mem::take(&mut state.runs);
-            runs.into_iter().map(|(task, run)| (task, run.run)).collect()
-        };
-        if let Some(mut server) = self.server.lock().unwrap().take() {
-            server.close();
-        }
-        self.record.line(&format!("executor {} crashes with {runs:?}", self.id()));
-    }
-
     pub fn set_phase(&self, phase: &str) {
         self.state.lock().unwrap().phase = phase.to_owned();
         self.record.line(&format!("executor {} reports {phase}", self.id()));
@@ -318,15 +293,12 @@
                 let from = body.text("lastCheckpoint").unwrap_or_default().to_owned();
                 let done_ms = from.get(..8).and_then(|hex| u64::from_str_radix(hex, 16).ok()).unwrap_or(0);
                 self.record.line(&format!("executor {} starts {task} run {run} with lastCheckpoint \"{from}\" token {token} {note}", state.id));
-                self.record.start(&task, run, &state.id, &from);
+                self.record.start(&task, run, &state.id);
                 let started = Run {
                     run,
                     spec,
-                    started: Instant::now(),
                     done_ms,
-                    saved: from.clone(),
-                    saved_ms: done_ms,
-                    resumed_from: from,
+                    saved: from,
                     stopping: None,
                 };
                 state.runs.insert(task, started);
@@ -379,7 +351,7 @@
         }
     }
 
-    /// Advances what runs here; members of gangs work through [`work_on_gangs`].
+    /// Advances what runs here.
     fn tick(&self) {
         let mut state = self.state.lock().unwrap();
         if !state.is_up {
@@ -392,11 +364,8 @@
                 "stopped"
             } else if has_lapsed {
                 "lapsed"
-            } else if run.spec.gang > 0 || run.spec.lasts {
-                continue;
             } else {
                 run.done_ms += TICK.as_millis() as u64;
-                save(task, run);
                 if run.done_ms < run.spec.work_ms {
                     continue;
                 }
@@ -407,62 +376,7 @@
         for (task, how) in ended {
             let run = state.end(&task, how);
             self.record.line(&format!("{task} run {} ends {how} on {}", run.unwrap_or(0), state.id));
-            self.record.end(&task, how);
-        }
-    }
-}
-
-fn save(task: &str, run: &mut Run) {
-    if run.spec.saves && run.done_ms >= run.saved_ms + CHECKPOINT_MS {
-        run.saved_ms = run.done_ms / CHECKPOINT_MS * CHECKPOINT_MS;
-        run.saved = format!("{:08x}{}", run.saved_ms, &task[..8]);
-    }
-}
-
-/// Lets the members of gangs work once all are present with one checkpoint. Members break when one ends,
-/// and end `alone` when the others stay away.
-pub fn work_on_gangs(executors: Vec<Arc<Executor>>, record: Record) {
-    let mut formed: HashMap<(String, u32), bool> = HashMap::new();
-    loop {
-        thread::sleep(TICK);
-        let mut states: Vec<_> = executors.iter().map(|executor| executor.state.lock().unwrap()).collect();
-        let mut gangs: BTreeMap<(String, u32), Vec<(usize, String)>> = BTreeMap::new();
-        for (at, state) in states.iter().enumerate().filter(|(_, state)| state.is_up) {
-            for (task, run) in state.runs.iter().filter(|(_, run)| run.spec.gang > 0 && run.stopping.is_none()) {
-                let step = task.rsplit_once('.').map_or("", |(step, _)| step).to_owned();
-                gangs.entry((step, run.run)).or_default().push((at, task.clone()));
-            }
-        }
-        for (key, members) in gangs {
-            let first = states[members[0].0].runs[&members[0].1].clone();
-            let has_all = members.len() as u64 == first.spec.gang;
-            let is_one = members.iter().all(|(at, task)| states[*at].runs[task].resumed_from == first.resumed_from);
-            let was_formed = formed.get(&key).copied().unwrap_or(false);
-            let mut ends: Vec<(usize, String, &'static str)> = Vec::new();
-            if has_all && is_one {
-                formed.insert(key.clone(), true);
-                for (at, task) in &members {
-                    let run = states[*at].runs.get_mut(task).unwrap();
-                    run.done_ms += TICK.as_millis() as u64;
-                    save(task, run);
-                    if run.done_ms >= run.spec.work_ms && !run.spec.lasts {
-                        ends.push((*at, task.clone(), "done"));
-                    }
-                }
-            } else if was_formed {
-                ends.extend(members.iter().map(|(at, task)| (*at, task.clone(), "broken")));
-            } else {
-                for (at, task) in &members {
-                    if states[*at].runs[task].started.elapsed().as_millis() as u64 >= GANG_WAIT_MS {
-                        ends.push((*at, task.clone(), "alone"));
-                    }
-                }
-            }
-            for (at, task, how) in ends {
-                let run = states[at].end(&task, how).unwrap_or(0);
-                record.line(&format!("{task} run {run} ends {how} on {}", states[at].id));
-                record.end(&task, how);
-            }
+            self.record.end(&task);
         }
     }
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -25,8 +25,6 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(path);
     let verdict = match &**case {
-        "crashes" => cases::crashes(&record, has_trouble),
-        "gang" => cases::gang(&record, has_trouble),
         "hot-rack" => cases::hot_rack(&record, has_trouble),
         "draining" => cases::draining(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -12,14 +12,12 @@
     pub task: String,
     pub run: u32,
     pub executor: String,
-    pub checkpoint: String,
 }
 
 #[derive(Clone, Debug)]
 pub struct Ended {
     pub at_ms: u64,
     pub task: String,
-    pub how: String,
 }
 
 struct Inner {
@@ -51,19 +49,18 @@
         let _ = self.inner.lock().unwrap().file.write_all(line.as_bytes());
     }
 
-    pub fn start(&self, task: &str, run: u32, executor: &str, checkpoint: &str) {
+    pub fn start(&self, task: &str, run: u32, executor: &str) {
         let start = Start {
             at_ms: self.now_ms(),
             task: task.to_owned(),
             run,
             executor: executor.to_owned(),
-            checkpoint: checkpoint.to_owned(),
         };
         self.inner.lock().unwrap().starts.push(start);
     }
 
-    pub fn end(&self, task: &str, how: &str) {
-        let end = Ended { at_ms: self.now_ms(), task: task.to_owned(), how: how.to_owned() };
+    pub fn end(&self, task: &str) {
+        let end = Ended { at_ms: self.now_ms(), task: task.to_owned() };
         self.inner.lock().unwrap().ends.push(end);
     }
 
