--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -18,7 +18,14 @@
 fn start_executors(deployment: &Deployment, kinds: &[&str]) -> Vec<Arc<Executor>> {
     let start = |(index, kind): (usize, &&str)| {
         let (id, zone) = (format!("i-{index}"), ZONES[index % ZONES.len()]);
-        Executor::start(&id, zone, &[kind, "r1-0"], 16_000, &deployment.store, &deployment.record)
+        Executor::start(
+            &id,
+            zone,
+            &[kind, "r1-0"],
+            16_000,
+            &deployment.store,
+            &deployment.record,
+        )
     };
     kinds.iter().enumerate().map(start).collect()
 }
@@ -27,7 +34,10 @@
     let deadline = std::time::Instant::now() + limit;
     while std::time::Instant::now() < deadline {
         let starts = record.starts();
-        if let Some(start) = starts.iter().find(|start| start.task == task && start.run >= run) {
+        if let Some(start) = starts
+            .iter()
+            .find(|start| start.task == task && start.run >= run)
+        {
             return Some(start.executor.clone());
         }
         thread::sleep(Duration::from_millis(10));
@@ -50,8 +60,13 @@
     let id = "00000000000000c3";
     let body = r#"{"spec":"work=1000 cpu=400","steps":[{"count":40,"cpu":400,"memMb":64,"estimateMs":1000,"requirements":"b"}]}"#;
     let unanswered = move |path: &str, task: &str| {
-        let index = task.rsplit_once('.').and_then(|(_, index)| index.parse::<u32>().ok());
-        match path == "/run-start" && has_trouble && index.is_some_and(|index| index < UNANSWERED_TASKS) {
+        let index = task
+            .rsplit_once('.')
+            .and_then(|(_, index)| index.parse::<u32>().ok());
+        match path == "/run-start"
+            && has_trouble
+            && index.is_some_and(|index| index < UNANSWERED_TASKS)
+        {
             true => Treatment::Late(Duration::from_secs(12)),
             false => Treatment::Now,
         }
@@ -64,9 +79,15 @@
     let drained_ms = record.now_ms();
     executors[0].set_phase("draining");
     thread::sleep(Duration::from_secs(10));
-    let late: Vec<_> = record.starts().into_iter().filter(|start| start.at_ms > drained_ms + DRAIN_MS).collect();
+    let late: Vec<_> = record
+        .starts()
+        .into_iter()
+        .filter(|start| start.at_ms > drained_ms + DRAIN_MS)
+        .collect();
     let late_answered = late.iter().filter(|start| start.executor == "i-0");
-    let after: Vec<u64> = late_answered.map(|start| start.at_ms - drained_ms).collect();
+    let after: Vec<u64> = late_answered
+        .map(|start| start.at_ms - drained_ms)
+        .collect();
     Ok((!after.is_empty()).then(|| {
         let last = after.iter().max().unwrap_or(&0);
         format!("DRAIN: {} tasks were started on i-0 over {DRAIN_MS} ms after it reported its shutdown, the last one {last} ms after", after.len())
@@ -96,6 +117,14 @@
     if !deployment.submit(id, body) {
         return Err(NOT_ACCEPTED.to_owned());
     }
+    // With these, five of nine jobs want the hot rack.
+    for index in 0..4 {
+        let id = format!("00000000000002c{index}");
+        let body = r#"{"spec":"work=1000 cpu=1000","steps":[{"count":1,"cpu":1000,"memMb":512,"estimateMs":1000}]}"#;
+        if !deployment.submit(&id, body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
     if has_trouble {
         for index in 0..4 {
             let id = format!("00000000000001c{index}");
@@ -106,7 +135,13 @@
         }
     }
     let traffic_end_ms = record.now_ms();
-    let first_end = |task: &str| record.ends().iter().find(|end| end.task == task).map(|end| end.at_ms);
+    let first_end = |task: &str| {
+        record
+            .ends()
+            .iter()
+            .find(|end| end.task == task)
+            .map(|end| end.at_ms)
+    };
     let (first, second) = (format!("{id}.0.0.0"), format!("{id}.0.1.0"));
     thread::sleep(Duration::from_millis(FINISH_MS));
     let asked_ms = record.now_ms();
@@ -114,9 +149,16 @@
     let Some(ready_ms) = first_end(&first) else {
         return Err("the first step did not end".to_owned());
     };
-    let started_ms = record.starts().iter().find(|start| start.task == second).map_or(u64::MAX, |start| start.at_ms);
+    let started_ms = record
+        .starts()
+        .iter()
+        .find(|start| start.task == second)
+        .map_or(u64::MAX, |start| start.at_ms);
     let idle_ms = started_ms.saturating_sub(ready_ms);
-    let used: usize = executors.iter().map(|executor| executor.running().len()).sum();
+    let used: usize = executors
+        .iter()
+        .map(|executor| executor.running().len())
+        .sum();
     record.line(&format!("the second step could start at {ready_ms} ms and started at {started_ms} ms on {started:?}; the traffic ended at {traffic_end_ms} ms, jobs were asked for at {asked_ms} ms; {used} tasks of 4 of 128 cores run now"));
     let is_asked_within = ready_ms < asked_ms && asked_ms + IDLE_MS < started_ms;
     Ok((idle_ms > IDLE_MS && is_asked_within).then(|| {
--- a/review/stand-ins-2/deployment.rs
+++ b/review/stand-ins-2/deployment.rs
@@ -61,14 +61,22 @@
     pub fn start(record: &Record, host_count: usize) -> Self {
         let store = Store::default();
         let serving = store.clone();
-        let server = Server::start(free_address(), Arc::new(move |request| Some(serving.handle(&request))));
+        let server = Server::start(
+            free_address(),
+            Arc::new(move |request| Some(serving.handle(&request))),
+        );
         let server = server.expect("the store listens");
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let mut hosts = Vec::new();
         for index in 0..host_count {
             let name = format!("edge-{}-{index}", ZONES[index % 3]);
-            let (clients, ready, peer, metrics) = (free_address(), free_address(), free_address(), free_address());
+            let (clients, ready, peer, metrics) = (
+                free_address(),
+                free_address(),
+                free_address(),
+                free_address(),
+            );
             let text = format!(
                 r#"{{ "host": "{name}", "failure_domain": "{}", "cpu_cores": 0.25,
   "jobs": {{ "clients_address": "{clients}", "ready_address": "{ready}", "peer_address": "{peer}",
@@ -83,9 +91,21 @@
             );
             let settings = folder.join(format!("{name}.json"));
             fs::write(&settings, text).expect("the settings can be written");
-            hosts.push(Host { name, clients, ready, settings, child: None });
+            hosts.push(Host {
+                name,
+                clients,
+                ready,
+                settings,
+                child: None,
+            });
         }
-        let mut deployment = Self { store, record: record.clone(), hosts, _server: server, folder };
+        let mut deployment = Self {
+            store,
+            record: record.clone(),
+            hosts,
+            _server: server,
+            folder,
+        };
         deployment.put_config(r#"{"name":"r-plan","host":"plan.example","pathPrefix":"/plan/","kind":"unsafe","timeoutMs":3000,"targetLatencyMs":1000,"priority":2,"service":"desk","maxAttempts":4,"stretch":2.0}"#);
         for index in 0..host_count {
             deployment.start_host(index);
@@ -94,13 +114,16 @@
     }
 
     pub fn put_config(&self, routes: &str) {
-        let config = format!(r#"{{"version":3,"routes":[{routes}],"services":[{{"name":"desk","rejectsOverload":true}}],"limits":{{"maxBodyBytes":262144}}}}"#);
+        let config = format!(
+            r#"{{"version":3,"routes":[{routes}],"services":[{{"name":"desk","rejectsOverload":true}}],"limits":{{"maxBodyBytes":262144}}}}"#
+        );
         self.store.put("keyed.op", "config", &config);
     }
 
     pub fn start_host(&mut self, index: usize) {
         let host = &mut self.hosts[index];
-        let log = fs::File::create(self.folder.join(format!("{}.log", host.name))).expect("a log file");
+        let log =
+            fs::File::create(self.folder.join(format!("{}.log", host.name))).expect("a log file");
         let child = Command::new(PROGRAM)
             .args(["--settings-from", "DOTTERELHOOK_NODE_FILE"])
             .env("DOTTERELHOOK_NODE_FILE", &host.settings)
@@ -115,7 +138,8 @@
                 std::process::exit(2);
             }
         }
-        self.record.line(&format!("host {} starts", self.hosts[index].name));
+        self.record
+            .line(&format!("host {} starts", self.hosts[index].name));
     }
 
     /// Waits until all hosts are ready and the executors are used.
@@ -123,7 +147,14 @@
         let deadline = Instant::now() + Duration::from_secs(15);
         while Instant::now() < deadline {
             let is_ready = |host: &Host| {
-                let answer = http::call(host.ready, "GET", "/ready", &[("Host", "x")], "", Duration::from_secs(1));
+                let answer = http::call(
+                    host.ready,
+                    "GET",
+                    "/ready",
+                    &[("Host", "x")],
+                    "",
+                    Duration::from_secs(1),
+                );
                 answer.is_some_and(|(status, _)| status == 200)
             };
             if self.hosts.iter().all(is_ready) {
@@ -136,8 +167,19 @@
     }
 
     fn call(&self, host: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
-        let headers = [("Host", "plan.example"), ("X-Deadline-Ms", "3000"), ("Connection", "close")];
-        http::call(self.hosts[host].clients, method, path, &headers, body, Duration::from_millis(3_500))
+        let headers = [
+            ("Host", "plan.example"),
+            ("X-Deadline-Ms", "3000"),
+            ("Connection", "close"),
+        ];
+        http::call(
+            self.hosts[host].clients,
+            method,
+            path,
+            &headers,
+            body,
+            Duration::from_millis(3_500),
+        )
     }
 
     /// Hands a job in, at one host after the other, until it is accepted.
@@ -145,7 +187,10 @@
         for attempt in 0..8 {
             let host = attempt % self.hosts.len();
             let answer = self.call(host, "POST", &format!("/plan/{id}"), body);
-            self.record.line(&format!("client submits {id} at {}: {answer:?}", self.hosts[host].name));
+            self.record.line(&format!(
+                "client submits {id} at {}: {answer:?}",
+                self.hosts[host].name
+            ));
             if answer.is_some_and(|(status, _)| status == 200) {
                 return true;
             }
--- a/review/stand-ins-2/executor.rs
+++ b/review/stand-ins-2/executor.rs
@@ -92,7 +92,13 @@
         self.refused.insert(task.to_owned(), run.run);
         self.next_end += 1;
         let number = self.next_end;
-        self.ends.push(End { number, task: task.to_owned(), run: run.run, how, saved: run.saved });
+        self.ends.push(End {
+            number,
+            task: task.to_owned(),
+            run: run.run,
+            how,
+            saved: run.saved,
+        });
         Some(run.run)
     }
 }
@@ -118,7 +124,14 @@
 }
 
 impl Executor {
-    pub fn start(id: &str, zone: &str, labels: &[&str], cpu: u64, store: &Store, record: &Record) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        zone: &str,
+        labels: &[&str],
+        cpu: u64,
+        store: &Store,
+        record: &Record,
+    ) -> Arc<Self> {
         let state = State {
             id: id.to_owned(),
             labels: labels.iter().map(|label| (*label).to_owned()).collect(),
@@ -146,13 +159,17 @@
         });
         executor.power_on();
         let (beating, ticking) = (Arc::clone(&executor), Arc::clone(&executor));
-        thread::spawn(move || loop {
-            thread::sleep(BEAT);
-            beating.register();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(BEAT);
+                beating.register();
+            }
         });
-        thread::spawn(move || loop {
-            thread::sleep(TICK);
-            ticking.tick();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(TICK);
+                ticking.tick();
+            }
         });
         executor
     }
@@ -166,7 +183,10 @@
         let address = self.address.lock().unwrap().unwrap_or_else(free_address);
         {
             let mut state = self.state.lock().unwrap();
-            state.born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+            state.born = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap()
+                .as_millis() as u64;
             state.since = Instant::now();
             (state.fence, state.lease_ms, state.next_end, state.beats) = (0, 0, 0, 0);
             state.runs.clear();
@@ -175,7 +195,8 @@
             state.is_up = true;
         }
         let handling = Arc::clone(self);
-        let server = Server::start(address, Arc::new(move |request| handling.handle(&request))).expect("an executor listens");
+        let server = Server::start(address, Arc::new(move |request| handling.handle(&request)))
+            .expect("an executor listens");
         *self.address.lock().unwrap() = Some(server.address());
         *self.server.lock().unwrap() = Some(server);
         self.record.line(&format!("executor {} is up", self.id()));
@@ -184,28 +205,49 @@
 
     pub fn set_phase(&self, phase: &str) {
         self.state.lock().unwrap().phase = phase.to_owned();
-        self.record.line(&format!("executor {} reports {phase}", self.id()));
+        self.record
+            .line(&format!("executor {} reports {phase}", self.id()));
         self.register();
     }
 
     pub fn running(&self) -> Vec<(String, u32)> {
         let state = self.state.lock().unwrap();
-        state.runs.iter().map(|(task, run)| (task.clone(), run.run)).collect()
+        state
+            .runs
+            .iter()
+            .map(|(task, run)| (task.clone(), run.run))
+            .collect()
     }
 
     fn register(&self) {
-        let Some(address) = *self.address.lock().unwrap() else { return };
+        let Some(address) = *self.address.lock().unwrap() else {
+            return;
+        };
         let (id, entry) = {
             let mut state = self.state.lock().unwrap();
             if !state.is_up {
                 return;
             }
             state.beats += 1;
-            let labels: Vec<String> = state.labels.iter().map(|label| format!("\"{label}\"")).collect();
-            let remaining = if state.phase == "draining" { ",\"remainingMs\":4000" } else { "" };
+            let labels: Vec<String> = state
+                .labels
+                .iter()
+                .map(|label| format!("\"{label}\""))
+                .collect();
+            let remaining = if state.phase == "draining" {
+                ",\"remainingMs\":4000"
+            } else {
+                ""
+            };
             let entry = format!(
                 r#"{{"service":"desk","address":"{address}","zone":"{}","version":"v1","slots":8,"state":"{}","coldLeftMs":0,"capacity":{{"cpu":{},"memMb":64000,"gpu":0}},"labels":[{}],"clockMs":{},"sequence":{},"born":{}{remaining}}}"#,
-                state.zone, state.phase, state.cpu, labels.join(","), state.clock_ms(), state.beats, state.born
+                state.zone,
+                state.phase,
+                state.cpu,
+                labels.join(","),
+                state.clock_ms(),
+                state.beats,
+                state.born
             );
             (state.id.clone(), entry)
         };
@@ -214,17 +256,25 @@
 
     fn handle(self: &Arc<Self>, request: &Request) -> Option<Response> {
         let id = self.id();
-        if request.header("x-expect-executor").is_some_and(|expected| expected != id) {
+        if request
+            .header("x-expect-executor")
+            .is_some_and(|expected| expected != id)
+        {
             return Some(Response::json(421, "{}"));
         }
         let body = Json::parse(&String::from_utf8_lossy(&request.body))?;
         let task = body.text("task").unwrap_or_default().to_owned();
         let rule = self.rule.lock().unwrap();
-        let treatment = rule.as_ref().map_or(Treatment::Now, |rule| rule(&request.path, &task));
+        let treatment = rule
+            .as_ref()
+            .map_or(Treatment::Now, |rule| rule(&request.path, &task));
         drop(rule);
         let path = request.path.clone();
         if let Treatment::Late(delay) = treatment {
-            self.record.line(&format!("executor {id} leaves {path} of {task} run {:?} unanswered", body.u64("run")));
+            self.record.line(&format!(
+                "executor {id} leaves {path} of {task} run {:?} unanswered",
+                body.u64("run")
+            ));
             let late = Arc::clone(self);
             let born = self.state.lock().unwrap().born;
             thread::spawn(move || {
@@ -253,8 +303,13 @@
         let run = body.u64("run").unwrap_or(0) as u32;
         let id = state.id.clone();
         let refuse = |reason: &str| {
-            self.record.line(&format!("executor {id} refuses {path} of {task} run {run}: {reason} {note}"));
-            Some(Response::json(409, format!(r#"{{"clockMs":{clock},"reason":"{reason}"}}"#)))
+            self.record.line(&format!(
+                "executor {id} refuses {path} of {task} run {run}: {reason} {note}"
+            ));
+            Some(Response::json(
+                409,
+                format!(r#"{{"clockMs":{clock},"reason":"{reason}"}}"#),
+            ))
         };
         if token < state.fence {
             return refuse("fence");
@@ -268,7 +323,10 @@
                 if let Some(found) = state.runs.get_mut(&task).filter(|found| found.run == run) {
                     found.stopping.get_or_insert(Instant::now());
                 }
-                self.record.line(&format!("executor {} is told to stop {task} run {run} {note}", state.id));
+                self.record.line(&format!(
+                    "executor {} is told to stop {task} run {run} {note}",
+                    state.id
+                ));
                 done
             }
             "/pace" => done,
@@ -280,7 +338,12 @@
                 if until <= clock {
                     return refuse("late");
                 }
-                if state.refused.get(&task).is_some_and(|refused| run <= *refused) || state.runs.contains_key(&task) {
+                if state
+                    .refused
+                    .get(&task)
+                    .is_some_and(|refused| run <= *refused)
+                    || state.runs.contains_key(&task)
+                {
                     return refuse("old");
                 }
                 let spec = Spec::parse(body.text("spec").unwrap_or_default());
@@ -291,7 +354,10 @@
                     return refuse("room");
                 }
                 let from = body.text("lastCheckpoint").unwrap_or_default().to_owned();
-                let done_ms = from.get(..8).and_then(|hex| u64::from_str_radix(hex, 16).ok()).unwrap_or(0);
+                let done_ms = from
+                    .get(..8)
+                    .and_then(|hex| u64::from_str_radix(hex, 16).ok())
+                    .unwrap_or(0);
                 self.record.line(&format!("executor {} starts {task} run {run} with lastCheckpoint \"{from}\" token {token} {note}", state.id));
                 self.record.start(&task, run, &state.id);
                 let started = Run {
@@ -315,12 +381,18 @@
             let mut state = self.state.lock().unwrap();
             let clock = state.clock_ms();
             if token < state.fence {
-                return Some(Response::json(409, format!(r#"{{"clockMs":{clock},"reason":"fence"}}"#)));
+                return Some(Response::json(
+                    409,
+                    format!(r#"{{"clockMs":{clock},"reason":"fence"}}"#),
+                ));
             }
             state.fence = token;
             let ack = body.u64("ackIndex").unwrap_or(0);
             for end in state.ends.iter().filter(|end| end.number <= ack) {
-                self.record.line(&format!("end {} of {} run {} on {} is taken note of", end.how, end.task, end.run, state.id));
+                self.record.line(&format!(
+                    "end {} of {} run {} on {} is taken note of",
+                    end.how, end.task, end.run, state.id
+                ));
             }
             state.ends.retain(|end| end.number > ack);
             if let Some(until) = body.u64("untilMs") {
@@ -334,16 +406,31 @@
             }
             if !state.ends.is_empty() || Instant::now() >= deadline {
                 let runs = state.runs.iter().map(|(task, run)| {
-                    let percent = (run.done_ms * 100).checked_div(run.spec.work_ms).unwrap_or(100);
-                    format!(r#"["{task}",{},"{}",{percent},{}]"#, run.run, run.saved, run.spec.cpu)
+                    let percent = (run.done_ms * 100)
+                        .checked_div(run.spec.work_ms)
+                        .unwrap_or(100);
+                    format!(
+                        r#"["{task}",{},"{}",{percent},{}]"#,
+                        run.run, run.saved, run.spec.cpu
+                    )
                 });
                 let ends = state.ends.iter().take(500).map(|end| {
-                    format!(r#"[{},"{}",{},"{}","{}"]"#, end.number, end.task, end.run, end.how, end.saved)
+                    format!(
+                        r#"[{},"{}",{},"{}","{}"]"#,
+                        end.number, end.task, end.run, end.how, end.saved
+                    )
                 });
-                let (runs, ends) = (runs.collect::<Vec<_>>().join(","), ends.collect::<Vec<_>>().join(","));
+                let (runs, ends) = (
+                    runs.collect::<Vec<_>>().join(","),
+                    ends.collect::<Vec<_>>().join(","),
+                );
                 return Some(Response::json(
                     200,
-                    format!(r#"{{"clockMs":{},"born":{},"runningTasks":[{runs}],"endedRuns":[{ends}]}}"#, state.clock_ms(), state.born),
+                    format!(
+                        r#"{{"clockMs":{},"born":{},"runningTasks":[{runs}],"endedRuns":[{ends}]}}"#,
+                        state.clock_ms(),
+                        state.born
+                    ),
                 ));
             }
             drop(state);
@@ -360,7 +447,10 @@
         let has_lapsed = state.clock_ms() >= state.lease_ms;
         let mut ended = Vec::new();
         for (task, run) in &mut state.runs {
-            let how = if run.stopping.is_some_and(|at| at.elapsed().as_millis() as u64 >= STOP_MS / 2) {
+            let how = if run
+                .stopping
+                .is_some_and(|at| at.elapsed().as_millis() as u64 >= STOP_MS / 2)
+            {
                 "stopped"
             } else if has_lapsed {
                 "lapsed"
@@ -375,7 +465,11 @@
         }
         for (task, how) in ended {
             let run = state.end(&task, how);
-            self.record.line(&format!("{task} run {} ends {how} on {}", run.unwrap_or(0), state.id));
+            self.record.line(&format!(
+                "{task} run {} ends {how} on {}",
+                run.unwrap_or(0),
+                state.id
+            ));
             self.record.end(&task);
         }
     }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -24,11 +24,17 @@
 
 impl Request {
     pub fn query(&self, name: &str) -> Option<&str> {
-        self.query.iter().find(|(key, _)| key == name).map(|(_, value)| &**value)
+        self.query
+            .iter()
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| &**value)
     }
 
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| &**value)
+        self.headers
+            .iter()
+            .find(|(key, _)| key == name)
+            .map(|(_, value)| &**value)
     }
 }
 
@@ -39,7 +45,10 @@
 
 impl Response {
     pub fn json(status: u16, body: impl Into<String>) -> Self {
-        Self { status, body: body.into().into_bytes() }
+        Self {
+            status,
+            body: body.into().into_bytes(),
+        }
     }
 }
 
@@ -78,7 +87,12 @@
                 }
             }
         });
-        Ok(Self { address, closed, streams, acceptor: Some(acceptor) })
+        Ok(Self {
+            address,
+            closed,
+            streams,
+            acceptor: Some(acceptor),
+        })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -103,10 +117,14 @@
 }
 
 fn serve(stream: TcpStream, handler: &Handler, closed: &AtomicBool) {
-    let Ok(mut writer) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
-        let Some(response) = handler(request) else { break };
+        let Some(response) = handler(request) else {
+            break;
+        };
         if closed.load(Ordering::SeqCst) {
             break;
         }
@@ -157,7 +175,12 @@
     let query = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = query.map(|(key, value)| (key.to_owned(), decode_percent(value)));
     let body = read_body(reader, &headers)?;
-    Some(Request { path: path.to_owned(), query: query.collect(), headers, body })
+    Some(Request {
+        path: path.to_owned(),
+        query: query.collect(),
+        headers,
+        body,
+    })
 }
 
 fn decode_percent(text: &str) -> String {
@@ -182,14 +205,26 @@
 }
 
 /// Makes one call over a new connection; `None` without a complete answer.
-pub fn call(address: SocketAddr, method: &str, path: &str, headers: &[(&str, &str)], body: &str, timeout: Duration) -> Option<(u16, String)> {
+pub fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    timeout: Duration,
+) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&address, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
-    stream.write_all(format!("{head}\r\n{body}").as_bytes()).ok()?;
+    stream
+        .write_all(format!("{head}\r\n{body}").as_bytes())
+        .ok()?;
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
--- a/review/stand-ins-2/json.rs
+++ b/review/stand-ins-2/json.rs
@@ -14,7 +14,10 @@
 
 impl Json {
     pub fn parse(text: &str) -> Option<Self> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 
@@ -69,7 +72,9 @@
                 self.at += 1;
                 let mut map = BTreeMap::new();
                 while self.peek()? != b'}' {
-                    let Json::Text(key) = self.value()? else { return None };
+                    let Json::Text(key) = self.value()? else {
+                        return None;
+                    };
                     (self.peek()? == b':').then(|| self.at += 1)?;
                     map.insert(key, self.value()?);
                     if self.peek()? == b',' {
@@ -119,7 +124,10 @@
             _ => {
                 let start = self.at;
                 while self.at < self.bytes.len()
-                    && matches!(self.bytes[self.at], b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E')
+                    && matches!(
+                        self.bytes[self.at],
+                        b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E'
+                    )
                 {
                     self.at += 1;
                 }
--- a/review/stand-ins-2/record.rs
+++ b/review/stand-ins-2/record.rs
@@ -35,8 +35,15 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("the record can be written");
-        let inner = Inner { file, starts: Vec::new(), ends: Vec::new() };
-        Self { began: Instant::now(), inner: Arc::new(Mutex::new(inner)) }
+        let inner = Inner {
+            file,
+            starts: Vec::new(),
+            ends: Vec::new(),
+        };
+        Self {
+            began: Instant::now(),
+            inner: Arc::new(Mutex::new(inner)),
+        }
     }
 
     pub fn now_ms(&self) -> u64 {
@@ -60,7 +67,10 @@
     }
 
     pub fn end(&self, task: &str) {
-        let end = Ended { at_ms: self.now_ms(), task: task.to_owned() };
+        let end = Ended {
+            at_ms: self.now_ms(),
+            task: task.to_owned(),
+        };
         self.inner.lock().unwrap().ends.push(end);
     }
 
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -101,21 +101,37 @@
         let key = Self::key(request);
         let is_keyed = key.0.starts_with("keyed.");
         let partition = state.partitions.entry(key).or_default();
-        let number = |name: &str| request.query(name).and_then(|text| text.parse::<u64>().ok());
+        let number = |name: &str| {
+            request
+                .query(name)
+                .and_then(|text| text.parse::<u64>().ok())
+        };
         let mut is_claim = false;
         if let Some(name) = request.query("producer") {
-            let (epoch, sequence) = (number("epoch").unwrap_or(0), number("sequence").unwrap_or(0));
+            let (epoch, sequence) = (
+                number("epoch").unwrap_or(0),
+                number("sequence").unwrap_or(0),
+            );
             let producer = partition.producers.entry(name.to_owned()).or_default();
             if epoch < producer.epoch {
                 return Response::json(409, r#"{"reason":"fenced"}"#);
             }
             if epoch > producer.epoch {
-                *producer = Producer { epoch, last: sequence, ..Producer::default() };
+                *producer = Producer {
+                    epoch,
+                    last: sequence,
+                    ..Producer::default()
+                };
                 is_claim = true;
-            } else if let Some((_, offset, end)) = producer.answers.iter().find(|answer| answer.0 == sequence) {
+            } else if let Some((_, offset, end)) =
+                producer.answers.iter().find(|answer| answer.0 == sequence)
+            {
                 return Response::json(200, format!(r#"{{"offset":{offset},"end":{end}}}"#));
             } else if sequence != producer.last + 1 {
-                return Response::json(409, format!(r#"{{"reason":"seq","sequence":{}}}"#, producer.last + 1));
+                return Response::json(
+                    409,
+                    format!(r#"{{"reason":"seq","sequence":{}}}"#, producer.last + 1),
+                );
             }
         }
         let offset = partition.records.len() as u64;
@@ -144,8 +160,14 @@
     fn read(&self, request: &Request) -> Response {
         let (state, changed) = &*self.shared;
         let key = Self::key(request);
-        let from: usize = request.query("from").and_then(|text| text.parse().ok()).unwrap_or(0);
-        let wait: u64 = request.query("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let from: usize = request
+            .query("from")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let wait: u64 = request
+            .query("waitMs")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(wait);
         let mut state = state.lock().unwrap();
         loop {
@@ -172,14 +194,26 @@
         let mut state = self.shared.0.lock().unwrap();
         let partition = state.partitions.entry(Self::key(request)).or_default();
         let after = request.query("after").unwrap_or_default();
-        let items: Vec<(&String, &(u64, Vec<u8>))> =
-            partition.newest.iter().filter(|(key, _)| key.as_str() > after).collect();
+        let items: Vec<(&String, &(u64, Vec<u8>))> = partition
+            .newest
+            .iter()
+            .filter(|(key, _)| key.as_str() > after)
+            .collect();
         let rows = items.iter().take(500).map(|(key, (offset, value))| {
-            format!(r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#, base64(value))
+            format!(
+                r#"{{"key":"{key}","value":"{}","offset":{offset}}}"#,
+                base64(value)
+            )
         });
         let rows = rows.collect::<Vec<_>>().join(",");
         let end = partition.records.len();
-        Response::json(200, format!(r#"{{"items":[{rows}],"more":{},"end":{end}}}"#, items.len() > 500))
+        Response::json(
+            200,
+            format!(
+                r#"{{"items":[{rows}],"more":{},"end":{end}}}"#,
+                items.len() > 500
+            ),
+        )
     }
 
     fn join(&self, request: &Request, leaves: bool) -> Response {
@@ -200,12 +234,22 @@
             return Response::json(200, "{}");
         }
         let ttl = Duration::from_millis(body.u64("ttlMs").unwrap_or(2_000));
-        let is_new = group.members.insert(member.to_owned(), (Instant::now(), ttl)).is_none();
+        let is_new = group
+            .members
+            .insert(member.to_owned(), (Instant::now(), ttl))
+            .is_none();
         group.generation += u64::from(is_new);
         let parts = group.parts().filter(|(_, owner)| *owner == member);
         let parts = parts.map(|(part, _)| format!(r#"["{}",{part},0]"#, group.topic));
         let parts = parts.collect::<Vec<_>>().join(",");
-        Response::json(200, format!(r#"{{"generation":{},"ttlMs":{},"parts":[{parts}]}}"#, group.generation, ttl.as_millis()))
+        Response::json(
+            200,
+            format!(
+                r#"{{"generation":{},"ttlMs":{},"parts":[{parts}]}}"#,
+                group.generation,
+                ttl.as_millis()
+            ),
+        )
     }
 
     fn owners(&self, request: &Request) -> Response {
@@ -213,8 +257,13 @@
         let name = request.query("group").unwrap_or_default().to_owned();
         let group = state.groups.entry(name).or_default();
         group.expire();
-        let rows = group.parts().map(|(part, member)| format!(r#"["{}",{part},"{member}",0]"#, group.topic));
-        Response::json(200, format!(r#"{{"parts":[{}]}}"#, rows.collect::<Vec<_>>().join(",")))
+        let rows = group
+            .parts()
+            .map(|(part, member)| format!(r#"["{}",{part},"{member}",0]"#, group.topic));
+        Response::json(
+            200,
+            format!(r#"{{"parts":[{}]}}"#, rows.collect::<Vec<_>>().join(",")),
+        )
     }
 }
 
@@ -236,7 +285,9 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().enumerate().fold(0_u32, |bits, (at, byte)| bits | u32::from(*byte) << (16 - 8 * at));
+        let bits = chunk.iter().enumerate().fold(0_u32, |bits, (at, byte)| {
+            bits | u32::from(*byte) << (16 - 8 * at)
+        });
         for at in 0..4 {
             match at <= chunk.len() {
                 true => text.push(DIGITS[(bits >> (18 - 6 * at)) as usize & 63] as char),
