--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -165,3 +165,82 @@
         format!("LOST: the job had nothing running for {idle_ms} ms while its task's turn had come, with 112 of 128 cores free")
     }))
 }
+
+/// The time from the end of its last run after which a task that lasts has to run within `IDLE_MS`.
+const RESTART_MS: u64 = 6_000;
+
+/// A gang waits for its rack, and a task that lasts has ended there and has to run again.
+pub fn held_room(record: &Record, has_trouble: bool) -> Verdict {
+    let deployment = Deployment::start(record, 3);
+    let executors: Vec<Arc<Executor>> = (0..8)
+        .map(|index| {
+            let (id, zone) = (format!("i-{index}"), ZONES[index % ZONES.len()]);
+            let kind = format!("k{index}");
+            let rack = if index < 3 { "r1-0" } else { "r1-1" };
+            Executor::start(&id, zone, &[&kind, rack], 16_000, &deployment.store, record)
+        })
+        .collect();
+    if !deployment.wait_until_ready() {
+        return Err(NOT_READY.to_owned());
+    }
+    // Three cores stay free on each executor of the rack, and none elsewhere.
+    for index in 0..8 {
+        let id = format!("00000000000003c{index}");
+        let (work, cpu) = if index < 3 {
+            (32_000, 13_000)
+        } else {
+            (90_000, 16_000)
+        };
+        let body = format!(
+            r#"{{"spec":"work={work} cpu={cpu}","steps":[{{"count":1,"cpu":{cpu},"memMb":512,"estimateMs":{work},"requirements":"k{index}"}}]}}"#
+        );
+        if !deployment.submit(&id, &body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
+    thread::sleep(Duration::from_millis(500));
+    let id = "00000000000000c5";
+    let body = r#"{"spec":"lasts=1 cpu=3000 work=10000","steps":[{"count":1,"cpu":3000,"memMb":512,"longRunning":true}]}"#;
+    if !deployment.submit(id, body) {
+        return Err(NOT_ACCEPTED.to_owned());
+    }
+    let task = format!("{id}.0.0.0");
+    if wait_for_start(record, &task, 1, Duration::from_secs(5)).is_none() {
+        return Err("the task that lasts did not start".to_owned());
+    }
+    if has_trouble {
+        let body = r#"{"spec":"work=30000 cpu=9000","steps":[{"count":3,"cpu":9000,"memMb":512,"estimateMs":30000,"gang":true,"affinity":"r1-0"}]}"#;
+        if !deployment.submit("00000000000000c6", body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
+    thread::sleep(Duration::from_secs(11));
+    let ends = record.ends();
+    let Some(ended_ms) = ends
+        .iter()
+        .find(|end| end.task == task)
+        .map(|end| end.at_ms)
+    else {
+        return Err("the first run did not end".to_owned());
+    };
+    let started = wait_for_start(record, &task, 2, Duration::from_secs(60));
+    let starts = record.starts();
+    let again = starts
+        .iter()
+        .find(|start| start.task == task && start.run >= 2);
+    let started_ms = again.map_or(u64::MAX, |start| start.at_ms);
+    let others = record.ends();
+    let freed_ms = others
+        .iter()
+        .filter(|end| end.task != task)
+        .map(|end| end.at_ms)
+        .min();
+    record.line(&format!(
+        "the run of the task that lasts ended at {ended_ms} ms, and the next one began at {started_ms} ms on {started:?}; the first other task ended at {freed_ms:?} ms"
+    ));
+    drop(executors);
+    let away_ms = started_ms.saturating_sub(ended_ms);
+    Ok((away_ms > RESTART_MS + IDLE_MS).then(|| {
+        format!("LOST: a task that lasts didn't run for {away_ms} ms, with three cores free, which is its need, on each of three executors")
+    }))
+}
--- a/review/stand-ins-2/executor.rs
+++ b/review/stand-ins-2/executor.rs
@@ -29,6 +29,8 @@
 pub struct Spec {
     pub work_ms: u64,
     pub cpu: u64,
+    /// Whether the task lasts: only its first run ends by itself.
+    pub lasts: bool,
 }
 
 impl Spec {
@@ -42,6 +44,7 @@
         Self {
             work_ms: number("work"),
             cpu: number("cpu"),
+            lasts: number("lasts") > 0,
         }
     }
 }
@@ -456,7 +459,7 @@
                 "lapsed"
             } else {
                 run.done_ms += TICK.as_millis() as u64;
-                if run.done_ms < run.spec.work_ms {
+                if run.done_ms < run.spec.work_ms || run.spec.lasts && run.run > 1 {
                     continue;
                 }
                 "done"
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -25,6 +25,7 @@
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Record::create(path);
     let verdict = match &**case {
+        "held-room" => cases::held_room(&record, has_trouble),
         "hot-rack" => cases::hot_rack(&record, has_trouble),
         "draining" => cases::draining(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
