--- a/review/stand-ins-2/cases.rs
+++ b/review/stand-ins-2/cases.rs
@@ -244,3 +244,66 @@
         format!("LOST: a task that lasts didn't run for {away_ms} ms, with three cores free, which is its need, on each of three executors")
     }))
 }
+
+/// The jobs that can be done beside the hopeless ones, which are a share of 0.048 then.
+const SOUND_JOBS: u32 = 160;
+
+/// A hopeless job fails on each executor, long work starts there, and another job comes.
+pub fn probation(record: &Record, has_trouble: bool) -> Verdict {
+    let deployment = Deployment::start(record, 3);
+    let kinds = ["k0", "k1", "k2", "k3", "k4", "k5", "k6", "k7"];
+    let executors = start_executors(&deployment, &kinds);
+    if !deployment.wait_until_ready() {
+        return Err(NOT_READY.to_owned());
+    }
+    for index in 0..SOUND_JOBS {
+        let id = format!("0000000000004{index:03x}");
+        let body = r#"{"spec":"work=50 cpu=1000","steps":[{"count":1,"cpu":1000,"memMb":64,"estimateMs":50}]}"#;
+        if !deployment.submit(&id, body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
+    thread::sleep(Duration::from_millis(500));
+    for kind in kinds.iter().filter(|_| has_trouble) {
+        let id = format!("00000000000005{kind}").replace('k', "c");
+        let body = format!(
+            r#"{{"spec":"work=50 cpu=1000 fails=1","steps":[{{"count":1,"cpu":1000,"memMb":64,"estimateMs":50,"requirements":"{kind}"}}]}}"#
+        );
+        if !deployment.submit(&id, &body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
+    thread::sleep(Duration::from_secs(3));
+    for kind in kinds {
+        let id = format!("00000000000006{kind}").replace('k', "c");
+        let body = format!(
+            r#"{{"spec":"work=2400000 cpu=4000","steps":[{{"count":1,"cpu":4000,"memMb":512,"estimateMs":2400000,"requirements":"{kind}"}}]}}"#
+        );
+        if !deployment.submit(&id, &body) {
+            return Err(NOT_ACCEPTED.to_owned());
+        }
+    }
+    thread::sleep(Duration::from_secs(1));
+    let id = "00000000000000c7";
+    let body = r#"{"spec":"work=1000 cpu=2000","steps":[{"count":1,"cpu":2000,"memMb":512,"estimateMs":1000}]}"#;
+    if !deployment.submit(id, body) {
+        return Err(NOT_ACCEPTED.to_owned());
+    }
+    let traffic_end_ms = record.now_ms();
+    let task = format!("{id}.0.0.0");
+    let started = wait_for_start(record, &task, 1, Duration::from_secs(60));
+    let starts = record.starts();
+    let first = starts.iter().find(|start| start.task == task);
+    let started_ms = first.map_or(u64::MAX, |start| start.at_ms);
+    let used: usize = executors
+        .iter()
+        .map(|executor| executor.running().len())
+        .sum();
+    record.line(&format!(
+        "the traffic ended at {traffic_end_ms} ms, and the last job started at {started_ms} ms on {started:?}; {used} tasks run"
+    ));
+    let idle_ms = started_ms.saturating_sub(traffic_end_ms);
+    Ok((idle_ms > FINISH_MS + IDLE_MS).then(|| {
+        format!("LOST: a job had nothing running for {idle_ms} ms, with 12 of 16 cores free on each executor")
+    }))
+}
--- a/review/stand-ins-2/executor.rs
+++ b/review/stand-ins-2/executor.rs
@@ -31,6 +31,8 @@
     pub cpu: u64,
     /// Whether the task lasts: only its first run ends by itself.
     pub lasts: bool,
+    /// Whether each run of the task fails.
+    pub fails: bool,
 }
 
 impl Spec {
@@ -45,6 +47,7 @@
             work_ms: number("work"),
             cpu: number("cpu"),
             lasts: number("lasts") > 0,
+            fails: number("fails") > 0,
         }
     }
 }
@@ -462,7 +465,7 @@
                 if run.done_ms < run.spec.work_ms || run.spec.lasts && run.run > 1 {
                     continue;
                 }
-                "done"
+                if run.spec.fails { "failed" } else { "done" }
             };
             ended.push((task.clone(), how));
         }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -26,6 +26,7 @@
     let record = Record::create(path);
     let verdict = match &**case {
         "held-room" => cases::held_room(&record, has_trouble),
+        "probation" => cases::probation(&record, has_trouble),
         "hot-rack" => cases::hot_rack(&record, has_trouble),
         "draining" => cases::draining(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
