--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in probation given_up starved_gang gang; do
+for name in probation starved_gang clock_back; do
     rustc --edition 2024 -O -A dead_code "review/stand-ins-3/$name.rs" -o "target/review-3/$name"
 done
--- a/review/stand-ins-3/http.rs
+++ b/review/stand-ins-3/http.rs
@@ -38,7 +38,7 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        if bytes[at] == b'%' && at + 2 < bytes.len() + 0 {
+        if bytes[at] == b'%' && at + 2 < bytes.len() {
             if let Ok(code) = u8::from_str_radix(&text[at + 1..at + 3], 16) {
                 out.push(code);
                 at += 3;
@@ -55,8 +55,6 @@
     Answer(u16, Vec<u8>),
     /// The connection closes without an answer.
     Close,
-    /// No answer; the connection stays open for this time.
-    Silent(Duration),
 }
 
 impl Reply {
@@ -113,7 +111,9 @@
 
 fn answer_all(stream: TcpStream, connection: u64, handler: &Handler) {
     let _ = stream.set_nodelay(true);
-    let Ok(mut out) = stream.try_clone() else { return };
+    let Ok(mut out) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader, connection) {
         match handler(request) {
@@ -129,10 +129,6 @@
                 }
             }
             Reply::Close => return,
-            Reply::Silent(time) => {
-                thread::sleep(time);
-                return;
-            }
         }
     }
 }
--- a/review/stand-ins-3/json.rs
+++ b/review/stand-ins-3/json.rs
@@ -44,7 +44,10 @@
     }
 
     pub fn parse(text: &str) -> Option<Json> {
-        let mut reader = Reader { bytes: text.as_bytes(), at: 0 };
+        let mut reader = Reader {
+            bytes: text.as_bytes(),
+            at: 0,
+        };
         reader.value()
     }
 }
@@ -70,7 +73,11 @@
 
 impl Reader<'_> {
     fn peek(&mut self) -> Option<u8> {
-        while self.bytes.get(self.at).is_some_and(|b| b.is_ascii_whitespace()) {
+        while self
+            .bytes
+            .get(self.at)
+            .is_some_and(|b| b.is_ascii_whitespace())
+        {
             self.at += 1;
         }
         self.bytes.get(self.at).copied()
@@ -82,7 +89,9 @@
                 self.at += 1;
                 let mut table = BTreeMap::new();
                 while self.peek()? != b'}' {
-                    let Json::Text(key) = self.value()? else { return None };
+                    let Json::Text(key) = self.value()? else {
+                        return None;
+                    };
                     self.peek()?;
                     self.at += 1;
                     table.insert(key, self.value()?);
@@ -111,7 +120,11 @@
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
--- a/review/stand-ins-3/probation.rs
+++ b/review/stand-ins-3/probation.rs
@@ -25,7 +25,11 @@
     while Instant::now() < until {
         *number += 1;
         let steps = "[{\"count\":2,\"cpu\":500,\"memMb\":64,\"estimateMs\":200}]";
-        let work = Work { duration_ms: 200, cpu: 500, ..Work::default() };
+        let work = Work {
+            duration_ms: 200,
+            cpu: 500,
+            ..Work::default()
+        };
         world.submit(&format!("{:016x}", *number), steps, work);
         sleep(Duration::from_millis(130));
     }
@@ -37,8 +41,14 @@
     let mut number = 0;
     play_traffic(&world, &mut number, Duration::from_secs(3));
     if has_trouble() {
-        let steps = "[{\"count\":8,\"cpu\":2000,\"memMb\":256,\"estimateMs\":300,\"antiAffinity\":1}]";
-        let work = Work { duration_ms: 300, cpu: 2_000, fails: true, ..Work::default() };
+        let steps =
+            "[{\"count\":8,\"cpu\":2000,\"memMb\":256,\"estimateMs\":300,\"antiAffinity\":1}]";
+        let work = Work {
+            duration_ms: 300,
+            cpu: 2_000,
+            fails: true,
+            ..Work::default()
+        };
         world.submit(HOPELESS, steps, work);
     }
     play_traffic(&world, &mut number, Duration::from_secs(4));
@@ -46,7 +56,16 @@
         world.end(2, "the hopeless job is not shown as failed");
     }
     let steps = "[{\"count\":14,\"cpu\":4000,\"memMb\":256,\"estimateMs\":1000,\"gang\":true}]";
-    world.submit(JOB, steps, Work { duration_ms: 1_000, cpu: 4_000, gang: Some(14), ..Work::default() });
+    world.submit(
+        JOB,
+        steps,
+        Work {
+            duration_ms: 1_000,
+            cpu: 4_000,
+            gang: Some(14),
+            ..Work::default()
+        },
+    );
     play_traffic(&world, &mut number, Duration::from_secs(3));
     let traffic_end = Instant::now();
     while traffic_end.elapsed() < FINISH + Duration::from_secs(20) {
@@ -59,5 +78,10 @@
         world.end(2, "the gang has started");
     }
     let used = world.used_share();
-    world.end(1, &format!("the job has had nothing running since it came; in use: {used:.3} of the processors"));
+    world.end(
+        1,
+        &format!(
+            "the job has had nothing running since it came; in use: {used:.3} of the processors"
+        ),
+    );
 }
--- a/review/stand-ins-3/record.rs
+++ b/review/stand-ins-3/record.rs
@@ -14,7 +14,11 @@
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = File::create(path).expect("a writable folder");
-        Self { began: Instant::now(), lines: Mutex::default(), file: Mutex::new(file) }
+        Self {
+            began: Instant::now(),
+            lines: Mutex::default(),
+            file: Mutex::new(file),
+        }
     }
 
     /// Adds a line with the seconds since the test began.
@@ -31,6 +35,10 @@
     /// Returns the lines that begin with a text, with their times.
     pub fn lines(&self, prefix: &str) -> Vec<(f64, String)> {
         let lines = self.lines.lock().expect("no panic");
-        lines.iter().filter(|(_, line)| line.starts_with(prefix)).cloned().collect()
+        lines
+            .iter()
+            .filter(|(_, line)| line.starts_with(prefix))
+            .cloned()
+            .collect()
     }
 }
--- a/review/stand-ins-3/store.rs
+++ b/review/stand-ins-3/store.rs
@@ -52,7 +52,8 @@
     pub fn write(&self, topic: &str, key: &str, value: &str) {
         let mut state = self.state.lock().expect("no panic");
         let log = state.logs.entry((topic.to_owned(), 0)).or_default();
-        log.records.push((key.to_owned(), value.as_bytes().to_vec()));
+        log.records
+            .push((key.to_owned(), value.as_bytes().to_vec()));
         self.changed.notify_all();
     }
 
@@ -135,7 +136,10 @@
             .collect();
         let generation = self.generation;
         let parts = parts.join(",");
-        Reply::json(200, format!("{{\"generation\":{generation},\"ttlMs\":{ttl_ms},\"parts\":[{parts}]}}"))
+        Reply::json(
+            200,
+            format!("{{\"generation\":{generation},\"ttlMs\":{ttl_ms},\"parts\":[{parts}]}}"),
+        )
     }
 
     fn leave(&mut self, body: &[u8]) -> Reply {
@@ -211,17 +215,26 @@
             };
         }
         let after = request.query("after");
-        let left = newest.into_iter().filter(|(key, _)| after.as_deref().is_none_or(|a| *key > a));
+        let left = newest
+            .into_iter()
+            .filter(|(key, _)| after.as_deref().is_none_or(|a| *key > a));
         let left: Vec<_> = left.collect();
         let items: Vec<String> = left
             .iter()
             .take(500)
             .map(|(key, (offset, value))| {
-                format!("{{\"key\":{},\"value\":\"{}\",\"offset\":{offset}}}", quote(key), base64(value))
+                format!(
+                    "{{\"key\":{},\"value\":\"{}\",\"offset\":{offset}}}",
+                    quote(key),
+                    base64(value)
+                )
             })
             .collect();
         let (items, more, end) = (items.join(","), left.len() > 500, self.records.len());
-        Reply::json(200, format!("{{\"items\":[{items}],\"more\":{more},\"end\":{end}}}"))
+        Reply::json(
+            200,
+            format!("{{\"items\":[{items}],\"more\":{more},\"end\":{end}}}"),
+        )
     }
 }
 
@@ -229,7 +242,9 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let bits = chunk.iter().fold(0u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = chunk
+            .iter()
+            .fold(0u32, |bits, byte| bits << 8 | u32::from(*byte));
         let bits = bits << (8 * (3 - chunk.len()));
         for digit in 0..4 {
             match digit <= chunk.len() {
