--- a/review/stand-ins-3/world.rs
+++ b/review/stand-ins-3/world.rs
@@ -4,6 +4,7 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
+use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -49,21 +50,16 @@
 }
 
 /// The processes that the test has started.
-static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static PROCESSES: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 /// The longest time that a test runs.
 const TEST_MAX: Duration = Duration::from_secs(115);
 
 /// Ends all processes that the test has started.
 fn kill_processes() {
-    for process in PROCESSES
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .iter()
-    {
-        let _ = Command::new("kill")
-            .args(["-KILL", &process.to_string()])
-            .stderr(Stdio::null())
-            .status();
+    let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+    for process in processes.iter_mut() {
+        let _ = process.kill();
+        let _ = process.wait();
     }
 }
 
@@ -284,13 +280,10 @@
         .stdin(Stdio::null())
         .stdout(log)
         .stderr(errors);
-    let process = command
-        .spawn()
-        .unwrap_or_else(|error| give_up(&error.to_string()));
-    PROCESSES
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .push(process.id());
+    let process = command.spawn();
+    let process = process.unwrap_or_else(|error| give_up(&error.to_string()));
+    let mut processes = PROCESSES.lock().unwrap_or_else(PoisonError::into_inner);
+    processes.push(process);
 }
 
 /// Fills in a template as the platform does. Names without a value are empty.
