--- a/crates/standins/src/faults/daemon_process.rs
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -64,6 +64,11 @@
         Ok(())
     }
 
+    /// Returns the process id, or `None` if no process runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
