Close connections without progress when others need their place

Callers saw no answer at all from a host, and the load balancer no health check, while 64 clients pipelined requests and read nothing: those clients kept every connection of the listener for good. Cause: a connection had a time limit for its head only, and no account told which client keeps room without progress.

The kernel has one account of the bytes held for clients, half of the machine's memory as the platform or the setting memory_mb gives it. Each connection of every HTTP listener takes its room there and records its progress: bytes earn time at 16 KB/s, at most 500 ms, so single bytes now and then don't count. At the limit on connections, and when the account has no room, the connection that has made no progress for the longest time is closed, incomplete exchanges before idle connections; a running call never is. While a process stops, a client without progress no longer holds it up.

--- a/crates/daemon/src/admin/admin_service.rs
+++ b/crates/daemon/src/admin/admin_service.rs
@@ -7,6 +7,7 @@
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::Service;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::HttpServer;
 use dotterelhook_kernel::http::full_body;
@@ -20,7 +21,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use serde::Serialize;
@@ -111,7 +111,7 @@
 
 #[async_trait]
 impl HttpHandler for Admin {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody> {
         match request.uri().path() {
             "/healthz" => text_response(StatusCode::OK, "alive\n"),
             "/readyz" => self.readiness(),
--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -81,7 +81,10 @@
         let mut hangup = signal(SignalKind::hangup())?;
         let unready_for = self.settings.unready_for;
         let drain_max = self.settings.drain_max;
-        let kernel = Kernel::default();
+        let kernel = self
+            .settings
+            .memory
+            .map_or_else(Kernel::default, Kernel::new);
         self.start_services(&kernel).await?;
         let failed = kernel.failed();
         loop {
@@ -116,6 +119,7 @@
         let metrics = Arc::new(Metrics::default());
         let job_metrics = JobMetrics::default();
         job_metrics.register(&metrics);
+        kernel.memory().metrics().register(&metrics);
         kernel
             .registry()
             .provide::<Metrics>(names::METRICS, Arc::clone(&metrics));
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -9,6 +9,7 @@
 use dotterelhook_jobs::policy::FarFactor;
 use dotterelhook_jobs::policy::PlacementWait;
 use dotterelhook_jobs::policy::WaitPolicy;
+use dotterelhook_kernel::memory::MachineMemory;
 use dotterelhook_types::document::FieldError;
 use dotterelhook_types::sizes::CpuMilli;
 use serde::Deserialize;
@@ -29,6 +30,11 @@
 /// The largest CPU capacity of a host, in cores.
 const CPU_CORES_MAX: f64 = 1_024.0;
 
+/// The smallest memory of a host, in megabytes.
+const MEMORY_MB_MIN: u64 = 64;
+/// The largest memory of a host, in megabytes.
+const MEMORY_MB_MAX: u64 = 1 << 24;
+
 /// The smallest limit of the store on the size of a record.
 const STORE_RECORD_BYTES_MIN: u64 = 4 << 10;
 /// The largest limit of the store on the size of a record or an append.
@@ -42,6 +48,8 @@
     failure_domain: Box<str>,
     #[serde(default = "defaults::cpu_cores")]
     cpu_cores: f64,
+    /// Absent if the machine's own figure holds.
+    memory_mb: Option<u64>,
     jobs: RawJobs,
     #[serde(default)]
     stop: RawStop,
@@ -115,6 +123,8 @@
     pub(crate) host: Box<str>,
     pub(crate) failure_domain: Box<str>,
     pub(crate) cpu_milli: CpuMilli,
+    /// The memory of the machine; `None` for the size that the platform reports.
+    pub(crate) memory: Option<MachineMemory>,
     pub(crate) clients_address: SocketAddr,
     pub(crate) ready_address: SocketAddr,
     pub(crate) peer_address: SocketAddr,
@@ -186,7 +196,11 @@
             let rule = format!("must be from {CPU_CORES_MIN} to {CPU_CORES_MAX}");
             return Err(FieldError::new("cpu_cores", rule));
         }
+        let memory_mb = raw
+            .memory_mb
+            .map(|megabytes| checked_number("memory_mb", megabytes, MEMORY_MB_MIN, MEMORY_MB_MAX));
         Ok(Self {
+            memory: memory_mb.transpose()?.map(MachineMemory::from_megabytes),
             cpu_milli: CpuMilli((raw.cpu_cores * 1_000.0) as u64),
             clients_address: jobs.clients_address,
             ready_address: jobs.ready_address,
--- a/crates/front/src/front_handler.rs
+++ b/crates/front/src/front_handler.rs
@@ -2,11 +2,11 @@
 
 use async_trait::async_trait;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_types::ids::ServiceName;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::front::Front;
@@ -28,7 +28,7 @@
 
 #[async_trait]
 impl HttpHandler for FrontHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody> {
         let config = self.front.config.current();
         let Some(route) = find_route(&config, request.uri().path()) else {
             let error = RequestError::not_run(Cause::NoService, "no service has this path");
@@ -59,7 +59,7 @@
     async fn serve(
         &self,
         route: &Route,
-        request: Request<Incoming>,
+        request: Request<ClientBody>,
     ) -> Result<Response<AnswerBody>, RequestError> {
         let _permit = self.front.admit(route)?;
         let head = RequestHead::from_request(&request);
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
 use http_body_util::BodyExt;
@@ -16,7 +17,6 @@
 use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
@@ -77,7 +77,7 @@
 
 #[async_trait]
 impl HttpHandler for EntryHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody> {
         let arrived_at = Instant::now();
         let (head, body) = request.into_parts();
         let call = self.protocol.decode_head(&head);
@@ -94,7 +94,7 @@
     async fn answer(
         &self,
         call: &ClientCall,
-        body: Incoming,
+        body: ClientBody,
         arrived_at: Instant,
         deadline: Instant,
     ) -> ClientReply {
@@ -118,7 +118,7 @@
         rest: &str,
         config: &DeploymentConfig,
         route: &QueueRoute,
-        body: Incoming,
+        body: ClientBody,
         deadline: Instant,
     ) -> ClientReply {
         let id = JobId::from_str(rest);
@@ -137,7 +137,7 @@
         id: JobId,
         config: &DeploymentConfig,
         route: &QueueRoute,
-        body: Incoming,
+        body: ClientBody,
         deadline: Instant,
     ) -> ClientReply {
         let limited = Limited::new(body, config.body_max_bytes());
--- a/crates/jobs/src/entry/readiness_handler.rs
+++ b/crates/jobs/src/entry/readiness_handler.rs
@@ -4,12 +4,12 @@
 use async_trait::async_trait;
 use dotterelhook_kernel::Metrics;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use tokio_util::sync::CancellationToken;
 
 use crate::config::ActiveConfig;
@@ -48,7 +48,7 @@
 
 #[async_trait]
 impl HttpHandler for ReadinessHandler {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody> {
         let (status, text) = if request.uri().path() == "/metrics" {
             match self.metrics.encode() {
                 Ok(text) => (StatusCode::OK, text),
--- a/crates/kernel/src/http/handler.rs
+++ b/crates/kernel/src/http/handler.rs
@@ -7,7 +7,8 @@
 use http_body_util::combinators::BoxBody;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
+
+use super::ClientBody;
 
 /// The body of an HTTP answer, complete or streamed.
 pub type AnswerBody = BoxBody<Bytes, Box<dyn Error + Send + Sync>>;
@@ -16,7 +17,7 @@
 #[async_trait]
 pub trait HttpHandler: Send + Sync + 'static {
     /// Handles one request. Failures are reported in the answer's status.
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody>;
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody>;
 }
 
 /// Builds a complete, unstreamed body from bytes.
--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -9,19 +10,45 @@
 
 use crate::Registry;
 use crate::Service;
+use crate::memory::MachineMemory;
+use crate::memory::MemoryAccount;
 
 /// The core of the daemon process: starts the services, owns the registry of their handles and
 /// shuts the services down together.
-#[derive(Default)]
 pub struct Kernel {
     registry: Registry,
+    memory: Arc<MemoryAccount>,
     tasks: TaskTracker,
     draining: CancellationToken,
     stopping: CancellationToken,
     failed: CancellationToken,
 }
 
+impl Default for Kernel {
+    /// Creates a kernel with the memory that the platform reports for this machine.
+    fn default() -> Self {
+        Self::new(MachineMemory::detect())
+    }
+}
+
 impl Kernel {
+    /// Creates a kernel that has the given memory.
+    pub fn new(memory: MachineMemory) -> Self {
+        Self {
+            registry: Registry::default(),
+            memory: MemoryAccount::new(memory),
+            tasks: TaskTracker::default(),
+            draining: CancellationToken::default(),
+            stopping: CancellationToken::default(),
+            failed: CancellationToken::default(),
+        }
+    }
+
+    /// Returns the account of the bytes that the process holds for clients.
+    pub fn memory(&self) -> Arc<MemoryAccount> {
+        Arc::clone(&self.memory)
+    }
+
     /// Returns the registry in which services provide and find handles.
     pub fn registry(&self) -> &Registry {
         &self.registry
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,9 +1,10 @@
 //! The core of the daemon process: service life cycle, a registry of service handles by name,
-//! HTTP servers, metrics and buffered log output.
+//! HTTP servers, the account of clients' bytes, metrics and buffered log output.
 
 pub mod http;
 mod kernel;
 mod line_buffer;
+pub mod memory;
 mod metrics;
 mod registry;
 mod service;
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -7,6 +7,7 @@
 use dotterelhook_borders::http::JsonClient;
 use dotterelhook_borders::http::read_body;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
 use dotterelhook_peer::config::ConfigView;
@@ -24,7 +25,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use rapidhash::v3::rapidhash_v3;
@@ -275,7 +275,7 @@
 
 #[async_trait]
 impl HttpHandler for RunApi {
-    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(&self, request: Request<ClientBody>) -> Response<AnswerBody> {
         let (head, body) = request.into_parts();
         let (method, path) = (&head.method, head.uri.path());
         let may_forward = head.uri.query() != Some(FORWARDED_QUERY);
