Receive bodies into one buffer, within the account of the process

Callers saw a host end because it ran out of memory: 1,500 bodies that stopped one byte short took 420 MB, 320 whole jobs at once 280 MB, 100 bodies in pieces of 64 bytes 180 MB, 400 jobs while the store was silent 272 MB. Cause: only the size of a single body had a limit. Each piece of a body kept the whole buffer that it was read into, and a call that waited kept its text, its decoded form and its record.

A body is received into one buffer. The room for all copies of a submission (its record, and those in an append and in a call to the owner) is reserved before the bytes arrive, so a request without room is refused at once, with 503 and Retry-After: it has not run. A body that does not arrive in time is refused as well, in place of 504. The text and the decoded form end before a call waits; the record carries its reservation until its last copy is dropped. The legal size of a body stays as it is.

--- a/crates/jobs/src/entry/capacity_admission.rs
+++ b/crates/jobs/src/entry/capacity_admission.rs
@@ -17,6 +17,7 @@
 use crate::model::JobId;
 use crate::model::JobSpec;
 use crate::model::QueueConfig;
+use crate::model::QueueName;
 use crate::observe::Decision;
 use crate::observe::decided;
 use crate::ownership::cell_of;
@@ -66,24 +67,37 @@
         self.failure_domain.as_ref()
     }
 
-    /// Returns why a submission is refused. Otherwise, counts it as one that may be stored.
-    pub async fn admit(
+    /// Returns why capacity seems too short for a submission, with the age of the report that says so.
+    pub fn assess(
         &self,
         id: JobId,
         spec: &JobSpec,
         queue: &QueueConfig,
+    ) -> Option<(CapacityRefusal, Duration)> {
+        if !self.settings.refuses_for_capacity {
+            return None;
+        }
+        let cell = cell_of(id.as_str(), self.cell_count);
+        self.request_report(cell);
+        self.find_refusal(id, cell, spec, queue)
+    }
+
+    /// Returns the refusal of a submission that was assessed, unless the job may be known. Otherwise,
+    /// counts the submission as one that may be stored.
+    pub async fn admit(
+        &self,
+        id: JobId,
+        queue: &QueueName,
+        refusal: Option<(CapacityRefusal, Duration)>,
         deadline: Instant,
     ) -> Result<(), CapacityRefusal> {
         if !self.settings.refuses_for_capacity {
             return Ok(());
         }
-        let cell = cell_of(id.as_str(), self.cell_count);
-        self.request_report(cell);
-        let refusal = self.find_refusal(id, cell, spec, queue);
         if let Some((refusal, age)) = refusal
             && self.is_new(id, deadline).await
         {
-            decided!(Decision::CapacityRefused, job: id, queue: queue.name.as_str(), needed_ms: refusal.needed.as_millis(), limit_ms: refusal.limit.as_millis(), wait_ms: refusal.wait.as_millis(), report_age_ms: age.as_millis());
+            decided!(Decision::CapacityRefused, job: id, queue: queue.as_str(), needed_ms: refusal.needed.as_millis(), limit_ms: refusal.limit.as_millis(), wait_ms: refusal.wait.as_millis(), report_age_ms: age.as_millis());
             return Err(refusal);
         }
         self.attempted().add(id, Instant::now());
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -9,12 +9,13 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::BodyError;
+use dotterelhook_kernel::http::BodyLimits;
 use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
+use dotterelhook_kernel::http::RequestBody;
 use dotterelhook_kernel::http::full_body;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
+use dotterelhook_kernel::http::receive_body;
 use hyper::Request;
 use hyper::Response;
 use tokio::time::Instant;
@@ -27,6 +28,7 @@
 use super::RecentJobs;
 use super::RecordRouter;
 use super::RecordWriter;
+use crate::admission::CapacityRefusal;
 use crate::admission::return_time;
 use crate::config::ActiveConfig;
 use crate::config::DeploymentConfig;
@@ -51,6 +53,17 @@
 /// The pause before an owner is queried again.
 const QUERY_RETRY_PAUSE: Duration = Duration::from_millis(100);
 
+/// How many times its size a submission takes at most: its record, and the copies of it in an append and
+/// in a call to the owner. Before there is a record, the body and its decoded form take less.
+const SUBMISSION_COPIES: usize = 3;
+
+/// A submission that is ready to be stored.
+struct PreparedSubmission {
+    record: KeyedRecord,
+    /// Why capacity seems too short for it, with the age of the report that says so.
+    shortage: Option<(CapacityRefusal, Duration)>,
+}
+
 /// The HTTP entry point of clients' calls.
 pub struct EntryHandler {
     /// The protocol that decodes calls and encodes replies.
@@ -126,7 +139,10 @@
             (CallKind::Read, _) if rest.is_empty() => self.count_pending(route, deadline).await,
             (CallKind::Read, Ok(id)) => self.query_state(id, deadline).await,
             (CallKind::Cancel, Ok(id)) => self.cancel(id, deadline).await,
-            (CallKind::Submit, Ok(id)) => self.submit(id, config, route, body, deadline).await,
+            (CallKind::Submit, Ok(id)) => {
+                let body_max_bytes = config.body_max_bytes();
+                self.submit(id, body_max_bytes, route, body, deadline).await
+            }
             (CallKind::Other, _) => ClientReply::NoSuchMethod,
             (_, Err(error)) => ClientReply::Malformed(error.to_string().into()),
         }
@@ -135,55 +151,37 @@
     async fn submit(
         &self,
         id: JobId,
-        config: &DeploymentConfig,
+        body_max_bytes: usize,
         route: &QueueRoute,
         body: ClientBody,
         deadline: Instant,
     ) -> ClientReply {
-        let limited = Limited::new(body, config.body_max_bytes());
-        let body = match limited.collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) if error.is::<LengthLimitError>() => {
+        let limits = BodyLimits {
+            max_bytes: body_max_bytes,
+            copies: SUBMISSION_COPIES,
+        };
+        let body_deadline = deadline - self.settings.verdict_margin;
+        let body = match receive_body(body, limits, body_deadline).await {
+            Ok(body) => body,
+            Err(error @ BodyError::TooLarge { .. }) => {
                 return ClientReply::Malformed(error.to_string().into());
             }
-            Err(error) => return self.not_done(&format!("the body broke off: {error}")),
+            Err(error) => return self.not_done(&error.to_string()),
         };
-        let spec = match self.protocol.decode_job(&body) {
-            Ok(spec) => spec,
-            Err(error) => return ClientReply::Malformed(error.to_string().into()),
+        let prepared = match self.prepare(id, route, body) {
+            Ok(prepared) => prepared,
+            Err(reply) => return reply,
         };
-        let now_unix = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let submission = Submission {
-            queue: route.queue.as_ref().clone(),
-            spec,
-            accepted_unix_ms: now_unix.as_millis() as u64,
-            entry_domain: self.capacity.failure_domain().cloned(),
-        };
-        let value = match encode_submission(&submission) {
-            Ok(value) => value,
-            Err(error) => return ClientReply::Malformed(error.to_string().into()),
-        };
-        let record = KeyedRecord {
-            key: id.as_str().into(),
-            value,
-        };
-        if let Err(error) = self.writer.check_size(&record) {
-            return ClientReply::TooLarge(error.to_string().into());
-        }
-        let admitted = self
-            .capacity
-            .admit(id, &submission.spec, &submission.queue, deadline)
-            .await;
-        if let Err(refusal) = admitted {
+        let queue = &route.queue.name;
+        let admitted = self.capacity.admit(id, queue, prepared.shortage, deadline);
+        if let Err(refusal) = admitted.await {
             self.metrics.capacity_refusals.inc();
             return ClientReply::NotDone {
                 cause: refusal.to_string().into(),
                 retry_after: refusal.return_time(self.settings.retry_after),
             };
         }
-        match self.store_record(id, record, deadline).await {
+        match self.store_record(id, prepared.record, deadline).await {
             Ok(()) => {
                 let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
                 recent.add(id, Instant::now());
@@ -193,6 +191,42 @@
         }
     }
 
+    /// Encodes the record of a submission. The body and its decoded form end here: of a call that waits,
+    /// only the record is kept.
+    fn prepare(
+        &self,
+        id: JobId,
+        route: &QueueRoute,
+        body: RequestBody,
+    ) -> Result<PreparedSubmission, ClientReply> {
+        let malformed = |cause: String| ClientReply::Malformed(cause.into());
+        let spec = self.protocol.decode_job(&body);
+        let now_unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let submission = Submission {
+            queue: route.queue.as_ref().clone(),
+            spec: spec.map_err(|error| malformed(error.to_string()))?,
+            accepted_unix_ms: now_unix.as_millis() as u64,
+            entry_domain: self.capacity.failure_domain().cloned(),
+        };
+        let value = encode_submission(&submission).map_err(|error| malformed(error.to_string()))?;
+        let mut reservation = body.into_reservation();
+        reservation.shrink_to(value.len() * SUBMISSION_COPIES);
+        let record = KeyedRecord {
+            key: id.as_str().into(),
+            value: reservation.attach_to(value),
+        };
+        self.writer
+            .check_size(&record)
+            .map_err(|error| ClientReply::TooLarge(error.to_string().into()))?;
+        let Submission { spec, queue, .. } = &submission;
+        Ok(PreparedSubmission {
+            record,
+            shortage: self.capacity.assess(id, spec, queue),
+        })
+    }
+
     async fn cancel(&self, id: JobId, deadline: Instant) -> ClientReply {
         let key = format!("{}{id}", crate::ownership::CANCELLATION_KEY_PREFIX);
         let record = KeyedRecord {
--- a/crates/jobs/src/model/job_spec.rs
+++ b/crates/jobs/src/model/job_spec.rs
@@ -9,7 +9,8 @@
 
 /// Limits the tasks of one occurrence, which become ready together.
 const TASKS_MAX: u64 = 4_000;
-const STEPS_MAX: usize = 200;
+/// Limits the steps of a job.
+pub const STEPS_MAX: usize = 200;
 /// Limits the tasks of all occurrences. A placed task takes about 25 bytes in the store, and about 100 in
 /// the memory of the owner.
 const ALL_TASKS_MAX: u64 = 40_000;
--- a/crates/jobs/src/model/mod.rs
+++ b/crates/jobs/src/model/mod.rs
@@ -17,6 +17,7 @@
 pub use job_id::JobIdError;
 pub use job_spec::JobSpec;
 pub use job_spec::JobSpecError;
+pub use job_spec::STEPS_MAX;
 pub use job_spec::Schedule;
 pub use job_state::JobState;
 pub use queue_config::AdvisorTiming;
--- a/crates/jobs/tests/entry/capacity.rs
+++ b/crates/jobs/tests/entry/capacity.rs
@@ -124,7 +124,9 @@
             advice: None,
         };
         let deadline = Instant::now() + WAIT;
-        let admitted = self.admission.admit(job(number), &spec, &queue, deadline);
+        let id = job(number);
+        let refusal = self.admission.assess(id, &spec, &queue);
+        let admitted = self.admission.admit(id, &queue.name, refusal, deadline);
         admitted.await.is_ok()
     }
 }
