Count the bodies of other hosts' calls in the account of the process

An owner that gets records from many hosts while the store is slow could hold 64 MB of frames, whatever its machine has, beside the bytes of its own clients, and about three times as much with what is decoded from the frames. Cause: the limit of the peer server is a constant of its own.

Bodies above 4 KB also draw from the account, with their copies; without room, a call is refused as not run, and the entry host tells its client when to return. Smaller calls, those about cells, need no room: the limit on calls bounds them. A request that grows piece by piece counts with its whole size. The connections of a listener use at most half of the account, so that their requests, and other listeners, find room.

Evidence: peer/rpc::a_crowd_of_bodies_stays_within_the_memory_of_the_machine fails without the account (no call of 100 is refused) and passes with it.

--- a/crates/kernel/src/http/client_body.rs
+++ b/crates/kernel/src/http/client_body.rs
@@ -25,12 +25,16 @@
         Self { incoming, memory }
     }
 
-    /// Reserves room for bytes of the body and for their copies.
+    /// Reserves room for bytes of the body and for their copies, beside `held_bytes` of the same request.
     ///
     /// # Errors
     /// Too few bytes are free, and too few are held by connections without progress.
-    pub async fn reserve(&self, bytes: usize) -> Result<Reservation, MemoryShortage> {
-        self.memory.reserve(bytes).await
+    pub async fn reserve(
+        &self,
+        bytes: usize,
+        held_bytes: usize,
+    ) -> Result<Reservation, MemoryShortage> {
+        self.memory.reserve(bytes, held_bytes).await
     }
 }
 
--- a/crates/kernel/src/http/request_body.rs
+++ b/crates/kernel/src/http/request_body.rs
@@ -110,7 +110,7 @@
         return Err(too_large);
     }
     let first_bytes = announced_bytes.unwrap_or(UNKNOWN_LENGTH_START_BYTES.min(max_bytes));
-    let reserved = body.reserve(first_bytes * copies).await;
+    let reserved = body.reserve(first_bytes * copies, 0).await;
     let mut received = RequestBody {
         reservation: reserved.map_err(BodyError::NoMemory)?,
         bytes: BytesMut::with_capacity(first_bytes),
@@ -127,7 +127,8 @@
         let capacity_bytes = received.bytes.capacity();
         if length_bytes > capacity_bytes {
             let wanted_bytes = (2 * capacity_bytes).clamp(length_bytes, max_bytes);
-            let more = body.reserve((wanted_bytes - capacity_bytes) * copies);
+            let held_bytes = received.reservation.bytes();
+            let more = body.reserve((wanted_bytes - capacity_bytes) * copies, held_bytes);
             let more = more.await.map_err(BodyError::NoMemory)?;
             received.reservation.merge(more);
             let additional_bytes = wanted_bytes - received.bytes.len();
--- a/crates/kernel/src/memory/connection_memory.rs
+++ b/crates/kernel/src/memory/connection_memory.rs
@@ -71,12 +71,17 @@
         self.enter(ConnectionPhase::Answering);
     }
 
-    /// Reserves room for bytes that the client sends. Closes stalled connections if there is too little.
+    /// Reserves room for bytes that the client sends, beside `held_bytes` of the same request. Closes
+    /// stalled connections if there is too little.
     ///
     /// # Errors
     /// Too few bytes are free, and too few are held by connections without progress.
-    pub async fn reserve(self: &Arc<Self>, bytes: usize) -> Result<Reservation, MemoryShortage> {
-        self.account.reserve(bytes, Some(self)).await
+    pub async fn reserve(
+        self: &Arc<Self>,
+        bytes: usize,
+        held_bytes: usize,
+    ) -> Result<Reservation, MemoryShortage> {
+        self.account.reserve(bytes, held_bytes, self).await
     }
 
     pub(super) fn id(&self) -> u64 {
--- a/crates/kernel/src/memory/memory_account.rs
+++ b/crates/kernel/src/memory/memory_account.rs
@@ -26,10 +26,14 @@
 const SMALL_SHARE: usize = 4;
 /// The largest small reservation: all copies of a request of ordinary size.
 const SMALL_MAX_BYTES: usize = 64 << 10;
+/// The part of the account that the connections of one listener may use. The rest is for their requests.
+const LISTENER_SHARE: usize = 2;
 /// The part of the account that accepted work may use.
 const LASTING_SHARE: usize = 2;
 /// The room of an open connection: the buffer of its head, its send buffer and its tasks.
 const CONNECTION_BYTES: usize = 40 << 10;
+/// The interval between two attempts to open a connection. Others become stalled meanwhile.
+const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(50);
 /// The interval between two log lines about a shortage.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -53,6 +57,8 @@
     /// The bytes of accepted work, which stays until it ends.
     lasting_bytes: usize,
     connections: BTreeMap<u64, Connection>,
+    /// The number of connections of each listener.
+    listeners: BTreeMap<&'static str, usize>,
     next_id: u64,
     /// No connection can be stalled before this time.
     none_stalled_until: Option<Instant>,
@@ -122,13 +128,18 @@
         self.released.notify_waiters();
     }
 
-    /// Reserves bytes that no client sends over a connection of its own.
+    /// Reserves bytes that no client sends over a connection of its own, beside `held_bytes` of the same
+    /// request.
     ///
     /// # Errors
     /// Too few bytes are free.
-    pub fn try_reserve(self: &Arc<Self>, bytes: usize) -> Result<Reservation, MemoryShortage> {
+    pub fn try_reserve(
+        self: &Arc<Self>,
+        bytes: usize,
+        held_bytes: usize,
+    ) -> Result<Reservation, MemoryShortage> {
         let mut entries = self.lock();
-        if !self.take(&mut entries, bytes) {
+        if !self.take(&mut entries, bytes, held_bytes) {
             return Err(self.refuse(&mut entries, bytes));
         }
         Ok(Reservation::new(Arc::clone(self), bytes, None))
@@ -141,9 +152,13 @@
             if let Some(opened) = self.try_open(listener) {
                 return opened;
             }
-            self.evict_stalled(&mut self.lock(), CONNECTION_BYTES, Instant::now());
+            if self.is_full(listener) {
+                self.evict_one(listener);
+            } else {
+                self.evict_stalled(&mut self.lock(), CONNECTION_BYTES, 0, Instant::now());
+            }
             // Connections may also become stalled.
-            let _ = tokio::time::timeout(STALL_TIMEOUT, released).await;
+            let _ = tokio::time::timeout(OPEN_RETRY_INTERVAL, released).await;
         }
     }
 
@@ -159,29 +174,26 @@
         }
     }
 
-    /// Reserves bytes. Closes stalled connections if there is too little room.
+    /// Reserves bytes for the client of a connection. Closes stalled connections if there is too little
+    /// room.
     pub(super) async fn reserve(
         self: &Arc<Self>,
         bytes: usize,
-        connection: Option<&Arc<ConnectionMemory>>,
+        held_bytes: usize,
+        connection: &Arc<ConnectionMemory>,
     ) -> Result<Reservation, MemoryShortage> {
         loop {
             let released = self.released.notified();
             {
                 let mut entries = self.lock();
-                if self.take(&mut entries, bytes) {
-                    if let Some(connection) = connection
-                        && let Some(entry) = entries.connections.get_mut(&connection.id())
-                    {
+                if self.take(&mut entries, bytes, held_bytes) {
+                    if let Some(entry) = entries.connections.get_mut(&connection.id()) {
                         entry.held_bytes += bytes;
                     }
-                    return Ok(Reservation::new(
-                        Arc::clone(self),
-                        bytes,
-                        connection.cloned(),
-                    ));
+                    let connection = Some(Arc::clone(connection));
+                    return Ok(Reservation::new(Arc::clone(self), bytes, connection));
                 }
-                if !self.evict_stalled(&mut entries, bytes, Instant::now()) {
+                if !self.evict_stalled(&mut entries, bytes, held_bytes, Instant::now()) {
                     return Err(self.refuse(&mut entries, bytes));
                 }
             }
@@ -207,9 +219,15 @@
     }
 
     pub(super) fn close(&self, id: u64) {
-        if self.lock().connections.remove(&id).is_some() {
-            self.release(CONNECTION_BYTES);
+        let mut entries = self.lock();
+        let Some(closed) = entries.connections.remove(&id) else {
+            return;
+        };
+        if let Some(open) = entries.listeners.get_mut(closed.listener) {
+            *open -= 1;
         }
+        drop(entries);
+        self.release(CONNECTION_BYTES);
     }
 
     pub(super) fn is_stalled(&self, id: u64, now: Instant) -> bool {
@@ -242,10 +260,14 @@
     }
 
     fn try_open(self: &Arc<Self>, listener: &'static str) -> Option<Arc<ConnectionMemory>> {
+        if self.is_full(listener) {
+            return None;
+        }
         let mut entries = self.lock();
-        if !self.take(&mut entries, CONNECTION_BYTES) {
+        if !self.take(&mut entries, CONNECTION_BYTES, 0) {
             return None;
         }
+        *entries.listeners.entry(listener).or_default() += 1;
         let id = entries.next_id;
         entries.next_id += 1;
         let evict = CancellationToken::new();
@@ -260,9 +282,15 @@
         Some(Arc::new(ConnectionMemory::new(Arc::clone(self), id, evict)))
     }
 
+    /// Returns whether the connections of a listener use their part of the account.
+    fn is_full(&self, listener: &'static str) -> bool {
+        let open = self.lock().listeners.get(listener).copied().unwrap_or(0);
+        (open + 1) * CONNECTION_BYTES > self.capacity_bytes / LISTENER_SHARE
+    }
+
     /// Takes bytes if they are free.
-    fn take(&self, entries: &mut Entries, bytes: usize) -> bool {
-        if self.missing_bytes(entries, bytes) > 0 {
+    fn take(&self, entries: &mut Entries, bytes: usize, held_bytes: usize) -> bool {
+        if self.missing_bytes(entries, bytes, held_bytes) > 0 {
             return false;
         }
         entries.used_bytes += bytes;
@@ -271,8 +299,8 @@
     }
 
     /// Returns how many bytes must be released before a reservation fits.
-    fn missing_bytes(&self, entries: &Entries, bytes: usize) -> usize {
-        let capacity_bytes = match bytes > SMALL_MAX_BYTES {
+    fn missing_bytes(&self, entries: &Entries, bytes: usize, held_bytes: usize) -> usize {
+        let capacity_bytes = match held_bytes + bytes > SMALL_MAX_BYTES {
             true => self.capacity_bytes - self.capacity_bytes / SMALL_SHARE,
             false => self.capacity_bytes,
         };
@@ -281,8 +309,14 @@
 
     /// Closes as many stalled connections as a reservation needs. Returns `false`, and closes none, if
     /// they hold too little.
-    fn evict_stalled(&self, entries: &mut Entries, bytes: usize, now: Instant) -> bool {
-        let missing_bytes = self.missing_bytes(entries, bytes);
+    fn evict_stalled(
+        &self,
+        entries: &mut Entries,
+        bytes: usize,
+        held_bytes: usize,
+        now: Instant,
+    ) -> bool {
+        let missing_bytes = self.missing_bytes(entries, bytes, held_bytes);
         let connections = entries.connections.values_mut();
         let leaving = connections.filter(|entry| entry.phase == ConnectionPhase::Evicted);
         let leaving_bytes: usize = leaving.map(|entry| entry.held_bytes).sum();
--- a/crates/kernel/src/memory/reservation.rs
+++ b/crates/kernel/src/memory/reservation.rs
@@ -44,8 +44,8 @@
         self.bytes
     }
 
-    /// Adds the size of another reservation of the same connection.
-    pub(crate) fn merge(&mut self, mut other: Self) {
+    /// Adds the size of another reservation of the same request.
+    pub fn merge(&mut self, mut other: Self) {
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
--- a/crates/kernel/tests/memory.rs
+++ b/crates/kernel/tests/memory.rs
@@ -30,7 +30,7 @@
 )> {
     let connection = account.open(LISTENER).await;
     connection.record_received(1);
-    let reservation = connection.reserve(LARGE_BYTES).await.ok()?;
+    let reservation = connection.reserve(LARGE_BYTES, 0).await.ok()?;
     Some((connection, reservation))
 }
 
@@ -48,13 +48,26 @@
     }
 
     let ordinary = account.open(LISTENER).await;
-    let small = ordinary.reserve(SMALL_BYTES).await;
+    let small = ordinary.reserve(SMALL_BYTES, 0).await;
 
     assert!(crowd.len() * LARGE_BYTES <= LARGE_MAX_BYTES);
     assert!(crowd.len() * LARGE_BYTES > LARGE_MAX_BYTES * 9 / 10);
     assert!(small.is_ok(), "{small:?}");
 }
 
+/// Guards against large requests that take the room of small ones piece by piece.
+#[tokio::test(start_paused = true)]
+async fn a_large_request_that_grows_is_no_small_one() {
+    let account = account();
+    let mut held = account.try_reserve(0, 0).expect("room");
+
+    while let Ok(more) = account.try_reserve(SMALL_BYTES, held.bytes()) {
+        held.merge(more);
+    }
+
+    assert!(held.bytes() <= LARGE_MAX_BYTES);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_crowd_that_still_makes_progress_is_not_closed() {
     let account = account();
@@ -115,6 +128,26 @@
     assert!(!is_evicted(&idle).await);
 }
 
+/// Guards against connections that leave no room for their requests.
+#[tokio::test(start_paused = true)]
+async fn a_crowd_of_connections_leaves_room_for_requests() {
+    let account = account();
+    let mut crowd = Vec::new();
+    while let Ok(connection) = timeout(LONG / 10, account.open(LISTENER)).await {
+        connection.record_received(1);
+        connection.begin_running();
+        crowd.push(connection);
+    }
+
+    let check = timeout(LONG, account.open("ready")).await;
+    let small = crowd[0].reserve(SMALL_BYTES, 0).await;
+    let large = crowd[1].reserve(LARGE_BYTES, 0).await;
+
+    assert!(crowd.len() >= 900, "{}", crowd.len());
+    assert!(check.is_ok());
+    assert!(small.is_ok() && large.is_ok());
+}
+
 #[tokio::test(start_paused = true)]
 async fn running_calls_are_never_closed() {
     let account = account();
@@ -144,7 +177,7 @@
 async fn bytes_keep_their_room_until_the_last_copy_is_dropped() {
     let account = account();
     let connection = account.open(LISTENER).await;
-    let reservation = connection.reserve(LARGE_BYTES).await.expect("room");
+    let reservation = connection.reserve(LARGE_BYTES, 0).await.expect("room");
 
     let used_bytes = || account.metrics().used_bytes.get();
     let bytes = reservation.attach_to(vec![0; 10]);
--- a/crates/peer/src/rpc/body.rs
+++ b/crates/peer/src/rpc/body.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use dotterelhook_kernel::memory::MemoryAccount;
+use dotterelhook_kernel::memory::Reservation;
 use h2::RecvStream;
 use h2::SendStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -10,10 +12,28 @@
 const SEND_CHUNK_BYTES: usize = 16 << 10;
 const BUDGET_UNIT_BYTES: usize = 1 << 10;
 
+/// How many times its size a received body takes: the frame, what is decoded from it, and the copy that is
+/// sent on.
+const RECEIVED_COPIES: usize = 3;
+
+/// The largest body that does not draw from the account. The hosts' calls about cells are smaller, and must
+/// get through beside any crowd; the limit on calls bounds them.
+const CONTROL_MAX_BYTES: usize = 4 << 10;
+
 /// The memory budget that the bodies of all calls share.
 #[derive(Clone, Debug)]
 pub(super) struct BodyBudget {
     units: Arc<Semaphore>,
+    /// The account of the process, for bodies that hold what clients have sent.
+    account: Option<Arc<MemoryAccount>>,
+}
+
+/// What a body has reserved so far.
+#[derive(Debug, Default)]
+struct Reserved {
+    received_bytes: usize,
+    units: Vec<OwnedSemaphorePermit>,
+    memory: Option<Reservation>,
 }
 
 impl BodyBudget {
@@ -21,13 +41,36 @@
     pub(super) fn new(bytes: usize) -> Self {
         Self {
             units: Arc::new(Semaphore::new(bytes / BUDGET_UNIT_BYTES)),
+            account: None,
         }
     }
 
-    /// Reserves `bytes`, rounded up to whole units; returns `None` if too little is free.
-    fn try_reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+    /// Also draws from the account of the process.
+    pub(super) fn with_account(self, account: Arc<MemoryAccount>) -> Self {
+        Self {
+            account: Some(account),
+            ..self
+        }
+    }
+
+    /// Reserves `bytes` more, rounded up to whole units; returns `None` if too little is free.
+    fn try_reserve(&self, bytes: usize, reserved: &mut Reserved) -> Option<()> {
         let units = bytes.div_ceil(BUDGET_UNIT_BYTES).try_into().ok()?;
-        Arc::clone(&self.units).try_acquire_many_owned(units).ok()
+        let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
+        reserved.received_bytes += bytes;
+        if let Some(account) = &self.account
+            && reserved.received_bytes > CONTROL_MAX_BYTES
+        {
+            let held_bytes = reserved.memory.as_ref().map_or(0, Reservation::bytes);
+            let more = account.try_reserve(bytes * RECEIVED_COPIES, held_bytes);
+            let more = more.ok()?;
+            match &mut reserved.memory {
+                Some(memory) => memory.merge(more),
+                None => reserved.memory = Some(more),
+            }
+        }
+        reserved.units.push(units);
+        Some(())
     }
 }
 
@@ -35,7 +78,7 @@
 #[derive(Debug)]
 pub(super) struct ReceivedBody {
     pub(super) body: Bytes,
-    _permits: Vec<OwnedSemaphorePermit>,
+    _reserved: Reserved,
 }
 
 /// Receives a complete body.
@@ -48,23 +91,22 @@
     budget: &BodyBudget,
 ) -> Result<ReceivedBody, Box<str>> {
     let mut body = BytesMut::new();
-    let mut permits = Vec::new();
+    let mut reserved = Reserved::default();
     while let Some(chunk) = stream.data().await {
         let chunk = chunk.map_err(|error| Box::<str>::from(error.to_string()))?;
         if body.len() + chunk.len() > max_bytes {
             return Err(format!("the body is larger than {max_bytes} bytes").into());
         }
-        let Some(permit) = budget.try_reserve(chunk.len()) else {
+        if budget.try_reserve(chunk.len(), &mut reserved).is_none() {
             return Err("too many bytes are in flight".into());
-        };
-        permits.push(permit);
+        }
         // Returning the capacity lets the sender continue.
         let _ = stream.flow_control().release_capacity(chunk.len());
         body.extend_from_slice(&chunk);
     }
     Ok(ReceivedBody {
         body: body.freeze(),
-        _permits: permits,
+        _reserved: reserved,
     })
 }
 
--- a/crates/peer/src/rpc/call_context.rs
+++ b/crates/peer/src/rpc/call_context.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_types::CallError;
 use dotterelhook_types::Verdict;
 use h2::RecvStream;
@@ -38,14 +39,14 @@
 }
 
 impl CallContext {
-    /// Creates a context without handlers.
-    pub(super) fn new(limits: PeerLimits) -> Self {
+    /// Creates a context without handlers. Bodies draw from the account of the process.
+    pub(super) fn new(limits: PeerLimits, account: Arc<MemoryAccount>) -> Self {
         Self {
             handlers: Arc::default(),
             limits,
             refusals: Refusals::new("peer"),
             call_permits: Arc::new(Semaphore::new(limits.calls_max)),
-            body_budget: BodyBudget::new(limits.bodies_max_bytes),
+            body_budget: BodyBudget::new(limits.bodies_max_bytes).with_account(account),
         }
     }
 
--- a/crates/peer/src/rpc/peer_server.rs
+++ b/crates/peer/src/rpc/peer_server.rs
@@ -67,7 +67,7 @@
                 .await
                 .wrap_err_with(|| format!("can't listen on {address}"))?,
         };
-        let context = Arc::new(CallContext::new(self.limits));
+        let context = Arc::new(CallContext::new(self.limits, kernel.memory()));
         let registry = kernel.registry();
         let metrics = registry.find::<Metrics>(names::METRICS)?;
         let help = "Calls and connections of peers that were refused";
--- a/crates/peer/tests/rpc.rs
+++ b/crates/peer/tests/rpc.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::memory::MachineMemory;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandler;
@@ -83,8 +84,11 @@
 }
 
 async fn fixture(limits: PeerLimits) -> Fixture {
+    fixture_with(limits, Kernel::default()).await
+}
+
+async fn fixture_with(limits: PeerLimits, kernel: Kernel) -> Fixture {
     let (listener, address) = listener().await;
-    let kernel = Kernel::default();
     let metrics = Arc::new(Metrics::default());
     kernel
         .registry()
@@ -174,6 +178,41 @@
     assert!(metrics.contains("peer_calls_refused_total{reason=\"no-such-call\"} 1"));
 }
 
+/// Guards against bodies of other hosts that outgrow the machine beside those of clients.
+#[tokio::test]
+async fn a_crowd_of_bodies_stays_within_the_memory_of_the_machine() {
+    let kernel = Kernel::new(MachineMemory::from_megabytes(64));
+    let fixture = fixture_with(PeerLimits::default(), kernel).await;
+    let used_bytes = || fixture.kernel.memory().metrics().used_bytes.get();
+
+    let calls = (0..100).map(|_| {
+        let address = fixture.address;
+        tokio::spawn(verdict(address, "gate", 250_000, TEST_TIMEOUT))
+    });
+    let calls: Vec<_> = calls.collect();
+    fixture.wait_started(1).await;
+    let refused = async {
+        while calls.iter().filter(|call| call.is_finished()).count() < 68 {
+            tokio::time::sleep(SHORT_TIMEOUT / 20).await;
+        }
+    };
+    let refused = tokio::time::timeout(TEST_TIMEOUT / 3, refused).await;
+    let used_by_crowd_bytes = used_bytes();
+    let small = verdict(fixture.address, "echo", 4_000, TEST_TIMEOUT).await;
+    fixture.gate.open.add_permits(100);
+    let mut verdicts = Vec::new();
+    for call in calls {
+        verdicts.push(call.await.expect("no panic"));
+    }
+
+    assert!(refused.is_ok(), "fewer than 68 calls were refused");
+    assert!(used_by_crowd_bytes <= 24_000_000, "{used_by_crowd_bytes}");
+    assert_eq!(small, Verdict::Ran);
+    assert!(verdicts.contains(&Verdict::Ran));
+    assert!(!verdicts.contains(&Verdict::MayHaveRun));
+    assert_eq!(used_bytes(), 0);
+}
+
 /// How a faulty peer behaves when a call arrives.
 #[derive(Clone, Copy, Debug)]
 enum FaultyPeer {
