Bound the accepted jobs that an owner keeps, by the memory of its machine

Callers saw the owner of a cell end after 80 accepted jobs of 40,000 tasks (199 MB) or 650 accepted jobs of 261 KB (193 MB), and end again after each restart, since it reads them all anew. Cause: an owner can't refuse what is stored, and no host asked it before it stored a submission.

The memory of accepted jobs counts in the account of the process, and at most half of that account is for them. A job that takes more than 320 KB in the owner needs a reservation there before it is stored. Smaller ones don't wait: a host asks in the background after every 64 KB of them, and only waits while room is short or 512 KB were accepted without an answer. The last quarter of the room is for jobs of up to 64 KB. A refusal is 503 with Retry-After 2 s, and never for a job that the owner knows; likewise, a submission whose body found no room is accepted if an earlier one of the same job is stored. The room is that of the smallest host that has asked, since any host may own the cell next. A takeover drops each record once it is decoded, instead of holding both forms of all jobs.

--- a/crates/daemon/src/jobs/jobs_daemon.rs
+++ b/crates/daemon/src/jobs/jobs_daemon.rs
@@ -15,6 +15,8 @@
 use dotterelhook_jobs::entry::RecordForwarder;
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
+use dotterelhook_jobs::entry::RoomAdmission;
+use dotterelhook_jobs::entry::RoomSource;
 use dotterelhook_jobs::entry::add_owner_handlers;
 use dotterelhook_jobs::evacuation::OperatorView;
 use dotterelhook_jobs::observe::Decision;
@@ -156,6 +158,7 @@
             },
             peers: Arc::clone(&peers),
             metrics: job_metrics.clone(),
+            memory: kernel.memory(),
         });
 
         let writer = RecordWriter::new(Arc::clone(&store), Arc::clone(&health));
@@ -189,7 +192,12 @@
             Arc::clone(&directory),
             peers,
             cell_count,
+            &kernel.memory(),
         ));
+        let room = RoomAdmission::new(
+            Arc::clone(&owner_client) as Arc<dyn RoomSource>,
+            settings.entry.query_timeout,
+        );
         let forwarder = Arc::clone(&owner_client) as Arc<dyn RecordForwarder>;
         let capacity = CapacityAdmission::new(
             Arc::clone(&owner_client) as Arc<dyn CapacitySource>,
@@ -206,6 +214,7 @@
             writer,
             settings: settings.entry,
             capacity,
+            room,
             cell_count,
             metrics: job_metrics,
             recent: Mutex::new(RecentJobs::new(settings.entry.recent_retention)),
--- a/crates/jobs/src/entry/entry_handler.rs
+++ b/crates/jobs/src/entry/entry_handler.rs
@@ -23,12 +23,15 @@
 use tokio::time::timeout_at;
 
 use super::CapacityAdmission;
+use super::CapacitySource;
 use super::EntrySettings;
 use super::OwnerClient;
 use super::RecentJobs;
 use super::RecordRouter;
 use super::RecordWriter;
+use super::RoomAdmission;
 use crate::admission::CapacityRefusal;
+use crate::admission::longest_return_time;
 use crate::admission::return_time;
 use crate::config::ActiveConfig;
 use crate::config::DeploymentConfig;
@@ -60,6 +63,8 @@
 /// A submission that is ready to be stored.
 struct PreparedSubmission {
     record: KeyedRecord,
+    /// What the owner of the job will keep for it.
+    kept_bytes: usize,
     /// Why capacity seems too short for it, with the age of the report that says so.
     shortage: Option<(CapacityRefusal, Duration)>,
 }
@@ -80,6 +85,8 @@
     pub settings: EntrySettings,
     /// Refuses submissions for lack of capacity.
     pub capacity: CapacityAdmission,
+    /// Refuses submissions for which the owner of their cell has no room.
+    pub room: Arc<RoomAdmission>,
     /// The number of cells of the deployment.
     pub cell_count: u32,
     /// The metrics of calls.
@@ -166,7 +173,7 @@
             Err(error @ BodyError::TooLarge { .. }) => {
                 return ClientReply::Malformed(error.to_string().into());
             }
-            Err(error) => return self.not_done(&error.to_string()),
+            Err(error) => return self.refuse_unread(id, &error).await,
         };
         let prepared = match self.prepare(id, route, body) {
             Ok(prepared) => prepared,
@@ -181,6 +188,14 @@
                 retry_after: refusal.return_time(self.settings.retry_after),
             };
         }
+        let cell = cell_of(id.as_str(), self.cell_count);
+        let has_room = self.room.admit(cell, id, prepared.kept_bytes, deadline);
+        if let Err(refusal) = has_room.await {
+            return ClientReply::NotDone {
+                cause: refusal.to_string().into(),
+                retry_after: longest_return_time(self.settings.retry_after),
+            };
+        }
         match self.store_record(id, prepared.record, deadline).await {
             Ok(()) => {
                 let mut recent = self.recent.lock().unwrap_or_else(PoisonError::into_inner);
@@ -191,6 +206,21 @@
         }
     }
 
+    /// Refuses a submission that was not received. If an earlier one of the same job is stored, the job
+    /// runs, and the client must not hear that it never does.
+    async fn refuse_unread(&self, id: JobId, error: &BodyError) -> ClientReply {
+        let is_left = matches!(error, BodyError::BrokenOff(_));
+        let is_accepted = !is_left
+            && (self.is_recent(id) || {
+                let known = self.owner_client.is_known(id, self.settings.query_timeout);
+                known.await == Ok(true)
+            });
+        match is_accepted {
+            true => ClientReply::Accepted,
+            false => self.not_done(&error.to_string()),
+        }
+    }
+
     /// Encodes the record of a submission. The body and its decoded form end here: of a call that waits,
     /// only the record is kept.
     fn prepare(
@@ -223,6 +253,7 @@
         let Submission { spec, queue, .. } = &submission;
         Ok(PreparedSubmission {
             record,
+            kept_bytes: submission.memory_bytes(),
             shortage: self.capacity.assess(id, spec, queue),
         })
     }
--- a/crates/jobs/src/entry/mod.rs
+++ b/crates/jobs/src/entry/mod.rs
@@ -11,6 +11,8 @@
 mod record_forwarder;
 mod record_router;
 mod record_writer;
+mod room_admission;
+mod room_source;
 
 pub use capacity_admission::CapacityAdmission;
 pub use capacity_source::CapacitySource;
@@ -24,3 +26,6 @@
 pub use record_forwarder::RecordForwarder;
 pub use record_router::RecordRouter;
 pub use record_writer::RecordWriter;
+pub use room_admission::RoomAdmission;
+pub use room_admission::RoomRefusal;
+pub use room_source::RoomSource;
--- a/crates/jobs/src/entry/owner_client.rs
+++ b/crates/jobs/src/entry/owner_client.rs
@@ -3,6 +3,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandler;
 use dotterelhook_peer::rpc::PeerHandlers;
@@ -14,6 +15,7 @@
 use super::CapacitySource;
 use super::RecordForwarder;
 use super::RecordWriter;
+use super::RoomSource;
 use crate::admission::CapacityReport;
 use crate::ledger::decode;
 use crate::ledger::encode;
@@ -32,6 +34,7 @@
 const CAPACITY: &str = "capacity";
 const PENDING_COUNT: &str = "pending-count";
 const STORE_RECORD: &str = "store-record";
+const JOB_ROOM: &str = "job-room";
 
 /// The part of a record's time that is reserved for the owner's answer.
 const FORWARD_MARGIN: Duration = Duration::from_millis(30);
@@ -42,6 +45,8 @@
     directory: Arc<OwnerDirectory>,
     peers: Arc<PeerClient>,
     cell_count: u32,
+    /// The room that this host would have as an owner.
+    room_max_bytes: usize,
 }
 
 impl OwnerClient {
@@ -52,12 +57,14 @@
         directory: Arc<OwnerDirectory>,
         peers: Arc<PeerClient>,
         cell_count: u32,
+        memory: &MemoryAccount,
     ) -> Self {
         Self {
             owned_cells,
             directory,
             peers,
             cell_count,
+            room_max_bytes: memory.lasting_max_bytes(),
         }
     }
 
@@ -144,6 +151,25 @@
     }
 }
 
+#[async_trait]
+impl RoomSource for OwnerClient {
+    async fn reserve_room(
+        &self,
+        cell: u32,
+        id: JobId,
+        bytes: usize,
+        timeout: Duration,
+    ) -> Result<bool, CallError> {
+        match self.owned_cells.find(cell) {
+            Some(owner) => Ok(owner.reserve_room(id, bytes, self.room_max_bytes)),
+            None => {
+                let request = (cell, id, bytes as u64, self.room_max_bytes as u64);
+                self.call(cell, JOB_ROOM, &request, timeout).await
+            }
+        }
+    }
+}
+
 #[async_trait]
 impl RecordForwarder for OwnerClient {
     async fn forward(
@@ -182,6 +208,7 @@
         Arc::new(PendingCountHandler(Arc::clone(owned_cells))),
     );
     handlers.add(CAPACITY, Arc::new(CapacityHandler(Arc::clone(owned_cells))));
+    handlers.add(JOB_ROOM, Arc::new(JobRoomHandler(Arc::clone(owned_cells))));
 }
 
 struct JobStateHandler(Arc<OwnedCells>);
@@ -190,6 +217,8 @@
 
 struct CapacityHandler(Arc<OwnedCells>);
 
+struct JobRoomHandler(Arc<OwnedCells>);
+
 struct StoreRecordHandler(Arc<RecordWriter>);
 
 #[async_trait]
@@ -230,6 +259,15 @@
     }
 }
 
+#[async_trait]
+impl PeerHandler for JobRoomHandler {
+    async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
+        let (cell, id, bytes, host_max_bytes): (u32, JobId, u64, u64) = decode_request(&frame)?;
+        let owner = self.0.find(cell).ok_or_else(|| not_owner(cell))?;
+        encode_answer(&owner.reserve_room(id, bytes as usize, host_max_bytes as usize))
+    }
+}
+
 #[async_trait]
 impl PeerHandler for CapacityHandler {
     async fn call(&self, frame: Bytes) -> Result<Bytes, CallError> {
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -31,8 +31,13 @@
     cancelled_before_submission: HashSet<JobId>,
     /// The states that clients may see; each one lags behind its job until the progress is stored.
     published: HashMap<JobId, JobState>,
+    /// The memory of the active jobs.
+    active_bytes: usize,
 }
 
+/// What a finished job takes, with its published state.
+const FINISHED_JOB_BYTES: usize = 160;
+
 impl JobLedger {
     /// Adds a submitted job and returns whether the job is new.
     ///
@@ -54,6 +59,7 @@
         if self.active.contains_key(&id) || self.finished.contains_key(&id) {
             return false;
         }
+        self.active_bytes += submission.memory_bytes();
         let mut job = Job::new(id, submission, progress, accepted_at);
         if self.cancelled_before_submission.remove(&id) {
             job.cancel();
@@ -76,6 +82,11 @@
         false
     }
 
+    /// Returns the memory that the jobs need, at most.
+    pub fn memory_bytes(&self) -> usize {
+        self.active_bytes + self.finished.len() * FINISHED_JOB_BYTES
+    }
+
     /// Returns an active job: one that is not finished.
     pub fn job(&self, id: JobId) -> Option<&Job> {
         self.active.get(&id)
@@ -125,7 +136,9 @@
 
     /// Adds a job to the finished ones and drops its tasks, once its last record is stored.
     pub fn finalize(&mut self, id: JobId, state: JobState, now: Instant) {
-        self.active.remove(&id);
+        if let Some(job) = self.active.remove(&id) {
+            self.active_bytes -= job.submission().memory_bytes();
+        }
         self.finished.insert(
             id,
             FinishedJob {
--- a/crates/jobs/src/model/step_spec.rs
+++ b/crates/jobs/src/model/step_spec.rs
@@ -45,6 +45,18 @@
 }
 
 impl StepSpec {
+    /// Returns the memory that the specification takes.
+    pub fn memory_bytes(&self) -> usize {
+        let labels = [&self.required_label, &self.preferred_rack];
+        let labels_bytes: usize = labels
+            .into_iter()
+            .flatten()
+            .map(|label| label.as_str().len())
+            .sum();
+        let image_bytes = self.image.as_ref().map_or(0, |image| image.as_str().len());
+        size_of::<Self>() + size_of_val(&*self.after) + labels_bytes + image_bytes
+    }
+
     /// Returns the resources that a task reserves on its executor; no processor time for a filler.
     pub fn reserved(&self) -> Resources {
         let mut reserved = self.need;
--- a/crates/jobs/src/ownership/cell_owner.rs
+++ b/crates/jobs/src/ownership/cell_owner.rs
@@ -8,6 +8,8 @@
 use std::time::UNIX_EPOCH;
 
 use bytes::Bytes;
+use dotterelhook_kernel::memory::LastingMemory;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_types::CallError;
 use dotterelhook_types::ids::Epoch;
@@ -27,6 +29,7 @@
 use super::topics::CANCELLATION_KEY_PREFIX;
 use super::topics::job_submission_partition;
 use crate::admission::CapacityReport;
+use crate::admission::JobRoom;
 use crate::cell::CellSettings;
 use crate::cell::CellState;
 use crate::cell::JobLookup;
@@ -84,6 +87,8 @@
     pub peers: Arc<PeerClient>,
     /// The metrics of this process.
     pub metrics: JobMetrics,
+    /// The account of the memory that this process has for clients.
+    pub memory: Arc<MemoryAccount>,
 }
 
 /// The owner of one cell, from its claim until another host replaces it or the process stops.
@@ -92,6 +97,9 @@
     pub(super) context: Arc<OwnerContext>,
     state: Mutex<CellState>,
     answer_timeout: Mutex<AnswerTimeout>,
+    /// The memory of the cell's jobs in the account of the process.
+    kept_jobs: LastingMemory,
+    room: Mutex<JobRoom>,
     /// The newest capacity reports by failure domain of entry, each with its time.
     capacity_reports: Mutex<BTreeMap<Option<FailureDomainName>, (Instant, CapacityReport)>>,
     /// The send time of the latest append that the store accepted from this owner, since boot. No other
@@ -129,6 +137,8 @@
             cell,
             state: Mutex::new(state),
             answer_timeout: Mutex::new(answer_timeout),
+            kept_jobs: LastingMemory::new(Arc::clone(&context.memory)),
+            room: Mutex::new(JobRoom::new(context.memory.lasting_max_bytes())),
             capacity_reports: Mutex::default(),
             confirmed_at: Mutex::new(started_since_boot),
             wake: Notify::new(),
@@ -143,6 +153,7 @@
             .takeover_seconds
             .observe(started.elapsed().as_secs_f64());
         decided!(Decision::CellClaimed, cell: cell, epoch: epoch, open_jobs: jobs, took_ms: started.elapsed().as_millis());
+        owner.count_kept_jobs();
         owner.start(submission_feeds, next_sequence);
         Ok(owner)
     }
@@ -231,6 +242,24 @@
         report
     }
 
+    /// Returns whether there is room for a job of the given size, or the job is known. Reserves the room
+    /// for a large job. `host_max_bytes` is the room that the asking host would have as an owner.
+    pub fn reserve_room(&self, id: JobId, bytes: usize, host_max_bytes: usize) -> bool {
+        let (is_known, kept_bytes) = self.with_state(|state| {
+            let is_known = state.lookup_job_state(id) != JobLookup::NotSubmitted;
+            (is_known, state.ledger().memory_bytes())
+        });
+        let mut room = self.room.lock().unwrap_or_else(PoisonError::into_inner);
+        room.limit_to(host_max_bytes);
+        is_known || room.reserve(bytes, kept_bytes, Instant::now())
+    }
+
+    /// Counts the memory of the jobs in the account of the process.
+    pub(super) fn count_kept_jobs(&self) {
+        let kept_bytes = self.with_state(|state| state.ledger().memory_bytes());
+        self.kept_jobs.set(kept_bytes);
+    }
+
     /// Runs `act` on the state under its lock.
     pub(super) fn with_state<T>(&self, act: impl FnOnce(&mut CellState) -> T) -> T {
         act(&mut self.lock())
@@ -423,6 +452,7 @@
                     }
                 }
             }
+            self.count_kept_jobs();
             let has_right = self.may_renew();
             if has_right != had_right {
                 self.log_right(has_right);
--- a/crates/jobs/src/ownership/takeover.rs
+++ b/crates/jobs/src/ownership/takeover.rs
@@ -108,10 +108,11 @@
     }
     let (submission_feeds, stored) = read_submissions(context, cell).await?;
     let mut cancelled = Vec::new();
-    for record in &stored {
+    // Each record is dropped once it is decoded: both forms of all jobs may exceed the memory.
+    for record in stored {
         if let Some(id) = record.key.strip_prefix(CANCELLATION_KEY_PREFIX) {
             cancelled.extend(JobId::from_str(id).ok());
-        } else if let Some((id, submission)) = decode_submission(record) {
+        } else if let Some((id, submission)) = decode_submission(&record) {
             let age = age_of(&submission);
             let accepted_at = now.checked_sub(age).unwrap_or(now);
             let stored = progress.remove(&id).unwrap_or_default();
--- a/crates/jobs/tests/admission/main.rs
+++ b/crates/jobs/tests/admission/main.rs
@@ -5,4 +5,5 @@
 mod crowds;
 mod queues;
 mod return_times;
+mod room;
 mod serial_store;
--- a/crates/jobs/tests/entry/bodies.rs
+++ b/crates/jobs/tests/entry/bodies.rs
@@ -17,6 +17,8 @@
 use dotterelhook_jobs::entry::RecordForwarder;
 use dotterelhook_jobs::entry::RecordRouter;
 use dotterelhook_jobs::entry::RecordWriter;
+use dotterelhook_jobs::entry::RoomAdmission;
+use dotterelhook_jobs::entry::RoomSource;
 use dotterelhook_jobs::model::JobSpec;
 use dotterelhook_jobs::model::JobSpecError;
 use dotterelhook_jobs::model::QueueConfig;
@@ -102,6 +104,7 @@
         Arc::new(OwnerDirectory::new(store, 1)),
         Arc::new(PeerClient::default()),
         1,
+        &kernel.memory(),
     ));
     let active = Arc::new(ActiveConfig::default());
     active.activate_if_newer(config());
@@ -118,10 +121,14 @@
         protocol: Arc::new(SubmitOnly),
         config: active,
         records: RecordRouter::new(Arc::clone(&writer), forwarder),
-        owner_client,
         writer,
         settings: EntrySettings::default(),
         capacity,
+        room: RoomAdmission::new(
+            Arc::clone(&owner_client) as Arc<dyn RoomSource>,
+            EntrySettings::default().query_timeout,
+        ),
+        owner_client,
         cell_count: 1,
         metrics: metrics.clone(),
         recent: Mutex::new(RecentJobs::new(Duration::from_secs(10))),
--- a/crates/jobs/tests/ownership/forwarded_records.rs
+++ b/crates/jobs/tests/ownership/forwarded_records.rs
@@ -14,6 +14,8 @@
 use dotterelhook_jobs::platform::Store;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::memory::MachineMemory;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::rpc::PeerHandler;
 use dotterelhook_peer::rpc::PeerHandlers;
@@ -68,6 +70,7 @@
         directory,
         Arc::default(),
         1,
+        &MemoryAccount::new(MachineMemory::from_megabytes(160)),
     )
 }
 
--- a/crates/jobs/tests/ownership/hosts.rs
+++ b/crates/jobs/tests/ownership/hosts.rs
@@ -36,6 +36,8 @@
 use dotterelhook_jobs::store_access::TrackedStore;
 use dotterelhook_kernel::Kernel;
 use dotterelhook_kernel::Metrics;
+use dotterelhook_kernel::memory::MachineMemory;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_kernel::names;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_peer::rpc::PeerHandlers;
@@ -147,6 +149,7 @@
             },
             peers: Arc::clone(&peers),
             metrics: job_metrics.clone(),
+            memory: MemoryAccount::new(MachineMemory::from_megabytes(160)),
         });
         let owned_cells = Arc::new(OwnedCells::default());
         let kernel = Kernel::default();
@@ -170,6 +173,7 @@
             Arc::clone(&directory),
             peers,
             1,
+            &kernel.memory(),
         ));
         let forwarder = Arc::clone(&owner_client) as Arc<dyn RecordForwarder>;
         tokio::spawn(directory.run());
--- a/crates/jobs/tests/ownership/rights.rs
+++ b/crates/jobs/tests/ownership/rights.rs
@@ -41,6 +41,8 @@
 use dotterelhook_jobs::store_access::StoreHealth;
 use dotterelhook_jobs::store_access::TrackedStore;
 use dotterelhook_jobs::store_access::time_since_boot;
+use dotterelhook_kernel::memory::MachineMemory;
+use dotterelhook_kernel::memory::MemoryAccount;
 use dotterelhook_peer::rpc::PeerClient;
 use dotterelhook_types::ids::Incarnation;
 use dotterelhook_types::sizes::CpuMilli;
@@ -227,6 +229,7 @@
     let config = Arc::new(ActiveConfig::default());
     config.activate_if_newer(DeploymentConfig::default());
     Arc::new(OwnerContext {
+        memory: MemoryAccount::new(MachineMemory::from_megabytes(160)),
         platform: Arc::new(OneExecutorPlatform {
             store: Arc::clone(&store),
             executor: Arc::clone(executor) as Arc<dyn ExecutorLink>,
--- a/crates/kernel/src/memory/memory_account.rs
+++ b/crates/kernel/src/memory/memory_account.rs
@@ -117,12 +117,12 @@
         self.capacity_bytes / LASTING_SHARE
     }
 
-    /// Sets the size of accepted work, which can't be refused any more.
-    pub fn set_lasting(&self, bytes: usize) {
+    /// Replaces the size of a part of the accepted work.
+    pub(super) fn change_lasting(&self, former_bytes: usize, bytes: usize) {
         let mut entries = self.lock();
-        entries.used_bytes = entries.used_bytes - entries.lasting_bytes + bytes;
-        entries.lasting_bytes = bytes;
-        self.metrics.lasting_bytes.set(bytes as i64);
+        entries.used_bytes = entries.used_bytes - former_bytes + bytes;
+        entries.lasting_bytes = entries.lasting_bytes - former_bytes + bytes;
+        self.metrics.lasting_bytes.set(entries.lasting_bytes as i64);
         self.metrics.used_bytes.set(entries.used_bytes as i64);
         drop(entries);
         self.released.notify_waiters();
--- a/crates/kernel/src/memory/mod.rs
+++ b/crates/kernel/src/memory/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection_memory;
 mod connection_phase;
+mod lasting_memory;
 mod machine_memory;
 mod memory_account;
 mod memory_metrics;
@@ -10,6 +11,7 @@
 mod reservation;
 
 pub use connection_memory::ConnectionMemory;
+pub use lasting_memory::LastingMemory;
 pub use machine_memory::MachineMemory;
 pub use memory_account::MemoryAccount;
 pub use memory_metrics::MemoryMetrics;
--- a/crates/kernel/tests/memory.rs
+++ b/crates/kernel/tests/memory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use dotterelhook_kernel::memory::ConnectionMemory;
+use dotterelhook_kernel::memory::LastingMemory;
 use dotterelhook_kernel::memory::MachineMemory;
 use dotterelhook_kernel::memory::MemoryAccount;
 use tokio::time::advance;
@@ -193,10 +194,11 @@
 #[tokio::test(start_paused = true)]
 async fn accepted_work_takes_room_from_requests() {
     let account = account();
-    account.set_lasting(LARGE_MAX_BYTES);
+    let lasting = LastingMemory::new(Arc::clone(&account));
+    lasting.set(LARGE_MAX_BYTES);
 
     let large = open_large(&account).await;
-    account.set_lasting(0);
+    drop(lasting);
     let later = open_large(&account).await;
 
     assert!(large.is_none());
