--- a/crates/standins/src/faults/daemon_process.rs
+++ b/crates/standins/src/faults/daemon_process.rs
@@ -69,6 +69,14 @@
         self.child.as_ref().map(Child::id)
     }
 
+    /// Returns the largest resident size that the process has had, or `None` if no process runs.
+    pub fn peak_memory_bytes(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()?)).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes * 1_024)
+    }
+
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
