Forget cancellations of jobs that nobody submits

An owner kept each cancelled job that it did not know for as long as it lived: callers that cancel random ids made it grow without bound. Cause: a cancellation may overtake its submission, and the entry had no end.

The entry ends after the retention of finished jobs, and counts in the memory of the cell until then. A submission is read within seconds of its cancellation. The records of such cancellations stay in the store, as before.

--- a/crates/jobs/src/cell/cell_state.rs
+++ b/crates/jobs/src/cell/cell_state.rs
@@ -270,7 +270,7 @@
 
     /// Cancels a job and stops its runs.
     pub fn cancel(&mut self, id: JobId, now: Instant) {
-        if self.ledger.cancel(id) {
+        if self.ledger.cancel(id, now) {
             decided!(Decision::JobCancelled, job: id);
             self.dirty.insert(id);
             self.stop_job(id, now);
--- a/crates/jobs/src/ledger/job_ledger.rs
+++ b/crates/jobs/src/ledger/job_ledger.rs
@@ -1,6 +1,5 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,8 +26,8 @@
 pub struct JobLedger {
     active: BTreeMap<JobId, Job>,
     finished: HashMap<JobId, FinishedJob>,
-    /// Jobs whose cancellation was read before their submission.
-    cancelled_before_submission: HashSet<JobId>,
+    /// Jobs whose cancellation was read before their submission, each with the time.
+    cancelled_before_submission: HashMap<JobId, Instant>,
     /// The states that clients may see; each one lags behind its job until the progress is stored.
     published: HashMap<JobId, JobState>,
     /// The memory of the active jobs.
@@ -37,6 +36,8 @@
 
 /// What a finished job takes, with its published state.
 const FINISHED_JOB_BYTES: usize = 160;
+/// What the cancellation of an unknown job takes.
+const CANCELLATION_BYTES: usize = 64;
 
 impl JobLedger {
     /// Adds a submitted job and returns whether the job is new.
@@ -61,7 +62,7 @@
         }
         self.active_bytes += submission.memory_bytes();
         let mut job = Job::new(id, submission, progress, accepted_at);
-        if self.cancelled_before_submission.remove(&id) {
+        if self.cancelled_before_submission.remove(&id).is_some() {
             job.cancel();
         }
         self.published.insert(id, job.state());
@@ -71,20 +72,22 @@
 
     /// Cancels a job and returns whether the job was open.
     ///
-    /// A cancellation of an unknown job applies once its submission is read.
-    pub fn cancel(&mut self, id: JobId) -> bool {
+    /// A cancellation of an unknown job applies if its submission is read within the retention.
+    pub fn cancel(&mut self, id: JobId, now: Instant) -> bool {
         if let Some(job) = self.active.get_mut(&id) {
             return job.cancel();
         }
         if !self.finished.contains_key(&id) {
-            self.cancelled_before_submission.insert(id);
+            self.cancelled_before_submission.entry(id).or_insert(now);
         }
         false
     }
 
     /// Returns the memory that the jobs need, at most.
     pub fn memory_bytes(&self) -> usize {
-        self.active_bytes + self.finished.len() * FINISHED_JOB_BYTES
+        self.active_bytes
+            + self.finished.len() * FINISHED_JOB_BYTES
+            + self.cancelled_before_submission.len() * CANCELLATION_BYTES
     }
 
     /// Returns an active job: one that is not finished.
@@ -157,8 +160,11 @@
         pending.count() as u64
     }
 
-    /// Removes the finished jobs whose retention has expired and returns their ids.
+    /// Removes the finished jobs whose retention has expired and returns their ids. Also forgets
+    /// cancellations of that age whose jobs were never submitted.
     pub fn remove_expired(&mut self, retention: Duration, now: Instant) -> Vec<JobId> {
+        self.cancelled_before_submission
+            .retain(|_, read_at| now.duration_since(*read_at) <= retention);
         let expired: Vec<JobId> = self
             .finished
             .iter()
--- a/crates/jobs/tests/admission/room.rs
+++ b/crates/jobs/tests/admission/room.rs
@@ -6,6 +6,8 @@
 use dotterelhook_jobs::admission::JobRoom;
 use dotterelhook_jobs::admission::RoomQuery;
 use dotterelhook_jobs::admission::RoomView;
+use dotterelhook_jobs::ledger::JobLedger;
+use dotterelhook_jobs::model::JobId;
 use tokio::time::Instant;
 use tokio::time::advance;
 
@@ -87,3 +89,21 @@
     assert_eq!(background.count(), 1);
     assert_eq!(queries[99], RoomQuery::First);
 }
+
+/// Guards against cancellations of jobs that nobody submits, which the owner kept for ever.
+#[tokio::test(start_paused = true)]
+async fn a_crowd_of_cancellations_of_unknown_jobs_is_forgotten() {
+    let retention = Duration::from_secs(180);
+    let mut ledger = JobLedger::default();
+    for number in 0..1_000 {
+        let id: JobId = format!("{number:016x}").parse().expect("an id");
+        ledger.cancel(id, Instant::now());
+    }
+
+    let kept_bytes = ledger.memory_bytes();
+    advance(retention + Duration::from_secs(1)).await;
+    ledger.remove_expired(retention, Instant::now());
+
+    assert!(kept_bytes > 0);
+    assert_eq!(ledger.memory_bytes(), 0);
+}
