Shorten long names of images, which are kept beyond their jobs

An owner learns the loads of up to 1,024 images by their names, and a name may have the size of a whole body: 1,024 jobs with names of 261 KB would keep 267 MB for as long as the owner lives. Cause: the table bounds the number of names, not their size.

They only tell alike images from others and are never sent.

--- a/crates/jobs/src/model/string_types.rs
+++ b/crates/jobs/src/model/string_types.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 use std::sync::Arc;
 
+use rapidhash::v3::rapidhash_v3;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -83,3 +84,17 @@
     /// The name of a failure domain.
     FailureDomainName
 );
+
+/// The length up to which the name of an image is kept. Learned loads are kept by name, beyond the jobs.
+const IMAGE_NAME_MAX_BYTES: usize = 128;
+
+impl ImageName {
+    /// Creates the name of an image; a long text is replaced by its hash.
+    pub fn shortened(text: &str) -> Self {
+        if text.len() <= IMAGE_NAME_MAX_BYTES {
+            return text.into();
+        }
+        let hash = rapidhash_v3(text.as_bytes());
+        Self(format!("{hash:016x}").into())
+    }
+}
