Receive the bodies of moved runs within the account of the process

A scheduler grew to 269 MB under 60 bodies of moved runs that stopped one byte short, and kept them for good. Cause: the API read bodies of up to 4 MB without a time limit and without a limit on all of them together.

Daemons with a front or a scheduler have the setting memory_mb too.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -50,7 +50,10 @@
         let mut interrupt = signal(SignalKind::interrupt())?;
         let unready_for = self.settings.unready_for;
         let drain_max = self.settings.drain_max;
-        let kernel = Kernel::default();
+        let kernel = self
+            .settings
+            .memory
+            .map_or_else(Kernel::default, Kernel::new);
         self.start_services(&kernel).await?;
         tokio::select! {
             _ = terminate.recv() => {}
--- a/crates/daemon/src/jobs/jobs_settings.rs
+++ b/crates/daemon/src/jobs/jobs_settings.rs
@@ -18,6 +18,7 @@
 use crate::settings::LogLevel;
 use crate::settings::RawLog;
 use crate::settings::RawStop;
+use crate::settings::checked_memory;
 use crate::settings::checked_millis;
 use crate::settings::checked_number;
 
@@ -30,11 +31,6 @@
 /// The largest CPU capacity of a host, in cores.
 const CPU_CORES_MAX: f64 = 1_024.0;
 
-/// The smallest memory of a host, in megabytes.
-const MEMORY_MB_MIN: u64 = 64;
-/// The largest memory of a host, in megabytes.
-const MEMORY_MB_MAX: u64 = 1 << 24;
-
 /// The smallest limit of the store on the size of a record.
 const STORE_RECORD_BYTES_MIN: u64 = 4 << 10;
 /// The largest limit of the store on the size of a record or an append.
@@ -196,11 +192,8 @@
             let rule = format!("must be from {CPU_CORES_MIN} to {CPU_CORES_MAX}");
             return Err(FieldError::new("cpu_cores", rule));
         }
-        let memory_mb = raw
-            .memory_mb
-            .map(|megabytes| checked_number("memory_mb", megabytes, MEMORY_MB_MIN, MEMORY_MB_MAX));
         Ok(Self {
-            memory: memory_mb.transpose()?.map(MachineMemory::from_megabytes),
+            memory: checked_memory(raw.memory_mb)?,
             cpu_milli: CpuMilli((raw.cpu_cores * 1_000.0) as u64),
             clients_address: jobs.clients_address,
             ready_address: jobs.ready_address,
--- a/crates/daemon/src/settings/checks.rs
+++ b/crates/daemon/src/settings/checks.rs
@@ -2,6 +2,7 @@
 
 use dotterelhook_front::FrontSettings;
 use dotterelhook_front::target::BalancingPolicy;
+use dotterelhook_kernel::memory::MachineMemory;
 use dotterelhook_peer::membership::MemberId;
 use dotterelhook_peer::membership::MembershipSettings;
 use dotterelhook_peer::membership::Role;
@@ -21,6 +22,18 @@
 /// to 10 s old in normal operation, and half of the bound must be well above that.
 const EVACUATE_MIN_MS: u64 = 30_000;
 
+/// The smallest memory of a host, in megabytes.
+const MEMORY_MB_MIN: u64 = 64;
+/// The largest memory of a host, in megabytes.
+const MEMORY_MB_MAX: u64 = 1 << 24;
+
+/// Checks the memory of the host; `None` stands for the size that the platform reports.
+pub(crate) fn checked_memory(memory_mb: Option<u64>) -> Result<Option<MachineMemory>, FieldError> {
+    let checked = memory_mb
+        .map(|megabytes| checked_number("memory_mb", megabytes, MEMORY_MB_MIN, MEMORY_MB_MAX));
+    Ok(checked.transpose()?.map(MachineMemory::from_megabytes))
+}
+
 /// Checks that no two listeners of the daemon share an address.
 pub(super) fn check_distinct_addresses(raw: &RawSettings) -> Result<(), FieldError> {
     let front = raw.front.as_ref().map(|front| front.listen_address);
--- a/crates/daemon/src/settings/daemon_settings.rs
+++ b/crates/daemon/src/settings/daemon_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dotterelhook_front::FrontSettings;
+use dotterelhook_kernel::memory::MachineMemory;
 use dotterelhook_peer::membership::MembershipSettings;
 use dotterelhook_scheduler::SchedulerSettings;
 use dotterelhook_types::document::FieldError;
@@ -14,6 +15,7 @@
 use super::checks::check_membership;
 use super::checks::check_platform;
 use super::checks::check_scheduler;
+use super::checks::checked_memory;
 use super::checks::checked_millis;
 use super::raw::RawSettings;
 
@@ -29,6 +31,8 @@
 /// The checked settings of one daemon, with the defaults filled in.
 #[derive(Clone, Debug)]
 pub(crate) struct DaemonSettings {
+    /// The memory of the machine; `None` for the size that the platform reports.
+    pub(crate) memory: Option<MachineMemory>,
     pub(crate) admin_address: SocketAddr,
     pub(crate) platform: PlatformSettings,
     pub(crate) membership: MembershipSettings,
@@ -65,6 +69,7 @@
             .transpose()?;
         let membership = check_membership(&raw, incarnation)?;
         Ok(Self {
+            memory: checked_memory(raw.memory_mb)?,
             admin_address: raw.admin_address,
             platform,
             membership,
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod log_settings;
 mod raw;
 
+pub(crate) use checks::checked_memory;
 pub(crate) use checks::checked_millis;
 pub(crate) use checks::checked_number;
 pub(crate) use daemon_settings::DaemonSettings;
--- a/crates/daemon/src/settings/raw.rs
+++ b/crates/daemon/src/settings/raw.rs
@@ -13,6 +13,8 @@
 pub(crate) struct RawSettings {
     pub(super) host: HostId,
     pub(super) failure_domain: FailureDomain,
+    /// Absent if the machine's own figure holds.
+    pub(super) memory_mb: Option<u64>,
     pub(super) admin_address: SocketAddr,
     pub(super) platform: RawPlatform,
     pub(super) peers: RawPeers,
--- a/crates/daemon/tests/processes/fixture.rs
+++ b/crates/daemon/tests/processes/fixture.rs
@@ -40,6 +40,8 @@
 const PEERS_PORT: u16 = 4;
 const API_PORT: u16 = 5;
 const SECOND_API_PORT: u16 = 6;
+/// The memory of the smallest machine, in megabytes.
+pub(crate) const MEMORY_MB: u64 = 160;
 const RECORDS_MAX: usize = 10_000;
 const BODY_TIMEOUT_MS: u64 = 300;
 
@@ -158,6 +160,7 @@
         let mut settings = json!({
             "host": "laguna-1",
             "failure_domain": "laguna",
+            "memory_mb": MEMORY_MB,
             "admin_address": admin,
             "platform": {
                 "log_address": address(LOG_PORT),
@@ -185,6 +188,12 @@
         }
     }
 
+    /// Returns the largest resident size that the process has had.
+    pub(crate) fn peak_memory_bytes(&self) -> u64 {
+        let peak = self.process.peak_memory_bytes();
+        peak.expect("a running process")
+    }
+
     /// Sends SIGTERM and returns the exit code.
     pub(crate) fn stop(mut self) -> Option<i32> {
         self.process.terminate()?.code()
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -2,5 +2,6 @@
 
 mod bad_input;
 mod both_parts;
+mod crowds;
 mod fixture;
 mod jobs_daemon;
--- a/crates/kernel/src/http/request_body.rs
+++ b/crates/kernel/src/http/request_body.rs
@@ -3,6 +3,7 @@
 use std::ops::Deref;
 use std::time::Duration;
 
+use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -59,6 +60,11 @@
 }
 
 impl RequestBody {
+    /// Returns the bytes, which keep the reservation.
+    pub fn into_bytes(self) -> Bytes {
+        self.reservation.attach_to(self.bytes)
+    }
+
     /// Drops the body and returns its reservation.
     pub fn into_reservation(self) -> Reservation {
         self.reservation
--- a/crates/scheduler/src/api/run_api.rs
+++ b/crates/scheduler/src/api/run_api.rs
@@ -5,11 +5,13 @@
 use dotterelhook_borders::clock::Clock;
 use dotterelhook_borders::http::JsonAnswer;
 use dotterelhook_borders::http::JsonClient;
-use dotterelhook_borders::http::read_body;
 use dotterelhook_kernel::http::AnswerBody;
+use dotterelhook_kernel::http::BodyError;
+use dotterelhook_kernel::http::BodyLimits;
 use dotterelhook_kernel::http::ClientBody;
 use dotterelhook_kernel::http::HttpHandler;
 use dotterelhook_kernel::http::full_body;
+use dotterelhook_kernel::http::receive_body;
 use dotterelhook_peer::config::ConfigView;
 use dotterelhook_peer::membership::MembershipView;
 use dotterelhook_peer::membership::Role;
@@ -30,6 +32,7 @@
 use rapidhash::v3::rapidhash_v3;
 use serde_json::Value;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use super::relocation_requests::RelocationRequest;
 use crate::run_commands::RunCommandError;
@@ -42,6 +45,8 @@
 const RETRY_AFTER_SECONDS: u64 = 2;
 /// Above the size of the largest run that moves.
 const MOVED_RUN_MAX_BYTES: usize = 4 << 20;
+/// The body of a moved run, its decoded form, and the copy that is forwarded.
+const MOVED_RUN_COPIES: usize = 3;
 const FORWARDED_QUERY: &str = "forwarded";
 
 /// Dependencies of the run API.
@@ -282,9 +287,22 @@
         if !RelocationRequest::is_path(path) {
             return self.execute(method, path, may_forward).await;
         }
-        match read_body(body, MOVED_RUN_MAX_BYTES).await {
-            Ok(body) => self.relocate(method, path, &body, may_forward).await,
-            Err(cause) => failure(StatusCode::BAD_REQUEST, &CallError::not_run(cause)),
+        let limits = BodyLimits {
+            max_bytes: MOVED_RUN_MAX_BYTES,
+            copies: MOVED_RUN_COPIES,
+        };
+        match receive_body(body, limits, Instant::now() + REPLY_TIMEOUT).await {
+            Ok(body) => {
+                let body = body.into_bytes();
+                self.relocate(method, path, &body, may_forward).await
+            }
+            Err(error) => {
+                let status = match error {
+                    BodyError::NoMemory(_) | BodyError::Late => StatusCode::SERVICE_UNAVAILABLE,
+                    BodyError::TooLarge { .. } | BodyError::BrokenOff(_) => StatusCode::BAD_REQUEST,
+                };
+                failure(status, &CallError::not_run(error.to_string()))
+            }
         }
     }
 }
