Don't take a pause of an answer for a client without progress

A connection whose answer comes in parts, as from a slow target of a front, was closed when another connection needed its place.

While the next part of an answer is awaited, the call counts as running, and a running call is never closed.

Evidence: kernel/slow_answers fails without the change (the first answer ends before its last part) and passes with it.

--- a/crates/kernel/src/http/http_server.rs
+++ b/crates/kernel/src/http/http_server.rs
@@ -25,9 +25,9 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use super::AnswerBody;
 use super::ClientBody;
 use super::HttpHandler;
+use super::tracked_answer::TrackedAnswer;
 use super::tracked_stream::TrackedStream;
 use crate::Kernel;
 use crate::memory::ConnectionMemory;
@@ -221,16 +221,19 @@
         tokio::time::sleep(IDLE_CLOSE_DELAY).await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<TrackedAnswer>, Infallible> {
         self.memory.begin_running();
         let memory = Arc::clone(&self.memory);
         let request = request.map(|incoming| ClientBody::new(incoming, memory));
         let mut answer = self.handler.handle(request).await;
-        self.memory.begin_answering();
         if self.draining.is_cancelled() {
             let close = HeaderValue::from_static("close");
             answer.headers_mut().insert(CONNECTION, close);
         }
-        Ok(answer)
+        let memory = Arc::clone(&self.memory);
+        Ok(answer.map(|body| TrackedAnswer::new(body, memory)))
     }
 }
--- a/crates/kernel/src/http/mod.rs
+++ b/crates/kernel/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod handler;
 mod http_server;
 mod request_body;
+mod tracked_answer;
 mod tracked_stream;
 
 pub use client_body::ClientBody;
