Limit the wait of a gang for isolation

Cause: a task with such losses starts only where all other runs have settled, for at most 2 s; the beginning of that wait was noted only where single tasks are placed, and gangs are placed elsewhere.

A gang that finds no place notes the wait for each member that needs isolation.

--- a/crates/jobs/src/cell/gang_placement.rs
+++ b/crates/jobs/src/cell/gang_placement.rs
@@ -42,6 +42,9 @@
             placements = elsewhere
                 .chain([None])
                 .find_map(|rack| self.find_gang_executors(search, rack, tasks, now));
+            if placements.is_none() {
+                self.note_isolation_waits(tasks, now);
+            }
             if self.gang_waits_for_rack(search, tasks, &preferred, placements.is_some(), now) {
                 return 0;
             }
--- a/crates/jobs/src/cell/isolation.rs
+++ b/crates/jobs/src/cell/isolation.rs
@@ -82,6 +82,15 @@
         placed
     }
 
+    /// Records from when on the tasks of a gang that has no place wait for isolation.
+    pub(super) fn note_isolation_waits(&mut self, tasks: &[TaskId], now: Instant) {
+        for task in tasks {
+            if self.needs_isolation(*task) {
+                self.isolation_waits.entry(*task).or_insert(now);
+            }
+        }
+    }
+
     /// Returns the penalty of an executor for isolated tasks, or `None` if they can't be isolated
     /// there. Other tasks have no penalty.
     pub(super) fn isolation_penalty(
--- a/crates/jobs/tests/cell/executor_crashes.rs
+++ b/crates/jobs/tests/cell/executor_crashes.rs
@@ -367,6 +367,39 @@
     assert!(has_neighbour);
 }
 
+/// Guards against a gang that waits without an end for executors without young runs, once two executors
+/// were lost under it.
+#[tokio::test]
+async fn a_gang_is_isolated_only_for_a_limited_wait() {
+    let mut world = CrashWorld::new(4);
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2, 1_000, &[])
+    };
+    world.work = Duration::from_millis(450);
+    world.endless.insert(job(1));
+    world.submit(1, submission(vec![gang]));
+    let members = [task(1, 0, 0), task(1, 0, 1)];
+    for _ in 0..2 {
+        world.run(Duration::from_secs(12));
+        let id = world.executor_of(members[0]).expect("a run of the gang");
+        world.crash(&id);
+    }
+
+    let young = StepSpec {
+        per_executor_max: Some(1),
+        ..step(4, 200, &[])
+    };
+    for number in 10..100 {
+        world.submit(number, submission(vec![young.clone()]));
+        world.run(Duration::from_millis(200));
+    }
+
+    for member in members {
+        assert!(world.executor_of(member).is_some(), "{member} does not run");
+    }
+}
+
 /// Guards against an isolated run that is taken for the cause of a crash that came before it: its start was
 /// sent to an executor that was not known to be down, and had no answer.
 #[tokio::test]
