Let a gang count as one run on executors on probation

Cause: on probation, an executor takes one run at a time until that run shows progress. While the places of a gang are searched, each found member holds its room as a run, which counted as such a probe and kept the other members away. So no gang with more members than executors was placed, and the executors never got the run that would end their probation.

Room that is held for a member, which has no run number yet, is no probe: the gang is placed as a whole, and its members are the probe.

--- a/crates/jobs/src/fleet/run_view.rs
+++ b/crates/jobs/src/fleet/run_view.rs
@@ -191,8 +191,12 @@
     /// Returns whether the run is still to show that its executor works: it is about to start, or has
     /// made no progress although it may.
     pub fn is_probe(&self) -> bool {
+        // Without a number, it only holds the room of a gang's member while the others are searched.
+        let is_held_room = self.run == RunNumber::default();
         let is_starting = matches!(self.phase, RunPhase::Proposed | RunPhase::Ordered);
-        is_starting || self.pace_percent > 0 && self.progress_percent < PROBE_PROGRESS_PERCENT
+        let has_shown_nothing =
+            self.pace_percent > 0 && self.progress_percent < PROBE_PROGRESS_PERCENT;
+        !is_held_room && (is_starting || has_shown_nothing)
     }
 
     /// Returns whether the run is a filler, which uses processor time that others leave idle.
--- a/crates/jobs/tests/cell/probation.rs
+++ b/crates/jobs/tests/cell/probation.rs
@@ -37,6 +37,30 @@
     harness
 }
 
+/// Guards against members of one gang that keep each other away, so that the gang never starts and the
+/// executor never gets the run that would end its probation.
+#[tokio::test]
+async fn a_gang_counts_as_one_run_on_probation() {
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(3, 500, &[])
+    };
+    let mut harness = harness_on_probation();
+    harness.report("i-1", vec![], vec![]);
+    harness
+        .cell
+        .accept(job(3), submission(vec![gang.clone()]), harness.now);
+    harness
+        .cell
+        .accept(job(4), submission(vec![gang]), harness.now);
+
+    harness.commit();
+    let started = harness.accept_starts("i-1");
+
+    assert_eq!(started.len(), 3, "{started:?}");
+    assert!(started.iter().all(|task| task.job == started[0].job));
+}
+
 /// Guards against a lasting task that waits for as long as a paused filler makes no progress.
 #[tokio::test]
 async fn a_paused_filler_does_not_keep_an_executor_on_probation_from_lasting_tasks() {
