Let calls of other hosts take the room of clients without progress

An owner refused forwarded records at once while a crowd of stalled clients filled its account, although those clients had to give way. Cause: only requests over the process's own listeners closed connections without progress when they found no room.

Both reserve by the same call now.

--- a/crates/kernel/src/memory/connection_memory.rs
+++ b/crates/kernel/src/memory/connection_memory.rs
@@ -81,7 +81,7 @@
         bytes: usize,
         held_bytes: usize,
     ) -> Result<Reservation, MemoryShortage> {
-        self.account.reserve(bytes, held_bytes, self).await
+        self.account.reserve(bytes, held_bytes, Some(self)).await
     }
 
     pub(super) fn id(&self) -> u64 {
--- a/crates/kernel/src/memory/memory_account.rs
+++ b/crates/kernel/src/memory/memory_account.rs
@@ -128,23 +128,6 @@
         self.released.notify_waiters();
     }
 
-    /// Reserves bytes that no client sends over a connection of its own, beside `held_bytes` of the same
-    /// request.
-    ///
-    /// # Errors
-    /// Too few bytes are free.
-    pub fn try_reserve(
-        self: &Arc<Self>,
-        bytes: usize,
-        held_bytes: usize,
-    ) -> Result<Reservation, MemoryShortage> {
-        let mut entries = self.lock();
-        if !self.take(&mut entries, bytes, held_bytes) {
-            return Err(self.refuse(&mut entries, bytes));
-        }
-        Ok(Reservation::new(Arc::clone(self), bytes, None))
-    }
-
     /// Adds a connection of a listener. Closes stalled connections if there is too little room, and waits.
     pub async fn open(self: &Arc<Self>, listener: &'static str) -> Arc<ConnectionMemory> {
         loop {
@@ -174,23 +157,28 @@
         }
     }
 
-    /// Reserves bytes for the client of a connection. Closes stalled connections if there is too little
-    /// room.
-    pub(super) async fn reserve(
+    /// Reserves bytes beside `held_bytes` of the same request, for the client of a connection or for another
+    /// process. Closes stalled connections if there is too little room.
+    ///
+    /// # Errors
+    /// Too few bytes are free, and too few are held by connections without progress.
+    pub async fn reserve(
         self: &Arc<Self>,
         bytes: usize,
         held_bytes: usize,
-        connection: &Arc<ConnectionMemory>,
+        connection: Option<&Arc<ConnectionMemory>>,
     ) -> Result<Reservation, MemoryShortage> {
         loop {
             let released = self.released.notified();
             {
                 let mut entries = self.lock();
                 if self.take(&mut entries, bytes, held_bytes) {
-                    if let Some(entry) = entries.connections.get_mut(&connection.id()) {
+                    let id = connection.map(|connection| connection.id());
+                    let entry = id.and_then(|id| entries.connections.get_mut(&id));
+                    if let Some(entry) = entry {
                         entry.held_bytes += bytes;
                     }
-                    let connection = Some(Arc::clone(connection));
+                    let connection = connection.cloned();
                     return Ok(Reservation::new(Arc::clone(self), bytes, connection));
                 }
                 if !self.evict_stalled(&mut entries, bytes, held_bytes, Instant::now()) {
--- a/crates/kernel/tests/memory.rs
+++ b/crates/kernel/tests/memory.rs
@@ -60,9 +60,9 @@
 #[tokio::test(start_paused = true)]
 async fn a_large_request_that_grows_is_no_small_one() {
     let account = account();
-    let mut held = account.try_reserve(0, 0).expect("room");
+    let mut held = account.reserve(0, 0, None).await.expect("room");
 
-    while let Ok(more) = account.try_reserve(SMALL_BYTES, held.bytes()) {
+    while let Ok(more) = account.reserve(SMALL_BYTES, held.bytes(), None).await {
         held.merge(more);
     }
 
@@ -114,6 +114,27 @@
     assert!(closes.is_finished());
 }
 
+/// Guards against hosts that are refused while a crowd keeps room without progress.
+#[tokio::test(start_paused = true)]
+async fn a_stalled_crowd_gives_way_to_other_hosts() {
+    let account = account();
+    let mut crowd = Vec::new();
+    while let Some(member) = open_large(&account).await {
+        crowd.push(member);
+    }
+    advance(LONG).await;
+    for (connection, reservation) in crowd {
+        tokio::spawn(async move {
+            connection.evicted().await;
+            drop((connection, reservation));
+        });
+    }
+
+    let reserved = timeout(LONG, account.reserve(LARGE_BYTES, 0, None)).await;
+
+    assert!(reserved.is_ok_and(|reserved| reserved.is_ok()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn idle_connections_give_way_after_incomplete_requests() {
     let account = account();
--- a/crates/peer/src/rpc/body.rs
+++ b/crates/peer/src/rpc/body.rs
@@ -54,7 +54,7 @@
     }
 
     /// Reserves `bytes` more, rounded up to whole units; returns `None` if too little is free.
-    fn try_reserve(&self, bytes: usize, reserved: &mut Reserved) -> Option<()> {
+    async fn reserve(&self, bytes: usize, reserved: &mut Reserved) -> Option<()> {
         let units = bytes.div_ceil(BUDGET_UNIT_BYTES).try_into().ok()?;
         let units = Arc::clone(&self.units).try_acquire_many_owned(units).ok()?;
         reserved.received_bytes += bytes;
@@ -62,8 +62,8 @@
             && reserved.received_bytes > CONTROL_MAX_BYTES
         {
             let held_bytes = reserved.memory.as_ref().map_or(0, Reservation::bytes);
-            let more = account.try_reserve(bytes * RECEIVED_COPIES, held_bytes);
-            let more = more.ok()?;
+            let more = account.reserve(bytes * RECEIVED_COPIES, held_bytes, None);
+            let more = more.await.ok()?;
             match &mut reserved.memory {
                 Some(memory) => memory.merge(more),
                 None => reserved.memory = Some(more),
@@ -97,7 +97,8 @@
         if body.len() + chunk.len() > max_bytes {
             return Err(format!("the body is larger than {max_bytes} bytes").into());
         }
-        if budget.try_reserve(chunk.len(), &mut reserved).is_none() {
+        let reserved_more = budget.reserve(chunk.len(), &mut reserved).await;
+        if reserved_more.is_none() {
             return Err("too many bytes are in flight".into());
         }
         // Returning the capacity lets the sender continue.
